--- /dev/null
+++ b/src/goldcresthall/core/__init__.py
@@ -0,0 +1,1 @@
+"""Core types: frozen data classes without knowledge of encodings or transports."""
--- /dev/null
+++ b/src/goldcresthall/core/outcomes.py
@@ -0,0 +1,117 @@
+"""Outcomes of a caller's request: answered, refused and not run, or unknown."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Step(enum.Enum):
+    """The step of the request path at which an outcome arose."""
+
+    DECODE = "decode"
+    ROUTE = "route"
+    ADMIT = "admit"
+    RECORD_INTENT = "record_intent"
+    FIND_OWNER = "find_owner"
+    CHOOSE_SERVER = "choose_server"
+    CONNECT = "connect"
+    SEND = "send"
+    RECEIVE = "receive"
+    EXECUTE = "execute"
+
+
+class RefusalReason(enum.Enum):
+    """Why a request was refused; in every case it was not run."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    REQUEST_TOO_LARGE = "request_too_large"
+    NO_PRESET = "no_preset"
+    UNKNOWN_SERVICE = "unknown_service"
+    KEY_MISSING = "key_missing"
+    NO_OWNER = "no_owner"
+    NOT_OWNER = "not_owner"
+    NO_SERVER_AVAILABLE = "no_server_available"
+    CONNECT_FAILED = "connect_failed"
+    SERVER_SHED = "server_shed"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    DEADLINE_EXPIRED = "deadline_expired"
+    IDEMPOTENCY_KEY_MISSING = "idempotency_key_missing"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    IDEMPOTENCY_KEY_EXPIRED = "idempotency_key_expired"
+    INTENT_NOT_RECORDED = "intent_not_recorded"
+    ALREADY_ATTEMPTED = "already_attempted"
+    STATE_MISSING = "state_missing"
+    STATE_HALTED = "state_halted"
+    SHUTTING_DOWN = "shutting_down"
+
+
+class UnknownReason(enum.Enum):
+    """Why nobody can say whether a request was run."""
+
+    ANSWER_TIMEOUT = "answer_timeout"
+    CONNECTION_LOST = "connection_lost"
+    ANSWER_TRUNCATED = "answer_truncated"
+    ANSWER_MISMATCHED = "answer_mismatched"
+    SEND_INTERRUPTED = "send_interrupted"
+    INTENT_UNKNOWN = "intent_unknown"
+    ATTEMPT_IN_PROGRESS = "attempt_in_progress"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Header:
+    """One header field of a request or an answer."""
+
+    name: str
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer of a backend server."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The request was run and this is its whole answer."""
+
+    answer: Answer
+    server: str
+    tries: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The request was not run by any backend server.
+
+    Attributes
+    ----------
+    retry_after_s
+        Seconds after which another try may succeed; none if a repeat is useless.
+    """
+
+    reason: RefusalReason
+    step: Step
+    peer: str
+    detail: str = ""
+    retry_after_s: float | None = None
+    tries: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The request may or may not have been run."""
+
+    reason: UnknownReason
+    step: Step
+    peer: str
+    detail: str = ""
+    tries: int = 1
+
+
+Outcome = Answered | Refused | OutcomeUnknown
--- /dev/null
+++ b/src/goldcresthall/encoding/__init__.py
@@ -0,0 +1,1 @@
+"""Encodings of core types; nothing here decides anything."""
--- /dev/null
+++ b/src/goldcresthall/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The micro-kernel: named services, their order of start and stop, and their tasks."""
--- /dev/null
+++ b/src/goldcresthall/kernel/clock.py
@@ -0,0 +1,30 @@
+"""The clock service: one monotonic clock for each process."""
+
+from __future__ import annotations
+
+import abc
+import time
+
+from goldcresthall.kernel import service
+
+
+class Clock(service.Service):
+    """A monotonic clock; its readings mean nothing to another process."""
+
+    @abc.abstractmethod
+    def read_s(self) -> float:
+        """Return the present reading in seconds."""
+
+    def start(self) -> None:
+        """Do nothing; a clock needs no start."""
+
+    def stop(self) -> None:
+        """Do nothing; a clock needs no stop."""
+
+
+class MonotonicClock(Clock):
+    """The operating system's monotonic clock."""
+
+    def read_s(self) -> float:
+        """Return the present reading in seconds."""
+        return time.monotonic()
--- /dev/null
+++ b/src/goldcresthall/kernel/tasks.py
@@ -0,0 +1,76 @@
+"""Tasks: one thread for each connection, peer or loop, with an orderly end."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+JOIN_TIMEOUT_S = 10.0
+
+
+class StopSignal:
+    """Tells a task to end; waiting on it is how a task sleeps."""
+
+    def __init__(self) -> None:
+        self._event = threading.Event()
+
+    @property
+    def is_set(self) -> bool:
+        """Whether the task was asked to end."""
+        return self._event.is_set()
+
+    def set(self) -> None:
+        """Ask the task to end and wake it if it sleeps."""
+        self._event.set()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Sleep until asked to end or for `timeout_s` seconds; return `is_set`."""
+        return self._event.wait(timeout_s)
+
+
+class Task:
+    """A named thread that runs one function until it returns.
+
+    Parameters
+    ----------
+    name
+        Shown in logs and in thread dumps.
+    run
+        Called once with the task's stop signal.
+    """
+
+    def __init__(self, name: str, run: Callable[[StopSignal], None]) -> None:
+        self._name = name
+        self._run = run
+        self._stop_signal = StopSignal()
+        self._thread = threading.Thread(target=self._run_logged, name=name, daemon=True)
+
+    @property
+    def name(self) -> str:
+        """Name given at construction."""
+        return self._name
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def request_stop(self) -> None:
+        """Ask the task to end without waiting for it."""
+        self._stop_signal.set()
+
+    def stop(self) -> None:
+        """Ask the task to end and wait up to `JOIN_TIMEOUT_S` seconds for it."""
+        self._stop_signal.set()
+        if self._thread is not threading.current_thread() and self._thread.ident is not None:
+            self._thread.join(JOIN_TIMEOUT_S)
+
+    def _run_logged(self) -> None:
+        try:
+            self._run(self._stop_signal)
+        except Exception:
+            logging.exception("task %s ended by an error", self._name)
