Replay the platform's log to one state

A record carries the offset it was derived from and replay rejects it when what it touches has changed since, which turns an unconditional append into compare-and-set. A record of unknown type halts the instance; a malformed one is rejected, the same everywhere.

--- /dev/null
+++ b/src/goldcresthall/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of what the platform provides: the log service and the instance list."""
--- /dev/null
+++ b/src/goldcresthall/platform/http_log_client.py
@@ -0,0 +1,80 @@
+"""The platform's log service over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import urllib3
+
+from goldcresthall.platform import log_client
+
+if TYPE_CHECKING:
+    from goldcresthall.core import settings
+
+MS_PER_S = 1_000
+POOL_SIZE = 4
+STATUS_OK = 200
+STATUS_GONE = 410
+CLIENT_ERRORS = range(400, 500)
+
+
+class HttpLogClient(log_client.LogClient):
+    """Speaks to the log service at one address; never retries by itself."""
+
+    def __init__(self, address: str, request_timeout_ms: int) -> None:
+        self._timeout_s = request_timeout_ms / MS_PER_S
+        host, port = address.rsplit(":", 1)
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=POOL_SIZE, block=False, retries=False
+        )
+
+    @classmethod
+    def from_config(cls, platform: settings.PlatformSettings) -> HttpLogClient:
+        """Return a client for the configured log service."""
+        return cls(str(platform.log), platform.request_timeout_ms)
+
+    def start(self) -> None:
+        """Do nothing; connections are opened when needed."""
+
+    def stop(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    def append(self, entries: tuple[bytes, ...]) -> log_client.AppendOutcome:
+        """Append entries contiguously, all or none."""
+        encoded = [base64.b64encode(entry).decode() for entry in entries]
+        body = json.dumps({"entries": encoded}).encode()
+        try:
+            response = self._pool.request("POST", "/log/append", body=body, timeout=self._timeout_s)
+            if response.status == STATUS_OK:
+                return log_client.Appended(int(response.json()["first_offset"]))
+        except urllib3.exceptions.NewConnectionError as error:
+            return log_client.AppendRefused(f"connect: {error}")
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
+            return log_client.AppendUnknown(f"receive: {error}")
+        if response.status in CLIENT_ERRORS:
+            return log_client.AppendRefused(f"status {response.status}")
+        return log_client.AppendUnknown(f"status {response.status}")
+
+    def read(self, from_offset: int, limit: int, wait_ms: int) -> log_client.ReadOutcome:
+        """Read entries from an offset on, waiting up to `wait_ms` for a first one."""
+        path = f"/log/read?from={from_offset}&limit={limit}&wait_ms={wait_ms}"
+        timeout_s = self._timeout_s + wait_ms / MS_PER_S
+        try:
+            response = self._pool.request("GET", path, timeout=timeout_s)
+            if response.status not in {STATUS_OK, STATUS_GONE}:
+                return log_client.ReadFailed(f"status {response.status}")
+            return self._decode_page(response.status, response.json())
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
+            return log_client.ReadFailed(f"receive: {error}")
+
+    def _decode_page(self, status: int, document: Any) -> log_client.ReadOutcome:
+        begin_offset = int(document["begin_offset"])
+        end_offset = int(document["end_offset"])
+        if status == STATUS_GONE:
+            return log_client.ReadExpired(begin_offset, end_offset)
+        entries = tuple(base64.b64decode(entry) for entry in document["entries"])
+        return log_client.LogPage(int(document["first_offset"]), entries, begin_offset, end_offset)
--- /dev/null
+++ b/src/goldcresthall/platform/instance_list.py
@@ -0,0 +1,109 @@
+"""The platform's lagging list of live and leaving router instances."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import threading
+from typing import TYPE_CHECKING
+
+import urllib3
+from absl import logging
+
+from goldcresthall.core import identity
+from goldcresthall.encoding import documents
+from goldcresthall.encoding import exceptions
+from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
+
+if TYPE_CHECKING:
+    from goldcresthall.core import settings
+
+MS_PER_S = 1_000
+STATUS_OK = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceListing:
+    """The list as it was last read; `revision` counts the changes seen here."""
+
+    revision: int
+    instances: tuple[identity.InstanceEntry, ...]
+
+    @property
+    def live(self) -> tuple[identity.InstanceEntry, ...]:
+        """Instances that are not leaving."""
+        return tuple(
+            entry for entry in self.instances if entry.status is identity.InstanceStatus.LIVE
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ListDocument:
+    instances: tuple[identity.InstanceEntry, ...]
+
+
+class InstanceList(service.Service):
+    """The list of router instances as the rest of the code sees it."""
+
+    @property
+    @abc.abstractmethod
+    def listing(self) -> InstanceListing:
+        """The list as it was last read."""
+
+
+class HttpInstanceList(InstanceList):
+    """Reads the list over HTTP at a fixed interval and keeps the last good answer."""
+
+    def __init__(self, platform: settings.PlatformSettings) -> None:
+        self._platform = platform
+        self._listing = InstanceListing(0, ())
+        self._lock = threading.Lock()
+        address = platform.instance_list
+        self._pool = urllib3.HTTPConnectionPool(
+            address.host, address.port, maxsize=1, retries=False
+        )
+        self._task = tasks.Task("instance-list", self._run)
+
+    @classmethod
+    def from_config(cls, platform: settings.PlatformSettings) -> HttpInstanceList:
+        """Return a client of the configured instance list."""
+        return cls(platform)
+
+    @property
+    def listing(self) -> InstanceListing:
+        """The list as it was last read; empty before the first read."""
+        with self._lock:
+            return self._listing
+
+    def start(self) -> None:
+        """Begin to read the list."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop reading the list."""
+        self._task.stop()
+        self._pool.close()
+
+    def _run(self, stop_signal: tasks.StopSignal) -> None:
+        while not stop_signal.is_set:
+            self._refresh()
+            stop_signal.wait(self._platform.list_interval_ms / MS_PER_S)
+
+    def _refresh(self) -> None:
+        timeout_s = self._platform.request_timeout_ms / MS_PER_S
+        try:
+            response = self._pool.request("GET", "/instances", timeout=timeout_s)
+            if response.status != STATUS_OK:
+                logging.warning("instance list: status %d", response.status)
+                return
+            document = documents.decode_document(response.data, _ListDocument)
+        except (urllib3.exceptions.HTTPError, exceptions.DocumentError) as error:
+            logging.warning("instance list: %s", error)
+            return
+        self._keep(document.instances)
+
+    def _keep(self, instances: tuple[identity.InstanceEntry, ...]) -> None:
+        with self._lock:
+            if instances != self._listing.instances:
+                self._listing = InstanceListing(self._listing.revision + 1, instances)
--- /dev/null
+++ b/src/goldcresthall/replication/replay.py
@@ -0,0 +1,209 @@
+"""`apply`: the one function by which records change the state, by record type.
+
+Replay depends on the records alone. It reads no clock, setting, random number or
+local knowledge, so that every instance accepts and rejects the same records.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import functools
+
+from goldcresthall.core import records
+from goldcresthall.encoding import exceptions
+from goldcresthall.encoding import log_entries
+from goldcresthall.replication import state as replicated
+
+
+class RejectionReason(enum.Enum):
+    """Why replay rejected a record."""
+
+    MALFORMED = "malformed"
+    BASE_OVERTAKEN = "base_overtaken"
+    NOT_LESSOR = "not_lessor"
+    OWNER_DIFFERS = "owner_differs"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_SERVER = "unknown_server"
+    UNKNOWN_PARTITION = "unknown_partition"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The record changed the state."""
+
+    state: replicated.State
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """The record changed nothing."""
+
+    reason: RejectionReason
+    detail: str
+
+
+Decision = Accepted | Rejected
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replayed:
+    """The result of replaying one entry; `record` is none if it was malformed."""
+
+    state: replicated.State
+    record: records.Record | None
+    decision: Decision
+
+
+def replay_entry(entry: bytes, state: replicated.State) -> Replayed:
+    """Apply one entry of the log and count it in the state's next offset.
+
+    A record of unknown type or version halts the state; it is never skipped.
+    """
+    if state.halted:
+        return Replayed(state, None, Rejected(RejectionReason.MALFORMED, "halted"))
+    try:
+        record = log_entries.decode_record(entry)
+    except exceptions.RecordDecodeError as error:
+        rejected = Rejected(RejectionReason.MALFORMED, str(error))
+        return Replayed(_advance(state), None, rejected)
+    except exceptions.UnknownRecordError as error:
+        halted = dataclasses.replace(state, halted=f"offset {state.next_offset}: {error}")
+        return Replayed(halted, None, Accepted(halted))
+    decision = apply(record, state)
+    changed = decision.state if isinstance(decision, Accepted) else state
+    return Replayed(_advance(changed), record, decision)
+
+
+@functools.singledispatch
+def apply(record: records.Record, state: replicated.State) -> Decision:
+    """Apply a record at offset ``state.next_offset``; reject it if it is overtaken."""
+    raise NotImplementedError(type(record).__name__)
+
+
+@apply.register
+def _(record: records.PresetPublished, state: replicated.State) -> Decision:
+    current = state.preset_in_force
+    if current is not None and current.offset >= record.base:
+        return _overtaken("preset", current.offset)
+    in_force = replicated.PresetInForce(
+        preset=record.preset,
+        offset=state.next_offset,
+        author=record.author,
+        reason=record.reason,
+    )
+    return Accepted(dataclasses.replace(state, preset_in_force=in_force))
+
+
+@apply.register
+def _(record: records.LessorsAppointed, state: replicated.State) -> Decision:
+    servers = state.servers.evolver()
+    for choice in record.choices:
+        current = state.servers.get(choice.server)
+        if current is not None and current.changed_at >= record.base:
+            return _overtaken(choice.server, current.changed_at)
+        servers[choice.server] = replicated.ServerState(
+            lessor=choice.lessor,
+            epoch=state.next_offset,
+            changed_at=state.next_offset,
+            lost=current is not None and current.lost,
+        )
+    return Accepted(dataclasses.replace(state, servers=servers.persistent()))
+
+
+@apply.register
+def _(record: records.ServerReturned, state: replicated.State) -> Decision:
+    rejected = _check_lessor(record.server, record, state)
+    if rejected is not None:
+        return rejected
+    return Accepted(_touch_servers({record.server}, state, lost_server=""))
+
+
+@apply.register
+def _(record: records.PartitionsMoved, state: replicated.State) -> Decision:
+    partitions = state.partitions.evolver()
+    for move in record.moves:
+        rejected = _check_move(move, record, state)
+        if rejected is not None:
+            return rejected
+        partition = replicated.PartitionId(move.service, move.partition)
+        partitions[partition] = replicated.Ownership(
+            owner=move.to_server,
+            epoch=state.next_offset,
+            author=record.author,
+            reason=record.reason,
+        )
+    servers = {move.from_server for move in record.moves if move.from_server}
+    if record.lost_server:
+        rejected = _check_lessor(record.lost_server, record, state)
+        if rejected is not None:
+            return rejected
+        servers.add(record.lost_server)
+    moved = dataclasses.replace(state, partitions=partitions.persistent())
+    return Accepted(_touch_servers(servers, moved, lost_server=record.lost_server))
+
+
+def _check_move(
+    move: records.PartitionMove, record: records.PartitionsMoved, state: replicated.State
+) -> Rejected | None:
+    rejected = _check_target(move, state)
+    if rejected is not None:
+        return rejected
+    owned = state.partitions.get(replicated.PartitionId(move.service, move.partition))
+    if owned is None:
+        if move.from_server:
+            return Rejected(RejectionReason.OWNER_DIFFERS, f"partition {move.partition}")
+        return None
+    if owned.epoch >= record.base:
+        return _overtaken(f"partition {move.partition}", owned.epoch)
+    if owned.owner != move.from_server:
+        return Rejected(RejectionReason.OWNER_DIFFERS, f"owner is {owned.owner}")
+    return _check_lessor(move.from_server, record, state)
+
+
+def _check_target(move: records.PartitionMove, state: replicated.State) -> Rejected | None:
+    in_force = state.preset_in_force
+    service = in_force.preset.find_service(move.service) if in_force else None
+    if service is None or not service.keyed:
+        return Rejected(RejectionReason.UNKNOWN_SERVICE, move.service)
+    if not 0 <= move.partition < service.partitions:
+        return Rejected(RejectionReason.UNKNOWN_PARTITION, str(move.partition))
+    if service.find_server(move.to_server) is None:
+        return Rejected(RejectionReason.UNKNOWN_SERVER, move.to_server)
+    return None
+
+
+def _check_lessor(
+    server: str,
+    record: records.PartitionsMoved | records.ServerReturned,
+    state: replicated.State,
+) -> Rejected | None:
+    current = state.servers.get(server)
+    if current is None:
+        return None
+    if current.lessor != record.lessor or current.epoch != record.lessor_epoch:
+        return Rejected(RejectionReason.NOT_LESSOR, f"lessor is {current.lessor}")
+    if current.changed_at >= record.base:
+        return _overtaken(server, current.changed_at)
+    return None
+
+
+def _touch_servers(
+    touched: set[str], state: replicated.State, *, lost_server: str
+) -> replicated.State:
+    servers = state.servers.evolver()
+    for server in touched:
+        current = state.servers.get(server)
+        if current is not None:
+            servers[server] = dataclasses.replace(
+                current, changed_at=state.next_offset, lost=server == lost_server
+            )
+    return dataclasses.replace(state, servers=servers.persistent())
+
+
+def _advance(state: replicated.State) -> replicated.State:
+    return dataclasses.replace(state, next_offset=state.next_offset + 1)
+
+
+def _overtaken(what: str, offset: int) -> Rejected:
+    return Rejected(RejectionReason.BASE_OVERTAKEN, f"{what} changed at offset {offset}")
