--- /dev/null
+++ b/src/goldcresthall/peers/__init__.py
@@ -0,0 +1,1 @@
+"""How router instances follow each other over thrift."""
