--- /dev/null
+++ b/src/goldcresthall/__main__.py
@@ -0,0 +1,8 @@
+"""Entry point of ``python -m goldcresthall`` and of the built file."""
+
+from __future__ import annotations
+
+from goldcresthall.console import application
+
+if __name__ == "__main__":
+    application.main()
--- /dev/null
+++ b/src/goldcresthall/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' front end: health, metrics, status, explanations and presets."""
--- /dev/null
+++ b/src/goldcresthall/admin/front.py
@@ -0,0 +1,170 @@
+"""The operators' front end over HTTP, on a port of its own."""
+
+from __future__ import annotations
+
+import http
+import urllib.parse
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cheroot import wsgi
+
+from goldcresthall.admin import messages
+from goldcresthall.admin import views
+from goldcresthall.encoding import documents
+from goldcresthall.encoding import exceptions
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
+from goldcresthall.observability import metrics
+from goldcresthall.peers import follower
+from goldcresthall.presets import checks
+from goldcresthall.presets import publisher
+from goldcresthall.replication import replica
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from goldcresthall.core import identity
+    from goldcresthall.core import settings
+    from goldcresthall.kernel import kernel
+
+THREADS = 4
+BODY_LIMIT_BYTES = 8 * 1_048_576
+JSON_TYPE = "application/json"
+TEXT_TYPE = "text/plain; version=0.0.4"
+
+
+class AdminFront(service.Service):
+    """Serves operators and the command line."""
+
+    def __init__(
+        self,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        address: identity.Address,
+    ) -> None:
+        self._kernel = owner
+        self._incarnation = incarnation
+        self._server = wsgi.Server((address.host, address.port), self._serve, numthreads=THREADS)
+        self._is_leaving = False
+        self._task = tasks.Task("admin", self._run)
+
+    @classmethod
+    def from_config(
+        cls,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        instance_settings: settings.Settings,
+    ) -> AdminFront:
+        """Return the front end for an instance's settings."""
+        return cls(owner, incarnation, instance_settings.listen.admin)
+
+    def start(self) -> None:
+        """Listen and begin to serve."""
+        self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._replica = self._kernel.find(names.REPLICA, replica.Replica)
+        self._peers = self._kernel.find(names.PEERS, follower.PeerFollower)
+        self._presets = self._kernel.find(names.PRESETS, publisher.PresetPublisher)
+        self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
+        self._server.prepare()
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+        self._task.stop()
+
+    def mark_leaving(self) -> None:
+        """Answer from now on that the instance is not ready."""
+        self._is_leaving = True
+
+    def _run(self, _: tasks.StopSignal) -> None:
+        self._server.serve()
+
+    def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        route = (environ["REQUEST_METHOD"], environ.get("PATH_INFO", "/"))
+        if route == ("GET", "/metrics"):
+            return _respond(start_response, http.HTTPStatus.OK, TEXT_TYPE, self._metrics.render())
+        status, document = self._answer(route, environ)
+        body = documents.encode_document(document).encode()
+        return _respond(start_response, status, JSON_TYPE, body)
+
+    def _answer(
+        self, route: tuple[str, str], environ: dict[str, Any]
+    ) -> tuple[http.HTTPStatus, object]:
+        if route == ("GET", "/healthz"):
+            return http.HTTPStatus.OK, messages.AdminFault("health", ())
+        if route == ("GET", "/readyz"):
+            return self._answer_ready()
+        if route == ("GET", "/status"):
+            return http.HTTPStatus.OK, self._create_status()
+        if route == ("GET", "/preset"):
+            return _wrap(views.create_preset_view(self._replica.state))
+        if route == ("GET", "/explain"):
+            return self._answer_explain(environ)
+        if route == ("POST", "/preset"):
+            return self._answer_publish(environ)
+        return http.HTTPStatus.NOT_FOUND, messages.AdminFault("route", ("no such page",))
+
+    @property
+    def _is_ready(self) -> bool:
+        state = self._replica.state
+        return state.preset_in_force is not None and not state.halted and not self._is_leaving
+
+    def _answer_ready(self) -> tuple[http.HTTPStatus, object]:
+        if self._is_ready:
+            return http.HTTPStatus.OK, messages.AdminFault("ready", ())
+        reason = "leaving" if self._is_leaving else self._replica.state.halted or "no preset"
+        return http.HTTPStatus.SERVICE_UNAVAILABLE, messages.AdminFault("ready", (reason,))
+
+    def _create_status(self) -> messages.StatusView:
+        return views.create_status_view(
+            self._incarnation,
+            self._replica.state,
+            self._clock.read_s() - self._replica.freshness.read_began_at_s,
+            self._peers.statuses,
+            ready=self._is_ready,
+        )
+
+    def _answer_explain(self, environ: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
+        query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+        service_name = query.get("service", [""])[0]
+        key = query.get("key", [""])[0]
+        return _wrap(views.create_key_view(service_name, key, self._replica.state))
+
+    def _answer_publish(self, environ: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > BODY_LIMIT_BYTES:
+            fault = messages.AdminFault("decode", ("the preset is too large",))
+            return http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, fault
+        try:
+            wish = documents.decode_document(
+                environ["wsgi.input"].read(length), messages.PublishRequest
+            )
+        except exceptions.DocumentError as error:
+            return http.HTTPStatus.BAD_REQUEST, _list_faults(error.faults)
+        faults = checks.check_preset(wish.preset)
+        if faults:
+            return http.HTTPStatus.BAD_REQUEST, _list_faults(faults)
+        outcome = self._presets.publish(wish.preset, wish.author, wish.reason, wish.base)
+        return http.HTTPStatus.OK, views.create_publish_result(outcome)
+
+
+def _list_faults(faults: tuple[exceptions.Fault, ...]) -> messages.AdminFault:
+    return messages.AdminFault("decode", tuple(str(fault) for fault in faults))
+
+
+def _wrap(document: object) -> tuple[http.HTTPStatus, object]:
+    if isinstance(document, messages.AdminFault):
+        return http.HTTPStatus.NOT_FOUND, document
+    return http.HTTPStatus.OK, document
+
+
+def _respond(
+    start_response: Any, status: http.HTTPStatus, content_type: str, body: bytes
+) -> list[bytes]:
+    fields = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    start_response(f"{status.value} {status.phrase}", fields)
+    return [body]
--- /dev/null
+++ b/src/goldcresthall/admin/views.py
@@ -0,0 +1,120 @@
+"""Views of an instance for operators, built from its services."""
+
+from __future__ import annotations
+
+import functools
+import math
+from typing import TYPE_CHECKING
+
+from goldcresthall.admin import messages
+from goldcresthall.ownership import lookup
+from goldcresthall.ownership import placement
+from goldcresthall.replication import replica
+
+if TYPE_CHECKING:
+    from goldcresthall.core import identity
+    from goldcresthall.peers import messages as peer_messages
+    from goldcresthall.replication import state as replicated
+
+NO_PRESET_OFFSET = -1
+
+
+def create_status_view(
+    incarnation: identity.Incarnation,
+    state: replicated.State,
+    read_age_s: float,
+    peers: tuple[peer_messages.PeerStatus, ...],
+    *,
+    ready: bool,
+) -> messages.StatusView:
+    """Return an instance's status."""
+    in_force = state.preset_in_force
+    own = messages.InstanceView(
+        incarnation.name,
+        incarnation.token,
+        state.next_offset,
+        NO_PRESET_OFFSET if in_force is None else in_force.offset,
+    )
+    return messages.StatusView(
+        instance=own,
+        ready=ready,
+        halted=state.halted,
+        read_age_s=round(read_age_s, 3) if math.isfinite(read_age_s) else None,
+        preset_name="" if in_force is None else in_force.preset.name,
+        peers=tuple(
+            messages.InstanceView(peer.name, peer.incarnation, peer.next_offset, peer.preset_offset)
+            for peer in peers
+        ),
+        servers=_create_server_views(state),
+    )
+
+
+def create_key_view(
+    service_name: str, key: str, state: replicated.State
+) -> messages.KeyView | messages.AdminFault:
+    """Return who owns a key and why."""
+    in_force = state.preset_in_force
+    policy = in_force.preset.find_service(service_name) if in_force else None
+    if policy is None or not policy.keyed:
+        return messages.AdminFault("route", (f"no keyed service {service_name!r}",))
+    found = lookup.find_key_owner(policy, key, state)
+    if found.ownership is None:
+        return messages.AdminFault("find_owner", (f"partition {found.partition} has no owner",))
+    known = state.servers.get(found.ownership.owner)
+    return messages.KeyView(
+        service=service_name,
+        key=key,
+        partition=found.partition,
+        owner=found.ownership.owner,
+        epoch=found.ownership.epoch,
+        author=found.ownership.author,
+        reason=found.ownership.reason,
+        lessor="" if known is None else str(known.lessor),
+    )
+
+
+def create_preset_view(state: replicated.State) -> messages.PresetView | messages.AdminFault:
+    """Return the preset in force."""
+    in_force = state.preset_in_force
+    if in_force is None:
+        return messages.AdminFault("route", ("no preset is in force",))
+    return messages.PresetView(in_force.offset, in_force.author, in_force.reason, in_force.preset)
+
+
+@functools.singledispatch
+def create_publish_result(outcome: replica.CommitOutcome) -> messages.PublishResult:
+    """Return what became of a publication, by the type of its commit's outcome."""
+    raise NotImplementedError(type(outcome).__name__)
+
+
+@create_publish_result.register
+def _(outcome: replica.CommitAccepted) -> messages.PublishResult:
+    return messages.PublishResult("accepted", outcome.offset, "")
+
+
+@create_publish_result.register
+def _(outcome: replica.CommitRejected) -> messages.PublishResult:
+    return messages.PublishResult("rejected", -1, f"{outcome.reason.value}: {outcome.detail}")
+
+
+@create_publish_result.register
+def _(outcome: replica.CommitFailed) -> messages.PublishResult:
+    return messages.PublishResult("failed", -1, outcome.detail)
+
+
+@create_publish_result.register
+def _(outcome: replica.CommitUnknown) -> messages.PublishResult:
+    return messages.PublishResult("unknown", -1, outcome.detail)
+
+
+def _create_server_views(state: replicated.State) -> tuple[messages.ServerView, ...]:
+    return tuple(
+        messages.ServerView(
+            name=name,
+            lessor=str(known.lessor),
+            lessor_epoch=known.epoch,
+            lost=known.lost,
+            partitions=len(placement.list_owned(name, state)),
+        )
+        for name, known in sorted(state.servers.items())
+    )
--- /dev/null
+++ b/src/goldcresthall/application/__init__.py
@@ -0,0 +1,1 @@
+"""Building and running a router instance."""
--- /dev/null
+++ b/src/goldcresthall/application/factory.py
@@ -0,0 +1,90 @@
+"""Builds a router instance from checked settings."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from goldcresthall.admin import front as admin_front
+from goldcresthall.backend import http_client
+from goldcresthall.callers import front as caller_front
+from goldcresthall.core import identity
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import kernel
+from goldcresthall.kernel import names
+from goldcresthall.observability import metrics
+from goldcresthall.ownership import lessors
+from goldcresthall.ownership import proposer
+from goldcresthall.peers import follower
+from goldcresthall.peers import server
+from goldcresthall.platform import http_log_client
+from goldcresthall.platform import instance_list
+from goldcresthall.presets import publisher
+from goldcresthall.replication import replica
+from goldcresthall.replication import writer
+from goldcresthall.routing import router
+
+if TYPE_CHECKING:
+    from goldcresthall.core import settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instance:
+    """A router instance that is built but not started."""
+
+    kernel: kernel.Kernel
+    incarnation: identity.Incarnation
+
+    @classmethod
+    def from_config(cls, instance_settings: settings.Settings) -> Instance:
+        """Build an instance; services are registered in the order of their start."""
+        built = kernel.Kernel()
+        incarnation = identity.Incarnation.create(instance_settings.name)
+        _register_foundation(built, instance_settings)
+        _register_replication(built, incarnation, instance_settings)
+        _register_ownership(built, incarnation, instance_settings)
+        _register_fronts(built, incarnation, instance_settings)
+        return cls(built, incarnation)
+
+
+def _register_foundation(built: kernel.Kernel, instance_settings: settings.Settings) -> None:
+    platform = instance_settings.platform
+    built.register(names.CLOCK, clock.MonotonicClock())
+    built.register(names.METRICS, metrics.Metrics())
+    built.register(names.LOG_CLIENT, http_log_client.HttpLogClient.from_config(platform))
+    built.register(names.LOG_WRITER, writer.LogWriter.from_config(built, platform))
+    built.register(names.INSTANCE_LIST, instance_list.HttpInstanceList.from_config(platform))
+    built.register(names.BACKENDS, http_client.HttpBackendClient())
+
+
+def _register_replication(
+    built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
+) -> None:
+    built.register(names.REPLICA, replica.LogReplica.from_config(built, instance_settings.platform))
+    built.register(
+        names.PEER_SERVER, server.PeerServer.from_config(built, incarnation, instance_settings)
+    )
+    built.register(
+        names.PEERS, follower.PeerFollower.from_config(built, incarnation, instance_settings)
+    )
+
+
+def _register_ownership(
+    built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
+) -> None:
+    built.register(
+        names.OWNERSHIP,
+        proposer.OwnershipProposer.from_config(built, incarnation, instance_settings.leases),
+    )
+    built.register(names.LEASES, lessors.Lessors.from_config(built, incarnation, instance_settings))
+
+
+def _register_fronts(
+    built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
+) -> None:
+    built.register(names.PRESETS, publisher.PresetPublisher.from_config(built))
+    built.register(names.ROUTER, router.Router.from_config(built))
+    built.register(
+        names.ADMIN, admin_front.AdminFront.from_config(built, incarnation, instance_settings)
+    )
+    built.register(names.CALLERS, caller_front.CallerFront.from_config(built, instance_settings))
--- /dev/null
+++ b/src/goldcresthall/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of backend servers: their work and their leases."""
--- /dev/null
+++ b/src/goldcresthall/backend/protocol.py
@@ -0,0 +1,16 @@
+"""Names that routers and backend servers agree on in HTTP messages."""
+
+from __future__ import annotations
+
+from typing import Final
+
+LEASE_PATH: Final = "/goldcresthall/lease"
+
+REQUEST_ID_HEADER: Final = "Goldcresthall-Request-Id"
+PARTITION_HEADER: Final = "Goldcresthall-Partition"
+EPOCH_HEADER: Final = "Goldcresthall-Epoch"
+DEADLINE_HEADER: Final = "Goldcresthall-Deadline-Ms"
+NOT_RUN_HEADER: Final = "Goldcresthall-Not-Run"
+
+NOT_RUN_NOT_OWNER: Final = "not_owner"
+NOT_RUN_SHED: Final = "shed"
--- /dev/null
+++ b/src/goldcresthall/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' front end over HTTP."""
--- /dev/null
+++ b/src/goldcresthall/callers/front.py
@@ -0,0 +1,187 @@
+"""The callers' front end: HTTP requests in, outcomes out."""
+
+from __future__ import annotations
+
+import http
+import threading
+import uuid
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+
+from cheroot import wsgi
+
+from goldcresthall.backend import protocol
+from goldcresthall.callers import responses
+from goldcresthall.core import outcomes
+from goldcresthall.core import requests
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
+from goldcresthall.observability import metrics
+from goldcresthall.routing import router
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from goldcresthall.core import settings
+    from goldcresthall.kernel import kernel
+
+INSTANCE_HEADER: Final = "Goldcresthall-Instance"
+KEY_VARIABLE: Final = "HTTP_GOLDCRESTHALL_KEY"
+IDEMPOTENCY_KEY_VARIABLE: Final = "HTTP_IDEMPOTENCY_KEY"
+DEADLINE_VARIABLE: Final = "HTTP_GOLDCRESTHALL_DEADLINE_MS"
+MS_PER_S = 1_000
+LISTEN_BACKLOG = 512
+SHUTDOWN_TIMEOUT_S = 30
+
+
+class MalformedRequestError(Exception):
+    """A caller's request cannot be decoded."""
+
+
+class CallerFront(service.Service):
+    """Serves callers with one thread for each request in progress."""
+
+    def __init__(self, owner: kernel.Kernel, instance_settings: settings.Settings) -> None:
+        self._kernel = owner
+        self._name = instance_settings.name
+        self._body_limit = instance_settings.callers.body_limit_bytes
+        address = instance_settings.listen.callers
+        self._server = wsgi.Server(
+            (address.host, address.port),
+            self._serve,
+            numthreads=instance_settings.callers.threads,
+            request_queue_size=LISTEN_BACKLOG,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        self._server.server_name = "goldcresthall"
+        self._in_progress = 0
+        self._idle = threading.Condition()
+        self._task = tasks.Task("callers", self._run)
+
+    @classmethod
+    def from_config(cls, owner: kernel.Kernel, instance_settings: settings.Settings) -> CallerFront:
+        """Return the front end for an instance's settings."""
+        return cls(owner, instance_settings)
+
+    def start(self) -> None:
+        """Listen and begin to serve."""
+        self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._router = self._kernel.find(names.ROUTER, router.Router)
+        self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
+        self._server.prepare()
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop accepting and wait for requests in progress."""
+        with self._idle:
+            self._idle.wait_for(lambda: self._in_progress == 0, SHUTDOWN_TIMEOUT_S)
+        self._server.stop()
+        self._task.stop()
+
+    def _run(self, _: tasks.StopSignal) -> None:
+        self._server.serve()
+
+    def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        with self._idle:
+            self._in_progress += 1
+        try:
+            return self._respond(environ, start_response)
+        finally:
+            with self._idle:
+                self._in_progress -= 1
+                self._idle.notify_all()
+
+    def _respond(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        received_at_s = self._clock.read_s()
+        request_id = uuid.uuid4().hex
+        outcome = self._find_outcome(environ, request_id, received_at_s)
+        self._metrics.count_outcome(outcome, self._clock.read_s() - received_at_s)
+        response = responses.create_response(outcome)
+        own_headers = (
+            outcomes.Header(protocol.REQUEST_ID_HEADER, request_id),
+            outcomes.Header(INSTANCE_HEADER, self._name),
+            outcomes.Header("Content-Length", str(len(response.body))),
+        )
+        replaced = {header.name.lower() for header in own_headers}
+        kept = [header for header in response.headers if header.name.lower() not in replaced]
+        phrase = _find_phrase(response.status)
+        fields = [(header.name, header.value) for header in (*kept, *own_headers)]
+        start_response(f"{response.status} {phrase}", fields)
+        return [response.body]
+
+    def _find_outcome(
+        self, environ: dict[str, Any], request_id: str, received_at_s: float
+    ) -> outcomes.Outcome:
+        try:
+            request = self._decode(environ, request_id, received_at_s)
+        except MalformedRequestError as error:
+            return outcomes.Refused(
+                outcomes.RefusalReason.MALFORMED_REQUEST,
+                outcomes.Step.DECODE,
+                environ.get("REMOTE_ADDR", ""),
+                str(error),
+            )
+        if isinstance(request, outcomes.Refused):
+            return request
+        return self._router.handle(request)
+
+    def _decode(
+        self, environ: dict[str, Any], request_id: str, received_at_s: float
+    ) -> requests.Request | outcomes.Refused:
+        length = _parse_count(environ.get("CONTENT_LENGTH") or "0", "Content-Length")
+        if length > self._body_limit:
+            return outcomes.Refused(
+                outcomes.RefusalReason.REQUEST_TOO_LARGE,
+                outcomes.Step.DECODE,
+                environ.get("REMOTE_ADDR", ""),
+                f"the limit is {self._body_limit} bytes",
+            )
+        raw_path = environ.get("PATH_INFO", "/")
+        service_name, _, rest = raw_path.lstrip("/").partition("/")
+        deadline = environ.get(DEADLINE_VARIABLE)
+        deadline_s = None
+        if deadline is not None:
+            deadline_s = received_at_s + _parse_count(deadline, "deadline") / MS_PER_S
+        body = environ["wsgi.input"].read(length) if length else b""
+        if len(body) != length:
+            raise MalformedRequestError("the body is shorter than its Content-Length")
+        return requests.Request(
+            request_id=request_id,
+            service=service_name,
+            method=environ["REQUEST_METHOD"],
+            path=f"/{rest}",
+            query=environ.get("QUERY_STRING", ""),
+            key=environ.get(KEY_VARIABLE, ""),
+            idempotency_key=environ.get(IDEMPOTENCY_KEY_VARIABLE, ""),
+            headers=_collect_headers(environ),
+            body=body,
+            received_at_s=received_at_s,
+            deadline_s=deadline_s,
+        )
+
+
+def _parse_count(text: str, field: str) -> int:
+    if not (text.isascii() and text.isdigit()):
+        raise MalformedRequestError(f"{field} is not a whole number")
+    return int(text)
+
+
+def _collect_headers(environ: dict[str, Any]) -> tuple[outcomes.Header, ...]:
+    headers = [
+        outcomes.Header(name[5:].replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_") and name != "HTTP_HOST"
+    ]
+    if environ.get("CONTENT_TYPE"):
+        headers.append(outcomes.Header("Content-Type", environ["CONTENT_TYPE"]))
+    return tuple(headers)
+
+
+def _find_phrase(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- /dev/null
+++ b/src/goldcresthall/console/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/goldcresthall/console/admin_client.py
@@ -0,0 +1,65 @@
+"""The command line's client of an instance's operators' front end."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import urllib3
+
+from goldcresthall.admin import messages
+from goldcresthall.console import exceptions
+from goldcresthall.encoding import documents
+from goldcresthall.encoding import exceptions as encoding_exceptions
+
+TIMEOUT_S = 10.0
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+View = TypeVar("View")
+
+
+class AdminClient:
+    """Speaks to one instance."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def fetch(self, path: str, kind: type[View]) -> View:
+        """Return a view of the instance.
+
+        Raises
+        ------
+        UnreachableError
+            If the instance gives no usable answer.
+        RefusedError
+            If it answers that there is no such thing.
+        """
+        return self._exchange("GET", path, None, kind)
+
+    def publish(self, wish: messages.PublishRequest) -> messages.PublishResult:
+        """Ask the instance to put a preset in force.
+
+        Raises
+        ------
+        UnknownOutcomeError
+            If the answer is lost.
+        RefusedError
+            If the instance refuses the preset.
+        """
+        body = documents.encode_document(wish).encode()
+        try:
+            return self._exchange("POST", "/preset", body, messages.PublishResult)
+        except exceptions.UnreachableError as error:
+            raise exceptions.UnknownOutcomeError(error.message) from error
+
+    def _exchange(self, method: str, path: str, body: bytes | None, kind: type[View]) -> View:
+        try:
+            response = self._pool.request(
+                method, f"http://{self._address}{path}", body=body, timeout=TIMEOUT_S
+            )
+            if response.status == STATUS_OK:
+                return documents.decode_document(response.data, kind)
+            fault = documents.decode_document(response.data, messages.AdminFault)
+        except (urllib3.exceptions.HTTPError, encoding_exceptions.DocumentError) as error:
+            raise exceptions.UnreachableError(f"{self._address}: {error}") from error
+        raise exceptions.RefusedError("\n".join((f"step {fault.step}", *fault.faults)))
--- /dev/null
+++ b/src/goldcresthall/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/src/goldcresthall/console/files.py
@@ -0,0 +1,49 @@
+"""Reading of the JSON files that operators write."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import TypeVar
+
+from goldcresthall.console import exceptions
+from goldcresthall.core import preset
+from goldcresthall.encoding import documents
+from goldcresthall.encoding import exceptions as encoding_exceptions
+from goldcresthall.presets import checks
+
+Document = TypeVar("Document")
+
+
+def read_document(path: str, kind: type[Document]) -> Document:
+    """Read and check a JSON file.
+
+    Raises
+    ------
+    InvalidDocumentError
+        If the file cannot be read or has faults, all of which are listed.
+    """
+    try:
+        return documents.decode_document(pathlib.Path(path).read_bytes(), kind)
+    except OSError as error:
+        raise exceptions.InvalidDocumentError(str(error)) from error
+    except encoding_exceptions.DocumentError as error:
+        raise exceptions.InvalidDocumentError(_list_faults(path, error.faults)) from error
+
+
+def read_preset(path: str) -> preset.Preset:
+    """Read a preset and check it in whole.
+
+    Raises
+    ------
+    InvalidDocumentError
+        If it has faults.
+    """
+    document = read_document(path, preset.Preset)
+    faults = checks.check_preset(document)
+    if faults:
+        raise exceptions.InvalidDocumentError(_list_faults(path, faults))
+    return document
+
+
+def _list_faults(path: str, faults: tuple[encoding_exceptions.Fault, ...]) -> str:
+    return "\n".join((f"{path}: {len(faults)} fault(s)", *(f"  {fault}" for fault in faults)))
--- /dev/null
+++ b/src/goldcresthall/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and the operators' pages."""
--- /dev/null
+++ b/src/goldcresthall/observability/logs.py
@@ -0,0 +1,41 @@
+"""Logs as JSON lines on standard error."""
+
+from __future__ import annotations
+
+import json
+import logging as standard_logging
+import sys
+
+from absl import logging
+
+
+class JsonFormatter(standard_logging.Formatter):
+    """Formats one log record as one line of JSON."""
+
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Return the record as JSON."""
+        fields = {
+            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S") + f".{int(record.msecs):03d}",
+            "level": record.levelname.lower(),
+            "instance": self._instance,
+            "task": record.threadName,
+            "module": record.module,
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            fields["exception"] = self.formatException(record.exc_info)
+        return json.dumps(fields)
+
+
+def configure_logs(instance: str) -> None:
+    """Write all logs of this process as JSON lines."""
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(JsonFormatter(instance))
+    handler.python_handler.stream = sys.stderr
+    logging.set_verbosity(logging.INFO)
+    standard_logging.getLogger("urllib3").setLevel(standard_logging.ERROR)
--- /dev/null
+++ b/src/goldcresthall/observability/metrics.py
@@ -0,0 +1,109 @@
+"""The metrics service: counters for each refusal and retry reason."""
+
+from __future__ import annotations
+
+import functools
+
+import prometheus_client
+
+from goldcresthall.core import outcomes
+from goldcresthall.kernel import service
+
+
+class Metrics(service.Service):
+    """Counters and histograms of one instance, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._answered = prometheus_client.Counter(
+            "goldcresthall_answered",
+            "Requests answered in whole.",
+            registry=self._registry,
+        )
+        self._refused = prometheus_client.Counter(
+            "goldcresthall_refused",
+            "Requests refused and not run.",
+            ["reason", "step"],
+            registry=self._registry,
+        )
+        self._unknown = prometheus_client.Counter(
+            "goldcresthall_outcome_unknown",
+            "Requests of which nobody can say whether they were run.",
+            ["reason", "step"],
+            registry=self._registry,
+        )
+        self._retries = prometheus_client.Counter(
+            "goldcresthall_retries",
+            "Tries after the first.",
+            ["reason"],
+            registry=self._registry,
+        )
+        self._duration = prometheus_client.Histogram(
+            "goldcresthall_request_duration_seconds",
+            "Time from a request's arrival to its outcome.",
+            registry=self._registry,
+        )
+
+    @property
+    def registry(self) -> prometheus_client.CollectorRegistry:
+        """Registry in which other services may place their own metrics."""
+        return self._registry
+
+    def start(self) -> None:
+        """Do nothing; counters need no start."""
+
+    def stop(self) -> None:
+        """Do nothing; counters need no stop."""
+
+    def count_outcome(self, outcome: outcomes.Outcome, duration_s: float) -> None:
+        """Count a request's outcome and its duration in seconds."""
+        _count(outcome, self._answered, self._refused, self._unknown)
+        self._duration.observe(duration_s)
+
+    def count_retry(self, reason: outcomes.RefusalReason | outcomes.UnknownReason) -> None:
+        """Count one try after the first, with the reason for it."""
+        self._retries.labels(reason.value).inc()
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+
+@functools.singledispatch
+def _count(
+    outcome: outcomes.Outcome,
+    answered: prometheus_client.Counter,
+    refused: prometheus_client.Counter,
+    unknown: prometheus_client.Counter,
+) -> None:
+    raise NotImplementedError(type(outcome).__name__)
+
+
+@_count.register
+def _(
+    outcome: outcomes.Answered,
+    answered: prometheus_client.Counter,
+    refused: prometheus_client.Counter,
+    unknown: prometheus_client.Counter,
+) -> None:
+    answered.inc()
+
+
+@_count.register
+def _(
+    outcome: outcomes.Refused,
+    answered: prometheus_client.Counter,
+    refused: prometheus_client.Counter,
+    unknown: prometheus_client.Counter,
+) -> None:
+    refused.labels(outcome.reason.value, outcome.step.value).inc()
+
+
+@_count.register
+def _(
+    outcome: outcomes.OutcomeUnknown,
+    answered: prometheus_client.Counter,
+    refused: prometheus_client.Counter,
+    unknown: prometheus_client.Counter,
+) -> None:
+    unknown.labels(outcome.reason.value, outcome.step.value).inc()
--- /dev/null
+++ b/src/goldcresthall/ownership/placement.py
@@ -0,0 +1,81 @@
+"""Placement: which server a partition should go to. Pure functions of the state."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from goldcresthall.core import records
+from goldcresthall.ownership import rendezvous
+from goldcresthall.replication import state as replicated
+
+if TYPE_CHECKING:
+    from goldcresthall.core import preset
+
+
+def list_owned(server: str, state: replicated.State) -> tuple[replicated.PartitionId, ...]:
+    """Return the partitions that a server owns, in a stable order."""
+    owned = [partition for partition, owner in state.partitions.items() if owner.owner == server]
+    return tuple(sorted(owned, key=lambda partition: (partition.service, partition.number)))
+
+
+def list_eligible(policy: preset.ServicePolicy, state: replicated.State) -> tuple[str, ...]:
+    """Return the servers of a service that may be given partitions."""
+    return tuple(
+        server.name
+        for server in policy.servers
+        if not server.draining and not _is_lost(server.name, state)
+    )
+
+
+def plan_initial(
+    policy: preset.ServicePolicy, state: replicated.State
+) -> tuple[records.PartitionMove, ...]:
+    """Return moves that give each partition without an owner to a server."""
+    unowned = [
+        number
+        for number in range(policy.partitions)
+        if replicated.PartitionId(policy.name, number) not in state.partitions
+    ]
+    return _spread(policy, state, tuple(unowned), from_server="")
+
+
+def plan_loss(
+    server: str, policy: preset.ServicePolicy, state: replicated.State
+) -> tuple[records.PartitionMove, ...]:
+    """Return moves that take all partitions of one service away from a server."""
+    numbers = tuple(
+        partition.number
+        for partition in list_owned(server, state)
+        if partition.service == policy.name
+    )
+    return _spread(policy, state, numbers, from_server=server)
+
+
+def _spread(
+    policy: preset.ServicePolicy,
+    state: replicated.State,
+    numbers: tuple[int, ...],
+    *,
+    from_server: str,
+) -> tuple[records.PartitionMove, ...]:
+    eligible = [name for name in list_eligible(policy, state) if name != from_server]
+    if not eligible:
+        return ()
+    counts = collections.Counter(
+        owner.owner
+        for partition, owner in state.partitions.items()
+        if partition.service == policy.name
+    )
+    moves = []
+    for number in numbers:
+        ranked = rendezvous.rank_names(f"{policy.name}/{number}", eligible)
+        target = min(ranked, key=lambda name: counts[name])
+        counts[target] += 1
+        moves.append(records.PartitionMove(policy.name, number, from_server, target))
+    return tuple(moves)
+
+
+def _is_lost(server: str, state: replicated.State) -> bool:
+    known = state.servers.get(server)
+    return known is not None and known.lost
--- /dev/null
+++ b/src/goldcresthall/ownership/proposer.py
@@ -0,0 +1,97 @@
+"""The ownership service: gives partitions without an owner to servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.core import identity
+from goldcresthall.core import records
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
+from goldcresthall.ownership import placement
+from goldcresthall.ownership import rendezvous
+from goldcresthall.platform import instance_list
+from goldcresthall.replication import replica
+
+if TYPE_CHECKING:
+    from goldcresthall.core import preset
+    from goldcresthall.core import settings
+    from goldcresthall.kernel import kernel
+    from goldcresthall.replication import state as replicated
+
+MS_PER_S = 1_000
+COMMIT_TIMEOUT_S = 5.0
+IDLE_WAIT_S = 1.0
+
+
+class OwnershipProposer(service.Service):
+    """Proposes first owners; the instance ranked first for a service goes first."""
+
+    def __init__(
+        self, owner: kernel.Kernel, incarnation: identity.Incarnation, takeover_delay_ms: int
+    ) -> None:
+        self._kernel = owner
+        self._incarnation = incarnation
+        self._takeover_delay_s = takeover_delay_ms / MS_PER_S
+        self._task = tasks.Task("ownership", self._run)
+
+    @classmethod
+    def from_config(
+        cls,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        leases: settings.LeaseSettings,
+    ) -> OwnershipProposer:
+        """Return a proposer with the configured delay for each rank."""
+        return cls(owner, incarnation, leases.takeover_delay_ms)
+
+    def start(self) -> None:
+        """Begin to watch for partitions without an owner."""
+        self._replica = self._kernel.find(names.REPLICA, replica.Replica)
+        self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop proposing."""
+        self._task.stop()
+
+    def _run(self, stop_signal: tasks.StopSignal) -> None:
+        while not stop_signal.is_set:
+            state = self._replica.state
+            self._propose_missing(state, stop_signal)
+            self._replica.wait_beyond(state.next_offset, IDLE_WAIT_S)
+
+    def _propose_missing(self, state: replicated.State, stop_signal: tasks.StopSignal) -> None:
+        if state.preset_in_force is None or state.halted:
+            return
+        for policy in state.preset_in_force.preset.services:
+            if policy.keyed and placement.plan_initial(policy, state):
+                stop_signal.wait(self._find_delay_s(policy))
+                self._propose_initial(policy)
+
+    def _find_delay_s(self, policy: preset.ServicePolicy) -> float:
+        live = [entry.name for entry in self._list.listing.live]
+        ranked = rendezvous.rank_names(policy.name, live)
+        own_name = self._incarnation.name
+        rank = ranked.index(own_name) if own_name in ranked else len(ranked)
+        return rank * self._takeover_delay_s
+
+    def _propose_initial(self, policy: preset.ServicePolicy) -> None:
+        state = self._replica.state
+        moves = placement.plan_initial(policy, state)
+        if not moves:
+            return
+        record = records.PartitionsMoved(
+            record_id=identity.create_record_id(),
+            base=state.next_offset,
+            author=str(self._incarnation),
+            reason="partitions had no owner",
+            moves=moves,
+            lessor=self._incarnation,
+            lessor_epoch=0,
+        )
+        outcome = self._replica.commit(record, COMMIT_TIMEOUT_S)
+        logging.info("first owners of %s: %s", policy.name, outcome)
--- /dev/null
+++ b/src/goldcresthall/presets/__init__.py
@@ -0,0 +1,1 @@
+"""Presets: checking, publishing and watching them take hold."""
--- /dev/null
+++ b/src/goldcresthall/presets/checks.py
@@ -0,0 +1,61 @@
+"""Checks of a preset beyond the types of its fields."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from goldcresthall.encoding import exceptions
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from goldcresthall.core import preset
+
+
+def check_preset(checked: preset.Preset) -> tuple[exceptions.Fault, ...]:
+    """Return every fault of a preset; none if it may be published."""
+    return tuple(_iterate_faults(checked))
+
+
+def _iterate_faults(checked: preset.Preset) -> Iterator[exceptions.Fault]:
+    if not checked.name:
+        yield exceptions.Fault("$.name", '""', "a name")
+    service_names = collections.Counter(service.name for service in checked.services)
+    server_names = collections.Counter(
+        server.name for service in checked.services for server in service.servers
+    )
+    for index, service in enumerate(checked.services):
+        path = f"$.services[{index}]"
+        if service_names[service.name] > 1:
+            yield exceptions.Fault(f"{path}.name", service.name, "a name used once")
+        yield from _iterate_service_faults(path, service)
+        for number, server in enumerate(service.servers):
+            if server_names[server.name] > 1:
+                where = f"{path}.servers[{number}].name"
+                yield exceptions.Fault(where, server.name, "a name used once in the preset")
+
+
+def _iterate_service_faults(path: str, service: preset.ServicePolicy) -> Iterator[exceptions.Fault]:
+    if not service.name or "/" in service.name:
+        yield exceptions.Fault(f"{path}.name", repr(service.name), "a name without slashes")
+    if not service.servers:
+        yield exceptions.Fault(f"{path}.servers", "[]", "at least one server")
+    positive = {
+        "partitions": service.partitions,
+        "slots_per_server": service.slots_per_server,
+        "connections_per_server": service.connections_per_server,
+        "queue_limit": service.queue_limit,
+        "deadline_ms": service.deadline_ms,
+    }
+    for field, value in positive.items():
+        if value <= 0:
+            yield exceptions.Fault(f"{path}.{field}", str(value), "a number above zero")
+    if not 0 <= service.retry_budget <= 1:
+        yield exceptions.Fault(
+            f"{path}.retry_budget", str(service.retry_budget), "a fraction from 0 to 1"
+        )
+    for number, route in enumerate(service.routes):
+        if route.deadline_ms <= 0:
+            where = f"{path}.routes[{number}].deadline_ms"
+            yield exceptions.Fault(where, str(route.deadline_ms), "a number above zero")
--- /dev/null
+++ b/stand_ins/src/goldcresthall_stand_ins/__main__.py
@@ -0,0 +1,64 @@
+"""Runs stand-ins as processes of their own."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import signal
+import threading
+from typing import TYPE_CHECKING
+
+import click
+
+from goldcresthall.encoding import documents
+from goldcresthall_stand_ins import backend
+from goldcresthall_stand_ins import platform
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from goldcresthall_stand_ins import web
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendFile:
+    """The backend servers that one process hosts."""
+
+    servers: tuple[backend.BackendConfig, ...]
+
+
+@click.group()
+def main() -> None:
+    """Run stand-ins of the platform and of backend servers until SIGTERM."""
+
+
+@main.command("platform")
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", type=int, required=True)
+def run_platform(host: str, port: int) -> None:
+    """Run the platform: its log service and its instance list."""
+    _run_until_signalled([platform.PlatformStandIn(host, port)])
+
+
+@main.command("backends")
+@click.argument("config_file", type=click.Path(dir_okay=False))
+def run_backends(config_file: str) -> None:
+    """Run the backend servers listed in CONFIG_FILE."""
+    text = pathlib.Path(config_file).read_bytes()
+    configs = documents.decode_document(text, BackendFile).servers
+    _run_until_signalled([backend.BackendStandIn(config) for config in configs])
+
+
+def _run_until_signalled(stand_ins: Sequence[web.StandIn]) -> None:
+    ending = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: ending.set())
+    for stand_in in stand_ins:
+        stand_in.start()
+    click.echo("started")
+    ending.wait()
+    for stand_in in stand_ins:
+        stand_in.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stand_ins/src/goldcresthall_stand_ins/backend.py
@@ -0,0 +1,198 @@
+"""Stand-in of backend servers, keyed and unkeyed, that can be told to misbehave."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+import threading
+import time
+
+from goldcresthall.backend import protocol
+from goldcresthall.core import leases
+from goldcresthall.encoding import documents
+from goldcresthall_stand_ins import lease_holder
+from goldcresthall_stand_ins import web
+
+MS_PER_S = 1_000
+EXTRA_THREADS = 12
+STATUS_OK = 200
+STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
+CONTROL_PREFIX = "/control/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendConfig:
+    """One backend server of the stand-in.
+
+    Attributes
+    ----------
+    slots
+        Requests that run at a time.
+    queue
+        Requests that may wait for a slot; more are shed.
+    work_ms
+        Milliseconds that one request runs.
+    """
+
+    name: str
+    service: str
+    host: str
+    port: int
+    keyed: bool
+    checks_grants: bool = True
+    slots: int = 4
+    queue: int = 20
+    work_ms: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendMisbehavior:
+    """How one backend server is to misbehave.
+
+    Attributes
+    ----------
+    frozen
+        It accepts connections and answers nothing until told otherwise.
+    extra_work_ms
+        Milliseconds added to each request's work.
+    truncate
+        It declares a longer body than it sends.
+    shed
+        It refuses all work.
+    wrong_request_id
+        It answers under another request's identifier.
+    """
+
+    frozen: bool = False
+    extra_work_ms: float = 0.0
+    truncate: bool = False
+    shed: bool = False
+    wrong_request_id: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Effect:
+    """One piece of work that a backend server ran.
+
+    Attributes
+    ----------
+    at_s
+        Reading of the machine's monotonic clock when it took effect.
+    """
+
+    server: str
+    service: str
+    partition: int
+    epoch: int
+    request_id: str
+    idempotency_key: str
+    method: str
+    path: str
+    at_s: float
+
+
+class BackendStandIn(web.StandIn):
+    """One backend server; several may live in one process."""
+
+    def __init__(self, config: BackendConfig) -> None:
+        super().__init__(config.host, config.port, config.slots + config.queue + EXTRA_THREADS)
+        self._config = config
+        self._holder = lease_holder.LeaseHolder()
+        self._slots = threading.Semaphore(config.slots)
+        self._admitted = threading.Semaphore(config.slots + config.queue)
+        self._behavior_changed = threading.Condition()
+        self._misbehavior = BackendMisbehavior()
+        self._effects: list[Effect] = []
+
+    @property
+    def effects(self) -> tuple[Effect, ...]:
+        """All work that this server ran, in order."""
+        return tuple(self._effects)
+
+    def misbehave(self, misbehavior: BackendMisbehavior) -> None:
+        """Misbehave from now on as told."""
+        with self._behavior_changed:
+            self._misbehavior = misbehavior
+            self._behavior_changed.notify_all()
+
+    def answer(self, exchange: web.Exchange) -> web.Reply:
+        """Answer work, a lease message or a control."""
+        if exchange.path.startswith(CONTROL_PREFIX):
+            return self._answer_control(exchange)
+        with self._behavior_changed:
+            self._behavior_changed.wait_for(lambda: not self._misbehavior.frozen)
+        if exchange.path == protocol.LEASE_PATH:
+            return self._answer_lease(exchange)
+        return self._answer_work(exchange)
+
+    def _answer_control(self, exchange: web.Exchange) -> web.Reply:
+        if exchange.path == "/control/misbehave":
+            self.misbehave(documents.decode_document(exchange.body, BackendMisbehavior))
+            return web.Reply(STATUS_OK, b"{}")
+        plain = documents.to_plain(self.effects)
+        return web.Reply(STATUS_OK, json.dumps({"effects": plain}).encode())
+
+    def _answer_lease(self, exchange: web.Exchange) -> web.Reply:
+        if exchange.method == "GET":
+            report = self._holder.report(leases.RenewalStatus.REPORTED)
+        else:
+            report = self._holder.renew(documents.decode_document(exchange.body, leases.Renewal))
+        return web.Reply(STATUS_OK, documents.encode_document(report).encode())
+
+    def _answer_work(self, exchange: web.Exchange) -> web.Reply:
+        if self._misbehavior.shed or not self._admitted.acquire(blocking=False):
+            return self._refuse(protocol.NOT_RUN_SHED, STATUS_UNAVAILABLE)
+        try:
+            with self._slots:
+                return self._run(exchange)
+        finally:
+            self._admitted.release()
+
+    def _run(self, exchange: web.Exchange) -> web.Reply:
+        work_ms = self._config.work_ms + self._misbehavior.extra_work_ms
+        time.sleep(work_ms / MS_PER_S)
+        partition = int(exchange.headers.get(protocol.PARTITION_HEADER.lower(), -1))
+        epoch = int(exchange.headers.get(protocol.EPOCH_HEADER.lower(), -1))
+        checked = self._config.keyed and self._config.checks_grants
+        if checked and not self._holder.holds(self._config.service, partition, epoch):
+            return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
+        request_id = exchange.headers.get(protocol.REQUEST_ID_HEADER.lower(), "")
+        self._effects.append(self._create_effect(exchange, partition, epoch, request_id))
+        return self._reply(exchange, request_id)
+
+    def _create_effect(
+        self, exchange: web.Exchange, partition: int, epoch: int, request_id: str
+    ) -> Effect:
+        return Effect(
+            server=self._config.name,
+            service=self._config.service,
+            partition=partition,
+            epoch=epoch,
+            request_id=request_id,
+            idempotency_key=exchange.headers.get("idempotency-key", ""),
+            method=exchange.method,
+            path=exchange.path,
+            at_s=time.monotonic(),
+        )
+
+    def _reply(self, exchange: web.Exchange, request_id: str) -> web.Reply:
+        content = {
+            "server": self._config.name,
+            "path": exchange.path,
+            "request_id": request_id,
+            "body_digest": hashlib.blake2b(exchange.body, digest_size=8).hexdigest(),
+        }
+        body = json.dumps(content).encode()
+        echoed = "mismatched" if self._misbehavior.wrong_request_id else request_id
+        return web.Reply(
+            STATUS_OK,
+            body,
+            (("Content-Type", "application/json"), (protocol.REQUEST_ID_HEADER, echoed)),
+            declared_length=len(body) + 10 if self._misbehavior.truncate else None,
+        )
+
+    def _refuse(self, reason: str, status: int) -> web.Reply:
+        headers = ((protocol.NOT_RUN_HEADER, reason), ("Retry-After", "1"))
+        return web.Reply(status, b"{}", headers)
--- /dev/null
+++ b/stand_ins/src/goldcresthall_stand_ins/demo.py
@@ -0,0 +1,126 @@
+"""The demonstration: a whole path as separate processes, and the loss of an owner."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import tempfile
+import time
+from typing import TYPE_CHECKING
+
+import click
+import urllib3
+
+from goldcresthall.admin import messages
+from goldcresthall.console import admin_client
+from goldcresthall.core import preset
+from goldcresthall_stand_ins import fleet as fleets
+
+if TYPE_CHECKING:
+    from goldcresthall_stand_ins import backend
+
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+KEYED_COUNT = 3
+UNKEYED_COUNT = 3
+REQUEST_TIMEOUT_S = 10.0
+SETTLE_TIMEOUT_S = 20.0
+POLL_S = 0.01
+STATUS_OK = 200
+MS_PER_S = 1_000
+RECORDING_ROUTE = preset.Route(method="GET", path="/recordings/{key}", idempotent=True)
+
+
+class Demonstration:
+    """Starts the system in a folder and shows what it does."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self._fleet = fleet
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def run(self) -> None:
+        """Show answers from both services, then the loss of a key's owner."""
+        self._fleet.start_platform()
+        archive = fleets.create_backend_configs("archive", KEYED_COUNT, keyed=True)
+        program = fleets.create_backend_configs("program", UNKEYED_COUNT, keyed=False)
+        owners = [self._fleet.start_backends((config,)) for config in archive]
+        self._fleet.start_backends(program)
+        for number, domain in enumerate(DOMAINS, start=1):
+            self._fleet.start_router(self._fleet.create_settings(f"router-{number}", domain))
+        self._publish(archive, program)
+        self._show_requests()
+        self._show_loss(owners)
+
+    def _publish(
+        self,
+        archive: tuple[backend.BackendConfig, ...],
+        program: tuple[backend.BackendConfig, ...],
+    ) -> None:
+        published = preset.Preset(
+            name="demonstration",
+            services=(
+                fleets.create_service_policy(archive, DOMAINS, (RECORDING_ROUTE,)),
+                fleets.create_service_policy(program, DOMAINS),
+            ),
+        )
+        address = str(self._fleet.routers[0].settings.listen.admin)
+        wish = messages.PublishRequest("demonstration", "first preset", published)
+        result = admin_client.AdminClient(address).publish(wish)
+        click.echo(f"preset {published.name}: {result.outcome} at offset {result.offset}")
+
+    def _show_requests(self) -> None:
+        for number, router in enumerate(self._fleet.routers):
+            self._wait_answered(router, f"/archive/recordings/molde-{number}")
+            self._wait_answered(router, "/program/today")
+            self._show_answer(router, f"/archive/recordings/molde-{number}")
+            self._show_answer(router, "/program/today")
+
+    def _show_loss(self, owners: list[fleets.BackendProcess]) -> None:
+        router = self._fleet.routers[0]
+        path = "/archive/recordings/molde-1"
+        owner = self._show_answer(router, path)
+        lost = next(process for process in owners if process.configs[0].name == owner)
+        lost_at_s = time.monotonic()
+        self._fleet.kill(lost.process)
+        click.echo(f"killed {owner}, the owner of molde-1")
+        self._wait_answered(router, path)
+        gap_ms = (time.monotonic() - lost_at_s) * MS_PER_S
+        successor = self._show_answer(router, path)
+        click.echo(f"molde-1 served again by {successor} after {gap_ms:.0f} ms")
+
+    def _wait_answered(self, router: fleets.RouterProcess, path: str) -> None:
+        ends_at_s = time.monotonic() + SETTLE_TIMEOUT_S
+        while time.monotonic() < ends_at_s:
+            if self._request(router, path).status == STATUS_OK:
+                return
+            time.sleep(POLL_S)
+        raise fleets.FleetError(f"{path} was not answered in {SETTLE_TIMEOUT_S} s")
+
+    def _show_answer(self, router: fleets.RouterProcess, path: str) -> str:
+        response = self._request(router, path)
+        headers = response.headers
+        server = headers.get("Goldcresthall-Server", "")
+        click.echo(
+            f"{path}: status {response.status} from {server or '-'}"
+            f" through {headers['Goldcresthall-Instance']}"
+            f" in {headers['Goldcresthall-Tries']} tries, {len(response.data)} bytes"
+        )
+        return server
+
+    def _request(self, router: fleets.RouterProcess, path: str) -> urllib3.BaseHTTPResponse:
+        return self._pool.request("GET", router.callers_url + path, timeout=REQUEST_TIMEOUT_S)
+
+
+@click.command()
+@click.option("--binary", type=click.Path(exists=True), help="Run this built file instead.")
+def main(binary: str | None) -> None:
+    """Run the demonstration and end every process it started."""
+    program = (sys.executable, str(pathlib.Path(binary).resolve())) if binary else ()
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        fleets.run_fleet(pathlib.Path(folder), program) as fleet,
+    ):
+        Demonstration(fleet).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stand_ins/src/goldcresthall_stand_ins/fleet.py
@@ -0,0 +1,287 @@
+"""Starts a whole system as separate processes, for tests, demonstrations and trials."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import TYPE_CHECKING
+
+import urllib3
+
+from goldcresthall.core import identity
+from goldcresthall.core import preset
+from goldcresthall.core import settings
+from goldcresthall.encoding import documents
+from goldcresthall_stand_ins import __main__ as stand_in_main
+from goldcresthall_stand_ins import backend
+from goldcresthall_stand_ins import platform
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Iterator
+
+HOST = "127.0.0.1"
+POLL_S = 0.02
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+STATUS_OK = 200
+
+
+class FleetError(Exception):
+    """A process did not come up, or a control was refused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterProcess:
+    """A running router instance."""
+
+    settings: settings.Settings
+    process: subprocess.Popen[bytes]
+
+    @property
+    def callers_url(self) -> str:
+        """Base address for callers."""
+        return f"http://{self.settings.listen.callers}"
+
+    @property
+    def admin_url(self) -> str:
+        """Base address for operators."""
+        return f"http://{self.settings.listen.admin}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendProcess:
+    """A running process that hosts backend servers."""
+
+    configs: tuple[backend.BackendConfig, ...]
+    process: subprocess.Popen[bytes]
+
+
+def find_free_port() -> int:
+    """Return a port that the kernel says is free."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+class Fleet:
+    """A platform, router instances and backend servers, each its own process.
+
+    Parameters
+    ----------
+    folder
+        Where settings and logs are written.
+    program
+        Command that runs the router's command line; the source tree's by default.
+    """
+
+    def __init__(self, folder: pathlib.Path, program: tuple[str, ...] = ()) -> None:
+        self._folder = folder
+        self._program = program or (sys.executable, "-m", "goldcresthall")
+        self._pool = urllib3.PoolManager(num_pools=200, maxsize=4, retries=False)
+        self._platform_address = identity.Address(HOST, find_free_port())
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self._routers: dict[str, RouterProcess] = {}
+
+    @property
+    def routers(self) -> tuple[RouterProcess, ...]:
+        """Router instances started and not ended through the fleet."""
+        return tuple(self._routers.values())
+
+    def start_platform(self) -> subprocess.Popen[bytes]:
+        """Start the platform and wait until it answers."""
+        address = self._platform_address
+        process = self._start_stand_in("platform", "--port", str(address.port), name="platform")
+        self.wait_until_ok(f"http://{address}/instances")
+        return process
+
+    def start_backends(self, configs: tuple[backend.BackendConfig, ...]) -> BackendProcess:
+        """Start one process that hosts backend servers and wait until they answer."""
+        name = f"backends-{configs[0].name}"
+        path = self._folder / f"{name}.json"
+        path.write_text(documents.encode_document(stand_in_main.BackendFile(configs)))
+        process = self._start_stand_in("backends", str(path), name=name)
+        for config in configs:
+            self.wait_until_ok(f"http://{config.host}:{config.port}/control/effects")
+        return BackendProcess(configs, process)
+
+    def create_settings(self, name: str, failure_domain: str) -> settings.Settings:
+        """Return settings of an instance with free ports and all defaults."""
+        return settings.Settings(
+            name=name,
+            failure_domain=failure_domain,
+            listen=settings.ListenSettings(
+                callers=identity.Address(HOST, find_free_port()),
+                peers=identity.Address(HOST, find_free_port()),
+                admin=identity.Address(HOST, find_free_port()),
+            ),
+            platform=settings.PlatformSettings(
+                log=self._platform_address, instance_list=self._platform_address
+            ),
+        )
+
+    def start_router(self, instance_settings: settings.Settings) -> RouterProcess:
+        """Start a router instance, wait until it answers and list it with the platform."""
+        path = self._folder / f"{instance_settings.name}.json"
+        path.write_text(documents.encode_document(instance_settings))
+        process = self._start((*self._program, "router", str(path)), instance_settings.name)
+        router = RouterProcess(instance_settings, process)
+        self.wait_until_ok(f"{router.admin_url}/healthz")
+        self._routers[instance_settings.name] = router
+        self.list_instances()
+        return router
+
+    def list_instances(self) -> None:
+        """Tell the platform's list which instances there are."""
+        entries = tuple(
+            identity.InstanceEntry(
+                router.settings.name,
+                router.settings.failure_domain,
+                router.settings.listen.peers,
+                identity.InstanceStatus.LIVE,
+            )
+            for router in self.routers
+        )
+        self._control_platform("instances", platform.InstanceListDocument(entries))
+
+    def misbehave_platform(self, misbehavior: platform.Misbehavior) -> None:
+        """Tell the platform to misbehave."""
+        self._control_platform("misbehave", misbehavior)
+
+    def misbehave_backend(
+        self, config: backend.BackendConfig, misbehavior: backend.BackendMisbehavior
+    ) -> None:
+        """Tell one backend server to misbehave."""
+        self._post(f"http://{config.host}:{config.port}/control/misbehave", misbehavior)
+
+    def read_effects(self, config: backend.BackendConfig) -> tuple[backend.Effect, ...]:
+        """Return the work that a backend server ran."""
+        response = self._pool.request(
+            "GET", f"http://{config.host}:{config.port}/control/effects", timeout=START_TIMEOUT_S
+        )
+        return documents.decode_document(response.data, EffectList).effects
+
+    def kill(self, process: subprocess.Popen[bytes], number: int = signal.SIGKILL) -> None:
+        """Send a signal to one of the fleet's processes; SIGKILL is awaited."""
+        process.send_signal(number)
+        if number == signal.SIGKILL:
+            process.wait(STOP_TIMEOUT_S)
+        for name, router in list(self._routers.items()):
+            if router.process is process and number == signal.SIGKILL:
+                del self._routers[name]
+
+    def wait_until_ok(self, url: str, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until an address answers with status 200.
+
+        Raises
+        ------
+        FleetError
+            If it does not in time.
+        """
+        ends_at_s = time.monotonic() + timeout_s
+        while time.monotonic() < ends_at_s:
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                if self._pool.request("GET", url, timeout=1.0).status == STATUS_OK:
+                    return
+            time.sleep(POLL_S)
+        raise FleetError(f"{url} did not answer in {timeout_s} s")
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in reversed(self._processes):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in reversed(self._processes):
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait(STOP_TIMEOUT_S)
+
+    def _start_stand_in(self, *arguments: str, name: str) -> subprocess.Popen[bytes]:
+        command = (sys.executable, "-m", "goldcresthall_stand_ins", *arguments)
+        return self._start(command, name)
+
+    def _start(self, command: tuple[str, ...], name: str) -> subprocess.Popen[bytes]:
+        search_path = os.pathsep.join(path for path in sys.path if path)
+        environment = os.environ | {"PYTHONPATH": search_path}
+        with (self._folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(  # noqa: S603
+                command, stdout=log, stderr=log, env=environment
+            )
+        self._processes.append(process)
+        return process
+
+    def _control_platform(self, control: str, document: object) -> None:
+        self._post(f"http://{self._platform_address}/control/{control}", document)
+
+    def _post(self, url: str, document: object) -> None:
+        body = documents.encode_document(document).encode()
+        response = self._pool.request("POST", url, body=body, timeout=START_TIMEOUT_S)
+        if response.status != STATUS_OK:
+            raise FleetError(f"{url}: status {response.status}")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EffectList:
+    """The body in which a backend server reports what it ran."""
+
+    effects: tuple[backend.Effect, ...]
+
+
+def create_backend_configs(
+    service: str, count: int, *, keyed: bool
+) -> tuple[backend.BackendConfig, ...]:
+    """Return backend servers of one service on free ports."""
+    return tuple(
+        backend.BackendConfig(
+            name=f"{service}-{number}",
+            service=service,
+            host=HOST,
+            port=find_free_port(),
+            keyed=keyed,
+        )
+        for number in range(1, count + 1)
+    )
+
+
+def create_service_policy(
+    configs: tuple[backend.BackendConfig, ...],
+    domains: tuple[str, ...],
+    routes: tuple[preset.Route, ...] = (),
+    partitions: int = 32,
+) -> preset.ServicePolicy:
+    """Return the policy of a service, its servers dealt out over failure domains."""
+    servers = tuple(
+        preset.BackendServer(
+            name=config.name,
+            address=identity.Address(config.host, config.port),
+            failure_domain=domains[index % len(domains)],
+        )
+        for index, config in enumerate(configs)
+    )
+    return preset.ServicePolicy(
+        name=configs[0].service,
+        keyed=configs[0].keyed,
+        checks_grants=configs[0].checks_grants,
+        servers=servers,
+        routes=routes,
+        partitions=partitions,
+    )
+
+
+@contextlib.contextmanager
+def run_fleet(folder: pathlib.Path, program: tuple[str, ...] = ()) -> Iterator[Fleet]:
+    """Yield a fleet whose processes are all ended afterwards."""
+    fleet = Fleet(folder, program)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
--- /dev/null
+++ b/stand_ins/src/goldcresthall_stand_ins/web.py
@@ -0,0 +1,90 @@
+"""A small JSON server that the stand-ins share."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import threading
+import urllib.parse
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cheroot import wsgi
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+LISTEN_BACKLOG = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exchange:
+    """One HTTP request as a stand-in sees it."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """One HTTP response of a stand-in.
+
+    Attributes
+    ----------
+    declared_length
+        Value of Content-Length; none for the body's true length.
+    """
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+    declared_length: int | None = None
+
+
+class StandIn(abc.ABC):
+    """A stand-in listening on one address."""
+
+    def __init__(self, host: str, port: int, threads: int) -> None:
+        self._server = wsgi.Server(
+            (host, port), self._serve, numthreads=threads, request_queue_size=LISTEN_BACKLOG
+        )
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+
+    @property
+    def port(self) -> int:
+        """Port that the stand-in listens on, once started."""
+        return int(self._server.bind_addr[1])
+
+    def start(self) -> None:
+        """Listen and begin to serve."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+    @abc.abstractmethod
+    def answer(self, exchange: Exchange) -> Reply:
+        """Return the reply to one request."""
+
+    def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        exchange = Exchange(
+            method=environ["REQUEST_METHOD"],
+            path=environ.get("PATH_INFO", "/"),
+            query=dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", ""))),
+            headers={
+                name[5:].replace("_", "-").lower(): value
+                for name, value in environ.items()
+                if name.startswith("HTTP_")
+            },
+            body=environ["wsgi.input"].read(length) if length else b"",
+        )
+        reply = self.answer(exchange)
+        declared = len(reply.body) if reply.declared_length is None else reply.declared_length
+        start_response(f"{reply.status} -", [*reply.headers, ("Content-Length", str(declared))])
+        return [reply.body]
