--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces of services."""
--- /dev/null
+++ b/tests/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios: one feature file for each promise."""
--- /dev/null
+++ b/tests/features/conftest.py
@@ -0,0 +1,74 @@
+"""Steps that all features share."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import then
+from pytest_bdd import when
+
+from tests.features import system as systems
+
+if TYPE_CHECKING:
+    from goldcresthall_stand_ins import fleet as fleets
+
+
+@pytest.fixture
+def system(fleet: fleets.Fleet) -> systems.RunningSystem:
+    """Return the running system of one scenario."""
+    return systems.RunningSystem(fleet)
+
+
+@given("the platform runs")
+def _(system: systems.RunningSystem) -> None:
+    system.fleet.start_platform()
+
+
+@given(parsers.parse("{count:d} router instances in failure domains {domains}"))
+def _(system: systems.RunningSystem, count: int, domains: str) -> None:
+    system.start_routers(count, tuple(domains.split(", ")))
+
+
+@given(parsers.parse("a keyed service {name} of {count:d} servers"))
+def _(system: systems.RunningSystem, name: str, count: int) -> None:
+    system.add_service(name, count, keyed=True)
+
+
+@given(parsers.parse("a service {name} of {count:d} servers"))
+def _(system: systems.RunningSystem, name: str, count: int) -> None:
+    system.add_service(name, count, keyed=False)
+
+
+@given(parsers.parse("the preset {name} is in force"))
+def _(system: systems.RunningSystem, name: str) -> None:
+    assert system.publish(name).outcome == "accepted"
+
+
+@given(parsers.parse("key {key} of {service} is served"))
+@when(parsers.parse("key {key} of {service} is served again"))
+@then(parsers.parse("key {key} of {service} is served again"))
+def _(system: systems.RunningSystem, key: str, service: str) -> None:
+    for index in range(len(system.fleet.routers)):
+        system.send_until_answered("GET", f"/{service}/items/{key}", index)
+
+
+@when(parsers.parse("the owner of key {key} of {service} is {change}"), target_fixture="changed")
+def _(system: systems.RunningSystem, key: str, service: str, change: str) -> str:
+    owner = system.find_owner(service, key)
+    number = {"killed": signal.SIGKILL, "frozen": signal.SIGSTOP}[change]
+    system.signal_backend(owner, number)
+    return owner
+
+
+@when("that server is thawed")
+def _(system: systems.RunningSystem, changed: str) -> None:
+    system.signal_backend(changed, signal.SIGCONT)
+
+
+@then("no partition had two owners")
+def _(system: systems.RunningSystem) -> None:
+    assert systems.find_overlapping_owners(system.read_effects()) == []
