Check settings in whole and write every log line as JSON

Found by reading an instance's log: absl's own handler writes a plain line before its flags are parsed; the test of the form of logs failed on it and passes with a handler of our own. Settings and presets refuse host names, ports out of range and a lease shorter than two renewals.

--- a/src/goldcresthall/console/commands/router.py
+++ b/src/goldcresthall/console/commands/router.py
@@ -7,7 +7,6 @@
 from goldcresthall.application import factory
 from goldcresthall.application import runner
 from goldcresthall.console import files
-from goldcresthall.core import settings
 from goldcresthall.observability import logs
 
 
@@ -15,6 +14,6 @@
 @click.argument("settings_file", type=click.Path(dir_okay=False))
 def router(settings_file: str) -> None:
     """Run one router instance with the settings of SETTINGS_FILE until SIGTERM."""
-    instance_settings = files.read_document(settings_file, settings.Settings)
+    instance_settings = files.read_settings(settings_file)
     logs.configure_logs(instance_settings.name)
     runner.run_until_signalled(factory.Instance.from_config(instance_settings))
--- a/src/goldcresthall/console/commands/settings.py
+++ b/src/goldcresthall/console/commands/settings.py
@@ -5,7 +5,6 @@
 import click
 
 from goldcresthall.console import files
-from goldcresthall.core import settings as core_settings
 
 
 @click.group()
@@ -17,5 +16,5 @@
 @click.argument("settings_file", type=click.Path(dir_okay=False))
 def check(settings_file: str) -> None:
     """Check SETTINGS_FILE and list every fault with its path."""
-    checked = files.read_document(settings_file, core_settings.Settings)
+    checked = files.read_settings(settings_file)
     click.echo(f"{settings_file}: settings of {checked.name} are valid")
--- a/src/goldcresthall/console/files.py
+++ b/src/goldcresthall/console/files.py
@@ -5,8 +5,10 @@
 import pathlib
 from typing import TypeVar
 
+from goldcresthall.application import settings_checks
 from goldcresthall.console import exceptions
 from goldcresthall.core import preset
+from goldcresthall.core import settings
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions as encoding_exceptions
 from goldcresthall.presets import checks
@@ -30,6 +32,21 @@
         raise exceptions.InvalidDocumentError(_list_faults(path, error.faults)) from error
 
 
+def read_settings(path: str) -> settings.Settings:
+    """Read an instance's settings and check them in whole.
+
+    Raises
+    ------
+    InvalidDocumentError
+        If they have faults.
+    """
+    document = read_document(path, settings.Settings)
+    faults = settings_checks.check_settings(document)
+    if faults:
+        raise exceptions.InvalidDocumentError(_list_faults(path, faults))
+    return document
+
+
 def read_preset(path: str) -> preset.Preset:
     """Read a preset and check it in whole.
 
--- a/src/goldcresthall/observability/logs.py
+++ b/src/goldcresthall/observability/logs.py
@@ -32,10 +32,12 @@
 
 
 def configure_logs(instance: str) -> None:
-    """Write all logs of this process as JSON lines."""
-    logging.use_absl_handler()
-    handler = logging.get_absl_handler()
+    """Write all logs of this process to standard error as JSON lines."""
+    handler = standard_logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter(instance))
-    handler.python_handler.stream = sys.stderr
+    root = standard_logging.getLogger()
+    root.handlers = [handler]
+    # absl's own handler would write a plain line before flags are parsed.
+    logging.get_absl_logger().handlers = []
     logging.set_verbosity(logging.INFO)
     standard_logging.getLogger("urllib3").setLevel(standard_logging.ERROR)
--- a/src/goldcresthall/presets/checks.py
+++ b/src/goldcresthall/presets/checks.py
@@ -5,6 +5,7 @@
 import collections
 from typing import TYPE_CHECKING
 
+from goldcresthall.encoding import checks
 from goldcresthall.encoding import exceptions
 
 if TYPE_CHECKING:
@@ -31,8 +32,10 @@
             yield exceptions.Fault(f"{path}.name", service.name, "a name used once")
         yield from _iterate_service_faults(path, service)
         for number, server in enumerate(service.servers):
+            server_path = f"{path}.servers[{number}]"
+            yield from checks.iterate_address_faults(f"{server_path}.address", server.address)
             if server_names[server.name] > 1:
-                where = f"{path}.servers[{number}].name"
+                where = f"{server_path}.name"
                 yield exceptions.Fault(where, server.name, "a name used once in the preset")
 
 
@@ -49,13 +52,11 @@
         "deadline_ms": service.deadline_ms,
     }
     for field, value in positive.items():
-        if value <= 0:
-            yield exceptions.Fault(f"{path}.{field}", str(value), "a number above zero")
+        yield from checks.iterate_positive_faults(f"{path}.{field}", value)
     if not 0 <= service.retry_budget <= 1:
         yield exceptions.Fault(
             f"{path}.retry_budget", str(service.retry_budget), "a fraction from 0 to 1"
         )
     for number, route in enumerate(service.routes):
-        if route.deadline_ms <= 0:
-            where = f"{path}.routes[{number}].deadline_ms"
-            yield exceptions.Fault(where, str(route.deadline_ms), "a number above zero")
+        where = f"{path}.routes[{number}].deadline_ms"
+        yield from checks.iterate_positive_faults(where, route.deadline_ms)
