--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import subprocess
 import sys
 
@@ -20,7 +21,11 @@
 
 def test_every_line_is_json() -> None:
     done = subprocess.run(
-        (sys.executable, "-c", SCRIPT), capture_output=True, check=True, text=True
+        (sys.executable, "-c", SCRIPT),
+        capture_output=True,
+        check=True,
+        text=True,
+        env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
     )
     lines = [json.loads(line) for line in done.stderr.splitlines()]
     assert [line["message"] for line in lines] == ["taken up 7", "failed"]
