Keep the stand-ins' record of effects through their loss

Cause: a killed backend server took its record of effects with it, so that a check of owners or of repeated work could not see what it had done. Each effect is now written to a file at once. Ruled out: asking before the kill, which misses what ran last.

--- a/stand_ins/src/goldcresthall_stand_ins/backend.py
+++ b/stand_ins/src/goldcresthall_stand_ins/backend.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import json
+import os
 import threading
 import time
 
@@ -34,6 +35,9 @@
         Requests that may wait for a slot; more are shed.
     work_ms
         Milliseconds that one request runs.
+    effects_file
+        File to which each effect is written at once, so that it outlives the
+        process; none if empty.
     """
 
     name: str
@@ -45,6 +49,7 @@
     slots: int = 4
     queue: int = 20
     work_ms: float = 1.0
+    effects_file: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +110,7 @@
         self._behavior_changed = threading.Condition()
         self._misbehavior = BackendMisbehavior()
         self._effects: list[Effect] = []
+        self._effects_file = self._open_effects_file()
 
     @property
     def effects(self) -> tuple[Effect, ...]:
@@ -159,9 +165,19 @@
         if checked and not self._holder.holds(self._config.service, partition, epoch):
             return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
         request_id = exchange.headers.get(protocol.REQUEST_ID_HEADER.lower(), "")
-        self._effects.append(self._create_effect(exchange, partition, epoch, request_id))
+        self._record(self._create_effect(exchange, partition, epoch, request_id))
         return self._reply(exchange, request_id)
 
+    def _open_effects_file(self) -> int | None:
+        if not self._config.effects_file:
+            return None
+        return os.open(self._config.effects_file, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+
+    def _record(self, effect: Effect) -> None:
+        self._effects.append(effect)
+        if self._effects_file is not None:
+            os.write(self._effects_file, documents.encode_document(effect).encode() + b"\n")
+
     def _create_effect(
         self, exchange: web.Exchange, partition: int, epoch: int, request_id: str
     ) -> Effect:
--- a/stand_ins/src/goldcresthall_stand_ins/fleet.py
+++ b/stand_ins/src/goldcresthall_stand_ins/fleet.py
@@ -104,6 +104,10 @@
     def start_backends(self, configs: tuple[backend.BackendConfig, ...]) -> BackendProcess:
         """Start one process that hosts backend servers and wait until they answer."""
         name = f"backends-{configs[0].name}"
+        configs = tuple(
+            dataclasses.replace(config, effects_file=str(self._find_effects_file(config)))
+            for config in configs
+        )
         path = self._folder / f"{name}.json"
         path.write_text(documents.encode_document(stand_in_main.BackendFile(configs)))
         process = self._start_stand_in("backends", str(path), name=name)
@@ -161,11 +165,10 @@
         self._post(f"http://{config.host}:{config.port}/control/misbehave", misbehavior)
 
     def read_effects(self, config: backend.BackendConfig) -> tuple[backend.Effect, ...]:
-        """Return the work that a backend server ran."""
-        response = self._pool.request(
-            "GET", f"http://{config.host}:{config.port}/control/effects", timeout=START_TIMEOUT_S
-        )
-        return documents.decode_document(response.data, EffectList).effects
+        """Return the work that a backend server ran, also if it runs no more."""
+        path = self._find_effects_file(config)
+        lines = path.read_bytes().splitlines() if path.exists() else []
+        return tuple(documents.decode_document(line, backend.Effect) for line in lines)
 
     def kill(self, process: subprocess.Popen[bytes], number: int = signal.SIGKILL) -> None:
         """Send a signal to one of the fleet's processes; SIGKILL is awaited."""
@@ -205,6 +208,9 @@
                 process.kill()
                 process.wait(STOP_TIMEOUT_S)
 
+    def _find_effects_file(self, config: backend.BackendConfig) -> pathlib.Path:
+        return self._folder / f"{config.name}.effects"
+
     def _start_stand_in(self, *arguments: str, name: str) -> subprocess.Popen[bytes]:
         command = (sys.executable, "-m", "goldcresthall_stand_ins", *arguments)
         return self._start(command, name)
@@ -229,13 +235,6 @@
             raise FleetError(f"{url}: status {response.status}")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EffectList:
-    """The body in which a backend server reports what it ran."""
-
-    effects: tuple[backend.Effect, ...]
-
-
 def create_backend_configs(
     service: str, count: int, *, keyed: bool
 ) -> tuple[backend.BackendConfig, ...]:
--- a/tests/features/system.py
+++ b/tests/features/system.py
@@ -148,11 +148,10 @@
         self.fleet.kill(router.process, number)
 
     def read_effects(self) -> tuple[backend.Effect, ...]:
-        """Return what all backend servers that still run have done, oldest first."""
+        """Return what all backend servers have done, lost ones too, oldest first."""
         effects = [
             effect
             for process in self.backends.values()
-            if process.process.poll() is None
             for config in process.configs
             for effect in self.fleet.read_effects(config)
         ]
@@ -176,7 +175,7 @@
 def list_answered_without_effect(
     sent: list[Sent], effects: tuple[backend.Effect, ...]
 ) -> list[Sent]:
-    """Return responses of status 200 whose request no running server has run."""
+    """Return responses of status 200 whose request no server has run."""
     run = {effect.request_id for effect in effects}
     return [
         item
