Split the keeper into roles and close the holes in lessor succession

The stamp now comes before the check, and the state is read after its age. - a successor counted the lease from its first report, though the lessor before it could renew between that report and the fence. The remaining time that the server reports under the new epoch now bounds it. - a server that restarted had forgotten whom it refused, so a lessor cut from the log could renew it with old grants. An appointment now names the life of the server process that was met before it, and allows no other. - a first contact was guessed from partitions; the replicated state now says whether an earlier lessor may still renew. - a move of unknown fate was held for ever: it is cancelled on the same base. - a removed or lost server that still owned partitions kept them for ever. - a server named at another address while it owns partitions is rejected. Candidates take over shortly before the lease ends, leave out the failing lessor from the ranks, and resolve the loss of server and lessor together by asking the lessor over a peer connection. Draining and removed servers lose their partitions by revocation first. Lost servers return after ten renewals in a row. An instance that ends hands its lessor's duties over. Servers that do not check grants keep their keys: replay rejects a move away from them.

--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -13,7 +13,10 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import counters
+from goldcresthall.ownership import lessor_probe
 from goldcresthall.ownership import lessors
+from goldcresthall.ownership import planned_moves
 from goldcresthall.ownership import proposer
 from goldcresthall.peers import follower
 from goldcresthall.peers import server
@@ -76,6 +79,12 @@
         names.OWNERSHIP,
         proposer.OwnershipProposer.from_config(built, incarnation, instance_settings.leases),
     )
+    built.register(names.LEASE_COUNTERS, counters.LeaseCounters.from_config(built))
+    built.register(
+        names.LESSOR_PROBE,
+        lessor_probe.PeerLessorProbe.from_config(built, incarnation, instance_settings),
+    )
+    built.register(names.PLANNED_MOVES, planned_moves.PlannedMoves.from_config(built, incarnation))
     built.register(names.LEASES, lessors.Lessors.from_config(built, incarnation, instance_settings))
 
 
--- a/src/goldcresthall/core/leases.py
+++ b/src/goldcresthall/core/leases.py
@@ -31,12 +31,33 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class GrantVersion:
+    """Order of the grant tables of one server."""
+
+    offset: int
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantTable:
-    """All grants of one server as of an offset of the log."""
+    """All grants of one server as of an offset of the log.
+
+    Attributes
+    ----------
+    revision
+        Counts the tables that one lessor made at one offset, as it withholds grants
+        ahead of a planned move; a server refuses a table older than its own.
+    """
 
     offset: int
     grants: tuple[Grant, ...]
+    revision: int = 0
+
+    @property
+    def version(self) -> GrantVersion:
+        """What tells this table from all others of the server."""
+        return GrantVersion(self.offset, self.revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +96,10 @@
         Milliseconds that the lease has left by the server's clock; zero if lapsed.
     grants_offset
         Offset of the grant table that the server holds.
+    grants_revision
+        Revision of that table.
+    finishing
+        Requests still running under grants that the table no longer has.
     """
 
     status: RenewalStatus
@@ -82,6 +107,13 @@
     lessor_epoch: int
     remaining_ms: float
     grants_offset: int
+    grants_revision: int = 0
+    finishing: int = 0
+
+    @property
+    def grant_version(self) -> GrantVersion:
+        """Version of the grant table that the server holds."""
+        return GrantVersion(self.grants_offset, self.grants_revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/core/records.py
+++ b/src/goldcresthall/core/records.py
@@ -79,10 +79,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LessorChoice:
-    """One server and the router instance that is to renew its lease."""
+    """One server and the router instance that is to renew its lease.
+
+    Attributes
+    ----------
+    server_incarnation
+        Life of the server process that its author had met before it decided; the
+        only one that the appointment allows to renew. Empty if none was met.
+    """
 
     server: str
     lessor: identity.Incarnation
+    server_incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/goldcresthall/ownership/candidate_role.py
@@ -0,0 +1,172 @@
+"""The candidate's role: watches one server and takes over from a lost lessor."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.core import leases
+from goldcresthall.ownership import appointments
+from goldcresthall.ownership import ground
+from goldcresthall.ownership import rendezvous
+from goldcresthall.replication import replica
+
+if TYPE_CHECKING:
+    from goldcresthall.ownership import lookup
+    from goldcresthall.ownership import surroundings
+    from goldcresthall.replication import state as replicated
+
+MS_PER_S = 1_000
+CANDIDATE_COUNT = 3
+IDLE_WAIT_S = 1.0
+TAKEOVER_FRACTION = 0.2
+SILENCE_S = 1.0
+MAX_SILENCE_S = 60.0
+
+NO_LESSOR = "server had no lessor"
+LEASE_LAPSES = "lessor does not renew"
+BOTH_SILENT = "neither the server nor its lessor answers"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silence:
+    """A stretch of time in which a server did not answer this candidate.
+
+    Attributes
+    ----------
+    next_offset
+        How far this instance had replayed the log when it began; a lessor that
+        follows the log has got there by the end of it.
+    """
+
+    lessor_epoch: int
+    began_at_s: float
+    next_offset: int
+
+
+class CandidateRole:
+    """Proposes this instance as lessor when the present lessor fails a server.
+
+    A takeover is safe at any time, as the server or the wait for the earlier
+    lessor's authority fences that lessor. When to take over is a matter of
+    availability alone.
+    """
+
+    def __init__(self, shared: surroundings.Surroundings) -> None:
+        self._shared = shared
+        self._timing = shared.timing
+        self._silence: Silence | None = None
+        self._silence_s = SILENCE_S
+
+    def step(self, keyed: lookup.KeyedServer) -> None:
+        """Look at the server and its lessor once, and act or wait."""
+        base = ground.Ground.read(self._shared.replica)
+        known = base.state.servers.get(self._shared.server_name)
+        rank = self._find_rank(keyed, known)
+        if rank is None or not self._shared.is_log_reachable(base):
+            self._shared.wakeup.wait(IDLE_WAIT_S)
+            return
+        outcome = self._look(keyed)
+        reason, delay_s = self._judge(outcome, known, base)
+        if not reason:
+            self._shared.wakeup.wait(self._timing.renew_interval_s)
+            return
+        if self._wait_rank(rank, delay_s, known, keyed):
+            self._appoint_self(outcome, known, reason)
+
+    def _find_rank(
+        self, keyed: lookup.KeyedServer, known: replicated.ServerState | None
+    ) -> int | None:
+        live = self._shared.instance_list.listing.live
+        others = [entry for entry in live if entry.failure_domain != keyed.server.failure_domain]
+        own_name = self._shared.incarnation.name
+        failing = known.lessor.name if known is not None else ""
+        listed = [
+            entry.name
+            for entry in (others or live)
+            if entry.name != failing or entry.name == own_name
+        ]
+        ranked = rendezvous.rank_names(self._shared.server_name, listed)[:CANDIDATE_COUNT]
+        return ranked.index(own_name) if own_name in ranked else None
+
+    def _look(self, keyed: lookup.KeyedServer) -> leases.LeaseOutcome:
+        return self._shared.client.report_lease(keyed.server, self._timing.request_timeout_s)
+
+    def _judge(
+        self,
+        outcome: leases.LeaseOutcome,
+        known: replicated.ServerState | None,
+        base: ground.Ground,
+    ) -> tuple[str, float]:
+        if known is None:
+            return NO_LESSOR, 0.0
+        if isinstance(outcome, leases.LeaseUnanswered):
+            return (BOTH_SILENT if self._are_both_silent(known, base) else ""), 0.0
+        self._silence = None
+        self._silence_s = SILENCE_S
+        if not self._is_lapsing(outcome):
+            return "", 0.0
+        # A server without any lease may just have started; its lessor goes first.
+        return LEASE_LAPSES, 0.0 if outcome.remaining_ms > 0 else self._timing.takeover_delay_s
+
+    def _is_lapsing(self, report: leases.LeaseReport) -> bool:
+        return report.remaining_ms <= TAKEOVER_FRACTION * self._timing.duration_ms
+
+    def _are_both_silent(self, known: replicated.ServerState, base: ground.Ground) -> bool:
+        now_s = self._shared.clock.read_s()
+        if self._silence is None or self._silence.lessor_epoch != known.epoch:
+            self._silence = Silence(known.epoch, now_s, base.state.next_offset)
+        if now_s - self._silence.began_at_s < self._silence_s:
+            return False
+        status = self._shared.probe.ask(known.lessor.name)
+        follows = (
+            status is not None
+            and status.incarnation == known.lessor.token
+            and status.next_offset >= self._silence.next_offset
+        )
+        self._silence = None
+        return not follows
+
+    def _wait_rank(
+        self,
+        rank: int,
+        delay_s: float,
+        known: replicated.ServerState | None,
+        keyed: lookup.KeyedServer,
+    ) -> bool:
+        ends_at_s = self._shared.clock.read_s() + delay_s + rank * self._timing.takeover_delay_s
+        waited = False
+        while (left_s := ends_at_s - self._shared.clock.read_s()) > 0:
+            waited = True
+            self._shared.wakeup.wait(left_s)
+            if self._shared.replica.state.servers.get(self._shared.server_name) != known:
+                return False
+        if not waited or known is None:
+            return True
+        again = self._look(keyed)
+        return isinstance(again, leases.LeaseUnanswered) or self._is_lapsing(again)
+
+    def _appoint_self(
+        self, outcome: leases.LeaseOutcome, known: replicated.ServerState | None, reason: str
+    ) -> None:
+        base = ground.Ground.read(self._shared.replica)
+        if base.state.servers.get(self._shared.server_name) != known:
+            return
+        met = outcome.stamp.incarnation if isinstance(outcome, leases.LeaseReport) else ""
+        if reason == BOTH_SILENT:
+            # If only this instance is cut off, others take over from it again; the
+            # longer wait keeps it from doing so over and over.
+            self._silence_s = min(2 * self._silence_s, MAX_SILENCE_S)
+        wish = appointments.Appointment(
+            server=self._shared.server_name,
+            lessor=self._shared.incarnation,
+            server_incarnation=met,
+            author=self._shared.incarnation,
+            reason=reason if known is None else f"{reason}: {known.lessor}",
+        )
+        outcome_of_wish = appointments.appoint(wish, base.state, self._shared.replica)
+        if isinstance(outcome_of_wish, replica.CommitAccepted):
+            self._shared.counters.takeovers.labels(reason).inc()
+            logging.info("took over %s", self._shared.server_name)
--- /dev/null
+++ b/src/goldcresthall/ownership/counters.py
@@ -0,0 +1,67 @@
+"""Counters of what leases and moves did and cost."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+from goldcresthall.kernel import kernel as kernels
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.observability import metrics
+
+
+class LeaseCounters(service.Service):
+    """Counters of one instance's lessors, in the registry of the metrics service.
+
+    Attributes
+    ----------
+    renewals
+        Answers of servers to renewals, by status; ``unanswered`` if none came.
+    lost_servers
+        Servers declared lost.
+    returned_servers
+        Lost servers that answer again.
+    takeovers
+        Lessor's duties taken over, by reason.
+    handovers
+        Lessor's duties handed over when the instance ended.
+    moves
+        Partitions moved, by reason.
+    held_moves
+        Moves whose fate was not known when the wait for it ended.
+    cancelled_moves
+        Cancellations handed to the log.
+    withdrawn_moves
+        Planned moves given up before they were handed to the log, by reason.
+    refused_moves
+        Moves that may not be made, by reason.
+    """
+
+    def __init__(self, owner: kernels.Kernel) -> None:
+        self._registry = owner.find(names.METRICS, metrics.Metrics).registry
+        self.renewals = self._create("lease_renewals", "Answers to renewals.", "status")
+        self.lost_servers = self._create("lost_servers", "Servers declared lost.")
+        self.returned_servers = self._create("returned_servers", "Lost servers that returned.")
+        self.takeovers = self._create("lessor_takeovers", "Lessor's duties taken over.", "reason")
+        self.handovers = self._create("lessor_handovers", "Lessor's duties handed over.")
+        self.moves = self._create("moved_partitions", "Partitions moved.", "reason")
+        self.held_moves = self._create("held_moves", "Moves of unknown fate.")
+        self.cancelled_moves = self._create("cancelled_moves", "Cancellations of moves.")
+        self.withdrawn_moves = self._create("withdrawn_moves", "Moves given up.", "reason")
+        self.refused_moves = self._create("refused_moves", "Moves not allowed.", "reason")
+
+    @classmethod
+    def from_config(cls, owner: kernels.Kernel) -> LeaseCounters:
+        """Return the counters of an instance whose metrics service is registered."""
+        return cls(owner)
+
+    def start(self) -> None:
+        """Do nothing; counters need no start."""
+
+    def stop(self) -> None:
+        """Do nothing; counters need no stop."""
+
+    def _create(self, name: str, text: str, *labels: str) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"goldcresthall_{name}", text, labels, registry=self._registry
+        )
--- /dev/null
+++ b/src/goldcresthall/ownership/handover.py
@@ -0,0 +1,62 @@
+"""Handing a lessor's duty over before the instance ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from goldcresthall.core import identity
+from goldcresthall.ownership import appointments
+from goldcresthall.ownership import ground
+from goldcresthall.ownership import rendezvous
+from goldcresthall.replication import replica
+
+if TYPE_CHECKING:
+    from goldcresthall.ownership import lookup
+    from goldcresthall.ownership import surroundings
+
+REASON = "instance is ending"
+
+
+def hand_over(
+    shared: surroundings.Surroundings, keyed: lookup.KeyedServer, server_incarnation: str
+) -> bool:
+    """Appoint another live instance as lessor; return whether that was accepted.
+
+    Only the renewal of the lease changes hands; no key moves. Without a successor
+    the lease runs out and a candidate takes over.
+    """
+    base = ground.Ground.read(shared.replica)
+    if not shared.is_log_reachable(base):
+        return False
+    successor = _find_successor(shared, keyed)
+    if successor is None:
+        return False
+    wish = appointments.Appointment(
+        server=shared.server_name,
+        lessor=successor,
+        server_incarnation=server_incarnation,
+        author=shared.incarnation,
+        reason=REASON,
+    )
+    outcome = appointments.appoint(wish, base.state, shared.replica)
+    if not isinstance(outcome, replica.CommitAccepted):
+        return False
+    shared.counters.handovers.inc()
+    return True
+
+
+def _find_successor(
+    shared: surroundings.Surroundings, keyed: lookup.KeyedServer
+) -> identity.Incarnation | None:
+    live = [
+        entry
+        for entry in shared.instance_list.listing.live
+        if entry.name != shared.incarnation.name
+    ]
+    others = [entry for entry in live if entry.failure_domain != keyed.server.failure_domain]
+    listed = [entry.name for entry in (others or live)]
+    for name in rendezvous.rank_names(shared.server_name, listed):
+        status = shared.probe.ask(name)
+        if status is not None:
+            return identity.Incarnation(status.name, status.incarnation)
+    return None
--- /dev/null
+++ b/src/goldcresthall/ownership/lessor_probe.py
@@ -0,0 +1,78 @@
+"""Asks another instance whether it lives and follows the log."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.peers import client
+from goldcresthall.peers import exceptions
+from goldcresthall.platform import instance_list
+
+if TYPE_CHECKING:
+    from goldcresthall.core import identity
+    from goldcresthall.core import settings
+    from goldcresthall.kernel import kernel
+    from goldcresthall.peers import messages
+
+
+class LessorProbe(service.Service):
+    """Asks instances by name."""
+
+    @abc.abstractmethod
+    def ask(self, name: str) -> messages.PeerStatus | None:
+        """Return what the instance of a name has taken up; none if it does not answer."""
+
+
+class PeerLessorProbe(LessorProbe):
+    """Asks over a peer connection that is opened for the question."""
+
+    def __init__(
+        self,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        instance_settings: settings.Settings,
+    ) -> None:
+        self._kernel = owner
+        self._incarnation = incarnation
+        self._failure_domain = instance_settings.failure_domain
+        self._timeout_ms = instance_settings.peers.request_timeout_ms
+
+    @classmethod
+    def from_config(
+        cls,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        instance_settings: settings.Settings,
+    ) -> PeerLessorProbe:
+        """Return the probe of an instance."""
+        return cls(owner, incarnation, instance_settings)
+
+    def start(self) -> None:
+        """Find the instance list."""
+        self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
+
+    def stop(self) -> None:
+        """Do nothing; no connection is kept."""
+
+    def ask(self, name: str) -> messages.PeerStatus | None:
+        """Return what the instance of a name has taken up; none if it does not answer."""
+        for entry in self._list.listing.instances:
+            if entry.name == name:
+                return self._ask_entry(entry)
+        return None
+
+    def _ask_entry(self, entry: identity.InstanceEntry) -> messages.PeerStatus | None:
+        connection = client.PeerConnection(entry, self._timeout_ms)
+        try:
+            connection.open(self._incarnation, self._failure_domain)
+            return connection.report_status()
+        except exceptions.PeerError as error:
+            logging.info("lessor probe: %s", error)
+            return None
+        finally:
+            connection.close()
--- /dev/null
+++ b/src/goldcresthall/ownership/lessor_role.py
@@ -0,0 +1,202 @@
+"""The lessor's role: renews one server's lease and moves its keys when it is lost."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.core import identity
+from goldcresthall.core import leases
+from goldcresthall.core import records
+from goldcresthall.ownership import appointments
+from goldcresthall.ownership import grant_tables
+from goldcresthall.ownership import ground
+from goldcresthall.ownership import lease_view
+from goldcresthall.ownership import move_handoff
+from goldcresthall.ownership import placement
+from goldcresthall.ownership import revocation
+from goldcresthall.replication import replica
+
+if TYPE_CHECKING:
+    from goldcresthall.kernel import kernel
+    from goldcresthall.ownership import lookup
+    from goldcresthall.ownership import surroundings
+    from goldcresthall.replication import state as replicated
+
+COMMIT_TIMEOUT_S = 2.0
+FINISH_POLL_S = 0.03
+STEADY_RENEWALS = 10
+LOST_REASON = "lease ran out"
+
+
+class LessorRole:
+    """Renews one server's lease for as long as this instance is its lessor."""
+
+    def __init__(self, owner: kernel.Kernel, shared: surroundings.Surroundings) -> None:
+        self._shared = shared
+        self._timing = shared.timing
+        self._tables = grant_tables.GrantTables(shared.server_name)
+        self._handoff = move_handoff.MoveHandoff(owner)
+        self._revocation = revocation.Revocation(shared, self._handoff)
+        self._view: lease_view.LeaseView | None = None
+
+    @property
+    def server_incarnation(self) -> str:
+        """Life of the server process that answered last; empty if none did."""
+        return "" if self._view is None else self._view.server_incarnation
+
+    def leave(self) -> None:
+        """Forget the lease, as this instance is not its lessor."""
+        self._view = None
+        self._revocation.forget()
+
+    def step(self, keyed: lookup.KeyedServer) -> None:
+        """Renew once, decide what the answer calls for, and wait for the next time."""
+        self._handoff.settle()
+        base = ground.Ground.read(self._shared.replica)
+        if self._handoff.is_loss_pending or not self._is_lessor(base.state):
+            self._shared.wakeup.wait(self._timing.renew_interval_s)
+            return
+        view = self._renew(keyed, self._enter(base.state), base)
+        self._view = view
+        if lease_view.has_lapsed(view, self._shared.clock.read_s(), self._timing):
+            self._declare_lost(keyed, base)
+            self._shared.wakeup.wait(self._timing.renew_interval_s)
+            return
+        self._note_return(view, base)
+        if not self._advance_moves(keyed, view, base):
+            self._wait()
+
+    def _is_lessor(self, state: replicated.State) -> bool:
+        known = state.servers.get(self._shared.server_name)
+        return known is not None and known.lessor == self._shared.incarnation
+
+    def _wait(self) -> None:
+        interval_s = self._timing.renew_interval_s
+        self._shared.wakeup.wait(FINISH_POLL_S if self._revocation.is_waiting else interval_s)
+
+    def _enter(self, state: replicated.State) -> lease_view.LeaseView:
+        known = state.servers[self._shared.server_name]
+        view = self._view
+        if view is not None and view.lessor_epoch == known.epoch:
+            return view
+        return lease_view.LeaseView(
+            lessor_epoch=known.epoch,
+            appointed_at_s=self._shared.clock.read_s(),
+            succeeded=known.succeeded,
+            ends_at_s=float("-inf") if view is None else view.ends_at_s,
+        )
+
+    def _renew(
+        self, keyed: lookup.KeyedServer, view: lease_view.LeaseView, base: ground.Ground
+    ) -> lease_view.LeaseView:
+        if view.report is None:
+            view = self._ask(keyed, view)
+        if view.report is None:
+            return view
+        if view.server_incarnation != base.state.servers[keyed.server.name].server_incarnation:
+            self._appoint_again(view, base)
+            return view
+        # The stamp was received before this check, so a renewal that a pause delays
+        # after the check extends the lease no further than one sent at once.
+        if self._shared.clock.read_s() - base.read_began_at_s >= self._timing.authority_s:
+            self._shared.counters.renewals.labels("no_authority").inc()
+            return view
+        return self._send_renewal(keyed, view, view.report.stamp, base)
+
+    def _ask(self, keyed: lookup.KeyedServer, view: lease_view.LeaseView) -> lease_view.LeaseView:
+        outcome = self._shared.client.report_lease(keyed.server, self._timing.request_timeout_s)
+        return lease_view.note_answer(view, outcome, self._shared.clock.read_s(), self._timing)
+
+    def _send_renewal(
+        self,
+        keyed: lookup.KeyedServer,
+        view: lease_view.LeaseView,
+        stamp: leases.ServerStamp,
+        base: ground.Ground,
+    ) -> lease_view.LeaseView:
+        table = self._tables.create(base.state, self._revocation.withheld)
+        is_known = view.report is not None and view.report.grant_version == table.version
+        renewal = leases.Renewal(
+            lessor_epoch=view.lessor_epoch,
+            stamp=stamp,
+            duration_ms=self._timing.duration_ms,
+            table=None if is_known else table,
+        )
+        view = lease_view.note_sent(view, self._timing)
+        outcome = self._shared.client.renew_lease(
+            keyed.server, renewal, self._timing.request_timeout_s
+        )
+        self._count_renewal(outcome)
+        return lease_view.note_answer(view, outcome, self._shared.clock.read_s(), self._timing)
+
+    def _count_renewal(self, outcome: leases.LeaseOutcome) -> None:
+        status = "unanswered"
+        if isinstance(outcome, leases.LeaseReport):
+            status = outcome.status.value
+        self._shared.counters.renewals.labels(status).inc()
+
+    def _appoint_again(self, view: lease_view.LeaseView, base: ground.Ground) -> None:
+        if not self._shared.is_log_reachable(base):
+            return
+        wish = appointments.Appointment(
+            server=self._shared.server_name,
+            lessor=self._shared.incarnation,
+            server_incarnation=view.server_incarnation,
+            author=self._shared.incarnation,
+            reason="server process was met for the first time",
+        )
+        appointments.appoint(wish, base.state, self._shared.replica)
+
+    def _declare_lost(self, keyed: lookup.KeyedServer, base: ground.Ground) -> None:
+        name = self._shared.server_name
+        known = base.state.servers[name]
+        moves = placement.plan_loss(name, keyed.policy, base.state)
+        if not self._shared.is_log_reachable(base) or (known.lost and not moves):
+            return
+        self._revocation.forget()
+        record = records.PartitionsMoved(
+            record_id=identity.create_record_id(),
+            base=base.state.next_offset,
+            author=str(self._shared.incarnation),
+            reason=f"lease of {name} ran out without an answer",
+            moves=moves,
+            lessor=self._shared.incarnation,
+            lessor_epoch=known.epoch,
+            lost_server=name,
+        )
+        logging.warning("server %s lost, %d partitions move", name, len(moves))
+        outcome = self._handoff.hand_over(name, record, COMMIT_TIMEOUT_S)
+        if isinstance(outcome, replica.CommitAccepted):
+            self._shared.counters.lost_servers.inc(int(not known.lost))
+            self._shared.counters.moves.labels(LOST_REASON).inc(len(moves))
+
+    def _note_return(self, view: lease_view.LeaseView, base: ground.Ground) -> None:
+        name = self._shared.server_name
+        known = base.state.servers[name]
+        if not known.lost or view.renewals_in_a_row < STEADY_RENEWALS:
+            return
+        if not self._shared.is_log_reachable(base):
+            return
+        record = records.ServerReturned(
+            record_id=identity.create_record_id(),
+            base=base.state.next_offset,
+            author=str(self._shared.incarnation),
+            reason=f"{STEADY_RENEWALS} renewals in a row were answered",
+            server=name,
+            lessor=self._shared.incarnation,
+            lessor_epoch=known.epoch,
+        )
+        self._view = dataclasses.replace(view, renewals_in_a_row=0)
+        outcome = self._shared.replica.commit(record, self._timing.renew_interval_s)
+        logging.info("server %s returned: %s", name, outcome)
+        if isinstance(outcome, replica.CommitAccepted):
+            self._shared.counters.returned_servers.inc()
+
+    def _advance_moves(
+        self, keyed: lookup.KeyedServer, view: lease_view.LeaseView, base: ground.Ground
+    ) -> bool:
+        table = self._tables.create(base.state, self._revocation.withheld)
+        return self._revocation.advance(keyed, view, table, base)
--- a/src/goldcresthall/ownership/lessors.py
+++ b/src/goldcresthall/ownership/lessors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from goldcresthall.kernel import names
@@ -20,6 +21,19 @@
 IDLE_WAIT_S = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunningKeeper:
+    """A keeper and the task that runs it."""
+
+    keeper: keeper.ServerKeeper
+    task: tasks.Task
+
+    def request_stop(self) -> None:
+        """Ask the task to end and wake it if it waits."""
+        self.task.request_stop()
+        self.keeper.wake()
+
+
 class Lessors(service.Service):
     """Starts a keeper for each server that the preset in force names, and ends it."""
 
@@ -32,7 +46,8 @@
         self._kernel = owner
         self._incarnation = incarnation
         self._settings = instance_settings
-        self._keepers: dict[str, tasks.Task] = {}
+        self._keepers: dict[str, RunningKeeper] = {}
+        self._seen: replicated.State | None = None
         self._task = tasks.Task("lessors", self._run)
 
     @classmethod
@@ -51,30 +66,44 @@
         self._task.start()
 
     def stop(self) -> None:
-        """End all keepers."""
+        """End all keepers; each hands its lessor's duty over."""
         self._task.stop()
-        for task in self._keepers.values():
-            task.request_stop()
-        for task in self._keepers.values():
-            task.stop()
+        for running in self._keepers.values():
+            running.request_stop()
+        for running in self._keepers.values():
+            running.task.stop()
 
     def _run(self, stop_signal: tasks.StopSignal) -> None:
         while not stop_signal.is_set:
             state = self._replica.state
-            self._adjust_keepers(state)
+            if self._concerns_keepers(state):
+                self._adjust_keepers(state)
+            self._seen = state
             self._replica.wait_beyond(state.next_offset, IDLE_WAIT_S)
 
+    def _concerns_keepers(self, state: replicated.State) -> bool:
+        # Records of other kinds come by the hundred each second and leave these alone.
+        seen = self._seen
+        return (
+            seen is None
+            or seen.preset_in_force is not state.preset_in_force
+            or seen.partitions is not state.partitions
+            or seen.servers is not state.servers
+        )
+
     def _adjust_keepers(self, state: replicated.State) -> None:
         wanted = {keyed.server.name for keyed in lookup.iterate_keyed_servers(state)}
-        for name in wanted - self._keepers.keys():
-            self._start_keeper(name)
         for name in self._keepers.keys() - wanted:
             self._keepers.pop(name).request_stop()
+        for running in self._keepers.values():
+            running.keeper.wake()
+        for name in wanted - self._keepers.keys():
+            self._start_keeper(name)
 
     def _start_keeper(self, server_name: str) -> None:
         server_keeper = keeper.ServerKeeper.from_config(
             self._kernel, self._incarnation, self._settings, server_name
         )
         task = tasks.Task(f"keeper-{server_name}", server_keeper.run)
-        self._keepers[server_name] = task
+        self._keepers[server_name] = RunningKeeper(server_keeper, task)
         task.start()
--- a/src/goldcresthall/ownership/lookup.py
+++ b/src/goldcresthall/ownership/lookup.py
@@ -23,10 +23,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedServer:
-    """A server of a keyed service together with its service."""
+    """A server of a keyed service together with its service.
+
+    Attributes
+    ----------
+    is_leaving
+        Whether the preset drains the server, or no longer names it.
+    """
 
     policy: preset.ServicePolicy
     server: preset.BackendServer
+    is_leaving: bool = False
 
 
 def find_key_owner(policy: preset.ServicePolicy, key: str, state: replicated.State) -> KeyOwner:
@@ -37,10 +44,34 @@
 
 
 def iterate_keyed_servers(state: replicated.State) -> Iterator[KeyedServer]:
-    """Yield each server of each keyed service of the preset in force."""
+    """Yield each server of each keyed service, and those removed that still own partitions."""
     if state.preset_in_force is None:
         return
     for policy in state.preset_in_force.preset.services:
         if policy.keyed:
             for server in policy.servers:
-                yield KeyedServer(policy, server)
+                yield KeyedServer(policy, server, is_leaving=server.draining)
+            yield from _iterate_removed(policy, state)
+
+
+def find_keyed_server(name: str, state: replicated.State) -> KeyedServer | None:
+    """Return the keyed server of a name, or none."""
+    for keyed in iterate_keyed_servers(state):
+        if keyed.server.name == name:
+            return keyed
+    return None
+
+
+def _iterate_removed(
+    policy: preset.ServicePolicy, state: replicated.State
+) -> Iterator[KeyedServer]:
+    named = {server.name for server in policy.servers}
+    owners = {
+        owned.owner
+        for partition, owned in state.partitions.items()
+        if partition.service == policy.name
+    }
+    for name in sorted(owners - named):
+        known = state.servers.get(name)
+        if known is not None and known.server is not None:
+            yield KeyedServer(policy, known.server, is_leaving=True)
--- /dev/null
+++ b/src/goldcresthall/ownership/move_handoff.py
@@ -0,0 +1,108 @@
+"""Moves handed to the log, held until their fate is known."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.core import cancellations
+from goldcresthall.core import identity
+from goldcresthall.core import records
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import names
+from goldcresthall.ownership import counters
+from goldcresthall.replication import replica
+
+if TYPE_CHECKING:
+    from goldcresthall.kernel import kernel
+
+CANCEL_AFTER_S = 2.0
+CANCEL_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandedMove:
+    """A move away from a server that may yet appear in the log.
+
+    Attributes
+    ----------
+    waits_from_s
+        Clock reading when the move, or its last cancellation, was handed over.
+    """
+
+    server: str
+    record: records.PartitionsMoved
+    waits_from_s: float
+
+
+class MoveHandoff:
+    """Hands one server's moves to the log, one at a time.
+
+    A move of unknown fate may be accepted at any later time. It stays pending until
+    it is found, or until a later change of the server overtakes it; the lessor sees
+    to that by a cancellation on the same base.
+    """
+
+    def __init__(self, owner: kernel.Kernel) -> None:
+        self._clock = owner.find(names.CLOCK, clock.Clock)
+        self._replica = owner.find(names.REPLICA, replica.Replica)
+        self._counters = owner.find(names.LEASE_COUNTERS, counters.LeaseCounters)
+        self._handed: HandedMove | None = None
+
+    @property
+    def is_loss_pending(self) -> bool:
+        """Whether a move after the server's loss is pending: its lease must rest."""
+        return self._handed is not None and bool(self._handed.record.lost_server)
+
+    @property
+    def is_pending(self) -> bool:
+        """Whether any move is pending."""
+        return self._handed is not None
+
+    def hand_over(
+        self, server: str, record: records.PartitionsMoved, timeout_s: float
+    ) -> replica.CommitOutcome:
+        """Hand a move to the log and wait for its fate up to a timeout."""
+        self._handed = HandedMove(server, record, self._clock.read_s())
+        outcome = self._replica.commit(record, timeout_s)
+        logging.info("move from %s (%s): %s", server, record.reason, outcome)
+        if isinstance(outcome, replica.CommitUnknown):
+            self._counters.held_moves.inc()
+        else:
+            self._handed = None
+        return outcome
+
+    def settle(self) -> None:
+        """Find out a pending move's fate; cancel the move if that takes too long."""
+        handed = self._handed
+        if handed is None:
+            return
+        if self._is_decided(handed):
+            self._handed = None
+            return
+        if self._clock.read_s() - handed.waits_from_s > CANCEL_AFTER_S:
+            self._cancel(handed)
+
+    def _is_decided(self, handed: HandedMove) -> bool:
+        if self._replica.find_outcome(handed.record.record_id) is not None:
+            return True
+        known = self._replica.state.servers.get(handed.server)
+        return known is not None and known.changed_at >= handed.record.base
+
+    def _cancel(self, handed: HandedMove) -> None:
+        record = cancellations.MoveCancelled(
+            record_id=identity.create_record_id(),
+            base=handed.record.base,
+            author=handed.record.author,
+            reason="the fate of a move was not known in time",
+            server=handed.server,
+            cancelled_id=handed.record.record_id,
+            lessor=handed.record.lessor,
+            lessor_epoch=handed.record.lessor_epoch,
+        )
+        self._counters.cancelled_moves.inc()
+        outcome = self._replica.commit(record, CANCEL_TIMEOUT_S)
+        logging.warning("cancelled move from %s: %s", handed.server, outcome)
+        self._handed = dataclasses.replace(handed, waits_from_s=self._clock.read_s())
--- a/src/goldcresthall/ownership/placement.py
+++ b/src/goldcresthall/ownership/placement.py
@@ -52,6 +52,23 @@
     return _spread(policy, state, numbers, from_server=server)
 
 
+def is_movable(
+    partition: replicated.PartitionId,
+    from_server: str,
+    to_server: str,
+    policy: preset.ServicePolicy,
+    state: replicated.State,
+) -> bool:
+    """Return whether a server still owns a partition that another may be given."""
+    owned = state.partitions.get(partition)
+    return (
+        owned is not None
+        and owned.owner == from_server
+        and to_server != from_server
+        and to_server in list_eligible(policy, state)
+    )
+
+
 def _spread(
     policy: preset.ServicePolicy,
     state: replicated.State,
--- /dev/null
+++ b/src/goldcresthall/ownership/surroundings.py
@@ -0,0 +1,79 @@
+"""What the roles of a keeper share: services, timing and the server's name."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from goldcresthall.backend import client
+from goldcresthall.core import identity
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import names
+from goldcresthall.ownership import counters
+from goldcresthall.ownership import ground
+from goldcresthall.ownership import lease_view
+from goldcresthall.ownership import lessor_probe
+from goldcresthall.ownership import planned_moves
+from goldcresthall.ownership import wakeup as wakeups
+from goldcresthall.platform import instance_list
+from goldcresthall.replication import replica
+
+if TYPE_CHECKING:
+    from goldcresthall.core import settings
+    from goldcresthall.kernel import kernel
+
+MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Surroundings:
+    """What the roles of one server's keeper share.
+
+    Attributes
+    ----------
+    log_silence_s
+        Age of the newest read of the log from which on the log counts as unreachable.
+    """
+
+    server_name: str
+    incarnation: identity.Incarnation
+    timing: lease_view.LeaseTiming
+    log_silence_s: float
+    clock: clock.Clock
+    replica: replica.Replica
+    client: client.BackendClient
+    instance_list: instance_list.InstanceList
+    probe: lessor_probe.LessorProbe
+    planned: planned_moves.PlannedMoves
+    counters: counters.LeaseCounters
+    wakeup: wakeups.Wakeup
+
+    @classmethod
+    def from_config(
+        cls,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        instance_settings: settings.Settings,
+        server_name: str,
+        woken: wakeups.Wakeup,
+    ) -> Surroundings:
+        """Return the surroundings of one server's keeper in an instance."""
+        platform = instance_settings.platform
+        return cls(
+            server_name=server_name,
+            incarnation=incarnation,
+            timing=lease_view.LeaseTiming.from_config(instance_settings.leases),
+            log_silence_s=(2 * platform.long_poll_ms + platform.request_timeout_ms) / MS_PER_S,
+            clock=owner.find(names.CLOCK, clock.Clock),
+            replica=owner.find(names.REPLICA, replica.Replica),
+            client=owner.find(names.BACKENDS, client.BackendClient),
+            instance_list=owner.find(names.INSTANCE_LIST, instance_list.InstanceList),
+            probe=owner.find(names.LESSOR_PROBE, lessor_probe.LessorProbe),
+            planned=owner.find(names.PLANNED_MOVES, planned_moves.PlannedMoves),
+            counters=owner.find(names.LEASE_COUNTERS, counters.LeaseCounters),
+            wakeup=woken,
+        )
+
+    def is_log_reachable(self, base: ground.Ground) -> bool:
+        """Return whether a record handed to the log now is likely to be read back soon."""
+        return self.clock.read_s() - base.read_began_at_s < self.log_silence_s
--- /dev/null
+++ b/src/goldcresthall/replication/cancellations.py
@@ -0,0 +1,19 @@
+"""Replay of cancelled moves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from goldcresthall.core import cancellations
+from goldcresthall.replication import replay
+
+if TYPE_CHECKING:
+    from goldcresthall.replication import state as replicated
+
+
+@replay.apply.register(cancellations.MoveCancelled)
+def _(record: cancellations.MoveCancelled, state: replicated.State) -> replay.Decision:
+    rejected = replay.check_lessor(record.server, record, state)
+    if rejected is not None:
+        return rejected
+    return replay.Accepted(replay.touch_servers({record.server}, state))
--- a/src/goldcresthall/replication/replay.py
+++ b/src/goldcresthall/replication/replay.py
@@ -10,6 +10,8 @@
 import enum
 import functools
 
+from goldcresthall.core import cancellations
+from goldcresthall.core import preset
 from goldcresthall.core import records
 from goldcresthall.encoding import exceptions
 from goldcresthall.encoding import log_entries
@@ -26,6 +28,8 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_SERVER = "unknown_server"
     UNKNOWN_PARTITION = "unknown_partition"
+    ADDRESS_CHANGED = "address_changed"
+    GRANTS_NOT_CHECKED = "grants_not_checked"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,13 +90,20 @@
     current = state.preset_in_force
     if current is not None and current.offset >= record.base:
         return _overtaken("preset", current.offset)
+    rejected = _check_addresses(record, state)
+    if rejected is not None:
+        return rejected
     in_force = replicated.PresetInForce(
         preset=record.preset,
         offset=state.next_offset,
         author=record.author,
         reason=record.reason,
     )
-    return Accepted(dataclasses.replace(state, preset_in_force=in_force))
+    named = dataclasses.replace(state, preset_in_force=in_force)
+    servers = state.servers.evolver()
+    for name, known in state.servers.items():
+        servers[name] = dataclasses.replace(known, server=_find_named(name, named) or known.server)
+    return Accepted(dataclasses.replace(named, servers=servers.persistent()))
 
 
 @apply.register
@@ -107,16 +118,19 @@
             epoch=state.next_offset,
             changed_at=state.next_offset,
             lost=current is not None and current.lost,
+            succeeded=current is not None,
+            server_incarnation=choice.server_incarnation,
+            server=_find_named(choice.server, state) or (current.server if current else None),
         )
     return Accepted(dataclasses.replace(state, servers=servers.persistent()))
 
 
 @apply.register
 def _(record: records.ServerReturned, state: replicated.State) -> Decision:
-    rejected = _check_lessor(record.server, record, state)
+    rejected = check_lessor(record.server, record, state)
     if rejected is not None:
         return rejected
-    return Accepted(_touch_servers({record.server}, state, lost_server=""))
+    return Accepted(touch_servers({record.server}, state, returned_server=record.server))
 
 
 @apply.register
@@ -135,18 +149,21 @@
         )
     servers = {move.from_server for move in record.moves if move.from_server}
     if record.lost_server:
-        rejected = _check_lessor(record.lost_server, record, state)
+        rejected = check_lessor(record.lost_server, record, state)
         if rejected is not None:
             return rejected
         servers.add(record.lost_server)
     moved = dataclasses.replace(state, partitions=partitions.persistent())
-    return Accepted(_touch_servers(servers, moved, lost_server=record.lost_server))
+    return Accepted(touch_servers(servers, moved, lost_server=record.lost_server))
 
 
 def _check_move(
     move: records.PartitionMove, record: records.PartitionsMoved, state: replicated.State
 ) -> Rejected | None:
     rejected = _check_target(move, state)
+    if rejected is not None:
+        return rejected
+    rejected = _check_fenced(move, state)
     if rejected is not None:
         return rejected
     owned = state.partitions.get(replicated.PartitionId(move.service, move.partition))
@@ -158,7 +175,7 @@
         return _overtaken(f"partition {move.partition}", owned.epoch)
     if owned.owner != move.from_server:
         return Rejected(RejectionReason.OWNER_DIFFERS, f"owner is {owned.owner}")
-    return _check_lessor(move.from_server, record, state)
+    return check_lessor(move.from_server, record, state)
 
 
 def _check_target(move: records.PartitionMove, state: replicated.State) -> Rejected | None:
@@ -173,11 +190,24 @@
     return None
 
 
-def _check_lessor(
+def _check_fenced(move: records.PartitionMove, state: replicated.State) -> Rejected | None:
+    in_force = state.preset_in_force
+    service = in_force.preset.find_service(move.service) if in_force else None
+    if move.from_server and service is not None and not service.checks_grants:
+        return Rejected(RejectionReason.GRANTS_NOT_CHECKED, move.service)
+    return None
+
+
+def check_lessor(
     server: str,
-    record: records.PartitionsMoved | records.ServerReturned,
+    record: records.PartitionsMoved | records.ServerReturned | cancellations.MoveCancelled,
     state: replicated.State,
 ) -> Rejected | None:
+    """Reject a record that is not its server's present lessor's, or is overtaken.
+
+    A server that never had a lessor never had a lease, so anyone may move its
+    partitions; no record takes a server out of `State.servers` again.
+    """
     current = state.servers.get(server)
     if current is None:
         return None
@@ -188,19 +218,42 @@
     return None
 
 
-def _touch_servers(
-    touched: set[str], state: replicated.State, *, lost_server: str
+def touch_servers(
+    touched: set[str], state: replicated.State, *, lost_server: str = "", returned_server: str = ""
 ) -> replicated.State:
+    """Return the state with servers marked as changed by the record being replayed."""
     servers = state.servers.evolver()
     for server in touched:
         current = state.servers.get(server)
         if current is not None:
-            servers[server] = dataclasses.replace(
-                current, changed_at=state.next_offset, lost=server == lost_server
-            )
+            lost = server == lost_server or (current.lost and server != returned_server)
+            servers[server] = dataclasses.replace(current, changed_at=state.next_offset, lost=lost)
     return dataclasses.replace(state, servers=servers.persistent())
 
 
+def _check_addresses(record: records.PresetPublished, state: replicated.State) -> Rejected | None:
+    # The server at the old address may still hold a lease on the same partitions.
+    owners = {owned.owner for owned in state.partitions.values()}
+    for policy in record.preset.services:
+        for server in policy.servers:
+            known = state.servers.get(server.name)
+            before = known.server if known is not None else None
+            moved = before is not None and before.address != server.address
+            if policy.keyed and moved and server.name in owners:
+                return Rejected(RejectionReason.ADDRESS_CHANGED, f"{server.name} owns partitions")
+    return None
+
+
+def _find_named(name: str, state: replicated.State) -> preset.BackendServer | None:
+    if state.preset_in_force is None:
+        return None
+    for policy in state.preset_in_force.preset.services:
+        server = policy.find_server(name) if policy.keyed else None
+        if server is not None:
+            return server
+    return None
+
+
 def _advance(state: replicated.State) -> replicated.State:
     return dataclasses.replace(state, next_offset=state.next_offset + 1)
 
--- a/src/goldcresthall/replication/state.py
+++ b/src/goldcresthall/replication/state.py
@@ -47,12 +47,21 @@
         Offset of the last accepted record that touched the server.
     lost
         Whether its lessor waited its lease out and has not heard from it since.
+    succeeded
+        Whether an earlier appointment may have let another lessor renew the lease.
+    server_incarnation
+        Life of the server process that the lessor may renew; empty if none was met.
+    server
+        The server as a preset last named it; none if no preset did.
     """
 
     lessor: identity.Incarnation
     epoch: int
     changed_at: int
     lost: bool = False
+    succeeded: bool = False
+    server_incarnation: str = ""
+    server: preset.BackendServer | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/stand_ins/src/goldcresthall_stand_ins/backend.py
+++ b/stand_ins/src/goldcresthall_stand_ins/backend.py
@@ -136,7 +136,7 @@
 
     def _answer_lease(self, exchange: web.Exchange) -> web.Reply:
         if exchange.method == "GET":
-            report = self._holder.report(leases.RenewalStatus.REPORTED)
+            report = self._holder.report()
         else:
             report = self._holder.renew(documents.decode_document(exchange.body, leases.Renewal))
         return web.Reply(STATUS_OK, documents.encode_document(report).encode())
@@ -151,13 +151,27 @@
             self._admitted.release()
 
     def _run(self, exchange: web.Exchange) -> web.Reply:
-        work_ms = self._config.work_ms + self._misbehavior.extra_work_ms
-        time.sleep(work_ms / MS_PER_S)
         partition = int(exchange.headers.get(protocol.PARTITION_HEADER.lower(), -1))
         epoch = int(exchange.headers.get(protocol.EPOCH_HEADER.lower(), -1))
-        checked = self._config.keyed and self._config.checks_grants
-        if checked and not self._holder.holds(self._config.service, partition, epoch):
+        if not (self._config.keyed and self._config.checks_grants):
+            self._work()
+            return self._take_effect(exchange, partition, epoch)
+        grant = leases.Grant(self._config.service, partition, epoch)
+        if not self._holder.begin(grant):
             return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
+        try:
+            self._work()
+            if not self._holder.holds(grant):
+                return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
+            return self._take_effect(exchange, partition, epoch)
+        finally:
+            self._holder.end(grant)
+
+    def _work(self) -> None:
+        work_ms = self._config.work_ms + self._misbehavior.extra_work_ms
+        time.sleep(work_ms / MS_PER_S)
+
+    def _take_effect(self, exchange: web.Exchange, partition: int, epoch: int) -> web.Reply:
         request_id = exchange.headers.get(protocol.REQUEST_ID_HEADER.lower(), "")
         self._effects.append(self._create_effect(exchange, partition, epoch, request_id))
         return self._reply(exchange, request_id)
--- a/stand_ins/src/goldcresthall_stand_ins/lease_holder.py
+++ b/stand_ins/src/goldcresthall_stand_ins/lease_holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import threading
 import time
 import uuid
@@ -16,7 +17,11 @@
 
 
 class LeaseHolder:
-    """Holds one server's lease and grants, and is the fence for its lessors."""
+    """Holds one server's lease and grants, and is the fence for its lessors.
+
+    Work that runs under a grant which a later table lacks may finish while the
+    lease lives; no more may begin. A lease that lapsed ends that, too.
+    """
 
     def __init__(self, read_s: Callable[[], float] = time.monotonic) -> None:
         self._read_s = read_s
@@ -25,10 +30,43 @@
         self._lessor_epoch = -1
         self._expires_at_s = float("-inf")
         self._table = leases.GrantTable(-1, ())
-        self._epochs: dict[tuple[str, int], int] = {}
+        self._granted: frozenset[leases.Grant] = frozenset()
+        self._running: collections.Counter[leases.Grant] = collections.Counter()
+        self._finishing: frozenset[leases.Grant] = frozenset()
 
-    def report(self, status: leases.RenewalStatus) -> leases.LeaseReport:
+    def report(self) -> leases.LeaseReport:
         """Return the lease as it stands, with a fresh time stamp."""
+        with self._lock:
+            return self._report(leases.RenewalStatus.REPORTED)
+
+    def renew(self, renewal: leases.Renewal) -> leases.LeaseReport:
+        """Let the lease run on from the echoed stamp, unless the lessor is overtaken."""
+        with self._lock:
+            return self._report(self._apply(renewal))
+
+    def begin(self, grant: leases.Grant) -> bool:
+        """Note that work begins under a grant; return whether it may."""
+        with self._lock:
+            if grant not in self._granted or not self._is_alive():
+                return False
+            self._running[grant] += 1
+            return True
+
+    def end(self, grant: leases.Grant) -> None:
+        """Note that work begun under a grant has ended."""
+        with self._lock:
+            self._running[grant] -= 1
+
+    def holds(self, grant: leases.Grant) -> bool:
+        """Return whether work begun under a grant may take effect at this very moment."""
+        with self._lock:
+            held = grant in self._granted or grant in self._finishing
+            return held and self._is_alive()
+
+    def _is_alive(self) -> bool:
+        return self._read_s() < self._expires_at_s
+
+    def _report(self, status: leases.RenewalStatus) -> leases.LeaseReport:
         now_s = self._read_s()
         return leases.LeaseReport(
             status=status,
@@ -36,32 +74,30 @@
             lessor_epoch=self._lessor_epoch,
             remaining_ms=max(0.0, (self._expires_at_s - now_s) * MS_PER_S),
             grants_offset=self._table.offset,
+            grants_revision=self._table.revision,
+            finishing=sum(self._running[grant] for grant in self._finishing),
         )
 
-    def renew(self, renewal: leases.Renewal) -> leases.LeaseReport:
-        """Let the lease run on from the echoed stamp, unless the lessor is overtaken."""
-        with self._lock:
-            return self.report(self._apply(renewal))
-
-    def holds(self, service: str, partition: int, epoch: int) -> bool:
-        """Return whether this server may act on a partition at this very moment."""
-        with self._lock:
-            granted = self._epochs.get((service, partition))
-            return granted == epoch and self._read_s() < self._expires_at_s
-
     def _apply(self, renewal: leases.Renewal) -> leases.RenewalStatus:
         if renewal.lessor_epoch < self._lessor_epoch:
             return leases.RenewalStatus.FENCED
         self._lessor_epoch = renewal.lessor_epoch
         if renewal.stamp.incarnation != self._incarnation:
             return leases.RenewalStatus.STAMP_REFUSED
+        if renewal.table is not None and renewal.table.version < self._table.version:
+            return leases.RenewalStatus.GRANTS_REFUSED
+        if not self._is_alive():
+            self._finishing = frozenset()
         if renewal.table is not None:
-            if renewal.table.offset < self._table.offset:
-                return leases.RenewalStatus.GRANTS_REFUSED
-            self._table = renewal.table
-            self._epochs = {
-                (grant.service, grant.partition): grant.epoch for grant in renewal.table.grants
-            }
+            self._take(renewal.table)
         expires_at_s = renewal.stamp.reading_s + renewal.duration_ms / MS_PER_S
         self._expires_at_s = max(self._expires_at_s, expires_at_s)
         return leases.RenewalStatus.RENEWED
+
+    def _take(self, table: leases.GrantTable) -> None:
+        granted = frozenset(table.grants)
+        if self._is_alive():
+            dropped = (self._granted | self._finishing) - granted
+            self._finishing = frozenset(grant for grant in dropped if self._running[grant] > 0)
+        self._table = table
+        self._granted = granted
