Decide retries by the type of the attempt, within a budget

Cause: the router tried up to 50 times with a fixed pause, without a budget and regardless of Retry-After, and it called a request "refused, not run" when a try of unknown outcome was followed by a refusal.

Now: a rule for each kind of attempt; a token bucket for each service filled by first tries (`retry_budget`); exponential, jittered pauses that never pass the deadline; Retry-After of an owner is waited out or the request refused at once. A key without owner waits for the change itself. An unknown try makes the whole unknown until a try is answered. Retries denied by the budget have a counter of their own.

--- a/src/goldcresthall/observability/metrics.py
+++ b/src/goldcresthall/observability/metrics.py
@@ -38,6 +38,12 @@
             ["reason"],
             registry=self._registry,
         )
+        self._retries_denied = prometheus_client.Counter(
+            "goldcresthall_retries_denied",
+            "Retries that were safe but that the retry budget did not allow.",
+            ["reason"],
+            registry=self._registry,
+        )
         self._duration = prometheus_client.Histogram(
             "goldcresthall_request_duration_seconds",
             "Time from a request's arrival to its outcome.",
@@ -64,6 +70,10 @@
         """Count one try after the first, with the reason for it."""
         self._retries.labels(reason.value).inc()
 
+    def count_retry_denied(self, reason: outcomes.RefusalReason | outcomes.UnknownReason) -> None:
+        """Count one retry that the budget did not allow, with the reason for it."""
+        self._retries_denied.labels(reason.value).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/src/goldcresthall/routing/conclusions.py
@@ -0,0 +1,48 @@
+"""What the attempts at a request come to as its outcome."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+
+from goldcresthall.core import attempts
+from goldcresthall.core import outcomes
+
+
+@functools.singledispatch
+def conclude(attempt: attempts.Attempt, server: str, tries: int) -> outcomes.Outcome:
+    """Return the outcome that an attempt would be if it were the only one."""
+    raise NotImplementedError(type(attempt).__name__)
+
+
+@conclude.register
+def _(attempt: attempts.AttemptAnswered, server: str, tries: int) -> outcomes.Outcome:
+    return outcomes.Answered(attempt.answer, server, tries)
+
+
+@conclude.register
+def _(attempt: attempts.AttemptNotRun, server: str, tries: int) -> outcomes.Outcome:
+    return outcomes.Refused(
+        attempt.reason,
+        attempt.step,
+        server,
+        attempt.detail,
+        retry_after_s=attempt.retry_after_s,
+        tries=tries,
+    )
+
+
+@conclude.register
+def _(attempt: attempts.AttemptUnknown, server: str, tries: int) -> outcomes.Outcome:
+    return outcomes.OutcomeUnknown(attempt.reason, attempt.step, server, attempt.detail, tries)
+
+
+def combine(earlier: outcomes.Outcome | None, latest: outcomes.Outcome) -> outcomes.Outcome:
+    """Return the outcome of all tries so far.
+
+    A refusal that follows a try of unknown outcome is no proof that the request
+    was not run: the whole stays unknown until a try is answered.
+    """
+    if isinstance(earlier, outcomes.OutcomeUnknown) and isinstance(latest, outcomes.Refused):
+        return dataclasses.replace(earlier, tries=max(earlier.tries, latest.tries))
+    return latest
--- /dev/null
+++ b/src/goldcresthall/routing/plans.py
@@ -0,0 +1,60 @@
+"""What the preset in force says of one request."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from goldcresthall.core import outcomes
+from goldcresthall.routing import routes
+from goldcresthall.routing import targets
+
+if TYPE_CHECKING:
+    from goldcresthall.core import preset
+    from goldcresthall.core import requests
+    from goldcresthall.replication import state as replicated
+
+MS_PER_S = 1_000
+NO_PRESET_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """The target, the route and the deadline of one request."""
+
+    target: targets.Target
+    route: routes.MatchedRoute
+    deadline_s: float
+
+
+def create_plan(request: requests.Request, state: replicated.State) -> Plan | outcomes.Refused:
+    """Return the plan of a request, or why the preset in force has none for it."""
+    if state.preset_in_force is None:
+        return outcomes.Refused(
+            outcomes.RefusalReason.NO_PRESET,
+            outcomes.Step.ROUTE,
+            "",
+            retry_after_s=NO_PRESET_RETRY_AFTER_S,
+        )
+    policy = state.preset_in_force.preset.find_service(request.service)
+    if policy is None:
+        return outcomes.Refused(
+            outcomes.RefusalReason.UNKNOWN_SERVICE, outcomes.Step.ROUTE, request.service
+        )
+    return _create_service_plan(request, policy)
+
+
+def _create_service_plan(
+    request: requests.Request, policy: preset.ServicePolicy
+) -> Plan | outcomes.Refused:
+    route = routes.match_route(policy, request.method, request.path)
+    latest_s = request.received_at_s + route.deadline_ms / MS_PER_S
+    deadline_s = latest_s if request.deadline_s is None else min(latest_s, request.deadline_s)
+    if not policy.keyed:
+        return Plan(targets.PoolTarget(policy), route, deadline_s)
+    key = route.key or request.key
+    if not key:
+        return outcomes.Refused(
+            outcomes.RefusalReason.KEY_MISSING, outcomes.Step.ROUTE, policy.name
+        )
+    return Plan(targets.KeyTarget(policy, key), route, deadline_s)
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
-import functools
 import random
+import time
 from typing import TYPE_CHECKING
 
 from goldcresthall.backend import client
@@ -13,35 +13,54 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.observability import metrics
 from goldcresthall.replication import replica
-from goldcresthall.routing import routes
+from goldcresthall.routing import conclusions
+from goldcresthall.routing import plans
+from goldcresthall.routing import retries
 from goldcresthall.routing import targets
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from goldcresthall.core import preset
     from goldcresthall.core import requests
     from goldcresthall.kernel import kernel
 
-MS_PER_S = 1_000
-RETRY_PAUSE_S = 0.02
-MAX_TRIES = 50
+ANSWER_MARGIN_S = 0.005
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """What the preset says of one request."""
+class Progress:
+    """What was tried of one request so far.
+
+    Attributes
+    ----------
+    tried
+        Servers that failed, to be avoided while there are others.
+    outcome
+        What the tries so far come to; none before the first.
+    """
 
-    target: targets.Target
-    route: routes.MatchedRoute
-    deadline_s: float
+    tries: int = 0
+    tried: frozenset[str] = frozenset()
+    outcome: outcomes.Outcome | None = None
+
+    def advance(self, attempt: attempts.Attempt, server: str) -> Progress:
+        """Return the progress after one more attempt."""
+        tries = self.tries + 1
+        latest = conclusions.conclude(attempt, server, tries)
+        return Progress(tries, self.tried | {server}, conclusions.combine(self.outcome, latest))
 
 
 class Router(service.Service):
     """Decides where a request goes, tries it and says what became of it."""
 
-    def __init__(self, owner: kernel.Kernel) -> None:
+    def __init__(self, owner: kernel.Kernel, sleep: Callable[[float], None] = time.sleep) -> None:
         self._kernel = owner
+        self._sleep = sleep
         self._generator = random.Random()  # noqa: S311
+        self._budgets = retries.RetryBudgets()
 
     @classmethod
     def from_config(cls, owner: kernel.Kernel) -> Router:
@@ -51,6 +70,7 @@
     def start(self) -> None:
         """Find the services that requests need."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
 
@@ -59,113 +79,85 @@
 
     def handle(self, request: requests.Request) -> outcomes.Outcome:
         """Take a request to its outcome, before its deadline."""
-        plan = self._plan(request)
+        plan = plans.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
         return self._try_repeatedly(request, plan)
 
-    def _plan(self, request: requests.Request) -> Plan | outcomes.Refused:
-        in_force = self._replica.state.preset_in_force
-        if in_force is None:
-            return outcomes.Refused(
-                outcomes.RefusalReason.NO_PRESET, outcomes.Step.ROUTE, "", retry_after_s=1.0
-            )
-        policy = in_force.preset.find_service(request.service)
-        if policy is None:
-            return outcomes.Refused(
-                outcomes.RefusalReason.UNKNOWN_SERVICE, outcomes.Step.ROUTE, request.service
-            )
-        return self._plan_for(request, policy)
-
-    def _plan_for(
-        self, request: requests.Request, policy: preset.ServicePolicy
-    ) -> Plan | outcomes.Refused:
-        route = routes.match_route(policy, request.method, request.path)
-        latest_s = request.received_at_s + route.deadline_ms / MS_PER_S
-        deadline_s = min(latest_s, request.deadline_s or latest_s)
-        if not policy.keyed:
-            return Plan(targets.PoolTarget(policy), route, deadline_s)
-        key = route.key or request.key
-        if not key:
-            return outcomes.Refused(
-                outcomes.RefusalReason.KEY_MISSING, outcomes.Step.ROUTE, policy.name
-            )
-        return Plan(targets.KeyTarget(policy, key), route, deadline_s)
-
-    def _try_repeatedly(self, request: requests.Request, plan: Plan) -> outcomes.Outcome:
-        tried: frozenset[str] = frozenset()
-        outcome: outcomes.Outcome = outcomes.Refused(
-            outcomes.RefusalReason.DEADLINE_EXPIRED, outcomes.Step.ROUTE, plan.target.policy.name
-        )
-        for tries in range(1, MAX_TRIES + 1):
+    def _try_repeatedly(self, request: requests.Request, plan: plans.Plan) -> outcomes.Outcome:
+        policy = plan.target.policy
+        self._budgets.find(policy.name).add_first_try(policy.retry_budget)
+        progress = Progress()
+        while True:
             state = self._replica.state
-            found = targets.find_server(plan.target, state, tried, self._generator)
-            if isinstance(found, targets.FoundServer):
-                attempt = self._try_once(request, plan, found)
-                outcome = conclude(attempt, found.server.name, tries)
-                if not _may_retry(attempt, plan.route):
-                    return outcome
-                tried = tried | {found.server.name}
-            elif tries > 1 and found.reason is outcomes.RefusalReason.NO_SERVER_AVAILABLE:
-                return outcome
-            else:
-                outcome = found
-            if self._clock.read_s() + RETRY_PAUSE_S >= plan.deadline_s:
-                return outcome
-            self._replica.wait_beyond(state.next_offset, RETRY_PAUSE_S)
-        return outcome
-
-    def _try_once(
-        self, request: requests.Request, plan: Plan, found: targets.FoundServer
-    ) -> attempts.Attempt:
-        timeout_s = plan.deadline_s - self._clock.read_s()
-        if timeout_s <= 0:
-            return attempts.AttemptNotRun(
-                outcomes.RefusalReason.DEADLINE_EXPIRED, outcomes.Step.SEND, "before sending"
-            )
-        dispatch = attempts.Dispatch(
-            request_id=request.request_id,
-            server=found.server,
-            connection_limit=plan.target.policy.connections_per_server,
-            method=request.method,
-            target=f"{request.path}?{request.query}" if request.query else request.path,
-            headers=request.headers,
-            body=request.body,
-            timeout_s=timeout_s,
-            grant=found.grant,
-        )
-        return self._client.send(dispatch)
-
-
-@functools.singledispatch
-def conclude(attempt: attempts.Attempt, server: str, tries: int) -> outcomes.Outcome:
-    """Return the outcome that an attempt would be if it were the last."""
-    raise NotImplementedError(type(attempt).__name__)
-
-
-@conclude.register
-def _(attempt: attempts.AttemptAnswered, server: str, tries: int) -> outcomes.Outcome:
-    return outcomes.Answered(attempt.answer, server, tries)
-
-
-@conclude.register
-def _(attempt: attempts.AttemptNotRun, server: str, tries: int) -> outcomes.Outcome:
-    return outcomes.Refused(
-        attempt.reason,
-        attempt.step,
-        server,
-        attempt.detail,
-        retry_after_s=attempt.retry_after_s,
-        tries=tries,
-    )
+            found = targets.find_server(plan.target, state, progress.tried, self._generator)
+            if isinstance(found, outcomes.Refused):
+                if not self._await_owner(found, plan, state.next_offset):
+                    return progress.outcome or found
+                continue
+            timeout_s = self._find_remaining_s(plan)
+            if timeout_s <= 0:
+                return progress.outcome or _refuse_late(plan)
+            attempt = self._client.send(_create_dispatch(request, plan, found, timeout_s))
+            progress = progress.advance(attempt, found.server.name)
+            if not self._prepare_retry(attempt, plan, progress, state.next_offset):
+                return progress.outcome or conclusions.conclude(attempt, found.server.name, 1)
+
+    def _await_owner(self, found: outcomes.Refused, plan: plans.Plan, offset: int) -> bool:
+        remaining_s = self._find_remaining_s(plan)
+        if found.reason is not outcomes.RefusalReason.NO_OWNER or remaining_s <= 0:
+            return False
+        return self._replica.wait_beyond(offset, remaining_s).next_offset > offset
+
+    def _prepare_retry(
+        self, attempt: attempts.Attempt, plan: plans.Plan, progress: Progress, offset: int
+    ) -> bool:
+        keyed = isinstance(plan.target, targets.KeyTarget)
+        situation = retries.Situation(plan.route.idempotent, keyed)
+        rule = retries.find_rule(attempt, situation)
+        backoff_s = retries.find_backoff_s(progress.tries - 1, self._generator)
+        pause = retries.find_pause(rule, situation, backoff_s, self._find_remaining_s(plan))
+        if isinstance(rule, retries.NoRetry) or pause is None:
+            return False
+        if not self._is_paid(rule, plan.target.policy):
+            self._metrics.count_retry_denied(rule.reason)
+            return False
+        self._metrics.count_retry(rule.reason)
+        self._pause(pause, offset)
+        return True
 
+    def _is_paid(self, rule: retries.RetryRule, policy: preset.ServicePolicy) -> bool:
+        if not isinstance(rule, retries.RetryFromBudget):
+            return True
+        return self._budgets.find(policy.name).take_retry(policy.retry_budget)
 
-@conclude.register
-def _(attempt: attempts.AttemptUnknown, server: str, tries: int) -> outcomes.Outcome:
-    return outcomes.OutcomeUnknown(attempt.reason, attempt.step, server, attempt.detail, tries)
+    def _pause(self, pause: retries.Pause, offset: int) -> None:
+        if pause.ends_on_change:
+            self._replica.wait_beyond(offset, pause.seconds)
+        else:
+            self._sleep(pause.seconds)
 
+    def _find_remaining_s(self, plan: plans.Plan) -> float:
+        return plan.deadline_s - self._clock.read_s() - ANSWER_MARGIN_S
 
-def _may_retry(attempt: attempts.Attempt, route: routes.MatchedRoute) -> bool:
-    if isinstance(attempt, attempts.AttemptNotRun):
-        return True
-    return isinstance(attempt, attempts.AttemptUnknown) and route.idempotent
+
+def _refuse_late(plan: plans.Plan) -> outcomes.Refused:
+    return outcomes.Refused(
+        outcomes.RefusalReason.DEADLINE_EXPIRED, outcomes.Step.SEND, plan.target.policy.name
+    )
+
+
+def _create_dispatch(
+    request: requests.Request, plan: plans.Plan, found: targets.FoundServer, timeout_s: float
+) -> attempts.Dispatch:
+    return attempts.Dispatch(
+        request_id=request.request_id,
+        server=found.server,
+        connection_limit=plan.target.policy.connections_per_server,
+        method=request.method,
+        target=f"{request.path}?{request.query}" if request.query else request.path,
+        headers=request.headers,
+        body=request.body,
+        timeout_s=timeout_s,
+        grant=found.grant,
+    )
--- /dev/null
+++ b/tests/fakes/replica.py
@@ -0,0 +1,64 @@
+"""A replica whose state tests set."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from goldcresthall.replication import replica
+from goldcresthall.replication import state as replicated
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from goldcresthall.core import records
+
+
+class SettableReplica(replica.Replica):
+    """Holds a state; a wait calls `on_wait` and returns what it then holds."""
+
+    def __init__(self, state: replicated.State | None = None) -> None:
+        self._state = state or replicated.State.create_empty()
+        self._changed = threading.Condition()
+        self.waits: list[float] = []
+        self.on_wait: Callable[[float], None] = lambda _: None
+
+    @property
+    def state(self) -> replicated.State:
+        """The state that the test set last."""
+        return self._state
+
+    @property
+    def freshness(self) -> replica.Freshness:
+        """Never fresh."""
+        return replica.Freshness(float("-inf"))
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def set_state(self, state: replicated.State) -> None:
+        """Hold another state from now on."""
+        with self._changed:
+            self._state = state
+            self._changed.notify_all()
+
+    def wait_beyond(self, offset: int, timeout_s: float) -> replicated.State:
+        """Note the wait and return the state."""
+        self.waits.append(timeout_s)
+        self.on_wait(timeout_s)
+        return self._state
+
+    def wait_fresh(self, began_after_s: float, timeout_s: float) -> bool:
+        """Return that no fresh read came."""
+        return False
+
+    def commit(self, record: records.Record, timeout_s: float) -> replica.CommitOutcome:
+        """Refuse; these tests decide nothing."""
+        return replica.CommitFailed("not offered here")
+
+    def find_outcome(self, record_id: str) -> replica.CommitOutcome | None:
+        """Return none."""
+        return None
--- /dev/null
+++ b/tests/routing/conftest.py
@@ -0,0 +1,120 @@
+"""A router over fakes, with a clock that stands still."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.core import identity
+from goldcresthall.core import preset
+from goldcresthall.core import requests
+from goldcresthall.kernel import kernel
+from goldcresthall.kernel import names
+from goldcresthall.observability import metrics
+from goldcresthall.replication import state as replicated
+from goldcresthall.routing import router
+from tests.fakes import backends
+from tests.fakes import clock
+from tests.fakes import replica
+
+if TYPE_CHECKING:
+    from goldcresthall.core import attempts
+    from goldcresthall.core import outcomes
+
+ROUTES = (
+    preset.Route(method="GET", path="/pages/{key}", idempotent=True),
+    preset.Route(
+        method="GET",
+        path="/reports/{key}",
+        idempotent=True,
+        request_class=preset.RequestClass.LONG,
+    ),
+    preset.Route(method="POST", path="/orders/{key}", idempotent=False),
+)
+
+
+def create_policy(count: int = 3, *, keyed: bool = False) -> preset.ServicePolicy:
+    servers = tuple(
+        preset.BackendServer(
+            name=f"program-{number}",
+            address=identity.Address("127.0.0.1", 9000 + number),
+            failure_domain=f"domain-{number}",
+        )
+        for number in range(1, count + 1)
+    )
+    return preset.ServicePolicy(
+        name="program", keyed=keyed, servers=servers, routes=ROUTES, partitions=1
+    )
+
+
+class RouterBench:
+    """A started router and the fakes round it."""
+
+    def __init__(self) -> None:
+        self.clock = clock.ManualClock()
+        self.replica = replica.SettableReplica()
+        self.replica.on_wait = self.clock.advance
+        self.backends = backends.ScriptedBackends()
+        self.metrics = metrics.Metrics()
+        self.pauses: list[float] = []
+        self.kernel = kernel.Kernel()
+        self.kernel.register(names.CLOCK, self.clock)
+        self.kernel.register(names.METRICS, self.metrics)
+        self.kernel.register(names.REPLICA, self.replica)
+        self.kernel.register(names.BACKENDS, self.backends)
+        self.router = router.Router(self.kernel, self._sleep)
+        self.kernel.register(names.ROUTER, self.router)
+        self.kernel.start()
+
+    def publish(self, *policies: preset.ServicePolicy) -> None:
+        published = preset.Preset(name="day", services=policies)
+        state = self.replica.state
+        in_force = replicated.PresetInForce(published, state.next_offset, "operator", "test")
+        self.replica.set_state(
+            dataclasses.replace(state, next_offset=state.next_offset + 1, preset_in_force=in_force)
+        )
+
+    def give_ownership(self, server: str) -> None:
+        state = self.replica.state
+        partition = replicated.PartitionId("program", 0)
+        ownership = replicated.Ownership(server, state.next_offset, "router", "test")
+        self.replica.set_state(
+            dataclasses.replace(
+                state,
+                next_offset=state.next_offset + 1,
+                partitions=state.partitions.set(partition, ownership),
+            )
+        )
+
+    def script(self, *attempts_in_turn: attempts.Attempt) -> None:
+        self.backends._script.extend(attempts_in_turn)
+
+    def handle(
+        self, method: str = "GET", path: str = "/pages/molde", deadline_s: float | None = None
+    ) -> outcomes.Outcome:
+        now_s = self.clock.read_s()
+        return self.router.handle(
+            requests.Request(
+                request_id="request",
+                service="program",
+                method=method,
+                path=path,
+                received_at_s=now_s,
+                deadline_s=None if deadline_s is None else now_s + deadline_s,
+            )
+        )
+
+    def read_metric(self, name: str, **labels: str) -> float:
+        return self.metrics.registry.get_sample_value(name, labels) or 0.0
+
+    def _sleep(self, seconds: float) -> None:
+        self.pauses.append(seconds)
+        self.clock.advance(seconds)
+
+
+@pytest.fixture
+def bench() -> RouterBench:
+    """Return a router over fakes with no preset."""
+    return RouterBench()
