Bound each answer in total time and take only whole answers

Now: urllib3 connections are held in a small pool of our own. The socket's timeout bounds all receiving together; connecting, sending and receiving are told apart, and what fails while connecting or putting the request together is "not run" for certain; a connection whose answer did not come in whole is closed; one idle for more than 5 s is not used. An answer must end its header and say where its body ends. The request line is passed on as it came instead of being decoded and sent with raw spaces. Servers may tell their load and that they drain.

--- /dev/null
+++ b/src/goldcresthall/backend/connections.py
@@ -0,0 +1,181 @@
+"""Connections to one backend server, each answer bounded in total time."""
+
+from __future__ import annotations
+
+import collections
+import http.client
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+from typing import Final
+
+from urllib3 import connection
+
+if TYPE_CHECKING:
+    from typing import BinaryIO
+
+    from typing_extensions import Buffer
+
+    from goldcresthall.core import identity
+
+LONGEST_IDLE_S = 5.0
+BLANK_LINES: Final = frozenset({b"\r\n", b"\n"})
+
+
+class TotalTimeoutSocket(socket.socket):
+    """A socket whose timeout bounds all receiving after it was set, not each receipt.
+
+    An answer that comes byte by byte would otherwise start its timeout again with
+    each byte and outlive every deadline.
+    """
+
+    _ends_at_s: float | None = None
+
+    @classmethod
+    def take_over(cls, connected: socket.socket) -> TotalTimeoutSocket:
+        """Return a socket that takes the place of a connected one."""
+        timeout_s = connected.gettimeout()
+        taken = cls(connected.family, connected.type, connected.proto, connected.detach())
+        taken.settimeout(timeout_s)
+        return taken
+
+    def settimeout(self, value: float | None) -> None:
+        """Bound all receiving from now on by so many seconds together."""
+        self._ends_at_s = None if value is None else time.monotonic() + value
+        super().settimeout(value)
+
+    def recv_into(self, buffer: Buffer, nbytes: int = 0, flags: int = 0) -> int:
+        """Receive within what is left of the timeout.
+
+        Raises
+        ------
+        TimeoutError
+            If nothing is left of it, or nothing comes within it.
+        """
+        if self._ends_at_s is not None:
+            remaining_s = self._ends_at_s - time.monotonic()
+            if remaining_s <= 0:
+                raise TimeoutError("timed out in total")
+            super().settimeout(remaining_s)
+        return super().recv_into(buffer, nbytes, flags)
+
+
+class HeaderReader:
+    """Reads the header lines of an answer and remembers whether their end was seen."""
+
+    def __init__(self, file: BinaryIO) -> None:
+        self._file = file
+        self._last_line = b""
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the last line read was the empty one that ends a header."""
+        return self._last_line in BLANK_LINES
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line."""
+        self._last_line = self._file.readline(limit)
+        return self._last_line
+
+
+class WholeResponse(http.client.HTTPResponse):
+    """An answer whose header is whole and says where its body ends.
+
+    The standard library takes the end of the connection for the end of the header
+    or, where the header gives no length, of the body, so that an answer cut off
+    there would look complete.
+    """
+
+    def begin(self) -> None:
+        """Read the header.
+
+        Raises
+        ------
+        http.client.IncompleteRead
+            If the header is cut off or does not say where the body ends.
+        """
+        file = self.fp
+        reader = HeaderReader(file)
+        self.fp = reader  # type: ignore[assignment]
+        try:
+            super().begin()
+        finally:
+            self.fp = file
+        if not reader.has_ended or (self.length is None and not self.chunked):
+            raise http.client.IncompleteRead(b"")
+
+
+class BackendConnection(connection.HTTPConnection):
+    """One connection to a backend server."""
+
+    response_class = WholeResponse
+    idle_since_s = 0.0
+
+    def connect(self) -> None:
+        """Connect and bound all answers in total time."""
+        super().connect()
+        self.sock = TotalTimeoutSocket.take_over(self.sock)
+
+
+class ConnectionPool:
+    """The idle connections to one backend server, the latest used first.
+
+    Parameters
+    ----------
+    longest_idle_s
+        Seconds after which an idle connection is not used again, so that a
+        request seldom meets a server that is just closing the connection.
+    """
+
+    def __init__(self, address: identity.Address, longest_idle_s: float = LONGEST_IDLE_S) -> None:
+        self._address = address
+        self._longest_idle_s = longest_idle_s
+        self._lock = threading.Lock()
+        self._idle: collections.deque[BackendConnection] = collections.deque()
+
+    def take(self) -> BackendConnection | None:
+        """Return an idle connection that is still good, or none."""
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                taken = self._idle.pop()
+            is_recent = time.monotonic() - taken.idle_since_s < self._longest_idle_s
+            if is_recent and taken.is_connected:
+                return taken
+            taken.close()
+
+    def connect(self, timeout_s: float) -> BackendConnection:
+        """Return a new connection.
+
+        Raises
+        ------
+        urllib3.exceptions.HTTPError
+            If the server does not accept it in time.
+        """
+        created = BackendConnection(self._address.host, self._address.port, timeout=timeout_s)
+        created.connect()
+        return created
+
+    def give_back(self, used: BackendConnection) -> None:
+        """Keep a connection whose answer was read in whole, and close those idle too long."""
+        if used.is_closed:
+            return
+        now_s = time.monotonic()
+        used.idle_since_s = now_s
+        expired = []
+        with self._lock:
+            self._idle.append(used)
+            while self._idle and now_s - self._idle[0].idle_since_s >= self._longest_idle_s:
+                expired.append(self._idle.popleft())
+        for old in expired:
+            old.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            closed = list(self._idle)
+            self._idle.clear()
+        for old in closed:
+            old.close()
--- /dev/null
+++ b/src/goldcresthall/backend/responses.py
@@ -0,0 +1,131 @@
+"""What a backend server's response or failure means for an attempt."""
+
+from __future__ import annotations
+
+import http.client
+from typing import TYPE_CHECKING
+from typing import Final
+
+import urllib3
+
+from goldcresthall.backend import protocol
+from goldcresthall.core import attempts
+from goldcresthall.core import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+HOP_BY_HOP_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+NOT_PASSED_ON: Final = HOP_BY_HOP_HEADERS | {
+    "content-length",
+    protocol.DRAINING_HEADER.lower(),
+    protocol.LOAD_HEADER.lower(),
+}
+
+NOT_RUN_REASONS: Final = {
+    protocol.NOT_RUN_NOT_OWNER: outcomes.RefusalReason.NOT_OWNER,
+    protocol.NOT_RUN_SHED: outcomes.RefusalReason.SERVER_SHED,
+    protocol.NOT_RUN_DRAINING: outcomes.RefusalReason.SERVER_DRAINING,
+}
+
+
+def classify_response(
+    request_id: str, status: int, headers: Mapping[str, str], body: bytes
+) -> attempts.Attempt:
+    """Return the attempt that a whole response amounts to."""
+    echoed = headers.get(protocol.REQUEST_ID_HEADER)
+    if echoed is not None and echoed != request_id:
+        return attempts.AttemptUnknown(
+            outcomes.UnknownReason.ANSWER_MISMATCHED,
+            outcomes.Step.RECEIVE,
+            f"answer of request {echoed}",
+        )
+    signals = _read_signals(headers)
+    not_run = headers.get(protocol.NOT_RUN_HEADER)
+    if not_run in NOT_RUN_REASONS:
+        return attempts.AttemptNotRun(
+            NOT_RUN_REASONS[not_run],
+            outcomes.Step.EXECUTE,
+            not_run,
+            _parse_number(headers.get("Retry-After")),
+            signals,
+        )
+    passed_on = tuple(
+        outcomes.Header(name, value)
+        for name, value in headers.items()
+        if name.lower() not in NOT_PASSED_ON
+    )
+    return attempts.AttemptAnswered(outcomes.Answer(status, passed_on, body), signals)
+
+
+def classify_receive_error(error: Exception) -> attempts.AttemptUnknown:
+    """Return the attempt whose answer failed to come in whole."""
+    if isinstance(error, TimeoutError | urllib3.exceptions.ReadTimeoutError):
+        reason = outcomes.UnknownReason.ANSWER_TIMEOUT
+    elif isinstance(
+        error,
+        urllib3.exceptions.IncompleteRead
+        | urllib3.exceptions.InvalidChunkLength
+        | http.client.IncompleteRead,
+    ) or (isinstance(error, urllib3.exceptions.ProtocolError) and _is_incomplete(error)):
+        reason = outcomes.UnknownReason.ANSWER_TRUNCATED
+    else:
+        reason = outcomes.UnknownReason.CONNECTION_LOST
+    return attempts.AttemptUnknown(reason, outcomes.Step.RECEIVE, _describe(error))
+
+
+def classify_send_error(error: Exception) -> attempts.Attempt:
+    """Return the attempt whose request failed to leave in whole.
+
+    Only what is refused while the request is put together has surely not left.
+    """
+    if isinstance(error, ValueError | http.client.InvalidURL):
+        return attempts.AttemptNotRun(
+            outcomes.RefusalReason.MALFORMED_REQUEST, outcomes.Step.SEND, _describe(error)
+        )
+    return attempts.AttemptUnknown(
+        outcomes.UnknownReason.SEND_INTERRUPTED, outcomes.Step.SEND, _describe(error)
+    )
+
+
+def classify_connect_error(error: Exception) -> attempts.AttemptNotRun:
+    """Return the attempt that found no connection: no byte of it left."""
+    return attempts.AttemptNotRun(
+        outcomes.RefusalReason.CONNECT_FAILED, outcomes.Step.CONNECT, _describe(error)
+    )
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
+def _is_incomplete(error: urllib3.exceptions.ProtocolError) -> bool:
+    return any(isinstance(argument, http.client.IncompleteRead) for argument in error.args)
+
+
+def _read_signals(headers: Mapping[str, str]) -> attempts.ServerSignals:
+    draining = headers.get(protocol.DRAINING_HEADER)
+    load = headers.get(protocol.LOAD_HEADER)
+    if draining is None and load is None:
+        return attempts.NO_SIGNALS
+    return attempts.ServerSignals(draining is not None, _parse_number(load))
+
+
+def _parse_number(value: str | None) -> float | None:
+    try:
+        number = float(value) if value is not None else None
+    except ValueError:
+        return None
+    return number if number is not None and 0 <= number < float("inf") else None
--- a/src/goldcresthall/callers/front.py
+++ b/src/goldcresthall/callers/front.py
@@ -154,6 +154,7 @@
             method=environ["REQUEST_METHOD"],
             path=f"/{rest}",
             query=environ.get("QUERY_STRING", ""),
+            raw_target=_find_raw_target(environ),
             key=environ.get(KEY_VARIABLE, ""),
             idempotency_key=environ.get(IDEMPOTENCY_KEY_VARIABLE, ""),
             headers=_collect_headers(environ),
@@ -169,6 +170,15 @@
     return int(text)
 
 
+def _find_raw_target(environ: dict[str, Any]) -> str:
+    """Return what follows the service in the request line, or nothing if it is not a path."""
+    uri: str = environ.get("REQUEST_URI", "")
+    if not uri.startswith("/"):
+        return ""
+    path, mark, query = uri.lstrip("/").partition("?")
+    return f"/{path.partition('/')[2]}{mark}{query}"
+
+
 def _collect_headers(environ: dict[str, Any]) -> tuple[outcomes.Header, ...]:
     headers = [
         outcomes.Header(name[5:].replace("_", "-").title(), value)
--- a/src/goldcresthall/core/attempts.py
+++ b/src/goldcresthall/core/attempts.py
@@ -37,11 +37,31 @@
     grant: PresentedGrant | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSignals:
+    """What a server says of itself along with an answer.
+
+    Attributes
+    ----------
+    draining
+        Whether it is leaving and wants no new work.
+    load
+        Requests that it has in progress or in its queue; none if not told.
+    """
+
+    draining: bool = False
+    load: float | None = None
+
+
+NO_SIGNALS = ServerSignals()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptAnswered:
     """The server ran the request and its answer is whole."""
 
     answer: outcomes.Answer
+    signals: ServerSignals = NO_SIGNALS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +72,7 @@
     step: outcomes.Step
     detail: str
     retry_after_s: float | None = None
+    signals: ServerSignals = NO_SIGNALS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/core/outcomes.py
+++ b/src/goldcresthall/core/outcomes.py
@@ -34,6 +34,7 @@
     NO_SERVER_AVAILABLE = "no_server_available"
     CONNECT_FAILED = "connect_failed"
     SERVER_SHED = "server_shed"
+    SERVER_DRAINING = "server_draining"
     QUEUE_FULL = "queue_full"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_EXPIRED = "deadline_expired"
--- a/src/goldcresthall/core/requests.py
+++ b/src/goldcresthall/core/requests.py
@@ -15,6 +15,9 @@
     ----------
     path
         Path within the service, beginning with a slash, without the query.
+    raw_target
+        Path and query as received, percent-encoded, to be passed on unchanged;
+        empty to pass on `path` and `query`.
     key
         Key named by the caller apart from the path; empty if none.
     idempotency_key
@@ -31,6 +34,7 @@
     method: str
     path: str
     query: str = ""
+    raw_target: str = ""
     key: str = ""
     idempotency_key: str = ""
     headers: tuple[outcomes.Header, ...] = ()
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -155,9 +155,15 @@
         server=found.server,
         connection_limit=plan.target.policy.connections_per_server,
         method=request.method,
-        target=f"{request.path}?{request.query}" if request.query else request.path,
+        target=_find_target(request),
         headers=request.headers,
         body=request.body,
         timeout_s=timeout_s,
         grant=found.grant,
     )
+
+
+def _find_target(request: requests.Request) -> str:
+    if request.raw_target:
+        return request.raw_target
+    return f"{request.path}?{request.query}" if request.query else request.path
