Wait for an instance's callers' port before sending to it

The operators' front end starts before the callers' one, so a fleet that only awaited /healthz could send a request too early.

--- a/stand_ins/src/goldcresthall_stand_ins/fleet.py
+++ b/stand_ins/src/goldcresthall_stand_ins/fleet.py
@@ -133,6 +133,7 @@
         process = self._start((*self._program, "router", str(path)), instance_settings.name)
         router = RouterProcess(instance_settings, process)
         self.wait_until_ok(f"{router.admin_url}/healthz")
+        self._wait_until_listening(instance_settings.listen.callers)
         self._routers[instance_settings.name] = router
         self.list_instances()
         return router
@@ -192,6 +193,16 @@
             time.sleep(POLL_S)
         raise FleetError(f"{url} did not answer in {timeout_s} s")
 
+    def _wait_until_listening(self, address: identity.Address) -> None:
+        # The operators' front end answers a moment before the callers' one listens.
+        ends_at_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < ends_at_s:
+            with contextlib.suppress(OSError):
+                socket.create_connection((address.host, address.port), START_TIMEOUT_S).close()
+                return
+            time.sleep(POLL_S)
+        raise FleetError(f"{address} did not listen in {START_TIMEOUT_S} s")
+
     def stop(self) -> None:
         """End every process that was started here."""
         for process in reversed(self._processes):
