Count what the log costs and tell what replay cannot use

Now a replica has a condition (starting, following, state missing, halted, diverged) shown on /readyz, status, a metric and a log line; requests are refused, not run, unless it follows. Entries, records and appends are counted by reason and type. A record that was not handed to the log before its author's timeout is dropped and told as failed; after that its outcome is unknown until it is read back. Entries, states and outcomes are kept in bounded memory.

States carry a digest chained over all entries and decisions.

--- a/src/goldcresthall/admin/front.py
+++ b/src/goldcresthall/admin/front.py
@@ -110,19 +110,27 @@
 
     @property
     def _is_ready(self) -> bool:
-        state = self._replica.state
-        return state.preset_in_force is not None and not state.halted and not self._is_leaving
+        return not self._find_obstacle()
+
+    def _find_obstacle(self) -> str:
+        condition = self._replica.condition
+        if self._is_leaving:
+            return "leaving"
+        if not condition.is_usable:
+            return str(condition)
+        return "" if self._replica.state.preset_in_force is not None else "no preset"
 
     def _answer_ready(self) -> tuple[http.HTTPStatus, object]:
         if self._is_ready:
             return http.HTTPStatus.OK, messages.AdminFault("ready", ())
-        reason = "leaving" if self._is_leaving else self._replica.state.halted or "no preset"
-        return http.HTTPStatus.SERVICE_UNAVAILABLE, messages.AdminFault("ready", (reason,))
+        fault = messages.AdminFault("ready", (self._find_obstacle(),))
+        return http.HTTPStatus.SERVICE_UNAVAILABLE, fault
 
     def _create_status(self) -> messages.StatusView:
         return views.create_status_view(
             self._incarnation,
             self._replica.state,
+            self._replica.condition,
             self._clock.read_s() - self._replica.freshness.read_began_at_s,
             self._peers.statuses,
             ready=self._is_ready,
--- a/src/goldcresthall/admin/messages.py
+++ b/src/goldcresthall/admin/messages.py
@@ -34,7 +34,9 @@
 
     instance: InstanceView
     ready: bool
-    halted: str
+    condition: str
+    condition_detail: str
+    snapshot_offset: int
     read_age_s: float | None
     preset_name: str
     peers: tuple[InstanceView, ...]
--- a/src/goldcresthall/admin/views.py
+++ b/src/goldcresthall/admin/views.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from goldcresthall.core import identity
     from goldcresthall.peers import messages as peer_messages
+    from goldcresthall.replication import conditions
     from goldcresthall.replication import state as replicated
 
 NO_PRESET_OFFSET = -1
@@ -22,6 +23,7 @@
 def create_status_view(
     incarnation: identity.Incarnation,
     state: replicated.State,
+    condition: conditions.Condition,
     read_age_s: float,
     peers: tuple[peer_messages.PeerStatus, ...],
     *,
@@ -38,7 +40,9 @@
     return messages.StatusView(
         instance=own,
         ready=ready,
-        halted=state.halted,
+        condition=condition.kind.value,
+        condition_detail=condition.detail,
+        snapshot_offset=state.snapshots.whole_base,
         read_age_s=round(read_age_s, 3) if math.isfinite(read_age_s) else None,
         preset_name="" if in_force is None else in_force.preset.name,
         peers=tuple(
--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -51,9 +51,11 @@
     platform = instance_settings.platform
     built.register(names.CLOCK, clock.MonotonicClock())
     built.register(names.METRICS, metrics.Metrics())
-    built.register(names.LOG_CLIENT, http_log_client.HttpLogClient.from_config(platform))
+    built.register(names.LOG_CLIENT, http_log_client.HttpLogClient.from_config(instance_settings))
     built.register(names.LOG_WRITER, writer.LogWriter.from_config(built, platform))
-    built.register(names.INSTANCE_LIST, instance_list.HttpInstanceList.from_config(platform))
+    built.register(
+        names.INSTANCE_LIST, instance_list.HttpInstanceList.from_config(instance_settings)
+    )
     built.register(names.BACKENDS, http_client.HttpBackendClient())
 
 
--- a/src/goldcresthall/encoding/documents.py
+++ b/src/goldcresthall/encoding/documents.py
@@ -4,12 +4,16 @@
 
 import dataclasses
 import enum
+import functools
 import json
 import types
 import typing
 from typing import Any
 from typing import TypeVar
 
+import pyrsistent
+from pyrsistent import typing as pyrsistent_typing
+
 from goldcresthall.encoding import exceptions
 
 Decoded = TypeVar("Decoded")
@@ -63,14 +67,24 @@
         return value.value
     if isinstance(value, tuple | list):
         return [to_plain(item) for item in value]
+    if isinstance(value, pyrsistent.PMap):
+        return _list_pairs(value)
     return value
 
 
+def _list_pairs(mapping: pyrsistent.PMap[Any, Any]) -> list[Any]:
+    # JSON has text keys only, and equal maps must give equal documents.
+    pairs = [[to_plain(key), to_plain(value)] for key, value in mapping.items()]
+    return sorted(pairs, key=lambda pair: json.dumps(pair[0], sort_keys=True))
+
+
 def _decode(value: Any, kind: Any, path: str, faults: list[exceptions.Fault]) -> Any:
     if dataclasses.is_dataclass(kind):
         return _decode_dataclass(value, typing.cast("type", kind), path, faults)
     if typing.get_origin(kind) is tuple:
         return _decode_tuple(value, typing.get_args(kind)[0], path, faults)
+    if typing.get_origin(kind) is pyrsistent_typing.PMap:
+        return _decode_pairs(value, typing.get_args(kind), path, faults)
     if isinstance(kind, types.UnionType):
         return _decode_optional(value, kind, path, faults)
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
@@ -82,7 +96,7 @@
     if not isinstance(value, dict):
         faults.append(_fault(path, value, "an object"))
         return None
-    hints = typing.get_type_hints(kind)
+    hints = _find_hints(kind)
     fields = {field.name: field for field in dataclasses.fields(kind)}
     faults.extend(
         _fault(f"{path}.{name}", value[name], f"no such field; known: {', '.join(fields)}")
@@ -99,6 +113,26 @@
     return kind(**arguments) if len(faults) == before else None
 
 
+@functools.cache
+def _find_hints(kind: type) -> dict[str, Any]:
+    return typing.get_type_hints(kind)
+
+
+def _decode_pairs(
+    value: Any, kinds: tuple[Any, ...], path: str, faults: list[exceptions.Fault]
+) -> Any:
+    pairs = value if isinstance(value, list) else [value]
+    decoded: list[tuple[Any, Any]] = []
+    before = len(faults)
+    for index, pair in enumerate(pairs):
+        if not isinstance(pair, list) or len(pair) != len(kinds):
+            faults.append(_fault(f"{path}[{index}]", pair, "a list of a key and a value"))
+            continue
+        key = _decode(pair[0], kinds[0], f"{path}[{index}][0]", faults)
+        decoded.append((key, _decode(pair[1], kinds[1], f"{path}[{index}][1]", faults)))
+    return pyrsistent.pmap(dict(decoded)) if len(faults) == before else None
+
+
 def _decode_tuple(value: Any, item: Any, path: str, faults: list[exceptions.Fault]) -> Any:
     if not isinstance(value, list):
         faults.append(_fault(path, value, "a list"))
--- a/src/goldcresthall/encoding/exceptions.py
+++ b/src/goldcresthall/encoding/exceptions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,9 +47,26 @@
         return self._faults
 
 
+class MalformedReason(enum.Enum):
+    """What is wrong with an entry of the log."""
+
+    NOT_JSON = "not_json"
+    ENVELOPE = "envelope"
+    BODY = "body"
+
+
 class RecordDecodeError(EncodingError):
     """An entry of the log is not a whole record."""
 
+    def __init__(self, reason: MalformedReason, detail: str) -> None:
+        super().__init__(f"{reason.value}: {detail}")
+        self._reason = reason
+
+    @property
+    def reason(self) -> MalformedReason:
+        """What is wrong with the entry."""
+        return self._reason
+
 
 class UnknownRecordError(EncodingError):
     """An entry of the log is of a type or version this release does not know."""
--- a/src/goldcresthall/encoding/log_entries.py
+++ b/src/goldcresthall/encoding/log_entries.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
+from typing import Any
 from typing import Final
 
 from goldcresthall.core import records
+from goldcresthall.core import snapshots
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
 
@@ -16,11 +19,17 @@
     "partitions_moved": records.PartitionsMoved,
     "server_returned": records.ServerReturned,
     "lessors_appointed": records.LessorsAppointed,
+    "snapshot_chunk": snapshots.SnapshotChunk,
 }
 
 _NAMES: Final = {kind: name for name, kind in RECORD_TYPES.items()}
 
 
+def find_type_name(record: records.Record) -> str:
+    """Return the name under which records of this type stand in the log."""
+    return _NAMES[type(record)]
+
+
 def encode_record(record: records.Record) -> bytes:
     """Return a record as one entry of the log."""
     envelope = {
@@ -41,16 +50,31 @@
     UnknownRecordError
         If its type or version is not known to this release.
     """
+    envelope = _decode_envelope(entry)
+    if envelope.version != SCHEMA_VERSION or envelope.name not in RECORD_TYPES:
+        raise exceptions.UnknownRecordError(f"{envelope.name} version {envelope.version}")
     try:
-        envelope = json.loads(entry)
-        name = envelope["type"]
-        version = envelope["version"]
-        body = envelope["record"]
-    except (ValueError, KeyError, TypeError) as error:
-        raise exceptions.RecordDecodeError(str(error)) from error
-    if version != SCHEMA_VERSION or name not in RECORD_TYPES:
-        raise exceptions.UnknownRecordError(f"{name} version {version}")
-    try:
-        return documents.decode_plain(body, RECORD_TYPES[name])
+        return documents.decode_plain(envelope.body, RECORD_TYPES[envelope.name])
     except exceptions.DocumentError as error:
-        raise exceptions.RecordDecodeError(str(error)) from error
+        raise exceptions.RecordDecodeError(exceptions.MalformedReason.BODY, str(error)) from error
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Envelope:
+    name: str
+    version: int
+    body: Any
+
+
+def _decode_envelope(entry: bytes) -> _Envelope:
+    try:
+        plain = json.loads(entry)
+    except (ValueError, RecursionError) as error:
+        reason = exceptions.MalformedReason.NOT_JSON
+        raise exceptions.RecordDecodeError(reason, str(error)) from error
+    reason = exceptions.MalformedReason.ENVELOPE
+    if not isinstance(plain, dict) or not {"type", "version", "record"} <= plain.keys():
+        raise exceptions.RecordDecodeError(reason, "type, version and record are needed")
+    if type(plain["type"]) is not str or type(plain["version"]) is not int:
+        raise exceptions.RecordDecodeError(reason, "type and version are of a wrong type")
+    return _Envelope(plain["type"], plain["version"], plain["record"])
--- a/src/goldcresthall/platform/http_log_client.py
+++ b/src/goldcresthall/platform/http_log_client.py
@@ -17,6 +17,7 @@
 MS_PER_S = 1_000
 POOL_SIZE = 4
 STATUS_OK = 200
+STATUS_REQUEST_TIMEOUT = 408
 STATUS_GONE = 410
 CLIENT_ERRORS = range(400, 500)
 
@@ -24,17 +25,24 @@
 class HttpLogClient(log_client.LogClient):
     """Speaks to the log service at one address; never retries by itself."""
 
-    def __init__(self, address: str, request_timeout_ms: int) -> None:
+    def __init__(self, address: str, request_timeout_ms: int, user_agent: str = "") -> None:
         self._timeout_s = request_timeout_ms / MS_PER_S
         host, port = address.rsplit(":", 1)
         self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=POOL_SIZE, block=False, retries=False
+            host,
+            int(port),
+            maxsize=POOL_SIZE,
+            block=False,
+            retries=False,
+            headers={"User-Agent": user_agent},
         )
 
     @classmethod
-    def from_config(cls, platform: settings.PlatformSettings) -> HttpLogClient:
-        """Return a client for the configured log service."""
-        return cls(str(platform.log), platform.request_timeout_ms)
+    def from_config(cls, instance_settings: settings.Settings) -> HttpLogClient:
+        """Return a client for the configured log service, named after the instance."""
+        platform = instance_settings.platform
+        user_agent = f"goldcresthall/{instance_settings.name}"
+        return cls(str(platform.log), platform.request_timeout_ms, user_agent)
 
     def start(self) -> None:
         """Do nothing; connections are opened when needed."""
@@ -55,7 +63,7 @@
             return log_client.AppendRefused(f"connect: {error}")
         except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
             return log_client.AppendUnknown(f"receive: {error}")
-        if response.status in CLIENT_ERRORS:
+        if response.status in CLIENT_ERRORS and response.status != STATUS_REQUEST_TIMEOUT:
             return log_client.AppendRefused(f"status {response.status}")
         return log_client.AppendUnknown(f"status {response.status}")
 
--- a/src/goldcresthall/platform/instance_list.py
+++ b/src/goldcresthall/platform/instance_list.py
@@ -55,20 +55,24 @@
 class HttpInstanceList(InstanceList):
     """Reads the list over HTTP at a fixed interval and keeps the last good answer."""
 
-    def __init__(self, platform: settings.PlatformSettings) -> None:
+    def __init__(self, platform: settings.PlatformSettings, user_agent: str = "") -> None:
         self._platform = platform
         self._listing = InstanceListing(0, ())
         self._lock = threading.Lock()
         address = platform.instance_list
         self._pool = urllib3.HTTPConnectionPool(
-            address.host, address.port, maxsize=1, retries=False
+            address.host,
+            address.port,
+            maxsize=1,
+            retries=False,
+            headers={"User-Agent": user_agent},
         )
         self._task = tasks.Task("instance-list", self._run)
 
     @classmethod
-    def from_config(cls, platform: settings.PlatformSettings) -> HttpInstanceList:
-        """Return a client of the configured instance list."""
-        return cls(platform)
+    def from_config(cls, instance_settings: settings.Settings) -> HttpInstanceList:
+        """Return a client of the configured instance list, named after the instance."""
+        return cls(instance_settings.platform, f"goldcresthall/{instance_settings.name}")
 
     @property
     def listing(self) -> InstanceListing:
--- a/src/goldcresthall/replication/__init__.py
+++ b/src/goldcresthall/replication/__init__.py
@@ -1,1 +1,8 @@
-"""Replay of the platform's log to one state, the same in every instance."""
+"""Replay of the platform's log to one state, the same in every instance.
+
+Importing the package registers the `apply` of every record type.
+"""
+
+from __future__ import annotations
+
+from goldcresthall.replication import replay_snapshots as replay_snapshots
--- /dev/null
+++ b/src/goldcresthall/replication/recent.py
@@ -0,0 +1,106 @@
+"""What a replica remembers of the recent past, in bounded memory."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+if TYPE_CHECKING:
+    from goldcresthall.replication import state as replicated
+
+ENTRIES_KEPT = 2_000
+ENTRY_BYTES_KEPT = 2 * 1_048_576
+STATES_KEPT = 512
+PAGE_BYTES_LIMIT = 512 * 1_024
+
+Remembered = TypeVar("Remembered")
+
+
+class RecentEntries:
+    """The newest replayed entries, contiguous up to the next offset."""
+
+    def __init__(self) -> None:
+        self._entries: collections.deque[bytes] = collections.deque()
+        self._bytes = 0
+
+    def append(self, entry: bytes) -> None:
+        """Remember one more entry and forget the oldest beyond the limits."""
+        self._entries.append(entry)
+        self._bytes += len(entry)
+        while len(self._entries) > ENTRIES_KEPT or (
+            self._bytes > ENTRY_BYTES_KEPT and len(self._entries) > 1
+        ):
+            self._bytes -= len(self._entries.popleft())
+
+    def clear(self) -> None:
+        """Forget all entries."""
+        self._entries.clear()
+        self._bytes = 0
+
+    def read(self, from_offset: int, next_offset: int, limit: int) -> tuple[bytes, ...] | None:
+        """Return entries from an offset on, or none if they are not kept.
+
+        The page holds at most `limit` entries and `PAGE_BYTES_LIMIT` bytes, yet
+        always one entry if there is one.
+        """
+        first_kept = next_offset - len(self._entries)
+        if from_offset < first_kept:
+            return None
+        page: list[bytes] = []
+        page_bytes = 0
+        for index in range(from_offset - first_kept, len(self._entries)):
+            page_bytes += len(self._entries[index])
+            if page and (len(page) >= limit or page_bytes > PAGE_BYTES_LIMIT):
+                break
+            page.append(self._entries[index])
+        return tuple(page)
+
+
+class RecentStates:
+    """The newest states by their next offset; they share all that did not change."""
+
+    def __init__(self) -> None:
+        self._states: collections.deque[replicated.State] = collections.deque(maxlen=STATES_KEPT)
+
+    def append(self, state: replicated.State) -> None:
+        """Remember the state after one more entry."""
+        self._states.append(state)
+
+    def clear(self) -> None:
+        """Forget all states."""
+        self._states.clear()
+
+    def find(self, next_offset: int) -> replicated.State | None:
+        """Return the state at an offset, or none if it is not kept."""
+        if not self._states:
+            return None
+        index = next_offset - self._states[0].next_offset
+        return self._states[index] if 0 <= index < len(self._states) else None
+
+
+class BoundedTable(Generic[Remembered]):
+    """Remembers the first value of each identifier, up to a number of them."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._values: collections.OrderedDict[str, Remembered] = collections.OrderedDict()
+
+    def __contains__(self, identifier: str) -> bool:
+        return identifier in self._values
+
+    def __len__(self) -> int:
+        return len(self._values)
+
+    def find(self, identifier: str) -> Remembered | None:
+        """Return the value of an identifier, or none if it is not remembered."""
+        return self._values.get(identifier)
+
+    def remember(self, identifier: str, value: Remembered) -> None:
+        """Remember a value, unless the identifier has one; forget the oldest."""
+        if identifier in self._values:
+            return
+        self._values[identifier] = value
+        while len(self._values) > self._limit:
+            self._values.popitem(last=False)
--- a/src/goldcresthall/replication/replay.py
+++ b/src/goldcresthall/replication/replay.py
@@ -9,12 +9,16 @@
 import dataclasses
 import enum
 import functools
+import hashlib
 
 from goldcresthall.core import records
 from goldcresthall.encoding import exceptions
 from goldcresthall.encoding import log_entries
 from goldcresthall.replication import state as replicated
 
+ACCEPTED_VERDICT = "accepted"
+CHAIN_DIGEST_BYTES = 16
+
 
 class RejectionReason(enum.Enum):
     """Why replay rejected a record."""
@@ -26,6 +30,9 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_SERVER = "unknown_server"
     UNKNOWN_PARTITION = "unknown_partition"
+    SNAPSHOT_SUPERSEDED = "snapshot_superseded"
+    SNAPSHOT_OUT_OF_ORDER = "snapshot_out_of_order"
+    SNAPSHOT_DAMAGED = "snapshot_damaged"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,11 +55,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replayed:
-    """The result of replaying one entry; `record` is none if it was malformed."""
+    """The result of replaying one entry.
+
+    Attributes
+    ----------
+    record
+        The entry's record; none if it was malformed, unknown or not replayed.
+    malformed
+        What was wrong with the entry; none if it was whole.
+    """
 
     state: replicated.State
     record: records.Record | None
     decision: Decision
+    malformed: exceptions.MalformedReason | None = None
 
 
 def replay_entry(entry: bytes, state: replicated.State) -> Replayed:
@@ -66,13 +82,13 @@
         record = log_entries.decode_record(entry)
     except exceptions.RecordDecodeError as error:
         rejected = Rejected(RejectionReason.MALFORMED, str(error))
-        return Replayed(_advance(state), None, rejected)
+        return Replayed(_advance(state, entry, rejected), None, rejected, error.reason)
     except exceptions.UnknownRecordError as error:
         halted = dataclasses.replace(state, halted=f"offset {state.next_offset}: {error}")
         return Replayed(halted, None, Accepted(halted))
     decision = apply(record, state)
     changed = decision.state if isinstance(decision, Accepted) else state
-    return Replayed(_advance(changed), record, decision)
+    return Replayed(_advance(changed, entry, decision), record, decision)
 
 
 @functools.singledispatch
@@ -92,7 +108,11 @@
         author=record.author,
         reason=record.reason,
     )
-    return Accepted(dataclasses.replace(state, preset_in_force=in_force))
+    entry = replicated.PresetEntry(
+        in_force.offset, record.preset.name, record.author, record.reason
+    )
+    presets = (*state.presets, entry)[-replicated.PRESETS_REMEMBERED :]
+    return Accepted(dataclasses.replace(state, preset_in_force=in_force, presets=presets))
 
 
 @apply.register
@@ -201,8 +221,12 @@
     return dataclasses.replace(state, servers=servers.persistent())
 
 
-def _advance(state: replicated.State) -> replicated.State:
-    return dataclasses.replace(state, next_offset=state.next_offset + 1)
+def _advance(state: replicated.State, entry: bytes, decision: Decision) -> replicated.State:
+    verdict = decision.reason.value if isinstance(decision, Rejected) else ACCEPTED_VERDICT
+    digest = hashlib.blake2b(state.chain.encode(), digest_size=CHAIN_DIGEST_BYTES)
+    digest.update(verdict.encode())
+    digest.update(entry)
+    return dataclasses.replace(state, next_offset=state.next_offset + 1, chain=digest.hexdigest())
 
 
 def _overtaken(what: str, offset: int) -> Rejected:
--- /dev/null
+++ b/src/goldcresthall/replication/replay_snapshots.py
@@ -0,0 +1,46 @@
+"""`apply` for snapshots: which one is whole; the rest of the state stays as it is."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from goldcresthall.core import snapshots
+from goldcresthall.replication import replay
+from goldcresthall.replication import state as replicated
+from goldcresthall.replication import state_encoding
+
+
+@replay.apply.register(snapshots.SnapshotChunk)
+def _(record: snapshots.SnapshotChunk, state: replicated.State) -> replay.Decision:
+    rejected = _check_chunk(record, state)
+    if rejected is not None:
+        return rejected
+    progress = _note_chunk(record, state)
+    return replay.Accepted(dataclasses.replace(state, snapshots=progress))
+
+
+def _check_chunk(
+    record: snapshots.SnapshotChunk, state: replicated.State
+) -> replay.Rejected | None:
+    known = state.snapshots
+    if not known.whole_base < record.base <= state.next_offset:
+        detail = f"a snapshot at offset {known.whole_base} is whole"
+        return replay.Rejected(replay.RejectionReason.SNAPSHOT_SUPERSEDED, detail)
+    expected = known.pending_chunks if record.snapshot_id == known.pending_id else 0
+    if record.index != expected or not 0 <= record.index < record.count:
+        detail = f"chunk {record.index} of {record.count}, expected {expected}"
+        return replay.Rejected(replay.RejectionReason.SNAPSHOT_OUT_OF_ORDER, detail)
+    if state_encoding.find_digest(record.content.encode()) != record.content_digest:
+        detail = f"chunk {record.index} of {record.count}"
+        return replay.Rejected(replay.RejectionReason.SNAPSHOT_DAMAGED, detail)
+    return None
+
+
+def _note_chunk(
+    record: snapshots.SnapshotChunk, state: replicated.State
+) -> replicated.SnapshotProgress:
+    if record.index + 1 == record.count:
+        return replicated.SnapshotProgress(whole_base=record.base, whole_at=state.next_offset)
+    return dataclasses.replace(
+        state.snapshots, pending_id=record.snapshot_id, pending_chunks=record.index + 1
+    )
--- a/src/goldcresthall/replication/state.py
+++ b/src/goldcresthall/replication/state.py
@@ -10,6 +10,8 @@
 from goldcresthall.core import identity
 from goldcresthall.core import preset
 
+PRESETS_REMEMBERED = 32
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PartitionId:
@@ -65,6 +67,38 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PresetEntry:
+    """One preset that was put in force, without its content."""
+
+    offset: int
+    name: str
+    author: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotProgress:
+    """Which snapshot in the log is whole, and which is under way.
+
+    Attributes
+    ----------
+    whole_base
+        Offset of the state in the newest whole snapshot; minus one if none.
+    whole_at
+        Offset of that snapshot's last chunk; minus one if none.
+    pending_id
+        Snapshot of which chunks are missing; empty if none.
+    pending_chunks
+        Number of its chunks that were replayed.
+    """
+
+    whole_base: int = -1
+    whole_at: int = -1
+    pending_id: str = ""
+    pending_chunks: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
     """All that replay derives from the log.
@@ -75,6 +109,13 @@
         Offset of the first entry that is not yet replayed.
     halted
         Why this instance can decide nothing more; empty if it can.
+    chain
+        Digest over all replayed entries and what was decided on each; two
+        instances that differ in it at one offset have diverged.
+    presets
+        The last `PRESETS_REMEMBERED` presets put in force, the newest last.
+    snapshots
+        Which snapshot is whole.
     """
 
     next_offset: int
@@ -82,6 +123,9 @@
     partitions: pyrsistent_typing.PMap[PartitionId, Ownership]
     servers: pyrsistent_typing.PMap[str, ServerState]
     halted: str = ""
+    chain: str = ""
+    presets: tuple[PresetEntry, ...] = ()
+    snapshots: SnapshotProgress = SnapshotProgress()
 
     @classmethod
     def create_empty(cls) -> State:
--- a/src/goldcresthall/replication/writer.py
+++ b/src/goldcresthall/replication/writer.py
@@ -2,33 +2,39 @@
 
 from __future__ import annotations
 
+import dataclasses
+import math
 import queue
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from absl import logging
 
+from goldcresthall.core import records
 from goldcresthall.encoding import log_entries
+from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
 from goldcresthall.platform import log_client
+from goldcresthall.replication import meters
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
 
-    from goldcresthall.core import records
     from goldcresthall.core import settings
     from goldcresthall.kernel import kernel
 
 QUEUE_POLL_S = 0.5
+QUEUE_LIMIT = 2_000
+BATCH_BYTES_LIMIT = 1_048_576
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Pending:
-    def __init__(
-        self, record: records.Record, notify: Callable[[log_client.AppendOutcome], None]
-    ) -> None:
-        self.record = record
-        self.notify = notify
+    record: records.Record
+    entry: bytes
+    notify: Callable[[log_client.AppendOutcome], None]
+    ends_at_s: float
 
 
 class LogWriter(service.Service):
@@ -41,7 +47,8 @@
     def __init__(self, owner: kernel.Kernel, batch_limit: int) -> None:
         self._kernel = owner
         self._batch_limit = batch_limit
-        self._queue: queue.Queue[_Pending] = queue.Queue()
+        self._queue: queue.Queue[_Pending] = queue.Queue(QUEUE_LIMIT)
+        self._carried: _Pending | None = None
         self._task = tasks.Task("log-writer", self._run)
 
     @classmethod
@@ -51,18 +58,41 @@
 
     def start(self) -> None:
         """Begin to append."""
+        self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._client = self._kernel.find(names.LOG_CLIENT, log_client.LogClient)
+        self._meter = meters.AppendMeter(meters.find_registry(self._kernel))
         self._task.start()
 
     def stop(self) -> None:
-        """Stop; records still queued are not appended."""
+        """Stop; records still queued are not appended, and their authors are told."""
         self._task.stop()
+        if self._carried is not None:
+            self._drop(self._carried, "stopping")
+        while True:
+            try:
+                self._drop(self._queue.get_nowait(), "stopping")
+            except queue.Empty:
+                return
 
     def submit(
-        self, record: records.Record, notify: Callable[[log_client.AppendOutcome], None]
+        self,
+        record: records.Record,
+        notify: Callable[[log_client.AppendOutcome], None],
+        ends_at_s: float = math.inf,
     ) -> None:
-        """Queue a record; `notify` is called once with what became of its append."""
-        self._queue.put(_Pending(record, notify))
+        """Queue a record; `notify` is called once with what became of its append.
+
+        Parameters
+        ----------
+        ends_at_s
+            Clock reading after which the record is no longer appended, so that
+            an outage leaves no stale decisions to append at its end.
+        """
+        pending = _Pending(record, log_entries.encode_record(record), notify, ends_at_s)
+        try:
+            self._queue.put_nowait(pending)
+        except queue.Full:
+            self._drop(pending, "queue_full")
 
     def _run(self, stop_signal: tasks.StopSignal) -> None:
         while not stop_signal.is_set:
@@ -71,21 +101,41 @@
                 self._append_batch(batch)
 
     def _take_batch(self) -> list[_Pending]:
+        first = self._carried
+        self._carried = None
         try:
-            batch = [self._queue.get(timeout=QUEUE_POLL_S)]
+            batch = [first or self._queue.get(timeout=QUEUE_POLL_S)]
         except queue.Empty:
             return []
+        batch_bytes = len(batch[0].entry)
         while len(batch) < self._batch_limit:
             try:
-                batch.append(self._queue.get_nowait())
+                pending = self._queue.get_nowait()
             except queue.Empty:
                 break
-        return batch
+            batch_bytes += len(pending.entry)
+            if batch_bytes > BATCH_BYTES_LIMIT:
+                self._carried = pending
+                break
+            batch.append(pending)
+        return self._keep_timely(batch)
+
+    def _keep_timely(self, batch: list[_Pending]) -> list[_Pending]:
+        now_s = self._clock.read_s()
+        for pending in batch:
+            if pending.ends_at_s < now_s:
+                self._drop(pending, "timeout")
+        return [pending for pending in batch if pending.ends_at_s >= now_s]
 
     def _append_batch(self, batch: list[_Pending]) -> None:
-        entries = tuple(log_entries.encode_record(pending.record) for pending in batch)
+        entries = tuple(pending.entry for pending in batch)
         outcome = self._client.append(entries)
+        self._meter.count_append(tuple(pending.record for pending in batch), entries, outcome)
         if not isinstance(outcome, log_client.Appended):
             logging.warning("append of %d records: %s", len(batch), outcome)
         for pending in batch:
             pending.notify(outcome)
+
+    def _drop(self, pending: _Pending, reason: str) -> None:
+        self._meter.count_dropped(reason)
+        pending.notify(log_client.AppendRefused(f"not appended: {reason}"))
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -13,6 +13,7 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.replication import conditions
 from goldcresthall.replication import replica
 from goldcresthall.routing import routes
 from goldcresthall.routing import targets
@@ -25,6 +26,7 @@
 MS_PER_S = 1_000
 RETRY_PAUSE_S = 0.02
 MAX_TRIES = 50
+STATE_RETRY_AFTER_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +67,9 @@
         return self._try_repeatedly(request, plan)
 
     def _plan(self, request: requests.Request) -> Plan | outcomes.Refused:
+        condition = self._replica.condition
+        if not condition.is_usable:
+            return _refuse_unusable(condition)
         in_force = self._replica.state.preset_in_force
         if in_force is None:
             return outcomes.Refused(
@@ -169,3 +174,15 @@
     if isinstance(attempt, attempts.AttemptNotRun):
         return True
     return isinstance(attempt, attempts.AttemptUnknown) and route.idempotent
+
+
+def _refuse_unusable(condition: conditions.Condition) -> outcomes.Refused:
+    halted = (conditions.ConditionKind.HALTED, conditions.ConditionKind.DIVERGED)
+    reason = (
+        outcomes.RefusalReason.STATE_HALTED
+        if condition.kind in halted
+        else outcomes.RefusalReason.STATE_MISSING
+    )
+    return outcomes.Refused(
+        reason, outcomes.Step.ROUTE, "", detail=str(condition), retry_after_s=STATE_RETRY_AFTER_S
+    )
--- a/stand_ins/src/goldcresthall_stand_ins/platform.py
+++ b/stand_ins/src/goldcresthall_stand_ins/platform.py
@@ -33,7 +33,7 @@
     lost_answers
         Number of appends that take effect but are answered by an error.
     cut_sources
-        Source addresses that get no answer, as if cut off.
+        Instances, by the name in their User-Agent, that get no answer, as if cut off.
     """
 
     down: bool = False
@@ -97,6 +97,9 @@
         if exchange.path == "/control/expire":
             self.expire_before(int(exchange.query["before"]))
             return web.Reply(STATUS_OK, b"{}")
+        if exchange.path == "/control/append":
+            self.append_raw(exchange.body)
+            return web.Reply(STATUS_OK, b"{}")
         if exchange.path == "/control/instances":
             document = documents.decode_document(exchange.body, InstanceListDocument)
             self.list_instances(document.instances)
@@ -104,9 +107,7 @@
         misbehavior = self._misbehavior
         if misbehavior.delay_ms:
             time.sleep(misbehavior.delay_ms / MS_PER_S)
-        if misbehavior.down or exchange.headers.get("goldcresthall-source") in (
-            misbehavior.cut_sources
-        ):
+        if misbehavior.down or _find_source(exchange) in misbehavior.cut_sources:
             return web.Reply(STATUS_UNAVAILABLE, b"{}")
         return self._answer_service(exchange)
 
@@ -118,6 +119,7 @@
                 int(exchange.query["from"]),
                 int(exchange.query["limit"]),
                 int(exchange.query["wait_ms"]),
+                _find_source(exchange),
             )
         if exchange.path == "/instances":
             document = InstanceListDocument(self._instances)
@@ -137,13 +139,15 @@
                 return web.Reply(STATUS_UNAVAILABLE, b"{}")
         return web.Reply(STATUS_OK, json.dumps({"first_offset": first_offset}).encode())
 
-    def _read(self, from_offset: int, limit: int, wait_ms: int) -> web.Reply:
+    def _read(self, from_offset: int, limit: int, wait_ms: int, source: str) -> web.Reply:
+        def is_cut() -> bool:
+            return self._misbehavior.down or source in self._misbehavior.cut_sources
+
         with self._appended:
             self._appended.wait_for(
-                lambda: self._end_offset > from_offset or self._misbehavior.down,
-                wait_ms / MS_PER_S,
+                lambda: self._end_offset > from_offset or is_cut(), wait_ms / MS_PER_S
             )
-            if self._misbehavior.down:
+            if is_cut():
                 return web.Reply(STATUS_UNAVAILABLE, b"{}")
             start = from_offset - self._begin_offset
             page = {
@@ -158,3 +162,7 @@
     @property
     def _end_offset(self) -> int:
         return self._begin_offset + len(self._entries)
+
+
+def _find_source(exchange: web.Exchange) -> str:
+    return exchange.headers.get("user-agent", "").rpartition("/")[2]
--- /dev/null
+++ b/tests/replication/test_replica.py
@@ -0,0 +1,158 @@
+"""Tests of the replica: what it says of its state and of records it wants to stand."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.core import identity
+from goldcresthall.core import preset
+from goldcresthall.core import records
+from goldcresthall.encoding import log_entries
+from goldcresthall.kernel import names
+from goldcresthall.observability import metrics
+from goldcresthall.replication import conditions
+from goldcresthall.replication import recent
+from goldcresthall.replication import replica
+from goldcresthall.replication import state_encoding
+from goldcresthall.replication import writer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from goldcresthall.kernel import kernel
+    from tests.fakes import log
+
+GIVE_UP_S = 20.0
+
+
+def publish(base: int, name: str = "day") -> records.PresetPublished:
+    return records.PresetPublished(
+        record_id=identity.create_record_id(),
+        base=base,
+        author="operator",
+        reason="test",
+        preset=preset.Preset(name=name, services=()),
+    )
+
+
+def find_replica(running: kernel.Kernel) -> replica.LogReplica:
+    return running.find(names.REPLICA, replica.LogReplica)
+
+
+def await_condition(running: kernel.Kernel, kind: conditions.ConditionKind) -> conditions.Condition:
+    ends_at_s = time.monotonic() + GIVE_UP_S
+    while time.monotonic() < ends_at_s:
+        found = find_replica(running).condition
+        if found.kind is kind:
+            return found
+        find_replica(running).wait_beyond(1_000_000, 0.01)
+    pytest.fail(f"condition stayed {found}")
+
+
+def render(running: kernel.Kernel) -> str:
+    return running.find(names.METRICS, metrics.Metrics).render().decode()
+
+
+def test_unknown_record_halts_and_is_told(
+    memory_log: log.InMemoryLog, start_replica: Callable[[], kernel.Kernel]
+) -> None:
+    memory_log.append((b'{"type": "from_the_future", "version": 9, "record": {}}',))
+    memory_log.append((log_entries.encode_record(publish(0)),))
+    running = start_replica()
+    found = await_condition(running, conditions.ConditionKind.HALTED)
+    assert "from_the_future version 9" in found.detail
+    assert find_replica(running).state.preset_in_force is None
+    running.stop()
+    assert 'goldcresthall_replica_condition{condition="halted"} 1.0' in render(running)
+
+
+def test_malformed_and_rejected_entries_are_counted_by_reason(
+    memory_log: log.InMemoryLog, start_replica: Callable[[], kernel.Kernel]
+) -> None:
+    whole = log_entries.encode_record(publish(0))
+    memory_log.append((whole[:-9], b"[1]", b'{"type":"preset_published","version":1,"record":3}'))
+    memory_log.append((whole, log_entries.encode_record(publish(0, "second"))))
+    running = start_replica()
+    state = find_replica(running).wait_beyond(4, GIVE_UP_S)
+    assert state.preset_in_force is not None
+    assert state.preset_in_force.preset.name == "day"
+    text = render(running)
+    for reason in ("not_json", "envelope", "body"):
+        assert f'goldcresthall_entries_malformed_total{{reason="{reason}"}} 1.0' in text
+    rejected = 'records_rejected_total{reason="base_overtaken",type="preset_published"} 1.0'
+    assert rejected in text
+
+
+def test_commit_whose_answer_was_lost_is_found_by_its_id(
+    memory_log: log.InMemoryLog, start_replica: Callable[[], kernel.Kernel]
+) -> None:
+    running = start_replica()
+    memory_log.lost_answers = 1
+    outcome = find_replica(running).commit(publish(0), GIVE_UP_S)
+    assert outcome == replica.CommitAccepted(0)
+    assert 'goldcresthall_log_appends_total{outcome="AppendUnknown"} 1.0' in render(running)
+
+
+def test_refused_append_is_a_failure_and_never_appears(
+    memory_log: log.InMemoryLog, start_replica: Callable[[], kernel.Kernel]
+) -> None:
+    running = start_replica()
+    memory_log.is_down = True
+    record = publish(0)
+    assert isinstance(find_replica(running).commit(record, GIVE_UP_S), replica.CommitFailed)
+    memory_log.is_down = False
+    assert find_replica(running).commit(publish(0), GIVE_UP_S) == replica.CommitAccepted(0)
+
+
+def test_record_not_handed_over_in_time_is_never_appended(
+    memory_log: log.InMemoryLog, start_replica: Callable[[], kernel.Kernel]
+) -> None:
+    running = start_replica()
+    outcomes: list[object] = []
+    running.find(names.LOG_WRITER, writer.LogWriter).submit(publish(0), outcomes.append, 0.0)
+    assert find_replica(running).commit(publish(0), GIVE_UP_S) == replica.CommitAccepted(0)
+    assert len(outcomes) == 1
+    assert len(memory_log.entries) == 1
+    assert 'records_not_appended_total{reason="timeout"} 1.0' in render(running)
+
+
+def test_expired_log_without_snapshot_is_refused_and_never_empty(
+    memory_log: log.InMemoryLog, start_replica: Callable[[], kernel.Kernel]
+) -> None:
+    memory_log.append(tuple(log_entries.encode_record(publish(base)) for base in range(3)))
+    memory_log.expire_before(2)
+    running = start_replica()
+    found = await_condition(running, conditions.ConditionKind.STATE_MISSING)
+    assert "entries from 0 to 2 expired" in found.detail
+    assert find_replica(running).state.next_offset == 0
+
+
+def test_gap_in_followed_entries_is_not_taken(
+    start_replica: Callable[[], kernel.Kernel],
+) -> None:
+    running = start_replica()
+    find_replica(running).follow(3, (log_entries.encode_record(publish(3)),))
+    assert find_replica(running).state.next_offset == 0
+
+
+def test_outcomes_are_kept_in_bounded_memory() -> None:
+    table: recent.BoundedTable[int] = recent.BoundedTable(3)
+    for number in range(9):
+        table.remember(str(number), number)
+        table.remember(str(number), -1)
+    assert [table.find(str(number)) for number in (5, 6, 8)] == [None, 6, 8]
+
+
+def test_state_survives_its_encoding(
+    memory_log: log.InMemoryLog, start_replica: Callable[[], kernel.Kernel]
+) -> None:
+    running = start_replica()
+    find_replica(running).commit(publish(0), GIVE_UP_S)
+    state = find_replica(running).state
+    encoded = state_encoding.encode_state(state)
+    assert state_encoding.decode_state(encoded.pieces, encoded.state_digest) == state
+    with pytest.raises(state_encoding.StateDecodeError):
+        state_encoding.decode_state((encoded.pieces[0][:-8],), encoded.state_digest)
