--- a/src/goldcresthall/routing/plans.py
+++ b/src/goldcresthall/routing/plans.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from goldcresthall.core import outcomes
+from goldcresthall.replication import conditions
 from goldcresthall.routing import routes
 from goldcresthall.routing import targets
 
@@ -16,6 +17,7 @@
 
 MS_PER_S = 1_000
 NO_PRESET_RETRY_AFTER_S = 1.0
+STATE_RETRY_AFTER_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +46,19 @@
     return _create_service_plan(request, policy)
 
 
+def refuse_unusable(condition: conditions.Condition) -> outcomes.Refused:
+    """Return why a request is refused by an instance whose state is not usable."""
+    halted = (conditions.ConditionKind.HALTED, conditions.ConditionKind.DIVERGED)
+    reason = (
+        outcomes.RefusalReason.STATE_HALTED
+        if condition.kind in halted
+        else outcomes.RefusalReason.STATE_MISSING
+    )
+    return outcomes.Refused(
+        reason, outcomes.Step.ROUTE, "", detail=str(condition), retry_after_s=STATE_RETRY_AFTER_S
+    )
+
+
 def _create_service_plan(
     request: requests.Request, policy: preset.ServicePolicy
 ) -> Plan | outcomes.Refused:
