--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,69 @@
+"""The command line of the load and experiment tool."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+import click
+
+from bench import experiments
+from bench import plots
+from bench import runner
+from bench import users
+from goldcresthall.encoding import documents
+
+RESULTS = pathlib.Path(__file__).parent / "results"
+
+
+@click.group()
+def main() -> None:
+    """Run experiments on loopback; each ends by itself."""
+
+
+@main.command("list")
+def list_experiments() -> None:
+    """List the experiments."""
+    for name in experiments.CATALOGUE:
+        click.echo(name)
+
+
+@main.command("run")
+@click.argument("name", type=click.Choice(list(experiments.CATALOGUE)))
+@click.option("--user", type=click.Choice(list(users.USERS)), default="minnelys")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--results", type=click.Path(path_type=pathlib.Path), default=RESULTS)
+@click.option("--plot/--no-plot", default=False, help="Also draw a PNG beside the JSON.")
+def run(name: str, user: str, seed: int, results: pathlib.Path, *, plot: bool) -> None:
+    """Run one experiment under every policy and write its result as JSON."""
+    experiment = experiments.create_experiment(name, user)
+    result = runner.run_experiment(experiment, seed, click.echo)
+    results.mkdir(parents=True, exist_ok=True)
+    path = results / f"{user}-{name}-{seed}.json"
+    path.write_text(json.dumps(documents.to_plain(result), indent=1) + "\n")
+    if plot:
+        plots.plot_result(result, path.with_suffix(".png"))
+    for item in result.results:
+        click.echo(_describe(item))
+    click.echo(str(path))
+
+
+def _describe(item: runner.PolicyResult) -> str:
+    window = item.window
+    worst = max(window.imbalance, key=lambda found: found.largest_over_mean)
+    return (
+        f"{item.policy:14} good {window.good_share:.3f} ({window.goodput_per_s:.0f}/s)"
+        f" short p50 {window.short.p50_ms:.0f} p99 {window.short.p99_ms:.0f}"
+        f" p99.9 {window.short.p999_ms:.0f} ms"
+        f" refused {window.refused_share:.3f} in p99 {window.refusal.p99_ms:.0f} ms"
+        f" unknown {window.unknown_share:.3f} unreached {window.unreached_share:.3f}"
+        f" imbalance {worst.largest_over_mean:.2f} ({worst.service})"
+        f" tries {window.retry_amplification:.2f}"
+        f" worst key {window.worst_key_unavailable_s:.2f} s"
+        f" late {window.sent_late_p99_ms:.0f} ms"
+        f" cpu {item.router_processor_s:.1f} s"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,178 @@
+"""The brief's measures, computed from samples."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from hdrh import histogram
+
+from bench import samples
+from bench import workload
+from goldcresthall.core import preset
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MS_PER_S = 1_000
+US_PER_S = 1_000_000
+LONGEST_US = 60 * US_PER_S
+SIGNIFICANT_DIGITS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Percentiles:
+    """Percentiles of a latency in milliseconds, and the number of samples."""
+
+    count: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceImbalance:
+    """Largest over mean number of answers by a service's servers."""
+
+    service: str
+    largest_over_mean: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measures:
+    """What one stretch of one run gave.
+
+    Attributes
+    ----------
+    good_share
+        Share of all requests that were answered within their route's deadline.
+    goodput_per_s
+        Such answers per second.
+    retry_amplification
+        Tries over requests that reached an instance.
+    worst_key_unavailable_s
+        Longest time from a key's first request that was not answered to its next
+        that was, by the times at which they were due.
+    sent_late_p99_ms
+        How late the load tool itself was; counted in every latency.
+    """
+
+    requests: int
+    good_share: float
+    goodput_per_s: float
+    short: Percentiles
+    long: Percentiles
+    refused_share: float
+    refusal: Percentiles
+    unknown_share: float
+    unreached_share: float
+    imbalance: tuple[ServiceImbalance, ...]
+    retry_amplification: float
+    worst_key_unavailable_s: float
+    mean_key_unavailable_s: float
+    sent_late_p99_ms: float
+
+
+def measure(
+    taken: tuple[samples.Sample, ...],
+    kinds: tuple[workload.RequestKind, ...],
+    services: tuple[preset.ServicePolicy, ...],
+    duration_s: float,
+) -> Measures:
+    """Return the measures of the samples of a stretch of `duration_s` seconds."""
+    answered = _list_of(taken, samples.Verdict.ANSWERED)
+    refused = _list_of(taken, samples.Verdict.REFUSED)
+    good = [sample for sample in answered if _is_in_time(sample, kinds)]
+    reached = [sample for sample in taken if sample.tries]
+    gaps = find_key_gaps(taken, kinds)
+    return Measures(
+        requests=len(taken),
+        good_share=_share(len(good), len(taken)),
+        goodput_per_s=round(len(good) / duration_s, 2),
+        short=_summarize_class(answered, kinds, preset.RequestClass.SHORT),
+        long=_summarize_class(answered, kinds, preset.RequestClass.LONG),
+        refused_share=_share(len(refused), len(taken)),
+        refusal=summarize(sample.latency_s for sample in refused),
+        unknown_share=_share(len(_list_of(taken, samples.Verdict.UNKNOWN)), len(taken)),
+        unreached_share=_share(len(_list_of(taken, samples.Verdict.UNREACHED)), len(taken)),
+        imbalance=tuple(_measure_imbalance(answered, kinds, policy) for policy in services),
+        retry_amplification=_share(sum(sample.tries for sample in reached), len(reached)),
+        worst_key_unavailable_s=round(max(gaps, default=0.0), 3),
+        mean_key_unavailable_s=round(sum(gaps) / len(gaps), 4) if gaps else 0.0,
+        sent_late_p99_ms=summarize(sample.sent_late_s for sample in taken).p99_ms,
+    )
+
+
+def summarize(latencies_s: Iterable[float]) -> Percentiles:
+    """Return percentiles of latencies in seconds, by an HDR histogram."""
+    recorded = histogram.HdrHistogram(1, LONGEST_US, SIGNIFICANT_DIGITS)
+    for latency_s in latencies_s:
+        recorded.record_value(min(max(1, int(latency_s * US_PER_S)), LONGEST_US))
+    if not recorded.get_total_count():
+        return Percentiles(0, 0.0, 0.0, 0.0)
+    points = (recorded.get_value_at_percentile(point) for point in (50.0, 99.0, 99.9))
+    p50_ms, p99_ms, p999_ms = (round(point / MS_PER_S, 1) for point in points)
+    return Percentiles(recorded.get_total_count(), p50_ms, p99_ms, p999_ms)
+
+
+def find_key_gaps(
+    taken: tuple[samples.Sample, ...], kinds: tuple[workload.RequestKind, ...]
+) -> list[float]:
+    """Return, for each key of each service, its longest time without an answer in seconds."""
+    by_key: dict[tuple[str, int], list[samples.Sample]] = collections.defaultdict(list)
+    for sample in sorted(taken, key=lambda sample: sample.at_s):
+        by_key[(kinds[sample.kind].service, sample.key)].append(sample)
+    return [_find_longest_gap(ordered) for ordered in by_key.values()]
+
+
+def _find_longest_gap(ordered: list[samples.Sample]) -> float:
+    longest_s = 0.0
+    failed_since_s: float | None = None
+    for sample in ordered:
+        if sample.verdict is samples.Verdict.ANSWERED:
+            if failed_since_s is not None:
+                longest_s = max(longest_s, sample.at_s - failed_since_s)
+            failed_since_s = None
+        elif failed_since_s is None:
+            failed_since_s = sample.at_s
+    if failed_since_s is not None:
+        longest_s = max(longest_s, ordered[-1].at_s - failed_since_s)
+    return longest_s
+
+
+def _list_of(
+    taken: tuple[samples.Sample, ...], verdict: samples.Verdict
+) -> tuple[samples.Sample, ...]:
+    return tuple(sample for sample in taken if sample.verdict is verdict)
+
+
+def _is_in_time(sample: samples.Sample, kinds: tuple[workload.RequestKind, ...]) -> bool:
+    return sample.latency_s * MS_PER_S <= kinds[sample.kind].deadline_ms
+
+
+def _summarize_class(
+    taken: tuple[samples.Sample, ...],
+    kinds: tuple[workload.RequestKind, ...],
+    request_class: preset.RequestClass,
+) -> Percentiles:
+    return summarize(
+        sample.latency_s for sample in taken if kinds[sample.kind].request_class is request_class
+    )
+
+
+def _measure_imbalance(
+    answered: tuple[samples.Sample, ...],
+    kinds: tuple[workload.RequestKind, ...],
+    policy: preset.ServicePolicy,
+) -> ServiceImbalance:
+    counts = collections.Counter(
+        sample.server for sample in answered if kinds[sample.kind].service == policy.name
+    )
+    mean = sum(counts.values()) / len(policy.servers)
+    ratio = round(max(counts.values()) / mean, 3) if counts else 0.0
+    return ServiceImbalance(policy.name, ratio)
+
+
+def _share(part: int, whole: int) -> float:
+    return round(part / whole, 4) if whole else 0.0
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,39 @@
+"""What a process has used, as the operating system says."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+
+KIB_PER_MIB = 1_024
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+USER_TICKS_FIELD = 11
+SYSTEM_TICKS_FIELD = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Processor seconds since its start and resident memory now; zeros if it is gone."""
+
+    processor_s: float
+    resident_mib: float
+    threads: int
+
+
+def read_usage(process_id: int) -> Usage:
+    """Return what a process has used so far."""
+    folder = pathlib.Path("/proc") / str(process_id)
+    try:
+        after_name = (folder / "stat").read_text().rpartition(")")[2].split()
+        status = (folder / "status").read_text().splitlines()
+    except OSError:
+        return Usage(0.0, 0.0, 0)
+    ticks = int(after_name[USER_TICKS_FIELD]) + int(after_name[SYSTEM_TICKS_FIELD])
+    fields = dict(line.split(":", 1) for line in status if ":" in line)
+    resident_kib = int(fields["VmRSS"].split()[0]) if "VmRSS" in fields else 0
+    return Usage(
+        round(ticks / CLOCK_TICKS_PER_S, 3),
+        round(resident_kib / KIB_PER_MIB, 1),
+        int(fields["Threads"]),
+    )
--- /dev/null
+++ b/bench/users.py
@@ -0,0 +1,142 @@
+"""The shapes of both users, read from the example presets and scaled to this machine."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+from goldcresthall_stand_ins import backend
+from goldcresthall_stand_ins import fleet as fleets
+
+from bench import workload
+from goldcresthall.core import identity
+from goldcresthall.core import preset
+from goldcresthall.encoding import documents
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
+SHORT = preset.RequestClass.SHORT
+LONG = preset.RequestClass.LONG
+SHORT_WORK_MS = 120.0
+LONG_WORK_MS = 2_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class User:
+    """One user's shape.
+
+    Attributes
+    ----------
+    ordinary_rate_per_s
+        Arrivals of an ordinary day at the size the bench runs, per second.
+    """
+
+    name: str
+    ordinary_rate_per_s: float
+    kinds: tuple[workload.RequestKind, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scaled:
+    """A user's preset with stand-ins in place of its backend servers."""
+
+    preset: preset.Preset
+    backends: tuple[backend.BackendConfig, ...]
+
+    def list_domains(self) -> tuple[str, ...]:
+        """Return the failure domains of all servers, each once."""
+        domains = (
+            server.failure_domain for policy in self.preset.services for server in policy.servers
+        )
+        return tuple(dict.fromkeys(domains))
+
+    def list_in_domain(self, domain: str) -> tuple[backend.BackendConfig, ...]:
+        """Return the backend servers of one failure domain."""
+        named = {
+            server.name
+            for policy in self.preset.services
+            for server in policy.servers
+            if server.failure_domain == domain
+        }
+        return tuple(config for config in self.backends if config.name in named)
+
+    def find_backend(self, name: str) -> backend.BackendConfig:
+        """Return one backend server by its name."""
+        return next(config for config in self.backends if config.name == name)
+
+
+def _get(service: str, path: str, weight: float, deadline_ms: int = 1_500) -> workload.RequestKind:
+    return workload.RequestKind(service, "GET", path, weight, SHORT_WORK_MS, SHORT, deadline_ms)
+
+
+def _post(service: str, path: str, weight: float) -> workload.RequestKind:
+    return workload.RequestKind(service, "POST", path, weight, SHORT_WORK_MS, SHORT, 4_000)
+
+
+def _get_long(service: str, path: str, deadline_ms: int) -> workload.RequestKind:
+    return workload.RequestKind(service, "GET", path, 1.0, LONG_WORK_MS, LONG, deadline_ms)
+
+
+USERS = {
+    "minnelys": User(
+        name="minnelys",
+        ordinary_rate_per_s=40.0,
+        kinds=(
+            _get("archive", "/memorials/{key}/page", 50),
+            _get("condolence", "/books/{key}", 30),
+            _get("program", "/ceremonies/{key}/program", 15, 1_000),
+            _post("ordering", "/orders", 5),
+            _get_long("condolence", "/books/{key}/print", 12_000),
+        ),
+    ),
+    "calorvale": User(
+        name="calorvale",
+        ordinary_rate_per_s=20.0,
+        kinds=(
+            _get("histories", "/units/{key}/history", 35),
+            _get("parts", "/parts/{key}/stock", 30),
+            _get("queue", "/calls", 25, 1_000),
+            _post("scheduling", "/bookings", 10),
+            _get_long("histories", "/units/{key}/export", 15_000),
+        ),
+    ),
+}
+
+
+def scale_preset(user: str, kind: str, divisor: int, *, checks_grants: bool = True) -> Scaled:
+    """Return a user's preset with its server counts divided, rounded up."""
+    text = (EXAMPLES / user / f"{kind}.json").read_bytes()
+    full = documents.decode_document(text, preset.Preset)
+    policies = []
+    configs: list[backend.BackendConfig] = []
+    for policy in full.services:
+        kept = policy.servers[: -(-len(policy.servers) // divisor)]
+        stand_ins = tuple(_create_backend(policy, item, checks_grants) for item in kept)
+        configs.extend(stand_ins)
+        policies.append(_point_at(policy, kept, stand_ins))
+    return Scaled(preset.Preset(name=full.name, services=tuple(policies)), tuple(configs))
+
+
+def _create_backend(
+    policy: preset.ServicePolicy, server: preset.BackendServer, checks_grants: bool
+) -> backend.BackendConfig:
+    return backend.BackendConfig(
+        name=server.name,
+        service=policy.name,
+        host=fleets.HOST,
+        port=fleets.find_free_port(),
+        keyed=policy.keyed,
+        checks_grants=checks_grants,
+        slots=policy.slots_per_server,
+    )
+
+
+def _point_at(
+    policy: preset.ServicePolicy,
+    kept: tuple[preset.BackendServer, ...],
+    stand_ins: tuple[backend.BackendConfig, ...],
+) -> preset.ServicePolicy:
+    servers = tuple(
+        dataclasses.replace(server, address=identity.Address(config.host, config.port))
+        for server, config in zip(kept, stand_ins, strict=True)
+    )
+    return dataclasses.replace(policy, servers=servers)
--- a/stand_ins/src/goldcresthall_stand_ins/backend.py
+++ b/stand_ins/src/goldcresthall_stand_ins/backend.py
@@ -21,6 +21,7 @@
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 CONTROL_PREFIX = "/control/"
+WORK_PARAMETER = "work_ms"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,7 +35,7 @@
     queue
         Requests that may wait for a slot; more are shed.
     work_ms
-        Milliseconds that one request runs.
+        Milliseconds that one request runs unless its query says otherwise.
     effects_file
         File to which each effect is written at once, so that it outlives the
         process; none if empty.
@@ -62,6 +63,8 @@
         It accepts connections and answers nothing until told otherwise.
     extra_work_ms
         Milliseconds added to each request's work.
+    work_factor
+        Factor by which each request's work is longer, as after a cold start.
     truncate
         It declares a longer body than it sends.
     shed
@@ -72,6 +75,7 @@
 
     frozen: bool = False
     extra_work_ms: float = 0.0
+    work_factor: float = 1.0
     truncate: bool = False
     shed: bool = False
     wrong_request_id: bool = False
@@ -157,7 +161,9 @@
             self._admitted.release()
 
     def _run(self, exchange: web.Exchange) -> web.Reply:
-        work_ms = self._config.work_ms + self._misbehavior.extra_work_ms
+        asked_ms = float(exchange.query.get(WORK_PARAMETER, self._config.work_ms))
+        misbehavior = self._misbehavior
+        work_ms = asked_ms * misbehavior.work_factor + misbehavior.extra_work_ms
         time.sleep(work_ms / MS_PER_S)
         partition = int(exchange.headers.get(protocol.PARTITION_HEADER.lower(), -1))
         epoch = int(exchange.headers.get(protocol.EPOCH_HEADER.lower(), -1))
