--- a/src/goldcresthall/encoding/log_entries.py
+++ b/src/goldcresthall/encoding/log_entries.py
@@ -5,6 +5,7 @@
 import json
 from typing import Final
 
+from goldcresthall.core import hot_keys
 from goldcresthall.core import records
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
@@ -16,6 +17,7 @@
     "partitions_moved": records.PartitionsMoved,
     "server_returned": records.ServerReturned,
     "lessors_appointed": records.LessorsAppointed,
+    "hot_key_moved": hot_keys.HotKeyMoved,
 }
 
 _NAMES: Final = {kind: name for name, kind in RECORD_TYPES.items()}
--- /dev/null
+++ b/src/goldcresthall/ownership/heat.py
@@ -0,0 +1,114 @@
+"""The heat service: counts keyed requests by partition, and finds the hottest keys."""
+
+from __future__ import annotations
+
+import heapq
+import threading
+from typing import TYPE_CHECKING
+
+from goldcresthall.core import heat
+from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
+from goldcresthall.ownership import rendezvous
+from goldcresthall.ownership import sketch
+
+if TYPE_CHECKING:
+    from goldcresthall.core import preset
+
+PERIOD_S = 2.0
+DECAY_PER_PERIOD = 0.8
+MONITORED_KEYS = 128
+REPORTED_PARTITIONS = 64
+REPORTED_KEYS = 8
+
+
+class ServiceCounter:
+    """Decayed counts of one service, in memory that does not grow with its keys."""
+
+    def __init__(self, name: str, partition_count: int) -> None:
+        self._name = name
+        self._partitions = [0.0] * partition_count
+        self._keys = sketch.SpaceSaving(MONITORED_KEYS)
+
+    @property
+    def partition_count(self) -> int:
+        """Number of partitions that are counted."""
+        return len(self._partitions)
+
+    def count(self, partition: int, key: str) -> None:
+        """Count one request."""
+        self._partitions[partition] += 1.0
+        self._keys.count(key)
+
+    def close_period(self) -> heat.ServiceHeat:
+        """Return the rates as of now and let all counts decay."""
+        # A steady rate r adds up to r * PERIOD_S / (1 - DECAY_PER_PERIOD).
+        per_count = (1.0 - DECAY_PER_PERIOD) / PERIOD_S
+        hottest = heapq.nlargest(REPORTED_PARTITIONS, enumerate(self._partitions), _get_count)
+        closed = heat.ServiceHeat(
+            service=self._name,
+            rate_per_s=sum(self._partitions) * per_count,
+            partitions=tuple(
+                heat.PartitionHeat(number, count * per_count)
+                for number, count in hottest
+                if count > sketch.NEGLIGIBLE_COUNT
+            ),
+            keys=tuple(
+                heat.KeyHeat(
+                    key=found.key,
+                    partition=rendezvous.find_partition(found.key, self.partition_count),
+                    rate_per_s=found.count * per_count,
+                    error_per_s=found.error * per_count,
+                )
+                for found in self._keys.list_top(REPORTED_KEYS)
+            ),
+        )
+        self._partitions = [count * DECAY_PER_PERIOD for count in self._partitions]
+        self._keys.decay(DECAY_PER_PERIOD)
+        return closed
+
+
+class HeatCounter(service.Service):
+    """Counts what this instance routes; its report is what peers may ask for."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counters: dict[str, ServiceCounter] = {}
+        self._report = heat.HeatReport()
+        self._task = tasks.Task("heat", self._run)
+
+    @property
+    def report(self) -> heat.HeatReport:
+        """Rates as of the end of the last period."""
+        return self._report
+
+    def start(self) -> None:
+        """Begin to close periods."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop."""
+        self._task.stop()
+
+    def count(self, policy: preset.ServicePolicy, partition: int, key: str) -> None:
+        """Count one request for a key."""
+        with self._lock:
+            counter = self._counters.get(policy.name)
+            if counter is None or counter.partition_count != policy.partitions:
+                counter = ServiceCounter(policy.name, policy.partitions)
+                self._counters[policy.name] = counter
+            counter.count(partition, key)
+
+    def close_period(self) -> None:
+        """Take the report of the period that ends and let all counts decay."""
+        with self._lock:
+            services = tuple(counter.close_period() for counter in self._counters.values())
+        self._report = heat.HeatReport(services)
+
+    def _run(self, stop_signal: tasks.StopSignal) -> None:
+        while not stop_signal.wait(PERIOD_S):
+            self.close_period()
+
+
+def _get_count(item: tuple[int, float]) -> float:
+    return item[1]
--- a/src/goldcresthall/ownership/lookup.py
+++ b/src/goldcresthall/ownership/lookup.py
@@ -30,8 +30,11 @@
 
 
 def find_key_owner(policy: preset.ServicePolicy, key: str, state: replicated.State) -> KeyOwner:
-    """Return the owner of a key of a keyed service."""
+    """Return the owner of a key of a keyed service; a hot key's own entry goes first."""
     number = rendezvous.find_partition(key, policy.partitions)
+    alone = state.hot_keys.get(replicated.HotKeyId(policy.name, key))
+    if alone is not None:
+        return KeyOwner(number, alone)
     partition = replicated.PartitionId(policy.name, number)
     return KeyOwner(number, state.partitions.get(partition))
 
--- a/src/goldcresthall/replication/__init__.py
+++ b/src/goldcresthall/replication/__init__.py
@@ -1,1 +1,5 @@
 """Replay of the platform's log to one state, the same in every instance."""
+
+from __future__ import annotations
+
+from goldcresthall.replication import hot_keys as hot_keys  # registers its `apply`
--- a/src/goldcresthall/replication/state.py
+++ b/src/goldcresthall/replication/state.py
@@ -19,6 +19,14 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HotKeyId:
+    """One key of a keyed service that has an entry of its own."""
+
+    service: str
+    key: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ownership:
     """Who owns a partition, and by which decision.
@@ -35,6 +43,9 @@
     reason: str
 
 
+NO_HOT_KEYS: pyrsistent_typing.PMap[HotKeyId, Ownership] = pyrsistent.pmap()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerState:
     """Which instance may renew a server's lease, and whether the server is lost.
@@ -75,6 +86,8 @@
         Offset of the first entry that is not yet replayed.
     halted
         Why this instance can decide nothing more; empty if it can.
+    hot_keys
+        Owners of keys that are not with their partition's owner.
     """
 
     next_offset: int
@@ -82,6 +95,7 @@
     partitions: pyrsistent_typing.PMap[PartitionId, Ownership]
     servers: pyrsistent_typing.PMap[str, ServerState]
     halted: str = ""
+    hot_keys: pyrsistent_typing.PMap[HotKeyId, Ownership] = NO_HOT_KEYS
 
     @classmethod
     def create_empty(cls) -> State:
--- /dev/null
+++ b/tests/ownership/test_heat.py
@@ -0,0 +1,39 @@
+"""Rates are counted by partition and by key, and forgotten in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.ownership import heat
+from goldcresthall.ownership import rendezvous
+
+if TYPE_CHECKING:
+    from goldcresthall.core import preset
+
+
+def test_a_steady_rate_is_reported_as_it_is(archive_policy: preset.ServicePolicy) -> None:
+    counter = heat.HeatCounter()
+    for _ in range(40):
+        for number in range(20):
+            key = "hot" if number < 15 else f"key-{number}"
+            partition = rendezvous.find_partition(key, archive_policy.partitions)
+            counter.count(archive_policy, partition, key)
+        counter.close_period()
+    found = counter.report.find_service("archive")
+    assert found is not None
+    assert found.rate_per_s == pytest.approx(20 / heat.PERIOD_S, rel=0.01)
+    assert found.keys[0].key == "hot"
+    assert found.keys[0].rate_per_s == pytest.approx(15 / heat.PERIOD_S, rel=0.01)
+    assert sum(part.rate_per_s for part in found.partitions) == pytest.approx(found.rate_per_s)
+
+
+def test_what_draws_nothing_any_more_is_forgotten(archive_policy: preset.ServicePolicy) -> None:
+    counter = heat.HeatCounter()
+    counter.count(archive_policy, 0, "old")
+    for _ in range(40):
+        counter.close_period()
+    found = counter.report.find_service("archive")
+    assert found is not None
+    assert (found.partitions, found.keys) == ((), ())
