Let peers tell each other what keys and partitions draw

One instance sees a fraction of all callers; behind the platform's balancer its own counts and those of its few neighbors are a fair sample. The hottest 32 partitions and 8 keys of each service are asked of each neighbor every 20 s; a test holds four full services within a fifth of a node's 4 KB/s, both ways.

--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -13,6 +13,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import heat
 from goldcresthall.ownership import lessors
 from goldcresthall.ownership import proposer
 from goldcresthall.peers import follower
@@ -55,6 +56,7 @@
     built.register(names.LOG_WRITER, writer.LogWriter.from_config(built, platform))
     built.register(names.INSTANCE_LIST, instance_list.HttpInstanceList.from_config(platform))
     built.register(names.BACKENDS, http_client.HttpBackendClient())
+    built.register(names.HEAT, heat.HeatCounter())
 
 
 def _register_replication(
--- a/src/goldcresthall/ownership/heat.py
+++ b/src/goldcresthall/ownership/heat.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 import threading
 from typing import TYPE_CHECKING
@@ -13,12 +14,14 @@
 from goldcresthall.ownership import sketch
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from goldcresthall.core import preset
 
 PERIOD_S = 2.0
 DECAY_PER_PERIOD = 0.8
 MONITORED_KEYS = 128
-REPORTED_PARTITIONS = 64
+REPORTED_PARTITIONS = 32
 REPORTED_KEYS = 8
 
 
@@ -75,6 +78,7 @@
         self._lock = threading.Lock()
         self._counters: dict[str, ServiceCounter] = {}
         self._report = heat.HeatReport()
+        self._peers: dict[str, heat.HeatReport] = {}
         self._task = tasks.Task("heat", self._run)
 
     @property
@@ -82,6 +86,26 @@
         """Rates as of the end of the last period."""
         return self._report
 
+    def combine_reports(self) -> heat.HeatReport:
+        """Return the sum of the own report and the peers': a sample of all callers.
+
+        The platform's balancer deals callers out evenly, so that a few instances
+        see what all of them see.
+        """
+        with self._lock:
+            reports = (self._report, *self._peers.values())
+        return combine(reports)
+
+    def note_peer(self, name: str, report: heat.HeatReport) -> None:
+        """Keep what a peer counted."""
+        with self._lock:
+            self._peers[name] = report
+
+    def forget_peer(self, name: str) -> None:
+        """Drop what a peer counted."""
+        with self._lock:
+            self._peers.pop(name, None)
+
     def start(self) -> None:
         """Begin to close periods."""
         self._task.start()
@@ -110,5 +134,37 @@
             self.close_period()
 
 
+def combine(reports: Iterable[heat.HeatReport]) -> heat.HeatReport:
+    """Return the sum of several instances' reports."""
+    by_service: dict[str, list[heat.ServiceHeat]] = collections.defaultdict(list)
+    for report in reports:
+        for found in report.services:
+            by_service[found.service].append(found)
+    return heat.HeatReport(
+        tuple(_combine_service(name, found) for name, found in by_service.items())
+    )
+
+
+def _combine_service(name: str, found: list[heat.ServiceHeat]) -> heat.ServiceHeat:
+    partitions: dict[int, float] = collections.defaultdict(float)
+    keys: dict[str, heat.KeyHeat] = {}
+    for part in (part for item in found for part in item.partitions):
+        partitions[part.number] += part.rate_per_s
+    for key in (key for item in found for key in item.keys):
+        known = keys.get(key.key, heat.KeyHeat(key.key, key.partition, 0.0))
+        keys[key.key] = heat.KeyHeat(
+            key.key,
+            key.partition,
+            known.rate_per_s + key.rate_per_s,
+            known.error_per_s + key.error_per_s,
+        )
+    return heat.ServiceHeat(
+        service=name,
+        rate_per_s=sum(item.rate_per_s for item in found),
+        partitions=tuple(heat.PartitionHeat(*item) for item in partitions.items()),
+        keys=tuple(keys.values()),
+    )
+
+
 def _get_count(item: tuple[int, float]) -> float:
     return item[1]
--- a/src/goldcresthall/peers/client.py
+++ b/src/goldcresthall/peers/client.py
@@ -12,6 +12,7 @@
 from goldcresthall.generated.peer import constants
 from goldcresthall.generated.peer import ttypes
 from goldcresthall.peers import exceptions
+from goldcresthall.peers import heat_encoding
 from goldcresthall.peers import messages
 from goldcresthall.peers import transport
 from thrift import Thrift
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from goldcresthall.core import heat
     from goldcresthall.core import identity
 
 MS_PER_S = 1_000
@@ -74,6 +76,16 @@
             digest_offset=report.digest_offset,
         )
 
+    def report_heat(self) -> heat.HeatReport:
+        """Return what the peer's keyed services draw, as it counts.
+
+        Raises
+        ------
+        PeerUnreachableError
+            If the peer does not answer.
+        """
+        return heat_encoding.decode_report(self._call("report_heat", self._client.report_heat))
+
     def relay_records(self, from_offset: int, limit: int, wait_ms: int) -> messages.RelayedRecords:
         """Ask the peer for committed entries from an offset on.
 
--- a/src/goldcresthall/peers/follower.py
+++ b/src/goldcresthall/peers/follower.py
@@ -11,6 +11,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.ownership import heat
 from goldcresthall.peers import client
 from goldcresthall.peers import exceptions
 from goldcresthall.peers import neighbors
@@ -26,6 +27,7 @@
 MS_PER_S = 1_000
 LIST_CHECK_S = 1.0
 RELAY_LIMIT = 500
+HEAT_INTERVAL_S = 20.0
 
 
 class PeerFollower(service.Service):
@@ -72,6 +74,7 @@
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._replica = self._kernel.find(names.REPLICA, replica.LogReplica)
         self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
+        self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
         self._task.start()
 
     def stop(self) -> None:
@@ -124,10 +127,14 @@
         entry: identity.InstanceEntry,
         stop_signal: tasks.StopSignal,
     ) -> None:
+        heat_due_s = self._clock.read_s()
         while not stop_signal.is_set:
             status = connection.report_status()
             with self._lock:
                 self._statuses[entry.name] = status
+            if self._clock.read_s() >= heat_due_s:
+                self._heat.note_peer(entry.name, connection.report_heat())
+                heat_due_s = self._clock.read_s() + HEAT_INTERVAL_S
             if self._is_stale():
                 self._follow_through(connection)
             else:
@@ -149,3 +156,4 @@
     def _forget(self, entry: identity.InstanceEntry) -> None:
         with self._lock:
             self._statuses.pop(entry.name, None)
+        self._heat.forget_peer(entry.name)
--- /dev/null
+++ b/src/goldcresthall/peers/heat_encoding.py
@@ -0,0 +1,62 @@
+"""Heat reports as peers send them: rates as whole numbers, which are short on the wire."""
+
+from __future__ import annotations
+
+from goldcresthall.core import heat
+from goldcresthall.generated.peer import ttypes
+
+SENT_PER_UNIT = 1_000
+
+
+def encode_report(report: heat.HeatReport) -> ttypes.HeatReport:
+    """Return a report in its form on the wire."""
+    return ttypes.HeatReport(services=[_encode_service(item) for item in report.services])
+
+
+def decode_report(received: ttypes.HeatReport) -> heat.HeatReport:
+    """Return a report that a peer sent."""
+    return heat.HeatReport(tuple(_decode_service(item) for item in received.services))
+
+
+def _encode_service(service: heat.ServiceHeat) -> ttypes.ServiceHeat:
+    return ttypes.ServiceHeat(
+        name=service.service,
+        requests_per_1000_s=_to_wire(service.rate_per_s),
+        partitions=[
+            ttypes.PartitionHeat(number=item.number, requests_per_1000_s=_to_wire(item.rate_per_s))
+            for item in service.partitions
+        ],
+        keys=[
+            ttypes.KeyHeat(
+                key=item.key,
+                partition=item.partition,
+                requests_per_1000_s=_to_wire(item.rate_per_s),
+                error_per_1000_s=_to_wire(item.error_per_s),
+            )
+            for item in service.keys
+        ],
+    )
+
+
+def _decode_service(received: ttypes.ServiceHeat) -> heat.ServiceHeat:
+    return heat.ServiceHeat(
+        service=received.name,
+        rate_per_s=received.requests_per_1000_s / SENT_PER_UNIT,
+        partitions=tuple(
+            heat.PartitionHeat(item.number, item.requests_per_1000_s / SENT_PER_UNIT)
+            for item in received.partitions
+        ),
+        keys=tuple(
+            heat.KeyHeat(
+                item.key,
+                item.partition,
+                item.requests_per_1000_s / SENT_PER_UNIT,
+                item.error_per_1000_s / SENT_PER_UNIT,
+            )
+            for item in received.keys
+        ),
+    )
+
+
+def _to_wire(rate_per_s: float) -> int:
+    return round(rate_per_s * SENT_PER_UNIT)
--- a/src/goldcresthall/peers/server.py
+++ b/src/goldcresthall/peers/server.py
@@ -18,6 +18,8 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.ownership import heat
+from goldcresthall.peers import heat_encoding
 from goldcresthall.peers import transport
 from goldcresthall.replication import replica
 
@@ -39,11 +41,13 @@
         failure_domain: str,
         log_replica: replica.LogReplica,
         monotonic_clock: clock.Clock,
+        heat_counter: heat.HeatCounter,
     ) -> None:
         self._incarnation = incarnation
         self._failure_domain = failure_domain
         self._replica = log_replica
         self._clock = monotonic_clock
+        self._heat = heat_counter
 
     def greet(self, caller: ttypes.Greeting) -> ttypes.Greeting:
         """Check the caller's version and return this instance's greeting."""
@@ -71,6 +75,10 @@
             digest_offset=state.next_offset,
         )
 
+    def report_heat(self) -> ttypes.HeatReport:
+        """Return what this instance's keyed services draw."""
+        return heat_encoding.encode_report(self._heat.report)
+
     def relay_records(self, from_offset: int, limit: int, wait_ms: int) -> ttypes.RecordPage:
         """Return committed entries, fresh if a read begun after the question said so."""
         asked_at_s = self._clock.read_s()
@@ -119,6 +127,7 @@
             self._failure_domain,
             self._kernel.find(names.REPLICA, replica.LogReplica),
             self._kernel.find(names.CLOCK, clock.Clock),
+            self._kernel.find(names.HEAT, heat.HeatCounter),
         )
         self._processor = Peer.Processor(handler)
         self._listener.listen()
--- a/tests/ownership/test_heat.py
+++ b/tests/ownership/test_heat.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from goldcresthall.core import heat as core_heat
 from goldcresthall.ownership import heat
 from goldcresthall.ownership import rendezvous
 
@@ -29,6 +30,25 @@
     assert sum(part.rate_per_s for part in found.partitions) == pytest.approx(found.rate_per_s)
 
 
+def test_reports_of_instances_add_up() -> None:
+    one = core_heat.ServiceHeat(
+        "archive",
+        10.0,
+        (core_heat.PartitionHeat(0, 6.0), core_heat.PartitionHeat(1, 4.0)),
+        (core_heat.KeyHeat("molde", 0, 5.0, 1.0),),
+    )
+    other = core_heat.ServiceHeat("archive", 2.0, (core_heat.PartitionHeat(0, 2.0),))
+    counter = heat.HeatCounter()
+    counter.note_peer("entry-2", core_heat.HeatReport((one,)))
+    counter.note_peer("entry-3", core_heat.HeatReport((other,)))
+    found = counter.combine_reports().find_service("archive")
+    assert found is not None
+    assert (found.rate_per_s, found.keys) == (12.0, one.keys)
+    assert {part.number: part.rate_per_s for part in found.partitions} == {0: 8.0, 1: 4.0}
+    counter.forget_peer("entry-2")
+    assert counter.combine_reports().find_service("archive") == other
+
+
 def test_what_draws_nothing_any_more_is_forgotten(archive_policy: preset.ServicePolicy) -> None:
     counter = heat.HeatCounter()
     counter.count(archive_policy, 0, "old")
--- a/tests/peers/test_greeting.py
+++ b/tests/peers/test_greeting.py
@@ -13,6 +13,7 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.ownership import heat
 from goldcresthall.peers import client
 from goldcresthall.peers import exceptions
 from goldcresthall.peers import server
@@ -39,6 +40,7 @@
     silent.start = lambda: None  # type: ignore[method-assign]
     silent.stop = lambda: None  # type: ignore[method-assign]
     built.register(names.REPLICA, silent)
+    built.register(names.HEAT, heat.HeatCounter())
     incarnation = identity.Incarnation("router-1", "one")
     built.register(
         names.PEER_SERVER, server.PeerServer.from_config(built, incarnation, instance_settings)
--- /dev/null
+++ b/tests/peers/test_heat_encoding.py
@@ -0,0 +1,48 @@
+"""Heat reports survive the wire and stay within their share of 4 KB/s."""
+
+from __future__ import annotations
+
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from goldcresthall.core import heat
+from goldcresthall.ownership import heat as heat_counter
+from goldcresthall.peers import follower
+from goldcresthall.peers import heat_encoding
+
+NEIGHBORS = 3
+CONTROL_BYTES_PER_S = 4_000
+SHARE_OF_CONTROL = 0.2
+
+
+def create_full_report() -> heat.HeatReport:
+    services = tuple(
+        heat.ServiceHeat(
+            service=f"service-{number}",
+            rate_per_s=6_200.0,
+            partitions=tuple(
+                heat.PartitionHeat(partition, 90.0 + partition)
+                for partition in range(heat_counter.REPORTED_PARTITIONS)
+            ),
+            keys=tuple(
+                heat.KeyHeat(f"memorial-of-a-long-name-{rank}", rank, 500.0 - rank, 1.5)
+                for rank in range(heat_counter.REPORTED_KEYS)
+            ),
+        )
+        for number in range(4)
+    )
+    return heat.HeatReport(services)
+
+
+def test_a_report_is_received_as_it_was_sent() -> None:
+    report = create_full_report()
+    assert heat_encoding.decode_report(heat_encoding.encode_report(report)) == report
+
+
+def test_full_reports_take_a_small_share_of_a_nodes_control_bytes() -> None:
+    buffer = TTransport.TMemoryBuffer()
+    protocol = TCompactProtocol.TCompactProtocol(buffer)
+    heat_encoding.encode_report(create_full_report()).write(protocol)
+    sent_bytes = len(buffer.getvalue())
+    both_ways = 2 * NEIGHBORS * sent_bytes / follower.HEAT_INTERVAL_S
+    assert both_ways < SHARE_OF_CONTROL * CONTROL_BYTES_PER_S
