--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -14,6 +14,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
 from goldcresthall.ownership import counters
+from goldcresthall.ownership import heat
 from goldcresthall.ownership import lessor_probe
 from goldcresthall.ownership import lessors
 from goldcresthall.ownership import planned_moves
@@ -60,6 +61,7 @@
         names.INSTANCE_LIST, instance_list.HttpInstanceList.from_config(instance_settings)
     )
     built.register(names.BACKENDS, http_client.HttpBackendClient())
+    built.register(names.HEAT, heat.HeatCounter())
 
 
 def _register_replication(
--- a/src/goldcresthall/encoding/log_entries.py
+++ b/src/goldcresthall/encoding/log_entries.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from goldcresthall.core import cancellations
+from goldcresthall.core import hot_keys
 from goldcresthall.core import records
 from goldcresthall.core import snapshots
 from goldcresthall.encoding import documents
@@ -22,6 +23,7 @@
     "lessors_appointed": records.LessorsAppointed,
     "move_cancelled": cancellations.MoveCancelled,
     "snapshot_chunk": snapshots.SnapshotChunk,
+    "hot_key_moved": hot_keys.HotKeyMoved,
 }
 
 _NAMES: Final = {kind: name for name, kind in RECORD_TYPES.items()}
