Prove leases by scenarios in process and over real processes

Keepers run unchanged as actors under one true time, with drifting clocks, the stand-in's lease holder, and a log and network that the test moves.

--- /dev/null
+++ b/tests/fakes/lease_world.py
@@ -0,0 +1,524 @@
+"""Keepers of several instances, real lease holders and a log, under one true time."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+from goldcresthall_stand_ins import lease_holder
+
+from goldcresthall.backend import client
+from goldcresthall.core import attempts
+from goldcresthall.core import identity
+from goldcresthall.core import leases
+from goldcresthall.core import preset
+from goldcresthall.core import records
+from goldcresthall.core import settings
+from goldcresthall.encoding import log_entries
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import kernel
+from goldcresthall.kernel import names
+from goldcresthall.kernel import tasks
+from goldcresthall.observability import metrics
+from goldcresthall.ownership import counters
+from goldcresthall.ownership import keeper
+from goldcresthall.ownership import lease_view
+from goldcresthall.ownership import lessor_probe
+from goldcresthall.ownership import placement
+from goldcresthall.ownership import planned_moves
+from goldcresthall.ownership import surroundings
+from goldcresthall.ownership import wakeup
+from goldcresthall.peers import messages
+from goldcresthall.platform import instance_list
+from goldcresthall.replication import replay
+from goldcresthall.replication import replica
+from goldcresthall.replication import state as replicated
+from tests.fakes import actors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+STEP_S = 0.02
+NOWHERE = identity.Address("127.0.0.1", 1)
+LEASES = settings.LeaseSettings(authority_s=2)
+SERVICE = "archive"
+
+
+class DriftingClock(clock.Clock):
+    """Runs at a rate of its own against the world's true time."""
+
+    def __init__(self, world: World, rate: float, offset_s: float) -> None:
+        self._world = world
+        self._rate = rate
+        self._offset_s = offset_s
+
+    def read_s(self) -> float:
+        """Return the reading in seconds."""
+        return self._offset_s + self._world.now_s * self._rate
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A lease message on its way, and its answer once the server gave one."""
+
+    instance: str
+    server: str
+    renewal: leases.Renewal | None
+    report: leases.LeaseReport | None = None
+    is_answered: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenRead:
+    """A read of the log that began and whose answer is not yet taken up."""
+
+    began_at_s: float
+    end_offset: int
+
+
+class Instance:
+    """One router instance: its fakes, and a keeper for each server."""
+
+    def __init__(self, world: World, name: str, domain: str, rate: float, offset_s: float) -> None:
+        self.world = world
+        self.incarnation = identity.Incarnation(name, f"token-of-{name}")
+        self.clock = DriftingClock(world, rate, offset_s)
+        self.replica = WorldReplica(self)
+        self.planned = planned_moves.PlannedMoves(self.kernel_without_moves(), self.incarnation)
+        self.wakeups: list[WorldWakeup] = []
+        self.actors: dict[str, actors.Actor] = {}
+        self.stop_signals: dict[str, tasks.StopSignal] = {}
+        self.settings = settings.Settings(
+            name=name,
+            failure_domain=domain,
+            listen=settings.ListenSettings(callers=NOWHERE, peers=NOWHERE, admin=NOWHERE),
+            platform=settings.PlatformSettings(log=NOWHERE, instance_list=NOWHERE),
+            leases=LEASES,
+        )
+
+    @property
+    def name(self) -> str:
+        """Name of the instance."""
+        return self.incarnation.name
+
+    def kernel_without_moves(self) -> kernel.Kernel:
+        """Return a kernel that holds the instance's services."""
+        built = kernel.Kernel()
+        built.register(names.CLOCK, self.clock)
+        built.register(names.METRICS, metrics.Metrics())
+        built.register(names.REPLICA, self.replica)
+        built.register(names.BACKENDS, WorldClient(self))
+        built.register(names.INSTANCE_LIST, WorldList(self.world))
+        built.register(names.LESSOR_PROBE, WorldProbe(self))
+        built.register(names.LEASE_COUNTERS, counters.LeaseCounters.from_config(built))
+        self.kernel = built
+        return built
+
+    def start(self, server_names: tuple[str, ...]) -> None:
+        """Start a keeper for each server."""
+        self.kernel.register(names.PLANNED_MOVES, self.planned)
+        self.planned.start()
+        for server in server_names:
+            woken = WorldWakeup(self.world)
+            self.wakeups.append(woken)
+            shared = surroundings.Surroundings.from_config(
+                self.kernel, self.incarnation, self.settings, server, woken
+            )
+            self.stop_signals[server] = tasks.StopSignal()
+            self._start_keeper(server, keeper.ServerKeeper(self.kernel, shared))
+
+    def _start_keeper(self, server: str, started: keeper.ServerKeeper) -> None:
+        actor = actors.Actor(f"{self.name}/{server}", self.clock.read_s)
+        self.actors[server] = actor
+        self.world.running = actor
+        actor.start(lambda: started.run(self.stop_signals[server]))
+
+
+class WorldWakeup(wakeup.Wakeup):
+    """Waits as an actor."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__()
+        self._world = world
+        self._is_woken = False
+
+    def wake(self) -> None:
+        """End the present wait, or the next."""
+        self._is_woken = True
+
+    def wait(self, timeout_s: float) -> None:
+        """Wait until woken, or for `timeout_s` seconds."""
+        self._world.pause(timeout_s, lambda: self._is_woken)
+        self._is_woken = False
+
+
+class WorldClient(client.BackendClient):
+    """Sends lease messages into the world's network."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def send(self, dispatch: attempts.Dispatch) -> attempts.Attempt:
+        """Send no work; only leases are simulated."""
+        raise NotImplementedError
+
+    def renew_lease(
+        self, server: preset.BackendServer, renewal: leases.Renewal, timeout_s: float
+    ) -> leases.LeaseOutcome:
+        """Send a renewal and wait for its answer."""
+        return self._exchange(server.name, renewal, timeout_s)
+
+    def report_lease(self, server: preset.BackendServer, timeout_s: float) -> leases.LeaseOutcome:
+        """Ask for the lease and wait for the answer."""
+        return self._exchange(server.name, None, timeout_s)
+
+    def _exchange(
+        self, server: str, renewal: leases.Renewal | None, timeout_s: float
+    ) -> leases.LeaseOutcome:
+        call = Call(self._instance.name, server, renewal)
+        world = self._instance.world
+        world.calls.append(call)
+        world.pause(timeout_s, lambda: call.is_answered)
+        if call.is_answered and call.report is not None:
+            return call.report
+        return leases.LeaseUnanswered(server, "no answer in time")
+
+
+class WorldReplica(replica.Replica):
+    """Replays the world's log as far as the test let it read."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+        self._state = replicated.State.create_empty()
+        self._freshness = replica.Freshness(float("-inf"))
+        self._outcomes: dict[str, replica.CommitOutcome] = {}
+        self._open: OpenRead | None = None
+
+    @property
+    def state(self) -> replicated.State:
+        """The state replayed so far."""
+        return self._state
+
+    @property
+    def freshness(self) -> replica.Freshness:
+        """How recent the state is."""
+        return self._freshness
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def wait_beyond(self, offset: int, timeout_s: float) -> replicated.State:
+        """Wait for a record."""
+        self._instance.world.pause(timeout_s, lambda: self._state.next_offset > offset)
+        return self._state
+
+    def wait_fresh(self, began_after_s: float, timeout_s: float) -> bool:
+        """Wait for a read."""
+        self._instance.world.pause(
+            timeout_s, lambda: self._freshness.read_began_at_s > began_after_s
+        )
+        return self._freshness.read_began_at_s > began_after_s
+
+    def commit(self, record: records.Record, timeout_s: float) -> replica.CommitOutcome:
+        """Hand a record to the world's log and wait until it is read back."""
+        self._instance.world.outbox.append((self._instance.name, record))
+        self._instance.world.pause(timeout_s, lambda: record.record_id in self._outcomes)
+        unknown = replica.CommitUnknown("not read back in time")
+        return self._outcomes.get(record.record_id, unknown)
+
+    def find_outcome(self, record_id: str) -> replica.CommitOutcome | None:
+        """Return what replay decided on a record."""
+        return self._outcomes.get(record_id)
+
+    def begin_read(self) -> None:
+        """Ask the log; the answer holds what it has now."""
+        self._open = OpenRead(self._instance.clock.read_s(), len(self._instance.world.log))
+
+    def finish_read(self) -> None:
+        """Take up the answer of the read that began last."""
+        if self._open is None:
+            return
+        before = self._state
+        for entry in self._instance.world.log[self._state.next_offset : self._open.end_offset]:
+            self._replay(entry)
+        self._freshness = replica.Freshness(self._open.began_at_s)
+        self._open = None
+        if self._state.servers is not before.servers:
+            for woken in self._instance.wakeups:
+                woken.wake()
+
+    def _replay(self, entry: bytes) -> None:
+        offset = self._state.next_offset
+        replayed = replay.replay_entry(entry, self._state)
+        self._state = replayed.state
+        if replayed.record is None:
+            return
+        outcome: replica.CommitOutcome = replica.CommitAccepted(offset)
+        if isinstance(replayed.decision, replay.Rejected):
+            outcome = replica.CommitRejected(replayed.decision.reason, replayed.decision.detail)
+        self._outcomes.setdefault(replayed.record.record_id, outcome)
+
+
+class WorldList(instance_list.InstanceList):
+    """Lists all instances as live, for ever."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    @property
+    def listing(self) -> instance_list.InstanceListing:
+        """The list."""
+        entries = tuple(
+            identity.InstanceEntry(
+                instance.name,
+                instance.settings.failure_domain,
+                NOWHERE,
+                identity.InstanceStatus.LIVE,
+            )
+            for instance in self._world.instances.values()
+        )
+        return instance_list.InstanceListing(1, entries)
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+
+class WorldProbe(lessor_probe.LessorProbe):
+    """Hears every instance that is not frozen."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def ask(self, name: str) -> messages.PeerStatus | None:
+        """Return what an instance has taken up."""
+        asked = self._instance.world.instances.get(name)
+        if asked is None or name in self._instance.world.frozen:
+            return None
+        offset = asked.replica.state.next_offset
+        return messages.PeerStatus(name, asked.incarnation.token, offset, -1, "", offset)
+
+
+class World:
+    """All processes of a run; a test decides what goes on and when.
+
+    Attributes
+    ----------
+    now_s
+        True time in seconds.
+    state
+        What the whole log gives.
+    frozen
+        Instances and servers that stand still.
+    cut
+        Pairs of instance and server, or instance and ``log``, that do not hear each
+        other.
+    """
+
+    def __init__(self, instance_rates: tuple[float, ...], server_rates: tuple[float, ...]) -> None:
+        self.now_s = 1_000.0
+        self.log: list[bytes] = []
+        self.state = replicated.State.create_empty()
+        self.landed_at_s: list[float] = []
+        self.calls: list[Call] = []
+        self.outbox: list[tuple[str, records.Record]] = []
+        self.frozen: set[str] = set()
+        self.cut: set[tuple[str, str]] = set()
+        self.running: actors.Actor | None = None
+        self.holders: dict[str, lease_holder.LeaseHolder] = {}
+        self.server_clocks: dict[str, DriftingClock] = {}
+        self.late_renewals: list[str] = []
+        self.instances = {
+            f"router-{number}": Instance(
+                self, f"router-{number}", f"domain-r{number}", rate, 50.0 * number
+            )
+            for number, rate in enumerate(instance_rates, start=1)
+        }
+        for number, rate in enumerate(server_rates, start=1):
+            self.server_clocks[f"{SERVICE}-{number}"] = DriftingClock(self, rate, -7.0 * number)
+            self.restart_server(f"{SERVICE}-{number}")
+        self._prepare_log()
+        for instance in self.instances.values():
+            instance.replica.begin_read()
+            instance.replica.finish_read()
+            instance.start(tuple(self.holders))
+
+    def pause(self, timeout_s: float, is_over: Callable[[], bool]) -> None:
+        """Wait as the actor that runs now."""
+        assert self.running is not None
+        self.running.pause(timeout_s, is_over)
+
+    def end(self) -> None:
+        """End all actors."""
+        for instance in self.instances.values():
+            for actor in instance.actors.values():
+                actor.end()
+
+    def restart_server(self, server: str) -> None:
+        """Start a server's process anew, with nothing remembered."""
+        self.holders[server] = lease_holder.LeaseHolder(self.server_clocks[server].read_s)
+
+    def publish(self, servers: tuple[preset.BackendServer, ...]) -> None:
+        """Put a preset with these servers in force."""
+        policy = preset.ServicePolicy(
+            name=SERVICE, keyed=True, checks_grants=True, servers=servers, partitions=4
+        )
+        self.append(
+            records.PresetPublished(
+                record_id=identity.create_record_id(),
+                base=len(self.log),
+                author="operator",
+                reason="test",
+                preset=preset.Preset(name="day", services=(policy,)),
+            )
+        )
+
+    def append(self, record: records.Record) -> None:
+        """Let a record stand in the log."""
+        entry = log_entries.encode_record(record)
+        self.log.append(entry)
+        self.landed_at_s.append(self.now_s)
+        self.state = replay.replay_entry(entry, self.state).state
+
+    def name_servers(self, draining: str = "") -> tuple[preset.BackendServer, ...]:
+        """Return all servers as a preset names them."""
+        return tuple(
+            preset.BackendServer(
+                name=name,
+                address=NOWHERE,
+                failure_domain=f"domain-{name}",
+                draining=name == draining,
+            )
+            for name in self.holders
+        )
+
+    def deliver(self, call: Call) -> None:
+        """Let a message reach its server, however late."""
+        holder = self.holders[call.server]
+        if call.renewal is None:
+            call.report = holder.report()
+        else:
+            call.report = holder.renew(call.renewal)
+            self._check_authority(call.renewal, call.report, call.server)
+
+    def answer(self, call: Call) -> None:
+        """Let a server's answer reach the instance."""
+        if call.report is not None:
+            call.is_answered = True
+            self.calls.remove(call)
+
+    def flow(self, seconds: float) -> None:
+        """Let everything that is neither frozen nor cut go on for a while."""
+        for _ in range(round(seconds / STEP_S)):
+            self.move_messages()
+            self.run_actors()
+            self.check()
+            self.now_s += STEP_S
+
+    def move_messages(self) -> None:
+        """Move messages, records and reads along, where nothing hinders them."""
+        for call in tuple(self.calls):
+            if self._is_open(call.instance, call.server):
+                if call.report is None:
+                    self.deliver(call)
+                self.answer(call)
+        for name, record in tuple(self.outbox):
+            if self._is_open(name, "log"):
+                self.outbox.remove((name, record))
+                self.append(record)
+        for instance in self.instances.values():
+            if self._is_open(instance.name, "log"):
+                instance.replica.begin_read()
+                instance.replica.finish_read()
+
+    def run_actors(self) -> None:
+        """Run each actor that can go on, once."""
+        for instance in self.instances.values():
+            if instance.name not in self.frozen:
+                for actor in instance.actors.values():
+                    self.run_actor(actor)
+
+    def run_actor(self, actor: actors.Actor) -> None:
+        """Run an actor up to its next wait, if it can go on."""
+        if actor.is_runnable:
+            self.running = actor
+            actor.resume()
+
+    def list_holders(self) -> dict[int, list[str]]:
+        """Return which servers hold each partition now."""
+        held: dict[int, list[str]] = {}
+        for name, holder in self.holders.items():
+            for partition in {grant.partition for grant in self._list_held(holder)}:
+                held.setdefault(partition, []).append(name)
+        return held
+
+    def find_lessor(self, server: str) -> str:
+        """Return the name of a server's lessor as the log has it."""
+        return self.state.servers[server].lessor.name
+
+    def check(self) -> None:
+        """Check what must hold at every moment."""
+        assert self.late_renewals == []
+        for partition, held_by in self.list_holders().items():
+            assert len(held_by) <= 1, f"partition {partition} is held by {held_by}"
+
+    def _list_held(self, holder: lease_holder.LeaseHolder) -> list[leases.Grant]:
+        grants = holder._granted | holder._finishing
+        return [grant for grant in grants if holder.holds(grant)]
+
+    def _is_open(self, instance: str, other: str) -> bool:
+        closed = self.frozen & {instance, other}
+        return not closed and (instance, other) not in self.cut
+
+    def _check_authority(
+        self, renewal: leases.Renewal, report: leases.LeaseReport, server: str
+    ) -> None:
+        newest = self.state.servers[server].epoch
+        if report.status is not leases.RenewalStatus.RENEWED or renewal.lessor_epoch == newest:
+            return
+        limit_s = lease_view.LeaseTiming.from_config(LEASES).succession_s
+        ends_at_s = self.now_s + report.remaining_ms / 1_000 * 1.05
+        if ends_at_s > self.landed_at_s[newest] + limit_s:
+            self.late_renewals.append(f"{server}: epoch {renewal.lessor_epoch} after {newest}")
+
+    def _prepare_log(self) -> None:
+        self.publish(self.name_servers())
+        state = self.state
+        assert state.preset_in_force is not None
+        policy = state.preset_in_force.preset.services[0]
+        self.append(
+            records.PartitionsMoved(
+                record_id=identity.create_record_id(),
+                base=state.next_offset,
+                author="test",
+                reason="test",
+                moves=placement.plan_initial(policy, state),
+                lessor=identity.Incarnation("test", "test"),
+                lessor_epoch=0,
+            )
+        )
+
+
+def create_world(seed: int, instances: int = 3, servers: int = 2) -> World:
+    """Return a world whose clocks drift within the stated margin, apart from each other."""
+    generator = random.Random(seed)
+    rates = [generator.choice((0.98, 1.0, 1.02)) for _ in range(instances + servers)]
+    return World(tuple(rates[:instances]), tuple(rates[instances:]))
--- a/tests/features/conftest.py
+++ b/tests/features/conftest.py
@@ -52,7 +52,7 @@
 @when(parsers.parse("key {key} of {service} is served again"))
 @then(parsers.parse("key {key} of {service} is served again"))
 def _(system: systems.RunningSystem, key: str, service: str) -> None:
-    for index in range(len(system.fleet.routers)):
+    for index in system.reachable:
         system.send_until_answered("GET", f"/{service}/items/{key}", index)
 
 
--- a/tests/features/system.py
+++ b/tests/features/system.py
@@ -15,6 +15,7 @@
 from goldcresthall.admin import messages
 from goldcresthall.console import admin_client
 from goldcresthall.core import preset
+from goldcresthall.core import settings
 
 if TYPE_CHECKING:
     import signal
@@ -60,14 +61,23 @@
         self.backends: dict[str, fleets.BackendProcess] = {}
         self.policies: list[preset.ServicePolicy] = []
         self.sent: list[Sent] = []
+        self.leases = settings.LeaseSettings()
+        self.aside: set[str] = set()
         self._pool = urllib3.PoolManager(num_pools=50, maxsize=64, retries=False)
 
+    @property
+    def reachable(self) -> list[int]:
+        """Indexes of the instances that are not set aside."""
+        routers = enumerate(self.fleet.routers)
+        return [index for index, item in routers if item.settings.name not in self.aside]
+
     def start_routers(self, count: int, domains: tuple[str, ...]) -> None:
         """Start router instances dealt out over failure domains."""
         self.domains = domains
         for number in range(1, count + 1):
             domain = domains[(number - 1) % len(domains)]
-            self.fleet.start_router(self.fleet.create_settings(f"router-{number}", domain))
+            created = self.fleet.create_settings(f"router-{number}", domain)
+            self.fleet.start_router(dataclasses.replace(created, leases=self.leases))
 
     def add_service(
         self, name: str, count: int, *, keyed: bool, checks_grants: bool = True
--- a/tests/features/test_one_owner.py
+++ b/tests/features/test_one_owner.py
@@ -1,7 +1,140 @@
-"""Scenarios of one_owner.feature."""
+"""Scenarios of one_owner.feature, and the steps that only they use."""
 
 from __future__ import annotations
 
+import concurrent.futures
+import dataclasses
+import signal
+import time
+from typing import TYPE_CHECKING
+
 import pytest_bdd
+from goldcresthall_stand_ins import platform
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import then
+from pytest_bdd import when
+
+from goldcresthall.admin import messages
+from tests.features import system as systems
+
+if TYPE_CHECKING:
+    import pytest
 
 pytest_bdd.scenarios("one_owner.feature")
+
+STATUS_OK = 200
+MS_PER_S = 1_000
+POLL_S = 0.05
+
+
+def explain(system: systems.RunningSystem, service: str, key: str) -> messages.KeyView:
+    path = f"/explain?service={service}&key={key}"
+    return system.admin(system.reachable[0]).fetch(path, messages.KeyView)
+
+
+def find_lessor(system: systems.RunningSystem, service: str, key: str) -> str:
+    return explain(system, service, key).lessor.partition("/")[0]
+
+
+@given(parsers.parse("a lessor's authority lasts {seconds:d} seconds"))
+def _(system: systems.RunningSystem, seconds: int) -> None:
+    system.leases = dataclasses.replace(system.leases, authority_s=seconds)
+
+
+@when(
+    parsers.parse("{count:d} requests for key {key} of {service} are under way"),
+    target_fixture="under_way",
+)
+def _(
+    system: systems.RunningSystem,
+    request: pytest.FixtureRequest,
+    count: int,
+    key: str,
+    service: str,
+) -> list[concurrent.futures.Future[systems.Sent]]:
+    executor = concurrent.futures.ThreadPoolExecutor(count)
+    request.addfinalizer(executor.shutdown)
+    path = f"/{service}/items/{key}"
+    return [executor.submit(system.send, "GET", path) for _ in range(count)]
+
+
+@then("the requests under way have their answers")
+def _(under_way: list[concurrent.futures.Future[systems.Sent]]) -> None:
+    statuses = {future.result().status for future in under_way}
+    assert statuses <= {STATUS_OK, 503, 504}
+
+
+@when(parsers.parse("the log answers {delay_ms:d} ms late"))
+def _(system: systems.RunningSystem, delay_ms: int) -> None:
+    system.fleet.misbehave_platform(platform.Misbehavior(delay_ms=delay_ms))
+
+
+@when(
+    parsers.parse("the lessor of key {key} of {service} is {change}"), target_fixture="old_lessor"
+)
+def _(system: systems.RunningSystem, key: str, service: str, change: str) -> str:
+    lessor = find_lessor(system, service, key)
+    signal_lessor(system, lessor, change)
+    return lessor
+
+
+@when("that lessor is thawed")
+def _(system: systems.RunningSystem, old_lessor: str) -> None:
+    system.signal_router(old_lessor, signal.SIGCONT)
+    system.aside.discard(old_lessor)
+
+
+@when(parsers.parse("the owner of key {key} of {service} and its lessor are killed"))
+def _(system: systems.RunningSystem, key: str, service: str) -> None:
+    view = explain(system, service, key)
+    system.signal_backend(view.owner, signal.SIGKILL)
+    signal_lessor(system, view.lessor.partition("/")[0], "killed")
+
+
+@when(
+    parsers.parse("the log is down for {seconds:d} seconds of requests for key {key} of {service}"),
+    target_fixture="during_outage",
+)
+def _(system: systems.RunningSystem, seconds: int, key: str, service: str) -> list[systems.Sent]:
+    system.fleet.misbehave_platform(platform.Misbehavior(down=True))
+    ends_at_s = time.monotonic() + seconds
+    sent = []
+    while time.monotonic() < ends_at_s:
+        sent.append(system.send("GET", f"/{service}/items/{key}", len(sent) % 2))
+        time.sleep(POLL_S)
+    system.fleet.misbehave_platform(platform.Misbehavior())
+    return sent
+
+
+@then("every one of these requests was answered")
+def _(during_outage: list[systems.Sent]) -> None:
+    assert {sent.status for sent in during_outage} == {STATUS_OK}
+
+
+@given(parsers.parse("the owner of key {key} of {service} is noted"), target_fixture="noted")
+def _(system: systems.RunningSystem, key: str, service: str) -> messages.KeyView:
+    return explain(system, service, key)
+
+
+@then(parsers.parse("key {key} of {service} has kept its owner"))
+def _(system: systems.RunningSystem, noted: messages.KeyView, key: str, service: str) -> None:
+    view = explain(system, service, key)
+    assert (view.owner, view.epoch) == (noted.owner, noted.epoch)
+
+
+@then(parsers.parse("key {key} of {service} has another lessor"))
+def _(system: systems.RunningSystem, old_lessor: str, key: str, service: str) -> None:
+    ends_at_s = time.monotonic() + systems.GIVE_UP_S
+    while find_lessor(system, service, key) == old_lessor:
+        assert time.monotonic() < ends_at_s
+        time.sleep(POLL_S)
+
+
+def signal_lessor(system: systems.RunningSystem, lessor: str, change: str) -> None:
+    if change == "frozen":
+        # Requests go to the other instances, as a balancer would send them.
+        system.aside.add(lessor)
+        system.signal_router(lessor, signal.SIGSTOP)
+    else:
+        system.signal_router(lessor, signal.SIGKILL)
--- /dev/null
+++ b/tests/ownership/test_lease_holder.py
@@ -0,0 +1,113 @@
+"""Tests of the server's side of the lease protocol, and of what a lessor makes of it."""
+
+from __future__ import annotations
+
+import pytest
+from goldcresthall_stand_ins import lease_holder
+
+from goldcresthall.core import leases
+from goldcresthall.core import settings
+from goldcresthall.ownership import lease_view
+from tests.fakes import clock as clocks
+
+GRANT = leases.Grant("archive", 0, 1)
+OTHER = leases.Grant("archive", 1, 1)
+EPOCH = 3
+DURATION_MS = 500
+TIMING = lease_view.LeaseTiming.from_config(settings.LeaseSettings())
+
+
+class Server:
+    """A lease holder under a clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.clock = clocks.ManualClock()
+        self.holder = lease_holder.LeaseHolder(self.clock.read_s)
+
+    def renew(
+        self,
+        *grants: leases.Grant,
+        version: tuple[int, int] = (1, 0),
+        epoch: int = EPOCH,
+        stamp: leases.ServerStamp | None = None,
+    ) -> leases.LeaseReport:
+        table = leases.GrantTable(version[0], grants, version[1])
+        used = stamp or self.holder.report().stamp
+        return self.holder.renew(leases.Renewal(epoch, used, DURATION_MS, table))
+
+
+@pytest.fixture
+def server() -> Server:
+    return Server()
+
+
+def test_lease_runs_from_the_stamp_and_not_from_the_arrival(server: Server) -> None:
+    stamp = server.holder.report().stamp
+    server.clock.advance(0.4)
+    server.renew(GRANT, stamp=stamp)
+    assert server.holder.holds(GRANT)
+    server.clock.advance(0.1)
+    assert not server.holder.holds(GRANT)
+
+
+def test_overtaken_lessor_is_refused(server: Server) -> None:
+    server.renew(GRANT)
+    report = server.renew(GRANT, OTHER, version=(9, 0), epoch=EPOCH - 1)
+    assert report.status is leases.RenewalStatus.FENCED
+    assert not server.holder.holds(OTHER)
+
+
+def test_older_table_of_the_same_lessor_is_refused(server: Server) -> None:
+    server.renew(OTHER, version=(1, 1))
+    report = server.renew(GRANT, OTHER, version=(1, 0))
+    assert report.status is leases.RenewalStatus.GRANTS_REFUSED
+    assert not server.holder.holds(GRANT)
+
+
+def test_stamp_of_an_earlier_life_counts_for_nothing(server: Server) -> None:
+    stamp = server.holder.report().stamp
+    server.holder = lease_holder.LeaseHolder(server.clock.read_s)
+    report = server.renew(GRANT, stamp=stamp)
+    assert report.status is leases.RenewalStatus.STAMP_REFUSED
+    assert not server.holder.holds(GRANT)
+
+
+def test_running_work_finishes_under_a_withheld_grant(server: Server) -> None:
+    server.renew(GRANT, OTHER)
+    assert server.holder.begin(GRANT)
+    report = server.renew(OTHER, version=(1, 1))
+    assert report.finishing == 1
+    assert server.holder.holds(GRANT)
+    assert not server.holder.begin(GRANT)
+    server.holder.end(GRANT)
+    assert server.holder.report().finishing == 0
+
+
+def test_work_that_outlives_the_lease_never_takes_effect(server: Server) -> None:
+    server.renew(GRANT, OTHER)
+    assert server.holder.begin(GRANT)
+    server.renew(OTHER, version=(1, 1))
+    server.clock.advance(0.6)
+    report = server.renew(OTHER, version=(2, 1))
+    assert report.status is leases.RenewalStatus.RENEWED
+    assert server.holder.holds(OTHER)
+    assert not server.holder.holds(GRANT)
+
+
+def test_fence_is_no_proof_that_an_earlier_lease_has_ended() -> None:
+    view = lease_view.LeaseView(lessor_epoch=EPOCH, appointed_at_s=0.0, succeeded=True)
+    stamp = leases.ServerStamp("life", 0.0)
+    asked = leases.LeaseReport(leases.RenewalStatus.REPORTED, stamp, EPOCH - 1, 0.0, 1)
+    view = lease_view.note_answer(view, asked, 0.0, TIMING)
+    view = lease_view.note_sent(view, TIMING)
+    # The lessor before renewed between the two, from a stamp taken at 0.2 s.
+    fenced = leases.LeaseReport(leases.RenewalStatus.RENEWED, stamp, EPOCH, 400.0, 1)
+    view = lease_view.note_answer(view, fenced, 0.3, TIMING)
+    assert not lease_view.has_lapsed(view, 0.72, TIMING)
+    assert lease_view.has_lapsed(view, 0.73, TIMING)
+
+
+def test_wait_for_an_earlier_lessor_has_its_drift_in_proportion() -> None:
+    view = lease_view.LeaseView(lessor_epoch=EPOCH, appointed_at_s=0.0, succeeded=True)
+    assert not lease_view.has_lapsed(view, 315.0, TIMING)
+    assert lease_view.has_lapsed(view, 316.0, TIMING)
--- /dev/null
+++ b/tests/ownership/test_lease_machine.py
@@ -0,0 +1,145 @@
+"""Random schedules of freezes, cuts, delays, restarts and moves over real keepers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from goldcresthall.ownership import planned_moves
+from tests.fakes import lease_world
+
+if TYPE_CHECKING:
+    from goldcresthall.core import leases
+
+EXAMPLES = 60
+STEPS = 30
+INSTANCES = ("router-1", "router-2", "router-3")
+SERVERS = ("archive-1", "archive-2")
+INDEXES = strategies.integers(0, 7)
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Never two servers hold a partition; never does an old lessor renew past authority."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world: lease_world.World | None = None
+        self.work: list[tuple[str, leases.Grant]] = []
+
+    @stateful.initialize(seed=strategies.integers(0, 1_000))
+    def begin(self, seed: int) -> None:
+        self.world = lease_world.create_world(seed, len(INSTANCES), len(SERVERS))
+        self.world.flow(1.5)
+
+    def teardown(self) -> None:
+        if self.world is not None:
+            self.world.end()
+
+    @stateful.invariant()
+    def check(self) -> None:
+        if self.world is not None:
+            self.world.check()
+
+    @stateful.rule(seconds=strategies.sampled_from((0.1, 0.3, 0.7, 1.5, 3.0)))
+    def flow(self, seconds: float) -> None:
+        self.world.flow(seconds)
+
+    @stateful.rule(seconds=strategies.sampled_from((0.05, 0.3, 0.6, 2.6)))
+    def stand_still(self, seconds: float) -> None:
+        self.world.now_s += seconds
+
+    @stateful.rule(name=strategies.sampled_from(INSTANCES + SERVERS))
+    def freeze(self, name: str) -> None:
+        self.world.frozen.add(name)
+
+    @stateful.rule(name=strategies.sampled_from(INSTANCES + SERVERS))
+    def thaw(self, name: str) -> None:
+        self.world.frozen.discard(name)
+
+    @stateful.rule(
+        instance=strategies.sampled_from(INSTANCES),
+        other=strategies.sampled_from((*SERVERS, "log")),
+    )
+    def cut(self, instance: str, other: str) -> None:
+        self.world.cut.add((instance, other))
+
+    @stateful.rule()
+    def heal(self) -> None:
+        self.world.cut.clear()
+
+    @stateful.rule(server=strategies.sampled_from(SERVERS))
+    def restart_server(self, server: str) -> None:
+        self.work = [item for item in self.work if item[0] != server]
+        self.world.restart_server(server)
+
+    @stateful.rule(index=INDEXES)
+    def deliver_late(self, index: int) -> None:
+        waiting = [call for call in self.world.calls if call.report is None]
+        if waiting:
+            self.world.deliver(waiting[index % len(waiting)])
+
+    @stateful.rule(index=INDEXES)
+    def answer_late(self, index: int) -> None:
+        waiting = [call for call in self.world.calls if call.report is not None]
+        if waiting:
+            self.world.answer(waiting[index % len(waiting)])
+
+    @stateful.rule(index=INDEXES)
+    def run_one(self, index: int) -> None:
+        runnable = [
+            actor
+            for instance in self.world.instances.values()
+            for actor in instance.actors.values()
+            if actor.is_runnable
+        ]
+        if runnable:
+            self.world.run_actor(runnable[index % len(runnable)])
+
+    @stateful.rule(name=strategies.sampled_from(INSTANCES))
+    def begin_read(self, name: str) -> None:
+        self.world.instances[name].replica.begin_read()
+
+    @stateful.rule(name=strategies.sampled_from(INSTANCES))
+    def finish_read(self, name: str) -> None:
+        self.world.instances[name].replica.finish_read()
+
+    @stateful.rule(index=INDEXES, is_lost=strategies.booleans())
+    def land_late(self, index: int, is_lost: bool) -> None:
+        if self.world.outbox:
+            _, record = self.world.outbox.pop(index % len(self.world.outbox))
+            if not is_lost:
+                self.world.append(record)
+
+    @stateful.rule(server=strategies.sampled_from(SERVERS), index=INDEXES)
+    def begin_work(self, server: str, index: int) -> None:
+        granted = sorted(self.world.holders[server]._granted, key=lambda grant: grant.partition)
+        if granted:
+            grant = granted[index % len(granted)]
+            if self.world.holders[server].begin(grant):
+                self.work.append((server, grant))
+
+    @stateful.rule()
+    def end_work(self) -> None:
+        if self.work:
+            server, grant = self.work.pop(0)
+            self.world.holders[server].end(grant)
+
+    @stateful.rule(draining=strategies.sampled_from(("", *SERVERS)))
+    def publish(self, draining: str) -> None:
+        self.world.publish(self.world.name_servers(draining))
+
+    @stateful.rule(index=INDEXES, server=strategies.sampled_from(SERVERS))
+    def wish_move(self, index: int, server: str) -> None:
+        partitions = sorted(self.world.state.partitions, key=lambda item: item.number)
+        wish = planned_moves.MoveWish(partitions[index % len(partitions)], server, "test")
+        for instance in self.world.instances.values():
+            instance.planned.submit(wish)
+
+
+LeaseMachine.TestCase.settings = hypothesis.settings(
+    max_examples=EXAMPLES, stateful_step_count=STEPS
+)
+TestLeases = LeaseMachine.TestCase
