Take over from a lessor only while the server still answers

A candidate that had seen the lease lapse waited its rank, found the server silent, and took over all the same; having fenced nobody, it then had to wait out its predecessor's authority of 300 s. A silent server is the affair of its lessor, or of the rule for both being silent.

--- a/src/goldcresthall/ownership/candidate_role.py
+++ b/src/goldcresthall/ownership/candidate_role.py
@@ -73,7 +73,7 @@
         if not reason:
             self._shared.wakeup.wait(self._timing.renew_interval_s)
             return
-        if self._wait_rank(rank, delay_s, known, keyed):
+        if self._wait_rank(rank, delay_s, known, keyed, reason):
             self._appoint_self(outcome, known, reason)
 
     def _find_rank(
@@ -135,6 +135,7 @@
         delay_s: float,
         known: replicated.ServerState | None,
         keyed: lookup.KeyedServer,
+        reason: str,
     ) -> bool:
         ends_at_s = self._shared.clock.read_s() + delay_s + rank * self._timing.takeover_delay_s
         waited = False
@@ -143,10 +144,10 @@
             self._shared.wakeup.wait(left_s)
             if self._shared.replica.state.servers.get(self._shared.server_name) != known:
                 return False
-        if not waited or known is None:
+        if not waited or known is None or reason == BOTH_SILENT:
             return True
         again = self._look(keyed)
-        return isinstance(again, leases.LeaseUnanswered) or self._is_lapsing(again)
+        return isinstance(again, leases.LeaseReport) and self._is_lapsing(again)
 
     def _appoint_self(
         self, outcome: leases.LeaseOutcome, known: replicated.ServerState | None, reason: str
