--- a/src/goldcresthall/admin/front.py
+++ b/src/goldcresthall/admin/front.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import http
+import math
 import urllib.parse
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -11,6 +14,7 @@
 
 from goldcresthall.admin import messages
 from goldcresthall.admin import views
+from goldcresthall.core import identity
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
 from goldcresthall.kernel import clock
@@ -21,19 +25,21 @@
 from goldcresthall.peers import follower
 from goldcresthall.presets import checks
 from goldcresthall.presets import publisher
+from goldcresthall.presets import uptake
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from goldcresthall.core import identity
     from goldcresthall.core import settings
     from goldcresthall.kernel import kernel
 
+MS_PER_S = 1_000
 THREADS = 4
 BODY_LIMIT_BYTES = 8 * 1_048_576
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; version=0.0.4"
+_Page = Callable[[dict[str, Any]], tuple[http.HTTPStatus, object]]
 
 
 class AdminFront(service.Service):
@@ -66,6 +72,7 @@
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
         self._peers = self._kernel.find(names.PEERS, follower.PeerFollower)
+        self._uptake = self._kernel.find(names.UPTAKE, uptake.UptakeGatherer)
         self._presets = self._kernel.find(names.PRESETS, publisher.PresetPublisher)
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._server.prepare()
@@ -94,19 +101,18 @@
     def _answer(
         self, route: tuple[str, str], environ: dict[str, Any]
     ) -> tuple[http.HTTPStatus, object]:
-        if route == ("GET", "/healthz"):
-            return http.HTTPStatus.OK, messages.AdminFault("health", ())
-        if route == ("GET", "/readyz"):
-            return self._answer_ready()
-        if route == ("GET", "/status"):
-            return http.HTTPStatus.OK, self._create_status()
-        if route == ("GET", "/preset"):
-            return _wrap(views.create_preset_view(self._replica.state))
-        if route == ("GET", "/explain"):
-            return self._answer_explain(environ)
-        if route == ("POST", "/preset"):
-            return self._answer_publish(environ)
-        return http.HTTPStatus.NOT_FOUND, messages.AdminFault("route", ("no such page",))
+        pages: dict[tuple[str, str], _Page] = {
+            ("GET", "/healthz"): _answer_health,
+            ("GET", "/readyz"): self._answer_ready,
+            ("GET", "/status"): self._answer_status,
+            ("GET", "/explain"): self._answer_explain,
+            ("GET", "/preset"): self._answer_preset,
+            ("GET", "/preset/history"): self._answer_history,
+            ("GET", "/preset/uptake"): self._answer_uptake,
+            ("GET", "/preset/outcome"): self._answer_outcome,
+            ("POST", "/preset"): self._answer_publish,
+        }
+        return pages.get(route, _answer_not_found)(environ)
 
     @property
     def _is_ready(self) -> bool:
@@ -120,14 +126,20 @@
             return str(condition)
         return "" if self._replica.state.preset_in_force is not None else "no preset"
 
-    def _answer_ready(self) -> tuple[http.HTTPStatus, object]:
+    def _answer_ready(self, _: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
         if self._is_ready:
             return http.HTTPStatus.OK, messages.AdminFault("ready", ())
         fault = messages.AdminFault("ready", (self._find_obstacle(),))
         return http.HTTPStatus.SERVICE_UNAVAILABLE, fault
 
-    def _create_status(self) -> messages.StatusView:
-        return views.create_status_view(
+    def _answer_preset(self, _: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
+        return _wrap(views.create_preset_view(self._replica.state))
+
+    def _answer_history(self, _: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
+        return http.HTTPStatus.OK, views.create_preset_history(self._replica.state)
+
+    def _answer_status(self, _: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
+        view = views.create_status_view(
             self._incarnation,
             self._replica.state,
             self._replica.condition,
@@ -135,11 +147,11 @@
             self._peers.statuses,
             ready=self._is_ready,
         )
+        return http.HTTPStatus.OK, view
 
     def _answer_explain(self, environ: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
-        query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
-        service_name = query.get("service", [""])[0]
-        key = query.get("key", [""])[0]
+        service_name = _find_parameter(environ, "service")
+        key = _find_parameter(environ, "key")
         return _wrap(views.create_key_view(service_name, key, self._replica.state))
 
     def _answer_publish(self, environ: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
@@ -156,8 +168,40 @@
         faults = checks.check_preset(wish.preset)
         if faults:
             return http.HTTPStatus.BAD_REQUEST, _list_faults(faults)
-        outcome = self._presets.publish(wish.preset, wish.author, wish.reason, wish.base)
-        return http.HTTPStatus.OK, views.create_publish_result(outcome)
+        record_id = wish.record_id or identity.create_record_id()
+        outcome = self._presets.publish(wish.preset, wish.author, wish.reason, wish.base, record_id)
+        result = views.create_publish_result(outcome)
+        return http.HTTPStatus.OK, dataclasses.replace(result, record_id=record_id)
+
+    def _answer_outcome(self, environ: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
+        record_id = _find_parameter(environ, "record")
+        outcome = self._presets.find_outcome(record_id)
+        result = views.create_publish_result(outcome)
+        return http.HTTPStatus.OK, dataclasses.replace(result, record_id=record_id)
+
+    def _answer_uptake(self, environ: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
+        offset = _find_parameter(environ, "offset")
+        within_ms = _find_parameter(environ, "within_ms")
+        if not all(text.isdecimal() for text in (offset, within_ms) if text):
+            fault = messages.AdminFault("decode", ("offset and within_ms must be numbers",))
+            return http.HTTPStatus.BAD_REQUEST, fault
+        gathered = self._uptake.gather(
+            int(offset) if offset else None, int(within_ms) / MS_PER_S if within_ms else math.inf
+        )
+        return http.HTTPStatus.OK, views.create_uptake_view(gathered)
+
+
+def _answer_health(_: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
+    return http.HTTPStatus.OK, messages.AdminFault("health", ())
+
+
+def _answer_not_found(_: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
+    return http.HTTPStatus.NOT_FOUND, messages.AdminFault("route", ("no such page",))
+
+
+def _find_parameter(environ: dict[str, Any], name: str) -> str:
+    query = urllib.parse.parse_qs(str(environ.get("QUERY_STRING", "")))
+    return query.get(name, [""])[0]
 
 
 def _list_faults(faults: tuple[exceptions.Fault, ...]) -> messages.AdminFault:
--- a/src/goldcresthall/admin/messages.py
+++ b/src/goldcresthall/admin/messages.py
@@ -75,6 +75,17 @@
     reason: str
     preset: preset.Preset
     base: int | None = None
+    record_id: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PresetHistoryEntry:
+    """One preset that was put in force."""
+
+    offset: int
+    name: str
+    author: str
+    reason: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +95,60 @@
     outcome: str
     offset: int
     detail: str
+    record_id: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PresetHistory:
+    """The last presets put in force, the newest last."""
+
+    presets: tuple[PresetHistoryEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceUptake:
+    """Whether one instance has a preset in force.
+
+    Attributes
+    ----------
+    status
+        ``has``, ``behind``, or ``unheard`` if it has not been heard of late.
+    heard_age_s
+        Seconds since it said so itself; none if it was never heard.
+    listed
+        Whether the platform's instance list names it.
+    """
+
+    name: str
+    status: str
+    preset_offset: int
+    heard_age_s: float | None
+    listed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UptakeView:
+    """Which instances have a preset in force, as one instance knows.
+
+    Attributes
+    ----------
+    offset
+        Offset of the preset asked for.
+    list_age_s
+        Seconds since the instance list was read; none if it never was.
+    list_is_current
+        Whether the list was read recently enough to name every instance.
+    """
+
+    offset: int
+    instances: tuple[InstanceUptake, ...]
+    list_age_s: float | None
+    list_is_current: bool
+
+    @property
+    def is_everywhere(self) -> bool:
+        """Whether every instance is known to have the preset or a later one."""
+        return self.list_is_current and all(entry.status == "has" for entry in self.instances)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/admin/views.py
+++ b/src/goldcresthall/admin/views.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from goldcresthall.core import identity
     from goldcresthall.peers import messages as peer_messages
+    from goldcresthall.presets import uptake
     from goldcresthall.replication import conditions
     from goldcresthall.replication import state as replicated
 
@@ -43,7 +44,7 @@
         condition=condition.kind.value,
         condition_detail=condition.detail,
         snapshot_offset=state.snapshots.whole_base,
-        read_age_s=round(read_age_s, 3) if math.isfinite(read_age_s) else None,
+        read_age_s=_round_finite(read_age_s),
         preset_name="" if in_force is None else in_force.preset.name,
         peers=tuple(
             messages.InstanceView(peer.name, peer.incarnation, peer.next_offset, peer.preset_offset)
@@ -85,6 +86,39 @@
     return messages.PresetView(in_force.offset, in_force.author, in_force.reason, in_force.preset)
 
 
+def create_preset_history(state: replicated.State) -> messages.PresetHistory:
+    """Return the last presets put in force."""
+    return messages.PresetHistory(
+        tuple(
+            messages.PresetHistoryEntry(entry.offset, entry.name, entry.author, entry.reason)
+            for entry in state.presets
+        )
+    )
+
+
+def create_uptake_view(gathered: uptake.Gathered) -> messages.UptakeView:
+    """Return which instances have a preset in force."""
+    return messages.UptakeView(
+        offset=gathered.offset,
+        instances=tuple(
+            messages.InstanceUptake(
+                name=entry.name,
+                status=entry.status.value,
+                preset_offset=entry.preset_offset,
+                heard_age_s=_round_finite(entry.heard_age_s),
+                listed=entry.listed,
+            )
+            for entry in gathered.instances
+        ),
+        list_age_s=_round_finite(gathered.list_age_s),
+        list_is_current=gathered.list_is_current,
+    )
+
+
+def _round_finite(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 @functools.singledispatch
 def create_publish_result(outcome: replica.CommitOutcome) -> messages.PublishResult:
     """Return what became of a publication, by the type of its commit's outcome."""
--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -20,7 +20,9 @@
 from goldcresthall.platform import http_log_client
 from goldcresthall.platform import instance_list
 from goldcresthall.presets import publisher
+from goldcresthall.presets import uptake
 from goldcresthall.replication import replica
+from goldcresthall.replication import snapshot_writer
 from goldcresthall.replication import writer
 from goldcresthall.routing import router
 
@@ -69,6 +71,10 @@
     built.register(
         names.PEERS, follower.PeerFollower.from_config(built, incarnation, instance_settings)
     )
+    built.register(
+        names.SNAPSHOTS,
+        snapshot_writer.SnapshotWriter.from_config(built, incarnation, instance_settings),
+    )
 
 
 def _register_ownership(
@@ -84,6 +90,10 @@
 def _register_fronts(
     built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
 ) -> None:
+    built.register(
+        names.UPTAKE,
+        uptake.UptakeGatherer.from_config(built, incarnation, instance_settings.peers),
+    )
     built.register(names.PRESETS, publisher.PresetPublisher.from_config(built))
     built.register(names.ROUTER, router.Router.from_config(built))
     built.register(
--- a/src/goldcresthall/application/settings_checks.py
+++ b/src/goldcresthall/application/settings_checks.py
@@ -32,8 +32,10 @@
     for field in ("log", "instance_list"):
         path = f"$.platform.{field}"
         yield from checks.iterate_address_faults(path, getattr(checked.platform, field))
-    for section in ("platform", "leases", "peers", "callers"):
+    for section in ("platform", "leases", "peers", "snapshots", "callers"):
         yield from _iterate_number_faults(f"$.{section}", getattr(checked, section))
+    for index, seed in enumerate(checked.peers.seeds):
+        yield from checks.iterate_address_faults(f"$.peers.seeds[{index}]", seed)
     yield from _iterate_lease_faults(checked.leases)
 
 
--- a/src/goldcresthall/console/commands/preset.py
+++ b/src/goldcresthall/console/commands/preset.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import getpass
+import sys
+import time
 
 import click
 
@@ -11,12 +14,18 @@
 from goldcresthall.console import exceptions
 from goldcresthall.console import files
 from goldcresthall.console import options
+from goldcresthall.core import identity
 from goldcresthall.encoding import documents
 
+MS_PER_S = 1_000
+WATCH_INTERVAL_S = 0.25
+RESOLVE_TIMEOUT_S = 5.0
+UNKNOWN = "unknown"
+
 
 @click.group()
 def preset() -> None:
-    """Validate, publish and show presets."""
+    """Validate, publish, watch and show presets."""
 
 
 @preset.command()
@@ -38,16 +47,64 @@
     preset_file: str, reason: str, author: str, base: int | None, admin: str, *, as_json: bool
 ) -> None:
     """Put PRESET_FILE in force."""
-    wish = messages.PublishRequest(author, reason, files.read_preset(preset_file), base)
-    result = admin_client.AdminClient(admin).publish(wish)
+    wish = messages.PublishRequest(
+        author, reason, files.read_preset(preset_file), base, identity.create_record_id()
+    )
+    client = admin_client.AdminClient(admin)
+    try:
+        result = client.publish(wish)
+    except exceptions.UnknownOutcomeError as error:
+        result = messages.PublishResult(UNKNOWN, -1, error.message, wish.record_id)
+    _report(_resolve(client, result), as_json=as_json)
+
+
+@preset.command()
+@click.argument("record_id")
+@options.admin_option
+@options.json_option
+def outcome(record_id: str, admin: str, *, as_json: bool) -> None:
+    """Say what became of the publication RECORD_ID; any instance may be asked."""
+    client = admin_client.AdminClient(admin)
+    result = client.fetch(f"/preset/outcome?record={record_id}", messages.PublishResult)
+    _report(result, as_json=as_json)
+
+
+@preset.command()
+@click.option("--offset", type=int, help="Offset of the preset; default: the one in force.")
+@click.option("--timeout", default=30.0, show_default=True, help="Seconds to wait at most.")
+@options.admin_option
+@options.json_option
+def watch(offset: int | None, timeout: float, admin: str, *, as_json: bool) -> None:
+    """Wait until every instance has said that it has a preset in force.
+
+    Only what an instance says after the start of the watch counts. Exit code 7
+    if one was not heard, is behind, or the instance list could not be read.
+    """
+    client = admin_client.AdminClient(admin)
+    began_at_s = time.monotonic()
+    view = _fetch_uptake(client, offset, began_at_s)
+    with click.progressbar(
+        length=len(view.instances), label=f"preset at offset {view.offset}", file=sys.stderr
+    ) as bar:
+        while not view.is_everywhere and time.monotonic() < began_at_s + timeout:
+            time.sleep(WATCH_INTERVAL_S)
+            view = _fetch_uptake(client, view.offset, began_at_s)
+            bar.length = len(view.instances)
+            bar.update(sum(entry.status == "has" for entry in view.instances) - bar.pos)
+    _report_uptake(view, as_json=as_json)
+
+
+@preset.command()
+@options.admin_option
+@options.json_option
+def history(admin: str, *, as_json: bool) -> None:
+    """List the last presets put in force, the newest last."""
+    view = admin_client.AdminClient(admin).fetch("/preset/history", messages.PresetHistory)
     if as_json:
-        click.echo(documents.encode_document(result))
-    elif result.outcome == "accepted":
-        click.echo(f"accepted at offset {result.offset}")
-    if result.outcome == "unknown":
-        raise exceptions.UnknownOutcomeError(result.detail)
-    if result.outcome != "accepted":
-        raise exceptions.RefusedError(f"{result.outcome}: {result.detail}")
+        click.echo(documents.encode_document(view))
+        return
+    for entry in view.presets:
+        click.echo(f"{entry.offset}  {entry.name}  by {entry.author}: {entry.reason}")
 
 
 @preset.command()
@@ -64,3 +121,57 @@
     for service in view.preset.services:
         kind = "keyed" if service.keyed else "unkeyed"
         click.echo(f"  {service.name}: {kind}, {len(service.servers)} server(s)")
+
+
+def _resolve(
+    client: admin_client.AdminClient, result: messages.PublishResult
+) -> messages.PublishResult:
+    # The answer may be lost though the preset was accepted: its record tells.
+    ends_at_s = time.monotonic() + RESOLVE_TIMEOUT_S
+    while result.outcome == UNKNOWN and time.monotonic() < ends_at_s:
+        time.sleep(WATCH_INTERVAL_S)
+        with contextlib.suppress(exceptions.UnreachableError):
+            path = f"/preset/outcome?record={result.record_id}"
+            result = client.fetch(path, messages.PublishResult)
+    return result
+
+
+def _report(result: messages.PublishResult, *, as_json: bool) -> None:
+    if as_json:
+        click.echo(documents.encode_document(result))
+    elif result.outcome == "accepted":
+        click.echo(f"accepted at offset {result.offset}")
+    if result.outcome == UNKNOWN:
+        raise exceptions.UnknownOutcomeError(
+            f"{result.detail}; ask later: goldcresthall preset outcome {result.record_id}"
+        )
+    if result.outcome != "accepted":
+        raise exceptions.RefusedError(f"{result.outcome}: {result.detail}")
+
+
+def _fetch_uptake(
+    client: admin_client.AdminClient, offset: int | None, began_at_s: float
+) -> messages.UptakeView:
+    within_ms = int((time.monotonic() - began_at_s) * MS_PER_S)
+    path = f"/preset/uptake?within_ms={within_ms}"
+    if offset is not None and offset >= 0:
+        path = f"{path}&offset={offset}"
+    return client.fetch(path, messages.UptakeView)
+
+
+def _report_uptake(view: messages.UptakeView, *, as_json: bool) -> None:
+    if as_json:
+        click.echo(documents.encode_document(view))
+    else:
+        for entry in view.instances:
+            heard = "never" if entry.heard_age_s is None else f"{entry.heard_age_s} s ago"
+            click.echo(f"{entry.name}  {entry.status}  offset {entry.preset_offset}  heard {heard}")
+    if not view.list_is_current:
+        raise exceptions.IncompleteError(
+            "the instance list cannot be read; there may be instances that are not named here"
+        )
+    if not view.is_everywhere:
+        missing = [entry.name for entry in view.instances if entry.status != "has"]
+        raise exceptions.IncompleteError(f"not known to be everywhere: {', '.join(missing)}")
+    if not as_json:
+        click.echo(f"the preset at offset {view.offset} is in force everywhere")
--- a/src/goldcresthall/core/settings.py
+++ b/src/goldcresthall/core/settings.py
@@ -59,11 +59,44 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PeerSettings:
-    """How an instance follows its peers."""
+    """How an instance follows its peers.
+
+    Attributes
+    ----------
+    uptake_rows
+        Rows of the table of taken-up presets that one exchange carries at most.
+    heard_within_ms
+        How old an instance's last word may be for it to count as heard.
+    seeds
+        Peers to ask while the platform's instance list has never been read.
+    """
 
     neighbor_count: int = 3
     interval_ms: int = 1_000
     request_timeout_ms: int = 1_000
+    uptake_rows: int = 32
+    heard_within_ms: int = 10_000
+    seeds: tuple[identity.Address, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SnapshotSettings:
+    """When a snapshot of the state is written to the log.
+
+    Attributes
+    ----------
+    snapshot_every_records
+        Records after which a new snapshot is due.
+    snapshot_every_s
+        Seconds after which one is due even if little was recorded; well below
+        the time for which the log keeps records.
+    rank_delay_ms
+        Wait of each rank after the first before it writes a snapshot itself.
+    """
+
+    snapshot_every_records: int = 5_000
+    snapshot_every_s: int = 600
+    rank_delay_ms: int = 3_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -84,4 +117,5 @@
     platform: PlatformSettings
     leases: LeaseSettings = LeaseSettings()
     peers: PeerSettings = PeerSettings()
+    snapshots: SnapshotSettings = SnapshotSettings()
     callers: CallerSettings = CallerSettings()
--- a/src/goldcresthall/peers/exceptions.py
+++ b/src/goldcresthall/peers/exceptions.py
@@ -28,3 +28,11 @@
 
 class PeerVersionError(PeerError):
     """The peer speaks another version of the protocol."""
+
+
+class PeerRangeError(PeerError):
+    """The peer does not keep the entries that were asked for."""
+
+
+class PeerStateError(PeerError):
+    """The peer has no state to give, or gave a damaged one."""
--- a/src/goldcresthall/peers/follower.py
+++ b/src/goldcresthall/peers/follower.py
@@ -7,25 +7,30 @@
 
 from absl import logging
 
+from goldcresthall.core import identity
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
 from goldcresthall.peers import client
+from goldcresthall.peers import divergence
 from goldcresthall.peers import exceptions
+from goldcresthall.peers import messages
+from goldcresthall.peers import meters
 from goldcresthall.peers import neighbors
+from goldcresthall.peers import server
 from goldcresthall.platform import instance_list
+from goldcresthall.replication import meters as replication_meters
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
-    from goldcresthall.core import identity
     from goldcresthall.core import settings
     from goldcresthall.kernel import kernel
-    from goldcresthall.peers import messages
 
 MS_PER_S = 1_000
 LIST_CHECK_S = 1.0
 RELAY_LIMIT = 500
+STATE_SOURCE = "peer"
 
 
 class PeerFollower(service.Service):
@@ -45,10 +50,12 @@
         self._incarnation = incarnation
         self._failure_domain = instance_settings.failure_domain
         self._settings = instance_settings.peers
+        self._own_address = instance_settings.listen.peers
         self._stale_after_s = 2 * instance_settings.platform.long_poll_ms / MS_PER_S
         self._lock = threading.Lock()
         self._statuses: dict[str, messages.PeerStatus] = {}
         self._followed: dict[identity.InstanceEntry, tasks.Task] = {}
+        self._votes = divergence.Votes()
         self._task = tasks.Task("peers", self._run)
 
     @classmethod
@@ -72,6 +79,9 @@
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._replica = self._kernel.find(names.REPLICA, replica.LogReplica)
         self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
+        self._uptake = self._kernel.find(names.PEER_SERVER, server.PeerServer).uptake
+        self._meter = meters.PeerMeter(replication_meters.find_registry(self._kernel), "client")
+        self._started_at_s = self._clock.read_s()
         self._task.start()
 
     def stop(self) -> None:
@@ -88,8 +98,10 @@
             stop_signal.wait(LIST_CHECK_S)
 
     def _adjust_followed(self) -> None:
+        listing = self._list.listing
+        live = listing.live if listing.revision else self._list_seeds()
         wanted = neighbors.choose_neighbors(
-            self._incarnation.name, self._list.listing.live, self._settings.neighbor_count
+            self._incarnation.name, live, self._settings.neighbor_count
         )
         for entry in wanted:
             if entry not in self._followed:
@@ -97,6 +109,13 @@
         for entry in self._followed.keys() - set(wanted):
             self._followed.pop(entry).request_stop()
 
+    def _list_seeds(self) -> tuple[identity.InstanceEntry, ...]:
+        return tuple(
+            identity.InstanceEntry(str(address), "", address, identity.InstanceStatus.LIVE)
+            for address in self._settings.seeds
+            if address != self._own_address
+        )
+
     def _follow(self, entry: identity.InstanceEntry) -> None:
         def run(stop_signal: tasks.StopSignal) -> None:
             self._run_peer(entry, stop_signal)
@@ -107,11 +126,14 @@
 
     def _run_peer(self, entry: identity.InstanceEntry, stop_signal: tasks.StopSignal) -> None:
         while not stop_signal.is_set:
-            connection = client.PeerConnection(entry, self._settings.request_timeout_ms)
+            connection = client.PeerConnection(
+                entry, self._settings.request_timeout_ms, self._meter
+            )
             try:
                 connection.open(self._incarnation, self._failure_domain)
                 self._exchange_repeatedly(connection, entry, stop_signal)
             except exceptions.PeerError as error:
+                self._meter.count_fault(error.step, error.peer, type(error).__name__)
                 logging.warning("peer: %s", error)
             finally:
                 connection.close()
@@ -125,27 +147,61 @@
         stop_signal: tasks.StopSignal,
     ) -> None:
         while not stop_signal.is_set:
-            status = connection.report_status()
-            with self._lock:
-                self._statuses[entry.name] = status
-            if self._is_stale():
-                self._follow_through(connection)
-            else:
+            self._exchange_status(connection, entry)
+            if not self._list.listing.revision:
+                self._list.adopt(connection.list_instances())
+            if not self._is_stale() or not self._follow_through(connection):
                 stop_signal.wait(self._settings.interval_ms / MS_PER_S)
 
+    def _exchange_status(
+        self, connection: client.PeerConnection, entry: identity.InstanceEntry
+    ) -> None:
+        asked_at_s = self._clock.read_s()
+        status = connection.report_status()
+        with self._lock:
+            self._statuses[entry.name] = status
+        own_word = messages.UptakeRow(status.name, status.incarnation, status.preset_offset, 0)
+        for row in (own_word, *status.uptake):
+            self._uptake.note(row, asked_at_s)
+        self._compare(entry.name, status)
+
+    def _compare(self, peer: str, status: messages.PeerStatus) -> None:
+        agrees = self._replica.check_chain(status.next_offset, status.chain)
+        if agrees is None:
+            return
+        self._votes.note(peer, agrees=agrees)
+        self._replica.count_peer_check(agrees=agrees)
+        if not agrees:
+            logging.error("state differs from that of %s at %d", peer, status.next_offset)
+        if self._votes.is_outvoted and not self._replica.state.halted:
+            self._replica.declare_divergence(
+                f"differs from peers at offset {status.next_offset}: {self._votes.describe()}"
+            )
+
     def _is_stale(self) -> bool:
-        age_s = self._clock.read_s() - self._replica.freshness.read_began_at_s
-        return age_s > self._stale_after_s
+        heard_at_s = max(self._replica.freshness.read_began_at_s, self._started_at_s)
+        return self._clock.read_s() - heard_at_s > self._stale_after_s
 
-    def _follow_through(self, connection: client.PeerConnection) -> None:
+    def _follow_through(self, connection: client.PeerConnection) -> bool:
+        """Take one page, or a whole state, from a peer; return whether to ask at once again."""
         asked_at_s = self._clock.read_s()
-        relayed = connection.relay_records(
-            self._replica.state.next_offset, RELAY_LIMIT, self._settings.interval_ms
-        )
+        offset = self._replica.state.next_offset
+        try:
+            relayed = connection.relay_records(offset, RELAY_LIMIT, self._settings.interval_ms)
+        except exceptions.PeerRangeError:
+            return self._replica.install(connection.fetch_state(), STATE_SOURCE)
         self._replica.follow(relayed.first_offset, relayed.entries)
         if relayed.fresh:
             self._replica.mark_fresh(asked_at_s)
+        elif relayed.usable and not self._is_behind(relayed.next_offset):
+            self._replica.mark_level_with_peers()
+        return relayed.fresh or bool(relayed.entries)
+
+    def _is_behind(self, next_offset: int) -> bool:
+        heard = [status.next_offset for status in self.statuses if status.usable]
+        return self._replica.state.next_offset < max([next_offset, *heard])
 
     def _forget(self, entry: identity.InstanceEntry) -> None:
         with self._lock:
             self._statuses.pop(entry.name, None)
+            self._votes.forget(entry.name)
--- /dev/null
+++ b/src/goldcresthall/peers/handler.py
@@ -0,0 +1,145 @@
+"""Answers the calls that one peer makes over one connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from goldcresthall.core import identity
+from goldcresthall.generated.peer import constants
+from goldcresthall.generated.peer import ttypes
+from goldcresthall.replication import state_encoding
+
+if TYPE_CHECKING:
+    from goldcresthall.kernel import clock
+    from goldcresthall.peers import meters
+    from goldcresthall.peers import uptake
+    from goldcresthall.platform import instance_list
+    from goldcresthall.replication import replica
+
+MS_PER_S = 1_000
+NO_PRESET_OFFSET = -1
+WAIT_LIMIT_MS = 5_000
+RELAY_LIMIT = 500
+NAME_LENGTH_LIMIT = 64
+
+
+class PeerHandler:
+    """Answers one peer from the replica; holds what that connection was told."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: identity.Incarnation,
+        failure_domain: str,
+        log_replica: replica.LogReplica,
+        listed: instance_list.InstanceList,
+        monotonic_clock: clock.Clock,
+        cursor: uptake.UptakeCursor,
+        meter: meters.PeerMeter,
+        caller_address: str,
+    ) -> None:
+        self._incarnation = incarnation
+        self._failure_domain = failure_domain
+        self._replica = log_replica
+        self._list = listed
+        self._clock = monotonic_clock
+        self._cursor = cursor
+        self._meter = meter
+        self._caller = caller_address
+        self._encoded: state_encoding.EncodedState | None = None
+
+    @property
+    def caller(self) -> str:
+        """The peer's name once it has greeted, its address before."""
+        return self._caller
+
+    def greet(self, caller: ttypes.Greeting) -> ttypes.Greeting:
+        """Check the caller's version and return this instance's greeting."""
+        if caller.protocol_version != constants.PROTOCOL_VERSION:
+            self._meter.count_fault("greet", self._caller, "version")
+            raise ttypes.VersionMismatch(
+                expected=constants.PROTOCOL_VERSION, received=caller.protocol_version
+            )
+        self._caller = caller.name[:NAME_LENGTH_LIMIT]
+        return ttypes.Greeting(
+            protocol_version=constants.PROTOCOL_VERSION,
+            name=self._incarnation.name,
+            incarnation=self._incarnation.token,
+            failure_domain=self._failure_domain,
+        )
+
+    def report_status(self) -> ttypes.StatusReport:
+        """Return what this instance has taken up and what it knows of others."""
+        state = self._replica.state
+        in_force = state.preset_in_force
+        rows = self._cursor.take(self._clock.read_s())
+        return ttypes.StatusReport(
+            name=self._incarnation.name,
+            incarnation=self._incarnation.token,
+            next_offset=state.next_offset,
+            preset_offset=NO_PRESET_OFFSET if in_force is None else in_force.offset,
+            chain=state.chain,
+            usable=self._replica.condition.is_usable,
+            uptake=[
+                ttypes.UptakeRow(row.name, row.incarnation, row.preset_offset, row.age_ms)
+                for row in rows
+            ],
+        )
+
+    def relay_records(self, from_offset: int, limit: int, wait_ms: int) -> ttypes.RecordPage:
+        """Return committed entries, fresh if a read begun after the question said so."""
+        asked_at_s = self._clock.read_s()
+        fresh = self._replica.wait_fresh(asked_at_s, min(wait_ms, WAIT_LIMIT_MS) / MS_PER_S)
+        entries = self._replica.relay(from_offset, min(limit, RELAY_LIMIT))
+        next_offset = self._replica.state.next_offset
+        if entries is None:
+            raise ttypes.RangeUnavailable(begin_offset=next_offset)
+        self._meter.count_relayed(len(entries))
+        complete = from_offset + len(entries) >= next_offset
+        return ttypes.RecordPage(
+            first_offset=from_offset,
+            entries=list(entries),
+            fresh=fresh and complete,
+            next_offset=next_offset,
+            usable=self._replica.condition.is_usable,
+        )
+
+    def fetch_state(self, next_offset: int, index: int) -> ttypes.StatePiece:
+        """Return one piece of the present state, or of the one being fetched."""
+        if index == 0:
+            self._encoded = self._encode_state()
+        encoded = self._encoded
+        if encoded is None or not 0 <= index < len(encoded.pieces):
+            raise ttypes.StateUnavailable(condition="no such piece")
+        if index > 0 and next_offset != encoded.next_offset:
+            raise ttypes.StateUnavailable(condition="another state is being fetched")
+        if index + 1 == len(encoded.pieces):
+            self._encoded = None
+        content = encoded.pieces[index]
+        return ttypes.StatePiece(
+            next_offset=encoded.next_offset,
+            index=index,
+            count=len(encoded.pieces),
+            content=content,
+            content_digest=state_encoding.find_digest(content.encode()),
+            state_digest=encoded.state_digest,
+        )
+
+    def list_instances(self) -> list[ttypes.ListedInstance]:
+        """Return this instance's view of the platform's instance list."""
+        return [
+            ttypes.ListedInstance(
+                name=entry.name,
+                failure_domain=entry.failure_domain,
+                host=entry.peer_address.host,
+                port=entry.peer_address.port,
+                live=entry.status is identity.InstanceStatus.LIVE,
+            )
+            for entry in self._list.listing.instances
+        ]
+
+    def _encode_state(self) -> state_encoding.EncodedState:
+        condition = self._replica.condition
+        if not condition.is_usable:
+            raise ttypes.StateUnavailable(condition=str(condition))
+        return state_encoding.encode_state(self._replica.state)
--- /dev/null
+++ b/src/goldcresthall/peers/meters.py
@@ -0,0 +1,46 @@
+"""Counters of what the exchange between peers costs and refuses."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+
+class PeerMeter:
+    """Counts exchanges, their bytes and their faults, by step and peer."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry, side: str) -> None:
+        self._bytes = prometheus_client.Counter(
+            f"goldcresthall_peer_{side}_bytes",
+            "Bytes of frames exchanged with peers.",
+            ["direction"],
+            registry=registry,
+        )
+        self._faults = prometheus_client.Counter(
+            f"goldcresthall_peer_{side}_faults",
+            "Exchanges with peers that failed or were refused.",
+            ["step", "peer", "reason"],
+            registry=registry,
+        )
+        self._relayed = prometheus_client.Counter(
+            f"goldcresthall_peer_{side}_relayed_entries",
+            "Entries of the log relayed between peers.",
+            registry=registry,
+        )
+        self._received = self._bytes.labels("received")
+        self._sent = self._bytes.labels("sent")
+
+    def count_received(self, size: int) -> None:
+        """Count the bytes of a frame that arrived."""
+        self._received.inc(size)
+
+    def count_sent(self, size: int) -> None:
+        """Count the bytes of a frame that was sent."""
+        self._sent.inc(size)
+
+    def count_fault(self, step: str, peer: str, reason: str) -> None:
+        """Count one exchange that failed or was refused."""
+        self._faults.labels(step, peer, reason).inc()
+
+    def count_relayed(self, entries: int) -> None:
+        """Count entries that were relayed."""
+        self._relayed.inc(entries)
--- a/src/goldcresthall/peers/server.py
+++ b/src/goldcresthall/peers/server.py
@@ -12,13 +12,16 @@
 from thrift.transport import TTransport
 
 from goldcresthall.generated.peer import Peer
-from goldcresthall.generated.peer import constants
-from goldcresthall.generated.peer import ttypes
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.peers import handler
+from goldcresthall.peers import meters
 from goldcresthall.peers import transport
+from goldcresthall.peers import uptake
+from goldcresthall.platform import instance_list
+from goldcresthall.replication import meters as replication_meters
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
@@ -26,62 +29,8 @@
     from goldcresthall.core import settings
     from goldcresthall.kernel import kernel
 
-MS_PER_S = 1_000
-NO_PRESET_OFFSET = -1
-
-
-class PeerHandler:
-    """Answers the calls of peers from the replica."""
-
-    def __init__(
-        self,
-        incarnation: identity.Incarnation,
-        failure_domain: str,
-        log_replica: replica.LogReplica,
-        monotonic_clock: clock.Clock,
-    ) -> None:
-        self._incarnation = incarnation
-        self._failure_domain = failure_domain
-        self._replica = log_replica
-        self._clock = monotonic_clock
-
-    def greet(self, caller: ttypes.Greeting) -> ttypes.Greeting:
-        """Check the caller's version and return this instance's greeting."""
-        if caller.protocol_version != constants.PROTOCOL_VERSION:
-            raise ttypes.VersionMismatch(
-                expected=constants.PROTOCOL_VERSION, received=caller.protocol_version
-            )
-        return ttypes.Greeting(
-            protocol_version=constants.PROTOCOL_VERSION,
-            name=self._incarnation.name,
-            incarnation=self._incarnation.token,
-            failure_domain=self._failure_domain,
-        )
-
-    def report_status(self) -> ttypes.StatusReport:
-        """Return what this instance has taken up."""
-        state = self._replica.state
-        in_force = state.preset_in_force
-        return ttypes.StatusReport(
-            name=self._incarnation.name,
-            incarnation=self._incarnation.token,
-            next_offset=state.next_offset,
-            preset_offset=NO_PRESET_OFFSET if in_force is None else in_force.offset,
-            state_digest="",
-            digest_offset=state.next_offset,
-        )
-
-    def relay_records(self, from_offset: int, limit: int, wait_ms: int) -> ttypes.RecordPage:
-        """Return committed entries, fresh if a read begun after the question said so."""
-        asked_at_s = self._clock.read_s()
-        fresh = self._replica.wait_fresh(asked_at_s, wait_ms / MS_PER_S)
-        entries = self._replica.relay(from_offset, limit)
-        if entries is None:
-            raise ttypes.RangeUnavailable(begin_offset=self._replica.state.next_offset)
-        complete = from_offset + len(entries) >= self._replica.state.next_offset
-        return ttypes.RecordPage(
-            first_offset=from_offset, entries=list(entries), fresh=fresh and complete
-        )
+IDLE_TIMEOUT_MS = 30_000
+CONNECTION_LIMIT = 256
 
 
 class PeerServer(service.Service):
@@ -95,7 +44,8 @@
     ) -> None:
         self._kernel = owner
         self._incarnation = incarnation
-        self._failure_domain = instance_settings.failure_domain
+        self._settings = instance_settings
+        self._uptake = uptake.UptakeTable(incarnation.name)
         address = instance_settings.listen.peers
         self._listener = TSocket.TServerSocket(address.host, address.port)
         self._lock = threading.Lock()
@@ -112,15 +62,17 @@
         """Return the server for an instance's settings."""
         return cls(owner, incarnation, instance_settings)
 
+    @property
+    def uptake(self) -> uptake.UptakeTable:
+        """Which instance has which preset, as it is passed on to peers."""
+        return self._uptake
+
     def start(self) -> None:
         """Listen and begin to accept connections."""
-        handler = PeerHandler(
-            self._incarnation,
-            self._failure_domain,
-            self._kernel.find(names.REPLICA, replica.LogReplica),
-            self._kernel.find(names.CLOCK, clock.Clock),
-        )
-        self._processor = Peer.Processor(handler)
+        self._replica = self._kernel.find(names.REPLICA, replica.LogReplica)
+        self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
+        self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._meter = meters.PeerMeter(replication_meters.find_registry(self._kernel), "server")
         self._listener.listen()
         self._task.start()
 
@@ -147,7 +99,17 @@
             except OSError:
                 return
             if accepted is not None:
-                self._serve(accepted)
+                self._admit(accepted)
+
+    def _admit(self, accepted: TSocket.TSocket) -> None:
+        with self._lock:
+            is_full = len(self._connections) >= CONNECTION_LIMIT
+        if is_full:
+            self._meter.count_fault("accept", _find_address(accepted), "too_many_connections")
+            accepted.close()
+            return
+        accepted.setTimeout(IDLE_TIMEOUT_MS)
+        self._serve(accepted)
 
     def _serve(self, accepted: TSocket.TSocket) -> None:
         def run(_: tasks.StopSignal) -> None:
@@ -158,16 +120,45 @@
             self._connections[accepted] = task
         task.start()
 
+    def _create_handler(self, accepted: TSocket.TSocket) -> handler.PeerHandler:
+        cursor = uptake.UptakeCursor(self._uptake, self._settings.peers.uptake_rows)
+        return handler.PeerHandler(
+            incarnation=self._incarnation,
+            failure_domain=self._settings.failure_domain,
+            log_replica=self._replica,
+            listed=self._list,
+            monotonic_clock=self._clock,
+            cursor=cursor,
+            meter=self._meter,
+            caller_address=_find_address(accepted),
+        )
+
     def _answer_calls(self, accepted: TSocket.TSocket) -> None:
-        protocol = transport.create_protocol(accepted)
+        answering = self._create_handler(accepted)
+        processor = Peer.Processor(answering)
+        protocol = transport.create_protocol(accepted, self._meter)
         try:
-            while True:
-                self._processor.process(protocol, protocol)
+            while processor.process(protocol, protocol):
+                pass
+            self._refuse(answering.caller, "unknown_call")
+        except transport.FrameTooLargeError as error:
+            self._refuse(answering.caller, "frame_too_large", error)
         except (TTransport.TTransportException, OSError, EOFError):
             logging.debug("peer connection closed")
         except Exception as error:  # noqa: BLE001
-            logging.warning("peer connection: step decode: %s", error)
+            self._refuse(answering.caller, "garbage", error)
         finally:
             accepted.close()
             with self._lock:
                 self._connections.pop(accepted, None)
+
+    def _refuse(self, peer: str, reason: str, error: Exception | None = None) -> None:
+        self._meter.count_fault("decode", peer, reason)
+        logging.warning("peer %s: step decode: %s: %s", peer, reason, error or "")
+
+
+def _find_address(accepted: TSocket.TSocket) -> str:
+    try:
+        return str(accepted.handle.getpeername()[0])
+    except OSError:
+        return "unknown"
--- a/src/goldcresthall/peers/transport.py
+++ b/src/goldcresthall/peers/transport.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from thrift.protocol import TProtocol
 
+    from goldcresthall.peers import meters
+
 FRAME_LIMIT_BYTES: Final = 16 * 1_048_576
 FRAME_HEADER_BYTES: Final = 4
 
@@ -21,7 +23,12 @@
 
 
 class LimitedFramedTransport(TTransport.TFramedTransport):  # type: ignore[misc]
-    """A framed transport that refuses negative and oversized frames."""
+    """A framed transport that refuses negative and oversized frames and counts bytes."""
+
+    def __init__(self, inner: TTransport.TTransportBase, meter: meters.PeerMeter) -> None:
+        super().__init__(inner)
+        self._inner = inner
+        self._meter = meter
 
     def readFrame(self) -> None:  # noqa: N802
         """Read one frame, checking its announced size first.
@@ -31,14 +38,21 @@
         FrameTooLargeError
             If the size is negative or beyond the limit.
         """
-        transport = self._TFramedTransport__trans
-        header = transport.readAll(FRAME_HEADER_BYTES)
+        header = self._inner.readAll(FRAME_HEADER_BYTES)
         size = int.from_bytes(header, "big", signed=True)
         if not 0 <= size <= FRAME_LIMIT_BYTES:
             raise FrameTooLargeError(message=f"frame of {size} bytes")
-        self._TFramedTransport__rbuf = io.BytesIO(transport.readAll(size))
+        self._TFramedTransport__rbuf = io.BytesIO(self._inner.readAll(size))
+        self._meter.count_received(FRAME_HEADER_BYTES + size)
+
+    def flush(self) -> None:
+        """Send what was written as one frame."""
+        self._meter.count_sent(FRAME_HEADER_BYTES + self._TFramedTransport__wbuf.tell())
+        super().flush()
 
 
-def create_protocol(transport: TTransport.TTransportBase) -> TProtocol.TProtocolBase:
+def create_protocol(
+    transport: TTransport.TTransportBase, meter: meters.PeerMeter
+) -> TProtocol.TProtocolBase:
     """Return the compact protocol over limited frames on a transport."""
-    return TCompactProtocol.TCompactProtocol(LimitedFramedTransport(transport))
+    return TCompactProtocol.TCompactProtocol(LimitedFramedTransport(transport, meter))
--- a/src/goldcresthall/platform/instance_list.py
+++ b/src/goldcresthall/platform/instance_list.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import math
 import threading
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 from goldcresthall.core import identity
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
+from goldcresthall.kernel import clock
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
 
@@ -46,6 +48,14 @@
 class InstanceList(service.Service):
     """The list of router instances as the rest of the code sees it."""
 
+    @property
+    def last_read_at_s(self) -> float:
+        """Reading of the process's clock at the start of the last good read."""
+        return -math.inf
+
+    def adopt(self, instances: tuple[identity.InstanceEntry, ...]) -> None:
+        """Take over a peer's view of the list, as long as none was read here."""
+
     @property
     @abc.abstractmethod
     def listing(self) -> InstanceListing:
@@ -58,6 +68,8 @@
     def __init__(self, platform: settings.PlatformSettings, user_agent: str = "") -> None:
         self._platform = platform
         self._listing = InstanceListing(0, ())
+        self._clock = clock.MonotonicClock()
+        self._last_read_at_s = -math.inf
         self._lock = threading.Lock()
         address = platform.instance_list
         self._pool = urllib3.HTTPConnectionPool(
@@ -80,6 +92,17 @@
         with self._lock:
             return self._listing
 
+    @property
+    def last_read_at_s(self) -> float:
+        """Reading of the process's clock at the start of the last good read."""
+        return self._last_read_at_s
+
+    def adopt(self, instances: tuple[identity.InstanceEntry, ...]) -> None:
+        """Take over a peer's view of the list, as long as none was read here."""
+        with self._lock:
+            if instances and not self._listing.revision:
+                self._listing = InstanceListing(1, instances)
+
     def start(self) -> None:
         """Begin to read the list."""
         self._task.start()
@@ -96,6 +119,7 @@
 
     def _refresh(self) -> None:
         timeout_s = self._platform.request_timeout_ms / MS_PER_S
+        began_at_s = self._clock.read_s()
         try:
             response = self._pool.request("GET", "/instances", timeout=timeout_s)
             if response.status != STATUS_OK:
@@ -106,6 +130,7 @@
             logging.warning("instance list: %s", error)
             return
         self._keep(document.instances)
+        self._last_read_at_s = began_at_s
 
     def _keep(self, instances: tuple[identity.InstanceEntry, ...]) -> None:
         with self._lock:
--- a/src/goldcresthall/presets/publisher.py
+++ b/src/goldcresthall/presets/publisher.py
@@ -36,7 +36,12 @@
         """Do nothing; a publication under way ends by its own timeout."""
 
     def publish(
-        self, published: preset.Preset, author: str, reason: str, base: int | None
+        self,
+        published: preset.Preset,
+        author: str,
+        reason: str,
+        base: int | None,
+        record_id: str = "",
     ) -> replica.CommitOutcome:
         """Append a preset and wait until replay decided on it.
 
@@ -44,12 +49,20 @@
         ----------
         base
             Offset of the state the operator looked at; none for the present one.
+        record_id
+            The operator's name for this publication, by which its outcome is
+            found if the answer is lost; empty for a fresh one.
         """
         record = records.PresetPublished(
-            record_id=identity.create_record_id(),
+            record_id=record_id or identity.create_record_id(),
             base=self._replica.state.next_offset if base is None else base,
             author=author,
             reason=reason,
             preset=published,
         )
         return self._replica.commit(record, COMMIT_TIMEOUT_S)
+
+    def find_outcome(self, record_id: str) -> replica.CommitOutcome:
+        """Return what became of a publication, unknown if it was not seen here."""
+        found = self._replica.find_outcome(record_id)
+        return found or replica.CommitUnknown("no such record was seen here")
--- /dev/null
+++ b/src/goldcresthall/presets/uptake.py
@@ -0,0 +1,161 @@
+"""Which instances have a preset in force, gathered through the peers."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+from typing import TYPE_CHECKING
+
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.peers import server
+from goldcresthall.peers import uptake
+from goldcresthall.platform import instance_list
+from goldcresthall.replication import replica
+
+if TYPE_CHECKING:
+    from goldcresthall.core import identity
+    from goldcresthall.core import settings
+    from goldcresthall.kernel import kernel
+
+MS_PER_S = 1_000
+NO_PRESET_OFFSET = -1
+
+
+class UptakeStatus(enum.Enum):
+    """What is known of one instance and one preset."""
+
+    HAS = "has"
+    BEHIND = "behind"
+    UNHEARD = "unheard"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatheredInstance:
+    """One instance's part in the uptake of a preset.
+
+    Attributes
+    ----------
+    heard_age_s
+        Seconds since its own word; infinite if it was never heard.
+    listed
+        Whether the instance list names it.
+    """
+
+    name: str
+    status: UptakeStatus
+    preset_offset: int
+    heard_age_s: float
+    listed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gathered:
+    """The uptake of the preset at `offset` or a later one."""
+
+    offset: int
+    instances: tuple[GatheredInstance, ...]
+    list_age_s: float
+    list_is_current: bool
+
+
+class UptakeGatherer(service.Service):
+    """Answers for all instances from what the peers have passed on."""
+
+    def __init__(
+        self,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        peer_settings: settings.PeerSettings,
+    ) -> None:
+        self._kernel = owner
+        self._incarnation = incarnation
+        self._heard_within_s = peer_settings.heard_within_ms / MS_PER_S
+
+    @classmethod
+    def from_config(
+        cls,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        peer_settings: settings.PeerSettings,
+    ) -> UptakeGatherer:
+        """Return the service for an instance's settings."""
+        return cls(owner, incarnation, peer_settings)
+
+    def start(self) -> None:
+        """Find the table, the list and the replica."""
+        self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._replica = self._kernel.find(names.REPLICA, replica.Replica)
+        self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
+        self._table = self._kernel.find(names.PEER_SERVER, server.PeerServer).uptake
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def gather(self, offset: int | None, within_s: float = math.inf) -> Gathered:
+        """Return the uptake of a preset.
+
+        Parameters
+        ----------
+        offset
+            Offset of the preset; none for the one in force here.
+        within_s
+            How old an instance's own word may be, besides the configured limit.
+        """
+        now_s = self._clock.read_s()
+        in_force = self._replica.state.preset_in_force
+        own_offset = NO_PRESET_OFFSET if in_force is None else in_force.offset
+        own = uptake.KnownUptake(
+            self._incarnation.name, self._incarnation.token, own_offset, now_s, 0
+        )
+        list_age_s = now_s - self._list.last_read_at_s
+        wanted = own_offset if offset is None else offset
+        return Gathered(
+            offset=wanted,
+            instances=find_uptake(
+                wanted,
+                self._list.listing.live,
+                (own, *self._table.rows),
+                now_s,
+                min(within_s, self._heard_within_s),
+            ),
+            list_age_s=list_age_s,
+            list_is_current=list_age_s <= self._heard_within_s,
+        )
+
+
+def find_uptake(
+    offset: int,
+    live: tuple[identity.InstanceEntry, ...],
+    known: tuple[uptake.KnownUptake, ...],
+    now_s: float,
+    heard_within_s: float,
+) -> tuple[GatheredInstance, ...]:
+    """Return each listed instance and each one heard of late, ordered by name."""
+    rows = {row.name: row for row in known}
+    listed = {entry.name for entry in live}
+    heard = {row.name for row in known if now_s - row.said_at_s <= heard_within_s}
+    return tuple(
+        _judge(name, offset, rows.get(name), now_s, heard_within_s, listed=name in listed)
+        for name in sorted(listed | heard)
+    )
+
+
+def _judge(
+    name: str,
+    offset: int,
+    row: uptake.KnownUptake | None,
+    now_s: float,
+    heard_within_s: float,
+    *,
+    listed: bool,
+) -> GatheredInstance:
+    if row is None:
+        return GatheredInstance(name, UptakeStatus.UNHEARD, NO_PRESET_OFFSET, math.inf, listed)
+    age_s = now_s - row.said_at_s
+    status = UptakeStatus.HAS if row.preset_offset >= offset >= 0 else UptakeStatus.BEHIND
+    if age_s > heard_within_s:
+        status = UptakeStatus.UNHEARD
+    return GatheredInstance(name, status, row.preset_offset, age_s, listed)
--- a/src/goldcresthall/replication/replay.py
+++ b/src/goldcresthall/replication/replay.py
@@ -101,7 +101,7 @@
 def _(record: records.PresetPublished, state: replicated.State) -> Decision:
     current = state.preset_in_force
     if current is not None and current.offset >= record.base:
-        return _overtaken("preset", current.offset)
+        return _overtaken(f"preset {current.preset.name} of {current.author}", current.offset)
     in_force = replicated.PresetInForce(
         preset=record.preset,
         offset=state.next_offset,
--- a/src/goldcresthall/replication/replica.py
+++ b/src/goldcresthall/replication/replica.py
@@ -286,6 +286,10 @@
             known = self._states.find(offset)
         return None if known is None else known.chain == chain
 
+    def count_peer_check(self, *, agrees: bool) -> None:
+        """Count one comparison of digests with a peer."""
+        self._meter.count_state_check("peer", "equal" if agrees else "different")
+
     def declare_divergence(self, reason: str) -> None:
         """Stop deciding: this state differs from what others replayed."""
         with self._changed:
--- a/tests/peers/test_greeting.py
+++ b/tests/peers/test_greeting.py
@@ -5,6 +5,7 @@
 import socket
 from typing import TYPE_CHECKING
 
+import prometheus_client
 import pytest
 from goldcresthall_stand_ins import fleet as fleets
 
@@ -15,8 +16,10 @@
 from goldcresthall.kernel import names
 from goldcresthall.peers import client
 from goldcresthall.peers import exceptions
+from goldcresthall.peers import meters
 from goldcresthall.peers import server
 from goldcresthall.replication import replica
+from tests.fakes import listing
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,6 +27,11 @@
 OWN = identity.Incarnation("router-2", "two")
 
 
+def connect(entry: identity.InstanceEntry, timeout_ms: int = 5_000) -> client.PeerConnection:
+    registry = prometheus_client.CollectorRegistry()
+    return client.PeerConnection(entry, timeout_ms, meters.PeerMeter(registry, "client"))
+
+
 @pytest.fixture
 def listening() -> Iterator[identity.InstanceEntry]:
     address = identity.Address("127.0.0.1", fleets.find_free_port())
@@ -39,6 +47,7 @@
     silent.start = lambda: None  # type: ignore[method-assign]
     silent.stop = lambda: None  # type: ignore[method-assign]
     built.register(names.REPLICA, silent)
+    built.register(names.INSTANCE_LIST, listing.FixedInstanceList())
     incarnation = identity.Incarnation("router-1", "one")
     built.register(
         names.PEER_SERVER, server.PeerServer.from_config(built, incarnation, instance_settings)
@@ -49,7 +58,7 @@
 
 
 def test_peers_exchange_greetings_and_status(listening: identity.InstanceEntry) -> None:
-    connection = client.PeerConnection(listening, 5_000)
+    connection = connect(listening)
     assert connection.open(OWN, "domain-b") == identity.Incarnation("router-1", "one")
     assert connection.report_status().next_offset == 0
     connection.close()
@@ -64,7 +73,7 @@
         raw.sendall(garbage)
         raw.shutdown(socket.SHUT_WR)
         assert raw.recv(64) in (b"",) or garbage.endswith(b"abcd")
-    connection = client.PeerConnection(listening, 5_000)
+    connection = connect(listening)
     connection.open(OWN, "domain-b")
     connection.close()
 
@@ -73,5 +82,5 @@
     address = identity.Address("127.0.0.1", fleets.find_free_port())
     entry = identity.InstanceEntry("router-9", "domain-a", address, identity.InstanceStatus.LIVE)
     with pytest.raises(exceptions.PeerUnreachableError) as caught:
-        client.PeerConnection(entry, 500).open(OWN, "domain-b")
+        connect(entry, 500).open(OWN, "domain-b")
     assert (caught.value.step, caught.value.peer) == ("connect", "router-9")
