--- a/src/goldcresthall/encoding/log_entries.py
+++ b/src/goldcresthall/encoding/log_entries.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import Final
 
+from goldcresthall.core import cancellations
 from goldcresthall.core import records
 from goldcresthall.core import snapshots
 from goldcresthall.encoding import documents
@@ -19,6 +20,7 @@
     "partitions_moved": records.PartitionsMoved,
     "server_returned": records.ServerReturned,
     "lessors_appointed": records.LessorsAppointed,
+    "move_cancelled": cancellations.MoveCancelled,
     "snapshot_chunk": snapshots.SnapshotChunk,
 }
 
--- a/src/goldcresthall/peers/client.py
+++ b/src/goldcresthall/peers/client.py
@@ -15,6 +15,7 @@
 from goldcresthall.generated.peer import ttypes
 from goldcresthall.peers import exceptions
 from goldcresthall.peers import messages
+from goldcresthall.peers import meters
 from goldcresthall.peers import transport
 from goldcresthall.replication import state_encoding
 from thrift import Thrift
@@ -22,7 +23,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from goldcresthall.peers import meters
     from goldcresthall.replication import state as replicated
 
 MS_PER_S = 1_000
@@ -34,15 +34,18 @@
     """A thrift connection to a peer; not to be shared between tasks."""
 
     def __init__(
-        self, entry: identity.InstanceEntry, timeout_ms: int, meter: meters.PeerMeter
+        self,
+        entry: identity.InstanceEntry,
+        timeout_ms: int,
+        meter: meters.PeerMeter | None = None,
     ) -> None:
         self._entry = entry
         self._timeout_ms = timeout_ms
-        self._meter = meter
+        self._meter = meter or meters.PeerMeter.create_detached()
         address = entry.peer_address
         self._socket = TSocket.TSocket(address.host, address.port)
         self._socket.setTimeout(timeout_ms)
-        self._client = Peer.Client(transport.create_protocol(self._socket, meter))
+        self._client = Peer.Client(transport.create_protocol(self._socket, self._meter))
 
     def open(self, own: identity.Incarnation, failure_domain: str) -> identity.Incarnation:
         """Connect, exchange greetings and return the peer's incarnation.
--- a/src/goldcresthall/peers/meters.py
+++ b/src/goldcresthall/peers/meters.py
@@ -29,6 +29,11 @@
         self._received = self._bytes.labels("received")
         self._sent = self._bytes.labels("sent")
 
+    @classmethod
+    def create_detached(cls) -> PeerMeter:
+        """Return a meter that is not shown, for a connection made only once."""
+        return cls(prometheus_client.CollectorRegistry(), "detached")
+
     def count_received(self, size: int) -> None:
         """Count the bytes of a frame that arrived."""
         self._received.inc(size)
--- a/stand_ins/src/goldcresthall_stand_ins/backend.py
+++ b/stand_ins/src/goldcresthall_stand_ins/backend.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import json
+import os
 import threading
 import time
 
@@ -34,6 +35,9 @@
         Requests that may wait for a slot; more are shed.
     work_ms
         Milliseconds that one request runs.
+    effects_file
+        File to which each effect is written at once, so that it outlives the
+        process; none if empty.
     """
 
     name: str
@@ -45,6 +49,7 @@
     slots: int = 4
     queue: int = 20
     work_ms: float = 1.0
+    effects_file: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +110,7 @@
         self._behavior_changed = threading.Condition()
         self._misbehavior = BackendMisbehavior()
         self._effects: list[Effect] = []
+        self._effects_file = self._open_effects_file()
 
     @property
     def effects(self) -> tuple[Effect, ...]:
@@ -136,7 +142,7 @@
 
     def _answer_lease(self, exchange: web.Exchange) -> web.Reply:
         if exchange.method == "GET":
-            report = self._holder.report(leases.RenewalStatus.REPORTED)
+            report = self._holder.report()
         else:
             report = self._holder.renew(documents.decode_document(exchange.body, leases.Renewal))
         return web.Reply(STATUS_OK, documents.encode_document(report).encode())
@@ -151,17 +157,41 @@
             self._admitted.release()
 
     def _run(self, exchange: web.Exchange) -> web.Reply:
-        work_ms = self._config.work_ms + self._misbehavior.extra_work_ms
-        time.sleep(work_ms / MS_PER_S)
         partition = int(exchange.headers.get(protocol.PARTITION_HEADER.lower(), -1))
         epoch = int(exchange.headers.get(protocol.EPOCH_HEADER.lower(), -1))
-        checked = self._config.keyed and self._config.checks_grants
-        if checked and not self._holder.holds(self._config.service, partition, epoch):
+        if not (self._config.keyed and self._config.checks_grants):
+            self._work()
+            return self._take_effect(exchange, partition, epoch)
+        grant = leases.Grant(self._config.service, partition, epoch)
+        if not self._holder.begin(grant):
             return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
+        try:
+            self._work()
+            if not self._holder.holds(grant):
+                return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
+            return self._take_effect(exchange, partition, epoch)
+        finally:
+            self._holder.end(grant)
+
+    def _work(self) -> None:
+        work_ms = self._config.work_ms + self._misbehavior.extra_work_ms
+        time.sleep(work_ms / MS_PER_S)
+
+    def _take_effect(self, exchange: web.Exchange, partition: int, epoch: int) -> web.Reply:
         request_id = exchange.headers.get(protocol.REQUEST_ID_HEADER.lower(), "")
-        self._effects.append(self._create_effect(exchange, partition, epoch, request_id))
+        self._record(self._create_effect(exchange, partition, epoch, request_id))
         return self._reply(exchange, request_id)
 
+    def _open_effects_file(self) -> int | None:
+        if not self._config.effects_file:
+            return None
+        return os.open(self._config.effects_file, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+
+    def _record(self, effect: Effect) -> None:
+        self._effects.append(effect)
+        if self._effects_file is not None:
+            os.write(self._effects_file, documents.encode_document(effect).encode() + b"\n")
+
     def _create_effect(
         self, exchange: web.Exchange, partition: int, epoch: int, request_id: str
     ) -> Effect:
