--- a/src/goldcresthall/peers/follower.py
+++ b/src/goldcresthall/peers/follower.py
@@ -55,6 +55,7 @@
         self._lock = threading.Lock()
         self._statuses: dict[str, messages.PeerStatus] = {}
         self._followed: dict[identity.InstanceEntry, tasks.Task] = {}
+        self._followed_revision = 0
         self._votes = divergence.Votes()
         self._task = tasks.Task("peers", self._run)
 
@@ -99,6 +100,9 @@
 
     def _adjust_followed(self) -> None:
         listing = self._list.listing
+        if listing.revision and listing.revision == self._followed_revision:
+            return
+        self._followed_revision = listing.revision
         live = listing.live if listing.revision else self._list_seeds()
         wanted = neighbors.choose_neighbors(
             self._incarnation.name, live, self._settings.neighbor_count
