Record non-idempotent work before it is dispatched

Cause: a POST was dispatched without any memory of it, so that a repeat through another instance ran it again. Now an intent is appended first (group commit), the first one accepted by replay wins over all instances, and only its author dispatches, after reading its own record back.

Weighed for expiry: a key that carries the log offset known when it was made (no append, no extra request since every answer carries an offset, exact); a promised time window (replay has no clock, and a late repeat runs again); a filter of all keys ever (about 10 bits a key for 1 in 100 false refusals, and it grows without end). The first is built. A key is accepted only at or after its offset, and forgetting moves a horizon: a forgotten key is older than the horizon whatever a caller writes into it.

An expired key, or an attempt whose end is unknown, is told as unknown and not as a refusal: the request is not run, but work under its key may have been.

Conclusions name the record they conclude, since two requests of one key may meet in one instance. A given-up append is concluded as not run, which also keeps it from being accepted when it arrives late.

--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -9,6 +9,7 @@
 from goldcresthall.backend import http_client
 from goldcresthall.callers import front as caller_front
 from goldcresthall.core import identity
+from goldcresthall.intents import service as intents_service
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
@@ -83,6 +84,10 @@
     built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
 ) -> None:
     built.register(names.PRESETS, publisher.PresetPublisher.from_config(built))
+    built.register(
+        names.INTENTS,
+        intents_service.Intents.from_config(built, incarnation, instance_settings.intents),
+    )
     built.register(names.ROUTER, router.Router.from_config(built))
     built.register(
         names.ADMIN, admin_front.AdminFront.from_config(built, incarnation, instance_settings)
--- a/src/goldcresthall/application/settings_checks.py
+++ b/src/goldcresthall/application/settings_checks.py
@@ -32,7 +32,7 @@
     for field in ("log", "instance_list"):
         path = f"$.platform.{field}"
         yield from checks.iterate_address_faults(path, getattr(checked.platform, field))
-    for section in ("platform", "leases", "peers", "callers"):
+    for section in ("platform", "leases", "peers", "callers", "intents"):
         yield from _iterate_number_faults(f"$.{section}", getattr(checked, section))
     yield from _iterate_lease_faults(checked.leases)
 
--- a/src/goldcresthall/callers/front.py
+++ b/src/goldcresthall/callers/front.py
@@ -20,6 +20,7 @@
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
 from goldcresthall.observability import metrics
+from goldcresthall.replication import replica
 from goldcresthall.routing import router
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     from goldcresthall.kernel import kernel
 
 INSTANCE_HEADER: Final = "Goldcresthall-Instance"
+KEY_OFFSET_HEADER: Final = "Goldcresthall-Key-Offset"
 KEY_VARIABLE: Final = "HTTP_GOLDCRESTHALL_KEY"
 IDEMPOTENCY_KEY_VARIABLE: Final = "HTTP_IDEMPOTENCY_KEY"
 DEADLINE_VARIABLE: Final = "HTTP_GOLDCRESTHALL_DEADLINE_MS"
@@ -69,6 +71,7 @@
     def start(self) -> None:
         """Listen and begin to serve."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._replica = self._kernel.find(names.REPLICA, replica.Replica)
         self._router = self._kernel.find(names.ROUTER, router.Router)
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._server.prepare()
@@ -103,6 +106,7 @@
         own_headers = (
             outcomes.Header(protocol.REQUEST_ID_HEADER, request_id),
             outcomes.Header(INSTANCE_HEADER, self._name),
+            outcomes.Header(KEY_OFFSET_HEADER, str(self._replica.state.next_offset)),
             outcomes.Header("Content-Length", str(len(response.body))),
         )
         replaced = {header.name.lower() for header in own_headers}
--- a/src/goldcresthall/callers/responses.py
+++ b/src/goldcresthall/callers/responses.py
@@ -32,9 +32,15 @@
     outcomes.RefusalReason.UNKNOWN_SERVICE: NOT_FOUND,
     outcomes.RefusalReason.KEY_MISSING: BAD_REQUEST,
     outcomes.RefusalReason.IDEMPOTENCY_KEY_MISSING: BAD_REQUEST,
+    outcomes.RefusalReason.IDEMPOTENCY_KEY_MALFORMED: BAD_REQUEST,
     outcomes.RefusalReason.IDEMPOTENCY_KEY_REUSED: UNPROCESSABLE,
-    outcomes.RefusalReason.IDEMPOTENCY_KEY_EXPIRED: CONFLICT,
-    outcomes.RefusalReason.ALREADY_ATTEMPTED: CONFLICT,
+}
+
+UNKNOWN_STATUSES: Final = {
+    outcomes.UnknownReason.ANSWER_TIMEOUT: GATEWAY_TIMEOUT,
+    outcomes.UnknownReason.INTENT_UNKNOWN: CONFLICT,
+    outcomes.UnknownReason.ATTEMPT_IN_PROGRESS: CONFLICT,
+    outcomes.UnknownReason.IDEMPOTENCY_KEY_EXPIRED: CONFLICT,
 }
 
 
@@ -90,11 +96,18 @@
     problem = _Problem(
         "unknown", outcome.reason.value, outcome.step.value, outcome.peer, outcome.detail
     )
-    timed_out = outcome.reason is outcomes.UnknownReason.ANSWER_TIMEOUT
-    status = GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY
+    status = UNKNOWN_STATUSES.get(outcome.reason, BAD_GATEWAY)
     return _create_problem_response(status, problem, outcome.tries, ())
 
 
+@create_response.register
+def _(outcome: outcomes.AlreadyAnswered) -> Response:
+    detail = f"status {outcome.status}, body digest {outcome.digest}; the answer is not kept"
+    step = outcomes.Step.RECORD_INTENT.value
+    problem = _Problem("already_answered", "already_answered", step, outcome.server, detail)
+    return _create_problem_response(CONFLICT, problem, outcome.tries, ())
+
+
 def _create_problem_response(
     status: int, problem: _Problem, tries: int, headers: tuple[outcomes.Header, ...]
 ) -> Response:
--- a/src/goldcresthall/core/outcomes.py
+++ b/src/goldcresthall/core/outcomes.py
@@ -38,10 +38,9 @@
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_EXPIRED = "deadline_expired"
     IDEMPOTENCY_KEY_MISSING = "idempotency_key_missing"
+    IDEMPOTENCY_KEY_MALFORMED = "idempotency_key_malformed"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
-    IDEMPOTENCY_KEY_EXPIRED = "idempotency_key_expired"
     INTENT_NOT_RECORDED = "intent_not_recorded"
-    ALREADY_ATTEMPTED = "already_attempted"
     STATE_MISSING = "state_missing"
     STATE_HALTED = "state_halted"
     SHUTTING_DOWN = "shutting_down"
@@ -56,6 +55,7 @@
     ANSWER_MISMATCHED = "answer_mismatched"
     SEND_INTERRUPTED = "send_interrupted"
     INTENT_UNKNOWN = "intent_unknown"
+    IDEMPOTENCY_KEY_EXPIRED = "idempotency_key_expired"
     ATTEMPT_IN_PROGRESS = "attempt_in_progress"
 
 
@@ -114,4 +114,22 @@
     tries: int = 1
 
 
-Outcome = Answered | Refused | OutcomeUnknown
+@dataclasses.dataclass(frozen=True, slots=True)
+class AlreadyAnswered:
+    """An earlier request under the same key was run, and its answer is not kept.
+
+    Attributes
+    ----------
+    status
+        Status of the earlier answer.
+    digest
+        Digest of the earlier answer's body.
+    """
+
+    status: int
+    server: str
+    digest: str
+    tries: int = 0
+
+
+Outcome = Answered | Refused | OutcomeUnknown | AlreadyAnswered
--- a/src/goldcresthall/core/settings.py
+++ b/src/goldcresthall/core/settings.py
@@ -74,6 +74,25 @@
     body_limit_bytes: int = 1_048_576
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class IntentSettings:
+    """What is remembered of non-idempotent work, and how long its record is awaited.
+
+    Attributes
+    ----------
+    remembered_limit
+        Number of intents above which the oldest quarter is forgotten.
+    answer_limit_bytes
+        Longest answer, headers and body together, that is kept for repeats.
+    commit_timeout_ms
+        Longest wait for an intent to be read back from the log.
+    """
+
+    remembered_limit: int = 10_000
+    answer_limit_bytes: int = 1_024
+    commit_timeout_ms: int = 1_000
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
     """All settings of a router instance."""
@@ -85,3 +104,4 @@
     leases: LeaseSettings = LeaseSettings()
     peers: PeerSettings = PeerSettings()
     callers: CallerSettings = CallerSettings()
+    intents: IntentSettings = IntentSettings()
--- a/src/goldcresthall/encoding/log_entries.py
+++ b/src/goldcresthall/encoding/log_entries.py
@@ -5,6 +5,7 @@
 import json
 from typing import Final
 
+from goldcresthall.core import intents
 from goldcresthall.core import records
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
@@ -16,6 +17,9 @@
     "partitions_moved": records.PartitionsMoved,
     "server_returned": records.ServerReturned,
     "lessors_appointed": records.LessorsAppointed,
+    "intent_recorded": intents.IntentRecorded,
+    "intent_concluded": intents.IntentConcluded,
+    "intents_forgotten": intents.IntentsForgotten,
 }
 
 _NAMES: Final = {kind: name for name, kind in RECORD_TYPES.items()}
--- /dev/null
+++ b/src/goldcresthall/intents/keys.py
@@ -0,0 +1,64 @@
+"""Idempotency keys as callers send them, and digests of the work they name."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import re
+import uuid
+from typing import TYPE_CHECKING
+from typing import Final
+
+from goldcresthall.core import intents
+
+if TYPE_CHECKING:
+    from goldcresthall.core import requests
+
+DIGEST_BYTES: Final = 16
+KEY_PATTERN: Final = re.compile(r"([0-9]{1,18})\.([\x21-\x7e]{1,128})")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """A piece of non-idempotent work as its caller names it.
+
+    Attributes
+    ----------
+    digest
+        Digest of method, path, query, key and body.
+    deadline_s
+        Clock reading by which the caller must have an answer.
+    """
+
+    service: str
+    key: intents.IdempotencyKey
+    digest: str
+    deadline_s: float
+
+
+def parse_key(text: str) -> intents.IdempotencyKey | None:
+    """Return the key of a header ``offset.text``, or none if it is not of that form."""
+    matched = KEY_PATTERN.fullmatch(text)
+    if matched is None:
+        return None
+    return intents.IdempotencyKey(int(matched.group(1)), matched.group(2))
+
+
+def issue_key(next_offset: int) -> intents.IdempotencyKey:
+    """Return a fresh key for work that is first sent at or after an offset of the log."""
+    return intents.IdempotencyKey(next_offset, uuid.uuid4().hex)
+
+
+def digest_request(request: requests.Request) -> str:
+    """Return a digest of all that decides what a request does."""
+    hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    texts = (request.method, request.path, request.query, request.key)
+    for part in (*(text.encode() for text in texts), request.body):
+        hasher.update(len(part).to_bytes(8, "big"))
+        hasher.update(part)
+    return hasher.hexdigest()
+
+
+def digest_body(body: bytes) -> str:
+    """Return a digest of an answer's body."""
+    return hashlib.blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
--- a/src/goldcresthall/observability/metrics.py
+++ b/src/goldcresthall/observability/metrics.py
@@ -89,6 +89,16 @@
     answered.inc()
 
 
+@_count.register
+def _(
+    outcome: outcomes.AlreadyAnswered,
+    answered: prometheus_client.Counter,
+    refused: prometheus_client.Counter,
+    unknown: prometheus_client.Counter,
+) -> None:
+    refused.labels("already_answered", outcomes.Step.RECORD_INTENT.value).inc()
+
+
 @_count.register
 def _(
     outcome: outcomes.Refused,
--- a/src/goldcresthall/replication/replay.py
+++ b/src/goldcresthall/replication/replay.py
@@ -26,6 +26,10 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_SERVER = "unknown_server"
     UNKNOWN_PARTITION = "unknown_partition"
+    INTENT_HELD = "intent_held"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    KEY_NOT_ISSUED = "key_not_issued"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/replication/replica.py
+++ b/src/goldcresthall/replication/replica.py
@@ -15,6 +15,7 @@
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
 from goldcresthall.platform import log_client
+from goldcresthall.replication import intents  # noqa: F401 its records are registered
 from goldcresthall.replication import replay
 from goldcresthall.replication import state as replicated
 from goldcresthall.replication import writer
--- a/src/goldcresthall/replication/state.py
+++ b/src/goldcresthall/replication/state.py
@@ -8,6 +8,7 @@
 from pyrsistent import typing as pyrsistent_typing
 
 from goldcresthall.core import identity
+from goldcresthall.core import intents
 from goldcresthall.core import preset
 
 
@@ -65,6 +66,42 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class IntentId:
+    """One piece of non-idempotent work: the service and the caller's own key."""
+
+    service: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Intent:
+    """The last attempt at a piece of non-idempotent work.
+
+    Attributes
+    ----------
+    record_id
+        Identifier of the accepted record; only its author's conclusion counts.
+    holder
+        Incarnation that may dispatch it; nobody else ever may.
+    offset
+        Offset of the accepted record.
+    conclusion
+        How the attempt ended; none while only its holder may know.
+    """
+
+    record_id: str
+    holder: str
+    offset: int
+    attempt: int
+    digest: str
+    conclusion: intents.Conclusion | None = None
+    server: str = ""
+    status: int = 0
+    answer_digest: str = ""
+    answer: intents.RecordedAnswer | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
     """All that replay derives from the log.
@@ -75,6 +112,8 @@
         Offset of the first entry that is not yet replayed.
     halted
         Why this instance can decide nothing more; empty if it can.
+    intents_horizon
+        Intents below this offset are forgotten, and keys issued before it expired.
     """
 
     next_offset: int
@@ -82,6 +121,10 @@
     partitions: pyrsistent_typing.PMap[PartitionId, Ownership]
     servers: pyrsistent_typing.PMap[str, ServerState]
     halted: str = ""
+    intents: pyrsistent_typing.PMap[IntentId, Intent] = dataclasses.field(
+        default_factory=pyrsistent.pmap
+    )
+    intents_horizon: int = 0
 
     @classmethod
     def create_empty(cls) -> State:
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -10,6 +10,7 @@
 from goldcresthall.backend import client
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
+from goldcresthall.intents import service as intents_service
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
@@ -52,6 +53,7 @@
         """Find the services that requests need."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
+        self._intents = self._kernel.find(names.INTENTS, intents_service.Intents)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
 
     def stop(self) -> None:
@@ -62,7 +64,11 @@
         plan = self._plan(request)
         if isinstance(plan, outcomes.Refused):
             return plan
-        return self._try_repeatedly(request, plan)
+        if plan.route.idempotent:
+            return self._try_repeatedly(request, plan)
+        return self._intents.run_once(
+            request, plan.deadline_s, lambda: self._try_repeatedly(request, plan)
+        )
 
     def _plan(self, request: requests.Request) -> Plan | outcomes.Refused:
         in_force = self._replica.state.preset_in_force
--- /dev/null
+++ b/tests/intents/test_machine.py
@@ -0,0 +1,151 @@
+"""At most one effect for each key, over instances that crash, lag and lose answers."""
+
+from __future__ import annotations
+
+import collections
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from goldcresthall.core import identity
+from goldcresthall.core import intents
+from goldcresthall.core import outcomes
+from goldcresthall.encoding import log_entries
+from tests.fakes import clock as clocks
+from tests.fakes import log as logs
+from tests.fakes import replica as replicas
+from tests.intents import conftest as doubles
+
+INSTANCE_COUNT = 3
+ENDS = ("answered", "refused", "lost", "lost_without_effect", "crashed", "crashed_without_effect")
+WITHOUT_EFFECT = {"refused", "lost_without_effect", "crashed_without_effect"}
+
+
+class CrashError(Exception):
+    """The instance is lost in the middle of a request."""
+
+
+class IntentMachine(stateful.RuleBasedStateMachine):
+    """Runs work under few keys through several instances in every order of events.
+
+    A request that runs within another one's commit or dispatch stands for two that race.
+    """
+
+    keys = stateful.Bundle("keys")
+    numbers = strategies.integers(0, INSTANCE_COUNT - 1)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = logs.InMemoryLog()
+        self.clock = clocks.ManualClock()
+        self.instances = [self.start_instance(number) for number in range(INSTANCE_COUNT)]
+        self.effects: collections.Counter[str] = collections.Counter()
+
+    def start_instance(self, number: int) -> doubles.FakeInstance:
+        return doubles.FakeInstance(f"router-{number}", self.log, self.clock)
+
+    @stateful.rule(target=keys, number=numbers)
+    def issue(self, number: int) -> str:
+        return str(self.instances[number].service.issue_key())
+
+    @stateful.rule(target=keys, ahead=strategies.integers(0, 6))
+    def forge(self, ahead: int) -> str:
+        return f"{len(self.log.entries) + ahead}.{identity.create_record_id()}"
+
+    @stateful.rule(
+        key=keys,
+        number=numbers,
+        end=strategies.sampled_from(ENDS),
+        fate=strategies.sampled_from(replicas.AppendFate),
+        rivals=strategies.tuples(
+            strategies.none() | numbers, strategies.none() | numbers, strategies.booleans()
+        ),
+    )
+    def run_work(
+        self,
+        key: str,
+        number: int,
+        end: str,
+        fate: replicas.AppendFate,
+        rivals: tuple[int | None, int | None, bool],
+    ) -> None:
+        at_commit, at_dispatch, is_delayed_read = rivals
+        instance = self.instances[number]
+        instance.replica.fate = fate
+        instance.writer.is_keeping_back = is_delayed_read
+        instance.replica.before_append = lambda: self.race(key, at_commit, instance)
+        try:
+            self.send(key, instance, end, at_dispatch)
+        except CrashError:
+            self.instances[number] = self.start_instance(number)
+            instance.stop()
+        instance.replica.before_append = lambda: None
+        instance.replica.fate = replicas.AppendFate.DONE
+
+    def race(self, key: str, number: int | None, rival: doubles.FakeInstance) -> None:
+        """Send the same request through another instance, or the same one, in between."""
+        if number is None:
+            return
+        rival.replica.before_append = lambda: None
+        kept_fate, rival.replica.fate = rival.replica.fate, replicas.AppendFate.DONE
+        self.send(key, self.instances[number], "answered", None)
+        rival.replica.fate = kept_fate
+
+    def send(
+        self, key: str, instance: doubles.FakeInstance, end: str, at_dispatch: int | None
+    ) -> None:
+        own_effects = []
+
+        def attempt() -> outcomes.Outcome:
+            self.race(key, at_dispatch, instance)
+            if end not in WITHOUT_EFFECT:
+                self.effects[key] += 1
+                own_effects.append(key)
+            if end.startswith("crashed"):
+                raise CrashError
+            return {"answered": doubles.answer, "refused": doubles.refuse}.get(end, doubles.lose)()
+
+        outcome = instance.run(key, attempt)
+        if isinstance(outcome, outcomes.Answered):
+            assert self.effects[key] == 1
+        if isinstance(outcome, outcomes.Refused):
+            assert not own_effects
+
+    @stateful.rule(number=numbers)
+    def catch_up(self, number: int) -> None:
+        self.instances[number].replica.catch_up()
+
+    @stateful.rule(number=numbers)
+    def append_late(self, number: int) -> None:
+        self.instances[number].replica.append_delayed()
+
+    @stateful.rule(number=numbers)
+    def conclude_late(self, number: int) -> None:
+        self.instances[number].writer.append_kept_back()
+
+    @stateful.rule(share=strategies.floats(0, 1))
+    def forget(self, share: float) -> None:
+        end_offset = len(self.log.entries)
+        record = intents.IntentsForgotten(
+            record_id=identity.create_record_id(),
+            base=end_offset,
+            author="test",
+            reason="test",
+            below=round(end_offset * share),
+        )
+        self.log.append((log_entries.encode_record(record),))
+
+    @stateful.invariant()
+    def no_key_ran_twice(self) -> None:
+        assert not [key for key, count in self.effects.items() if count > 1]
+
+    def teardown(self) -> None:
+        for instance in self.instances:
+            instance.stop()
+
+
+IntentMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=30, deadline=None
+)
+TestIntents = IntentMachine.TestCase
--- /dev/null
+++ b/tests/intents/test_service.py
@@ -0,0 +1,146 @@
+"""Tests of what a repeat is told, through any instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.core import identity
+from goldcresthall.core import intents
+from goldcresthall.core import outcomes
+from goldcresthall.encoding import log_entries
+from tests.fakes import replica as replicas
+from tests.intents import conftest as doubles
+
+if TYPE_CHECKING:
+    from tests.fakes import log as logs
+
+Pair = tuple[doubles.FakeInstance, doubles.FakeInstance]
+
+
+def fail() -> outcomes.Outcome:
+    pytest.fail("the work was dispatched a second time")
+
+
+def test_repeat_elsewhere_gets_recorded_answer(pair: Pair) -> None:
+    first, second = pair
+    assert first.run("0.a", doubles.answer) == doubles.answer()
+    repeated = second.run("0.a", fail)
+    assert isinstance(repeated, outcomes.Answered)
+    assert repeated.answer.body == b"done"
+
+
+def test_repeat_of_large_answer_is_told_it_was_answered(pair: Pair) -> None:
+    first, second = pair
+    first.run("0.a", lambda: doubles.answer(b"x" * 2_000))
+    repeated = second.run("0.a", fail)
+    assert isinstance(repeated, outcomes.AlreadyAnswered)
+    assert repeated.status == 201
+
+
+def test_refused_attempt_may_run_again(pair: Pair) -> None:
+    first, second = pair
+    assert first.run("0.a", doubles.refuse) == doubles.refuse()
+    assert second.run("0.a", doubles.answer) == doubles.answer()
+
+
+def test_unknown_outcome_is_never_run_again(pair: Pair) -> None:
+    first, second = pair
+    first.run("0.a", doubles.lose)
+    repeated = second.run("0.a", fail)
+    assert isinstance(repeated, outcomes.OutcomeUnknown)
+    assert repeated.reason is outcomes.UnknownReason.INTENT_UNKNOWN
+
+
+def test_repeat_waits_for_a_lost_instance_only_until_its_deadline(pair: Pair) -> None:
+    first, second = pair
+    first.writer.is_keeping_back = True
+    first.run("0.a", doubles.answer)
+    repeated = second.run("0.a", fail)
+    assert isinstance(repeated, outcomes.OutcomeUnknown)
+    assert repeated.reason is outcomes.UnknownReason.ATTEMPT_IN_PROGRESS
+    assert first.clock.read_s() < 1_000 + doubles.DEADLINE_S
+
+
+def test_key_of_another_request_is_refused(pair: Pair) -> None:
+    first, second = pair
+    first.run("0.a", doubles.answer)
+    refused = second.run("0.a", fail, body=b"another order")
+    assert isinstance(refused, outcomes.Refused)
+    assert refused.reason is outcomes.RefusalReason.IDEMPOTENCY_KEY_REUSED
+
+
+@pytest.mark.parametrize(
+    ("key", "reason"),
+    [
+        ("", outcomes.RefusalReason.IDEMPOTENCY_KEY_MISSING),
+        ("order-1", outcomes.RefusalReason.IDEMPOTENCY_KEY_MALFORMED),
+        ("7.never issued", outcomes.RefusalReason.IDEMPOTENCY_KEY_MALFORMED),
+        ("999.a", outcomes.RefusalReason.IDEMPOTENCY_KEY_MALFORMED),
+    ],
+)
+def test_unusable_key_is_refused(pair: Pair, key: str, reason: outcomes.RefusalReason) -> None:
+    refused = pair[0].run(key, fail)
+    assert isinstance(refused, outcomes.Refused)
+    assert refused.reason is reason
+
+
+@pytest.mark.parametrize(
+    "fate",
+    [replicas.AppendFate.REFUSED, replicas.AppendFate.ANSWER_LOST, replicas.AppendFate.DELAYED],
+)
+def test_unrecorded_intent_is_refused_and_may_run_later(
+    pair: Pair, fate: replicas.AppendFate
+) -> None:
+    first, second = pair
+    first.replica.fate = fate
+    refused = first.run("0.a", fail)
+    assert isinstance(refused, outcomes.Refused)
+    assert refused.reason is outcomes.RefusalReason.INTENT_NOT_RECORDED
+    assert refused.retry_after_s is not None
+    first.replica.append_delayed()
+    assert second.run("0.a", doubles.answer) == doubles.answer()
+
+
+def test_forgotten_key_is_expired_and_not_run(pair: Pair, log: logs.InMemoryLog) -> None:
+    first, second = pair
+    first.run("0.a", doubles.answer)
+    record = intents.IntentsForgotten(
+        record_id=identity.create_record_id(), base=2, author="test", reason="test", below=2
+    )
+    log.append((log_entries.encode_record(record),))
+    for instance in pair:
+        instance.replica.catch_up()
+        repeated = instance.run("0.a", fail)
+        assert isinstance(repeated, outcomes.OutcomeUnknown)
+        assert repeated.reason is outcomes.UnknownReason.IDEMPOTENCY_KEY_EXPIRED
+    key = str(second.service.issue_key())
+    assert second.run(key, doubles.answer) == doubles.answer()
+
+
+def test_late_conclusion_of_a_given_up_attempt_frees_nobody_elses(pair: Pair) -> None:
+    first, second = pair
+    first.replica.fate = replicas.AppendFate.DELAYED
+    first.writer.is_keeping_back = second.writer.is_keeping_back = True
+    assert isinstance(first.run("0.a", fail), outcomes.Refused)
+    assert second.run("0.a", doubles.answer) == doubles.answer()
+    first.writer.append_kept_back()
+    first.replica.fate = replicas.AppendFate.DONE
+    assert isinstance(first.run("0.a", fail), outcomes.OutcomeUnknown)
+
+
+def test_replay_rejects_a_key_from_the_future(pair: Pair, log: logs.InMemoryLog) -> None:
+    record = intents.IntentRecorded(
+        record_id=identity.create_record_id(),
+        base=0,
+        author="test",
+        reason="test",
+        service="ordering",
+        key=intents.IdempotencyKey(1, "a"),
+        digest="",
+        attempt=1,
+    )
+    log.append((log_entries.encode_record(record),))
+    pair[0].replica.catch_up()
+    assert not pair[0].replica.state.intents
