--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -14,7 +14,10 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import counters
+from goldcresthall.ownership import lessor_probe
 from goldcresthall.ownership import lessors
+from goldcresthall.ownership import planned_moves
 from goldcresthall.ownership import proposer
 from goldcresthall.peers import follower
 from goldcresthall.peers import server
@@ -52,9 +55,11 @@
     platform = instance_settings.platform
     built.register(names.CLOCK, clock.MonotonicClock())
     built.register(names.METRICS, metrics.Metrics())
-    built.register(names.LOG_CLIENT, http_log_client.HttpLogClient.from_config(platform))
+    built.register(names.LOG_CLIENT, http_log_client.HttpLogClient.from_config(instance_settings))
     built.register(names.LOG_WRITER, writer.LogWriter.from_config(built, platform))
-    built.register(names.INSTANCE_LIST, instance_list.HttpInstanceList.from_config(platform))
+    built.register(
+        names.INSTANCE_LIST, instance_list.HttpInstanceList.from_config(instance_settings)
+    )
     built.register(names.BACKENDS, http_client.HttpBackendClient())
 
 
@@ -77,6 +82,12 @@
         names.OWNERSHIP,
         proposer.OwnershipProposer.from_config(built, incarnation, instance_settings.leases),
     )
+    built.register(names.LEASE_COUNTERS, counters.LeaseCounters.from_config(built))
+    built.register(
+        names.LESSOR_PROBE,
+        lessor_probe.PeerLessorProbe.from_config(built, incarnation, instance_settings),
+    )
+    built.register(names.PLANNED_MOVES, planned_moves.PlannedMoves.from_config(built, incarnation))
     built.register(names.LEASES, lessors.Lessors.from_config(built, incarnation, instance_settings))
 
 
--- a/src/goldcresthall/intents/concluder.py
+++ b/src/goldcresthall/intents/concluder.py
@@ -17,6 +17,7 @@
     from goldcresthall.kernel import kernel
 
 RETRY_DELAY_S: Final = 0.5
+FLUSH_TIMEOUT_S: Final = 2.0
 PENDING_LIMIT: Final = 10_000
 
 
@@ -29,7 +30,8 @@
 
     def __init__(self, owner: kernel.Kernel) -> None:
         self._kernel = owner
-        self._lock = threading.Lock()
+        self._changed = threading.Condition()
+        self._submitted = 0
         self._unrecorded: collections.deque[intents.IntentConcluded] = collections.deque(
             maxlen=PENDING_LIMIT
         )
@@ -41,26 +43,35 @@
         self._task.start()
 
     def stop(self) -> None:
-        """Stop; conclusions not yet recorded leave their keys unknown."""
+        """Stop once all conclusions are recorded, or after `FLUSH_TIMEOUT_S` seconds."""
+        with self._changed:
+            self._changed.wait_for(self._is_flushed, FLUSH_TIMEOUT_S)
         self._task.stop()
 
     def conclude(self, record: intents.IntentConcluded) -> None:
         """Append a conclusion; if that fails it is appended again later."""
 
         def notify(outcome: log_client.AppendOutcome) -> None:
-            if not isinstance(outcome, log_client.Appended):
-                with self._lock:
+            with self._changed:
+                self._submitted -= 1
+                if not isinstance(outcome, log_client.Appended):
                     self._unrecorded.append(record)
+                self._changed.notify_all()
 
+        with self._changed:
+            self._submitted += 1
         self._writer.submit(record, notify)
 
+    def _is_flushed(self) -> bool:
+        return not self._submitted and not self._unrecorded
+
     def _run(self, stop_signal: tasks.StopSignal) -> None:
         while not stop_signal.wait(RETRY_DELAY_S):
             for record in self._take_unrecorded():
                 self.conclude(record)
 
     def _take_unrecorded(self) -> list[intents.IntentConcluded]:
-        with self._lock:
+        with self._changed:
             taken = list(self._unrecorded)
             self._unrecorded.clear()
         return taken
--- a/src/goldcresthall/replication/state.py
+++ b/src/goldcresthall/replication/state.py
@@ -11,6 +11,8 @@
 from goldcresthall.core import intents
 from goldcresthall.core import preset
 
+PRESETS_REMEMBERED = 32
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PartitionId:
@@ -48,12 +50,21 @@
         Offset of the last accepted record that touched the server.
     lost
         Whether its lessor waited its lease out and has not heard from it since.
+    succeeded
+        Whether an earlier appointment may have let another lessor renew the lease.
+    server_incarnation
+        Life of the server process that the lessor may renew; empty if none was met.
+    server
+        The server as a preset last named it; none if no preset did.
     """
 
     lessor: identity.Incarnation
     epoch: int
     changed_at: int
     lost: bool = False
+    succeeded: bool = False
+    server_incarnation: str = ""
+    server: preset.BackendServer | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,6 +113,38 @@
     answer: intents.RecordedAnswer | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PresetEntry:
+    """One preset that was put in force, without its content."""
+
+    offset: int
+    name: str
+    author: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotProgress:
+    """Which snapshot in the log is whole, and which is under way.
+
+    Attributes
+    ----------
+    whole_base
+        Offset of the state in the newest whole snapshot; minus one if none.
+    whole_at
+        Offset of that snapshot's last chunk; minus one if none.
+    pending_id
+        Snapshot of which chunks are missing; empty if none.
+    pending_chunks
+        Number of its chunks that were replayed.
+    """
+
+    whole_base: int = -1
+    whole_at: int = -1
+    pending_id: str = ""
+    pending_chunks: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
     """All that replay derives from the log.
@@ -114,6 +157,13 @@
         Why this instance can decide nothing more; empty if it can.
     intents_horizon
         Intents below this offset are forgotten, and keys issued before it expired.
+    chain
+        Digest over all replayed entries and what was decided on each; two
+        instances that differ in it at one offset have diverged.
+    presets
+        The last `PRESETS_REMEMBERED` presets put in force, the newest last.
+    snapshots
+        Which snapshot is whole.
     """
 
     next_offset: int
@@ -125,6 +175,9 @@
         default_factory=pyrsistent.pmap
     )
     intents_horizon: int = 0
+    chain: str = ""
+    presets: tuple[PresetEntry, ...] = ()
+    snapshots: SnapshotProgress = SnapshotProgress()
 
     @classmethod
     def create_empty(cls) -> State:
--- a/tests/intents/conftest.py
+++ b/tests/intents/conftest.py
@@ -16,7 +16,7 @@
 from tests.fakes import clock as clocks
 from tests.fakes import instances
 from tests.fakes import log as logs
-from tests.fakes import replica as replicas
+from tests.fakes import stepped_replica as replicas
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/intents/test_machine.py
+++ b/tests/intents/test_machine.py
@@ -14,7 +14,7 @@
 from goldcresthall.encoding import log_entries
 from tests.fakes import clock as clocks
 from tests.fakes import log as logs
-from tests.fakes import replica as replicas
+from tests.fakes import stepped_replica as replicas
 from tests.intents import conftest as doubles
 
 INSTANCE_COUNT = 3
--- a/tests/intents/test_service.py
+++ b/tests/intents/test_service.py
@@ -10,7 +10,7 @@
 from goldcresthall.core import intents
 from goldcresthall.core import outcomes
 from goldcresthall.encoding import log_entries
-from tests.fakes import replica as replicas
+from tests.fakes import stepped_replica as replicas
 from tests.intents import conftest as doubles
 
 if TYPE_CHECKING:
