--- a/src/goldcresthall/backend/http_client.py
+++ b/src/goldcresthall/backend/http_client.py
@@ -65,7 +65,7 @@
             except (urllib3.exceptions.HTTPError, OSError) as error:
                 return responses.classify_connect_error(error)
         attempt = _exchange(connection, dispatch, ends_at_s)
-        if isinstance(attempt, attempts.AttemptUnknown):
+        if isinstance(attempt, attempts.AttemptUnknown) or _is_body_unread(attempt, dispatch):
             connection.close()
         else:
             pool.give_back(connection)
@@ -112,6 +112,11 @@
             return self._lease_pools[address]
 
 
+def _is_body_unread(attempt: attempts.Attempt, dispatch: attempts.Dispatch) -> bool:
+    """Return whether a server may still take the request's body for the next request."""
+    return isinstance(attempt, attempts.AttemptNotRun) and bool(dispatch.body)
+
+
 def _exchange(
     connection: connections.BackendConnection, dispatch: attempts.Dispatch, ends_at_s: float
 ) -> attempts.Attempt:
--- a/src/goldcresthall/callers/front.py
+++ b/src/goldcresthall/callers/front.py
@@ -9,9 +9,9 @@
 from typing import Any
 from typing import Final
 
-from cheroot import wsgi
-
 from goldcresthall.backend import protocol
+from goldcresthall.callers import input_checks
+from goldcresthall.callers import rejections
 from goldcresthall.callers import responses
 from goldcresthall.core import outcomes
 from goldcresthall.core import requests
@@ -39,10 +39,6 @@
 SHUTDOWN_TIMEOUT_S = 30
 
 
-class MalformedRequestError(Exception):
-    """A caller's request cannot be decoded."""
-
-
 class CallerFront(service.Service):
     """Serves callers with one thread for each request in progress."""
 
@@ -51,7 +47,7 @@
         self._name = instance_settings.name
         self._body_limit = instance_settings.callers.body_limit_bytes
         address = instance_settings.listen.callers
-        self._server = wsgi.Server(
+        self._server = rejections.CallerServer(
             (address.host, address.port),
             self._serve,
             numthreads=instance_settings.callers.threads,
@@ -74,6 +70,7 @@
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
         self._router = self._kernel.find(names.ROUTER, router.Router)
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
+        self._server.count_rejection = lambda refused: self._metrics.count_outcome(refused, 0.0)
         self._server.prepare()
         self._task.start()
 
@@ -121,37 +118,25 @@
     ) -> outcomes.Outcome:
         try:
             request = self._decode(environ, request_id, received_at_s)
-        except MalformedRequestError as error:
-            return outcomes.Refused(
-                outcomes.RefusalReason.MALFORMED_REQUEST,
-                outcomes.Step.DECODE,
-                environ.get("REMOTE_ADDR", ""),
-                str(error),
-            )
-        if isinstance(request, outcomes.Refused):
-            return request
+        except input_checks.MalformedRequestError as error:
+            return _refuse(outcomes.RefusalReason.MALFORMED_REQUEST, environ, error)
+        except input_checks.RequestTooLargeError as error:
+            return _refuse(outcomes.RefusalReason.REQUEST_TOO_LARGE, environ, error)
         return self._router.handle(request)
 
     def _decode(
         self, environ: dict[str, Any], request_id: str, received_at_s: float
-    ) -> requests.Request | outcomes.Refused:
-        length = _parse_count(environ.get("CONTENT_LENGTH") or "0", "Content-Length")
-        if length > self._body_limit:
-            return outcomes.Refused(
-                outcomes.RefusalReason.REQUEST_TOO_LARGE,
-                outcomes.Step.DECODE,
-                environ.get("REMOTE_ADDR", ""),
-                f"the limit is {self._body_limit} bytes",
-            )
+    ) -> requests.Request:
+        body = input_checks.read_body(environ, self._body_limit)
         raw_path = environ.get("PATH_INFO", "/")
+        input_checks.check_path(raw_path)
+        headers = _collect_headers(environ)
+        input_checks.check_headers(headers)
         service_name, _, rest = raw_path.lstrip("/").partition("/")
         deadline = environ.get(DEADLINE_VARIABLE)
         deadline_s = None
         if deadline is not None:
-            deadline_s = received_at_s + _parse_count(deadline, "deadline") / MS_PER_S
-        body = environ["wsgi.input"].read(length) if length else b""
-        if len(body) != length:
-            raise MalformedRequestError("the body is shorter than its Content-Length")
+            deadline_s = received_at_s + input_checks.parse_count(deadline, "deadline") / MS_PER_S
         return requests.Request(
             request_id=request_id,
             service=service_name,
@@ -161,17 +146,19 @@
             raw_target=_find_raw_target(environ),
             key=environ.get(KEY_VARIABLE, ""),
             idempotency_key=environ.get(IDEMPOTENCY_KEY_VARIABLE, ""),
-            headers=_collect_headers(environ),
+            headers=headers,
             body=body,
             received_at_s=received_at_s,
             deadline_s=deadline_s,
         )
 
 
-def _parse_count(text: str, field: str) -> int:
-    if not (text.isascii() and text.isdigit()):
-        raise MalformedRequestError(f"{field} is not a whole number")
-    return int(text)
+def _refuse(
+    reason: outcomes.RefusalReason, environ: dict[str, Any], error: Exception
+) -> outcomes.Refused:
+    return outcomes.Refused(
+        reason, outcomes.Step.DECODE, environ.get("REMOTE_ADDR", ""), str(error)
+    )
 
 
 def _find_raw_target(environ: dict[str, Any]) -> str:
--- a/src/goldcresthall/encoding/log_entries.py
+++ b/src/goldcresthall/encoding/log_entries.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from goldcresthall.core import cancellations
+from goldcresthall.core import hot_keys
 from goldcresthall.core import intents
 from goldcresthall.core import records
 from goldcresthall.core import snapshots
@@ -26,6 +27,7 @@
     "intents_forgotten": intents.IntentsForgotten,
     "move_cancelled": cancellations.MoveCancelled,
     "snapshot_chunk": snapshots.SnapshotChunk,
+    "hot_key_moved": hot_keys.HotKeyMoved,
 }
 
 _NAMES: Final = {kind: name for name, kind in RECORD_TYPES.items()}
