--- a/src/goldcresthall/replication/__init__.py
+++ b/src/goldcresthall/replication/__init__.py
@@ -7,4 +7,5 @@
 
 from goldcresthall.replication import cancellations as cancellations
 from goldcresthall.replication import hot_keys as hot_keys
+from goldcresthall.replication import intents as intents
 from goldcresthall.replication import replay_snapshots as replay_snapshots
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -10,6 +10,7 @@
 from goldcresthall.backend import client
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
+from goldcresthall.intents import service as intents_service
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
@@ -72,6 +73,7 @@
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
+        self._intents = self._kernel.find(names.INTENTS, intents_service.Intents)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
 
     def stop(self) -> None:
@@ -85,7 +87,11 @@
         plan = plans.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
-        return self._try_repeatedly(request, plan)
+        if plan.route.idempotent:
+            return self._try_repeatedly(request, plan)
+        return self._intents.run_once(
+            request, plan.deadline_s, lambda: self._try_repeatedly(request, plan)
+        )
 
     def _try_repeatedly(self, request: requests.Request, plan: plans.Plan) -> outcomes.Outcome:
         policy = plan.target.policy
--- /dev/null
+++ b/tests/backend/test_whole_answers.py
@@ -0,0 +1,106 @@
+"""A caller gets the whole answer to its own request, or is told that it is unknown."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.backend import http_client
+from goldcresthall.core import attempts
+from tests.backend import raw_server
+from tests.backend import test_http_client as base
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n\r\nwhole"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"
+
+
+@pytest.fixture
+def client() -> Iterator[http_client.HttpBackendClient]:
+    created = http_client.HttpBackendClient()
+    created.start()
+    yield created
+    created.stop()
+
+
+@pytest.mark.parametrize("answer", [ANSWER, CHUNKED])
+def test_answer_cut_at_any_byte_is_unknown(
+    client: http_client.HttpBackendClient, answer: bytes
+) -> None:
+    needed = len(answer) if answer is ANSWER else len(answer) - len(b"\r\n\r\n")
+    scripts = [raw_server.Script((answer[:end],), closes=True) for end in range(needed)]
+    with raw_server.run_server(*scripts) as server:
+        results = [client.send(base.create_dispatch(server.address, "POST")) for _ in scripts]
+    assert [type(result) for result in results] == [attempts.AttemptUnknown] * needed
+
+
+def test_early_hints_are_not_taken_for_the_answer(client: http_client.HttpBackendClient) -> None:
+    with raw_server.run_server(raw_server.Script((EARLY_HINTS + ANSWER,)), base.WHOLE) as server:
+        for _ in range(2):
+            attempt = client.send(base.create_dispatch(server.address))
+            assert isinstance(attempt, attempts.AttemptAnswered)
+            assert attempt.answer.status == 200
+            assert attempt.answer.body == b"whole"
+
+
+def test_repeated_headers_are_all_passed_on(client: http_client.HttpBackendClient) -> None:
+    with raw_server.run_server(raw_server.Script((ANSWER,))) as server:
+        attempt = client.send(base.create_dispatch(server.address))
+    assert isinstance(attempt, attempts.AttemptAnswered)
+    assert [header.value for header in attempt.answer.headers] == ["a=1", "b=2"]
+
+
+@pytest.mark.parametrize(
+    ("method", "answer"),
+    [
+        ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"),
+        ("GET", b"HTTP/1.1 204 No Content\r\n\r\n"),
+        ("GET", b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n"),
+    ],
+)
+def test_answer_without_body_is_whole(
+    client: http_client.HttpBackendClient, method: str, answer: bytes
+) -> None:
+    with raw_server.run_server(raw_server.Script((answer,)), base.WHOLE) as server:
+        attempt = client.send(base.create_dispatch(server.address, method))
+        assert isinstance(attempt, attempts.AttemptAnswered)
+        assert attempt.answer.body == b""
+        following = client.send(base.create_dispatch(server.address))
+        assert isinstance(following, attempts.AttemptAnswered)
+        assert following.answer.body == b"whole"
+        assert server.connections == 1
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nGoldcresthall-Not-Run: shed\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nGoldcresthall-Request-Id: another\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nwhole",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ],
+)
+def test_contradictory_answer_is_unknown_and_its_connection_closed(
+    client: http_client.HttpBackendClient, answer: bytes
+) -> None:
+    with raw_server.run_server(raw_server.Script((answer,)), base.WHOLE) as server:
+        attempt = client.send(base.create_dispatch(server.address))
+        assert isinstance(attempt, attempts.AttemptUnknown)
+        client.send(base.create_dispatch(server.address))
+        assert server.connections == 2
+
+
+def test_refusal_that_may_have_left_the_body_unread_ends_the_connection(
+    client: http_client.HttpBackendClient,
+) -> None:
+    shed = b"HTTP/1.1 503 -\r\nGoldcresthall-Not-Run: shed\r\nContent-Length: 0\r\n\r\n"
+    with raw_server.run_server(raw_server.Script((shed,)), base.WHOLE) as server:
+        dispatch = dataclasses.replace(base.create_dispatch(server.address, "POST"), body=b"GET /")
+        assert isinstance(client.send(dispatch), attempts.AttemptNotRun)
+        assert isinstance(client.send(dispatch), attempts.AttemptAnswered)
+        assert server.connections == 2
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -17,6 +17,7 @@
 from goldcresthall.routing import router
 from tests.fakes import backends
 from tests.fakes import clock
+from tests.fakes import intents
 from tests.fakes import replica
 
 if TYPE_CHECKING:
@@ -64,6 +65,7 @@
         self.kernel.register(names.METRICS, self.metrics)
         self.kernel.register(names.REPLICA, self.replica)
         self.kernel.register(names.BACKENDS, self.backends)
+        self.kernel.register(names.INTENTS, intents.DirectIntents())
         self.router = router.Router(self.kernel, self._sleep)
         self.kernel.register(names.ROUTER, self.router)
         self.kernel.start()
