Choose servers by what this instance saw of them itself

Cause: unkeyed work went to a random server, whatever its state.

Now: a service of its own keeps for each server the tries in progress, a moving average of latency, failures, the load it last told (discounted by age), and whether it drains by the preset, by the instance list or by its own word. Power of two choices by expected wait; a try that is older than the average counts as the latency, so that a frozen server is avoided before its first timeout; five failures in a row eject, at most half of a service, with a growing pause and one probing request; a new or returning server takes part in a growing share of the draws. The instance list names what runs on an instance, so that backend servers can be listed as leaving.

Health endpoints are not asked: own tries tell more.

--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -22,6 +22,7 @@
 from goldcresthall.presets import publisher
 from goldcresthall.replication import replica
 from goldcresthall.replication import writer
+from goldcresthall.routing import observations
 from goldcresthall.routing import router
 
 if TYPE_CHECKING:
@@ -83,6 +84,7 @@
     built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
 ) -> None:
     built.register(names.PRESETS, publisher.PresetPublisher.from_config(built))
+    built.register(names.OBSERVATIONS, observations.Observations.from_config(built))
     built.register(names.ROUTER, router.Router.from_config(built))
     built.register(
         names.ADMIN, admin_front.AdminFront.from_config(built, incarnation, instance_settings)
--- a/src/goldcresthall/core/identity.py
+++ b/src/goldcresthall/core/identity.py
@@ -47,14 +47,22 @@
     LEAVING = "leaving"
 
 
+class InstanceRole(enum.Enum):
+    """What runs on an instance."""
+
+    ROUTER = "router"
+    BACKEND_SERVER = "backend_server"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceEntry:
-    """A router instance as the platform's lagging list shows it."""
+    """An instance as the platform's lagging list shows it."""
 
     name: str
     failure_domain: str
     peer_address: Address
     status: InstanceStatus
+    role: InstanceRole = InstanceRole.ROUTER
 
 
 def create_record_id() -> str:
--- a/src/goldcresthall/observability/metrics.py
+++ b/src/goldcresthall/observability/metrics.py
@@ -44,6 +44,12 @@
             ["reason"],
             registry=self._registry,
         )
+        self._ejections = prometheus_client.Counter(
+            "goldcresthall_server_ejections",
+            "Ejections of backend servers for their failures.",
+            ["service"],
+            registry=self._registry,
+        )
         self._duration = prometheus_client.Histogram(
             "goldcresthall_request_duration_seconds",
             "Time from a request's arrival to its outcome.",
@@ -74,6 +80,10 @@
         """Count one retry that the budget did not allow, with the reason for it."""
         self._retries_denied.labels(reason.value).inc()
 
+    def count_ejection(self, service: str) -> None:
+        """Count one ejection of a backend server of a service."""
+        self._ejections.labels(service).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/src/goldcresthall/platform/instance_list.py
+++ b/src/goldcresthall/platform/instance_list.py
@@ -1,4 +1,4 @@
-"""The platform's lagging list of live and leaving router instances."""
+"""The platform's lagging list of live and leaving instances."""
 
 from __future__ import annotations
 
@@ -32,9 +32,22 @@
 
     @property
     def live(self) -> tuple[identity.InstanceEntry, ...]:
-        """Instances that are not leaving."""
+        """Router instances that are not leaving."""
         return tuple(
-            entry for entry in self.instances if entry.status is identity.InstanceStatus.LIVE
+            entry
+            for entry in self.instances
+            if entry.status is identity.InstanceStatus.LIVE
+            and entry.role is identity.InstanceRole.ROUTER
+        )
+
+    @property
+    def leaving_servers(self) -> frozenset[str]:
+        """Names of backend servers that are leaving."""
+        return frozenset(
+            entry.name
+            for entry in self.instances
+            if entry.status is identity.InstanceStatus.LEAVING
+            and entry.role is identity.InstanceRole.BACKEND_SERVER
         )
 
 
@@ -44,7 +57,7 @@
 
 
 class InstanceList(service.Service):
-    """The list of router instances as the rest of the code sees it."""
+    """The list of instances as the rest of the code sees it."""
 
     @property
     @abc.abstractmethod
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -15,7 +15,9 @@
 from goldcresthall.kernel import service
 from goldcresthall.observability import metrics
 from goldcresthall.replication import replica
+from goldcresthall.routing import choice
 from goldcresthall.routing import conclusions
+from goldcresthall.routing import observations
 from goldcresthall.routing import plans
 from goldcresthall.routing import retries
 from goldcresthall.routing import targets
@@ -26,6 +28,7 @@
     from goldcresthall.core import preset
     from goldcresthall.core import requests
     from goldcresthall.kernel import kernel
+    from goldcresthall.replication import state as replicated
 
 ANSWER_MARGIN_S = 0.005
 
@@ -56,22 +59,28 @@
 class Router(service.Service):
     """Decides where a request goes, tries it and says what became of it."""
 
-    def __init__(self, owner: kernel.Kernel, sleep: Callable[[float], None] = time.sleep) -> None:
+    def __init__(
+        self,
+        owner: kernel.Kernel,
+        sleep: Callable[[float], None],
+        generator: random.Random,
+    ) -> None:
         self._kernel = owner
         self._sleep = sleep
-        self._generator = random.Random()  # noqa: S311
+        self._generator = generator
         self._budgets = retries.RetryBudgets()
 
     @classmethod
     def from_config(cls, owner: kernel.Kernel) -> Router:
         """Return the router of an instance."""
-        return cls(owner)
+        return cls(owner, time.sleep, random.Random())  # noqa: S311
 
     def start(self) -> None:
         """Find the services that requests need."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
+        self._observations = self._kernel.find(names.OBSERVATIONS, observations.Observations)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
 
     def stop(self) -> None:
@@ -90,7 +99,7 @@
         progress = Progress()
         while True:
             state = self._replica.state
-            found = targets.find_server(plan.target, state, progress.tried, self._generator)
+            found = self._choose_server(plan, state, progress.tried)
             if isinstance(found, outcomes.Refused):
                 if not self._await_owner(found, plan, state.next_offset):
                     return progress.outcome or found
@@ -98,11 +107,26 @@
             timeout_s = self._find_remaining_s(plan)
             if timeout_s <= 0:
                 return progress.outcome or _refuse_late(plan)
+            trial = self._observations.begin(found.server.name, plan.route.request_class)
             attempt = self._client.send(_create_dispatch(request, plan, found, timeout_s))
+            self._observations.finish(trial, policy, attempt)
             progress = progress.advance(attempt, found.server.name)
             if not self._prepare_retry(attempt, plan, progress, state.next_offset):
                 return progress.outcome or conclusions.conclude(attempt, found.server.name, 1)
 
+    def _choose_server(
+        self, plan: plans.Plan, state: replicated.State, tried: frozenset[str]
+    ) -> targets.FoundServer | outcomes.Refused:
+        servers = targets.find_servers(plan.target, state, tried, self._observations)
+        if isinstance(servers, outcomes.Refused):
+            return servers
+        if len(servers) == 1:
+            return servers[0]
+        observed = self._observations.observe_all(tuple(item.server.name for item in servers))
+        candidates = tuple(map(choice.Candidate, servers, observed))
+        chosen = choice.choose(candidates, self._generator)
+        return targets.refuse_unavailable(plan.target) if chosen is None else chosen.found
+
     def _await_owner(self, found: outcomes.Refused, plan: plans.Plan, offset: int) -> bool:
         remaining_s = self._find_remaining_s(plan)
         if found.reason is not outcomes.RefusalReason.NO_OWNER or remaining_s <= 0:
--- a/src/goldcresthall/routing/targets.py
+++ b/src/goldcresthall/routing/targets.py
@@ -4,13 +4,15 @@
 
 import dataclasses
 import functools
-import random
 
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
 from goldcresthall.ownership import lookup
 from goldcresthall.replication import state as replicated
+from goldcresthall.routing import observations
+
+NO_SERVER_RETRY_AFTER_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,17 +42,27 @@
 
 
 @functools.singledispatch
-def find_server(
-    target: Target, state: replicated.State, tried: frozenset[str], generator: random.Random
-) -> FoundServer | outcomes.Refused:
-    """Return the server to try next for a target, by the kind of target."""
+def find_servers(
+    target: Target,
+    state: replicated.State,
+    tried: frozenset[str],
+    observed: observations.Observations,
+) -> tuple[FoundServer, ...] | outcomes.Refused:
+    """Return the servers that may do the work of a target, by the kind of target.
+
+    A server found for a key is its owner and the only one, also if it drains:
+    its keys move away by the log, and until then nobody else may serve them.
+    """
     raise NotImplementedError(type(target).__name__)
 
 
-@find_server.register
+@find_servers.register
 def _(
-    target: KeyTarget, state: replicated.State, tried: frozenset[str], generator: random.Random
-) -> FoundServer | outcomes.Refused:
+    target: KeyTarget,
+    state: replicated.State,
+    tried: frozenset[str],
+    observed: observations.Observations,
+) -> tuple[FoundServer, ...] | outcomes.Refused:
     owner = lookup.find_key_owner(target.policy, target.key, state)
     if owner.ownership is None:
         return outcomes.Refused(
@@ -64,19 +76,30 @@
             owner.ownership.owner,
             "the owner is not in the preset in force",
         )
-    return FoundServer(server, attempts.PresentedGrant(owner.partition, owner.ownership.epoch))
+    grant = attempts.PresentedGrant(owner.partition, owner.ownership.epoch)
+    return (FoundServer(server, grant),)
 
 
-@find_server.register
+@find_servers.register
 def _(
-    target: PoolTarget, state: replicated.State, tried: frozenset[str], generator: random.Random
-) -> FoundServer | outcomes.Refused:
-    usable = [server for server in target.policy.servers if not server.draining]
-    untried = [server for server in usable if server.name not in tried]
-    if not untried:
-        return outcomes.Refused(
-            outcomes.RefusalReason.NO_SERVER_AVAILABLE,
-            outcomes.Step.CHOOSE_SERVER,
-            target.policy.name,
-        )
-    return FoundServer(generator.choice(untried), None)
+    target: PoolTarget,
+    state: replicated.State,
+    tried: frozenset[str],
+    observed: observations.Observations,
+) -> tuple[FoundServer, ...] | outcomes.Refused:
+    untried = tuple(
+        FoundServer(server, None)
+        for server in target.policy.servers
+        if server.name not in tried and not observed.is_draining(server)
+    )
+    return untried or refuse_unavailable(target)
+
+
+def refuse_unavailable(target: Target) -> outcomes.Refused:
+    """Return the refusal of work for which no server may be used now."""
+    return outcomes.Refused(
+        outcomes.RefusalReason.NO_SERVER_AVAILABLE,
+        outcomes.Step.CHOOSE_SERVER,
+        target.policy.name,
+        retry_after_s=NO_SERVER_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/tests/fakes/instances.py
@@ -0,0 +1,52 @@
+"""An instance list that tests set."""
+
+from __future__ import annotations
+
+from goldcresthall.core import identity
+from goldcresthall.platform import instance_list
+
+ADDRESS = identity.Address("127.0.0.1", 1)
+
+
+class SettableInstanceList(instance_list.InstanceList):
+    """Lists what the test set last."""
+
+    def __init__(self) -> None:
+        self._listing = instance_list.InstanceListing(0, ())
+
+    @property
+    def listing(self) -> instance_list.InstanceListing:
+        """The list that the test set last."""
+        return self._listing
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def list_routers(self, count: int) -> None:
+        """List so many live router instances."""
+        self._list(
+            *(
+                identity.InstanceEntry(
+                    f"router-{number}", "domain-1", ADDRESS, identity.InstanceStatus.LIVE
+                )
+                for number in range(count)
+            )
+        )
+
+    def list_leaving_server(self, name: str) -> None:
+        """List one backend server, which is leaving."""
+        self._list(
+            identity.InstanceEntry(
+                name,
+                "domain-1",
+                ADDRESS,
+                identity.InstanceStatus.LEAVING,
+                identity.InstanceRole.BACKEND_SERVER,
+            )
+        )
+
+    def _list(self, *entries: identity.InstanceEntry) -> None:
+        self._listing = instance_list.InstanceListing(self._listing.revision + 1, entries)
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import pytest
@@ -14,15 +16,18 @@
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
 from goldcresthall.replication import state as replicated
+from goldcresthall.routing import observations
 from goldcresthall.routing import router
 from tests.fakes import backends
 from tests.fakes import clock
+from tests.fakes import instances
 from tests.fakes import replica
 
 if TYPE_CHECKING:
     from goldcresthall.core import attempts
     from goldcresthall.core import outcomes
 
+SEED = 5
 ROUTES = (
     preset.Route(method="GET", path="/pages/{key}", idempotent=True),
     preset.Route(
@@ -64,7 +69,11 @@
         self.kernel.register(names.METRICS, self.metrics)
         self.kernel.register(names.REPLICA, self.replica)
         self.kernel.register(names.BACKENDS, self.backends)
-        self.router = router.Router(self.kernel, self._sleep)
+        self.instances = instances.SettableInstanceList()
+        self.kernel.register(names.INSTANCE_LIST, self.instances)
+        self.observations = observations.Observations(self.kernel)
+        self.kernel.register(names.OBSERVATIONS, self.observations)
+        self.router = router.Router(self.kernel, self._sleep, random.Random(SEED))
         self.kernel.register(names.ROUTER, self.router)
         self.kernel.start()
 
@@ -114,6 +123,9 @@
         self.clock.advance(seconds)
 
 
+BenchAction = Callable[[RouterBench], None]
+
+
 @pytest.fixture
 def bench() -> RouterBench:
     """Return a router over fakes with no preset."""
