Admit requests by server share, class, key and thread

Cause: nothing bounded what an instance has at a server, so that work waited in servers' slots, a backlog of one service took all threads of the front, and a request was refused only when its deadline had passed.

Now: for each service a bounded queue here, and for each server a gate with this instance's share of its slots and connections. The share starts at the slots divided by the live instances, grows by one when work waits and answers come as fast as ever, and is halved by a shed or when most answers of a window of 10 take twice as long. Long work may hold half a share, and for unkeyed services each instance sends it to its own part of the servers only. A free place goes first to the key with least at servers; one key may fill half a queue. What cannot make its deadline by the present average is refused at once with Retry-After. Half of the threads are reserved for the services in equal parts, and four stay free to refuse. Waiting for a moved owner ends with the move. Gauges for outstanding, waiting and ejected.

Seen with each mechanism taken out: without the class limit a third long request takes a slot; without key fairness the other key is still waiting behind 20 hot ones; without the estimate work of 50 ms is queued behind 100 ms of others; without letting through nobody waiting is served; without the reserve one service takes 64 of 64 threads. Without the gate's limit the test of waiting did not end within the 25 s of the trial.

--- a/src/goldcresthall/observability/metrics.py
+++ b/src/goldcresthall/observability/metrics.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import functools
+from typing import TYPE_CHECKING
 
 import prometheus_client
 
 from goldcresthall.core import outcomes
 from goldcresthall.kernel import service
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class Metrics(service.Service):
     """Counters and histograms of one instance, in a registry of their own."""
@@ -84,6 +88,13 @@
         """Count one ejection of a backend server of a service."""
         self._ejections.labels(service).inc()
 
+    def watch(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Show a value that is read whenever the metrics are asked for."""
+        gauge = prometheus_client.Gauge(
+            f"goldcresthall_{name}", description, registry=self._registry
+        )
+        gauge.set_function(read)
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/src/goldcresthall/routing/choice.py
+++ b/src/goldcresthall/routing/choice.py
@@ -23,18 +23,17 @@
 
 
 def choose(candidates: tuple[Candidate, ...], generator: random.Random) -> Candidate | None:
-    """Return the better of two candidates drawn at random, or none if none may be used.
+    """Return the better of two candidates drawn at random, or none if there are none.
 
     A server that returns from ejection gets one request, ahead of others, to
-    show that it answers; until then it gets no second one. A server in its slow
-    start takes part in only a share of the draws.
+    show that it answers. A server in its slow start takes part in only a share of
+    the draws.
     """
-    usable = [candidate for candidate in candidates if not _is_out(candidate.observation)]
-    for candidate in usable:
+    for candidate in candidates:
         if candidate.observation.probing:
             return candidate
-    fullest = max((item.observation.weight for item in usable), default=1.0)
-    drawn = [item for item in usable if generator.random() * fullest < item.observation.weight]
+    fullest = max((item.observation.weight for item in candidates), default=1.0)
+    drawn = [item for item in candidates if generator.random() * fullest < item.observation.weight]
     if len(drawn) > CHOICES:
         drawn = generator.sample(drawn, CHOICES)
     return min(drawn, key=lambda item: find_score_s(item.observation), default=None)
@@ -46,5 +45,6 @@
     return observation.latency_s * load
 
 
-def _is_out(observation: observations.ServerObservation) -> bool:
-    return observation.ejected or (observation.probing and observation.outstanding > 0)
+def is_usable(observation: observations.ServerObservation) -> bool:
+    """Return whether a server may get work: one on trial gets no second request."""
+    return not observation.ejected and not (observation.probing and observation.outstanding)
--- a/src/goldcresthall/routing/observations.py
+++ b/src/goldcresthall/routing/observations.py
@@ -47,9 +47,10 @@
 
     Attributes
     ----------
+    average_s
+        Moving average of the time to an answer of short work.
     latency_s
-        Moving average of the time to an answer of short work, or the age of the
-        oldest short try in progress if that is longer.
+        That average, or the age of the oldest short try in progress if longer.
     foreign_load
         Requests of others that the server last told of, discounted by age.
     weight
@@ -57,6 +58,7 @@
     """
 
     outstanding: int
+    average_s: float
     latency_s: float
     foreign_load: float
     weight: float
@@ -109,6 +111,7 @@
         ejected_until_s = self.ejected_until_s
         return ServerObservation(
             outstanding=len(self.trials),
+            average_s=self.latency_s,
             latency_s=max(self.latency_s, self._find_oldest_age_s(now_s)),
             foreign_load=self._find_foreign_load(now_s),
             weight=min(1.0, max(LEAST_WEIGHT, (now_s - self.returned_at_s) / SLOW_START_S)),
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -15,10 +15,11 @@
 from goldcresthall.kernel import service
 from goldcresthall.observability import metrics
 from goldcresthall.replication import replica
-from goldcresthall.routing import choice
+from goldcresthall.routing import admission
 from goldcresthall.routing import conclusions
 from goldcresthall.routing import observations
 from goldcresthall.routing import plans
+from goldcresthall.routing import queues
 from goldcresthall.routing import retries
 from goldcresthall.routing import targets
 
@@ -31,6 +32,9 @@
     from goldcresthall.replication import state as replicated
 
 ANSWER_MARGIN_S = 0.005
+BROKEN_OFF = attempts.AttemptUnknown(
+    outcomes.UnknownReason.CONNECTION_LOST, outcomes.Step.SEND, "broken off by an error"
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,11 +53,9 @@
     tried: frozenset[str] = frozenset()
     outcome: outcomes.Outcome | None = None
 
-    def advance(self, attempt: attempts.Attempt, server: str) -> Progress:
-        """Return the progress after one more attempt."""
-        tries = self.tries + 1
-        latest = conclusions.conclude(attempt, server, tries)
-        return Progress(tries, self.tried | {server}, conclusions.combine(self.outcome, latest))
+    def advance(self, server: str, outcome: outcomes.Outcome) -> Progress:
+        """Return the progress after one more try at a server."""
+        return Progress(self.tries + 1, self.tried | {server}, outcome)
 
 
 class Router(service.Service):
@@ -81,6 +83,7 @@
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
         self._observations = self._kernel.find(names.OBSERVATIONS, observations.Observations)
+        self._admission = self._kernel.find(names.ADMISSION, admission.Admission)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
 
     def stop(self) -> None:
@@ -91,7 +94,14 @@
         plan = plans.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
-        return self._try_repeatedly(request, plan)
+        policy = plan.target.policy
+        refusal = self._admission.enter(policy)
+        if refusal is not None:
+            return refusal
+        try:
+            return self._try_repeatedly(request, plan)
+        finally:
+            self._admission.leave(policy)
 
     def _try_repeatedly(self, request: requests.Request, plan: plans.Plan) -> outcomes.Outcome:
         policy = plan.target.policy
@@ -99,33 +109,56 @@
         progress = Progress()
         while True:
             state = self._replica.state
-            found = self._choose_server(plan, state, progress.tried)
-            if isinstance(found, outcomes.Refused):
-                if not self._await_owner(found, plan, state.next_offset):
-                    return progress.outcome or found
-                continue
-            timeout_s = self._find_remaining_s(plan)
-            if timeout_s <= 0:
-                return progress.outcome or _refuse_late(plan)
-            trial = self._observations.begin(found.server.name, plan.route.request_class)
-            attempt = self._client.send(_create_dispatch(request, plan, found, timeout_s))
-            self._observations.finish(trial, policy, attempt)
-            progress = progress.advance(attempt, found.server.name)
-            if not self._prepare_retry(attempt, plan, progress, state.next_offset):
-                return progress.outcome or conclusions.conclude(attempt, found.server.name, 1)
-
-    def _choose_server(
+            admitted = self._admit(plan, state, progress.tried)
+            if isinstance(admitted, outcomes.Refused):
+                if not self._await_owner(admitted, plan, state.next_offset):
+                    return progress.outcome or admitted
+            elif isinstance(admitted, queues.Permit):
+                attempt = self._try_once(request, plan, admitted)
+                server = admitted.found.server.name
+                latest = conclusions.conclude(attempt, server, progress.tries + 1)
+                outcome = conclusions.combine(progress.outcome, latest)
+                progress = progress.advance(server, outcome)
+                if not self._prepare_retry(attempt, plan, progress, state.next_offset):
+                    return outcome
+
+    def _admit(
         self, plan: plans.Plan, state: replicated.State, tried: frozenset[str]
-    ) -> targets.FoundServer | outcomes.Refused:
+    ) -> queues.Admitted:
         servers = targets.find_servers(plan.target, state, tried, self._observations)
         if isinstance(servers, outcomes.Refused):
             return servers
-        if len(servers) == 1:
-            return servers[0]
-        observed = self._observations.observe_all(tuple(item.server.name for item in servers))
-        candidates = tuple(map(choice.Candidate, servers, observed))
-        chosen = choice.choose(candidates, self._generator)
-        return targets.refuse_unavailable(plan.target) if chosen is None else chosen.found
+        remaining_s = self._find_remaining_s(plan)
+        if remaining_s <= 0:
+            return _refuse_late(plan)
+        return self._admission.admit(
+            admission.Wish(plan.target, plan.route.request_class, servers, tried, remaining_s)
+        )
+
+    def _try_once(
+        self, request: requests.Request, plan: plans.Plan, permit: queues.Permit
+    ) -> attempts.Attempt:
+        found = permit.found
+        trial = self._observations.begin(found.server.name, plan.route.request_class)
+        timeout_s = self._find_remaining_s(plan)
+        try:
+            attempt = self._client.send(_create_dispatch(request, plan, found, timeout_s))
+        except BaseException:
+            self._end_try(plan, permit, trial, BROKEN_OFF)
+            raise
+        self._end_try(plan, permit, trial, attempt)
+        return attempt
+
+    def _end_try(
+        self,
+        plan: plans.Plan,
+        permit: queues.Permit,
+        trial: observations.Trial,
+        attempt: attempts.Attempt,
+    ) -> None:
+        self._observations.finish(trial, plan.target.policy, attempt)
+        duration_s = self._clock.read_s() - trial.began_at_s
+        self._admission.release(permit, attempt, duration_s)
 
     def _await_owner(self, found: outcomes.Refused, plan: plans.Plan, offset: int) -> bool:
         remaining_s = self._find_remaining_s(plan)
--- a/src/goldcresthall/routing/targets.py
+++ b/src/goldcresthall/routing/targets.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import functools
+from collections.abc import Callable
 
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
@@ -41,6 +42,9 @@
     grant: attempts.PresentedGrant | None
 
 
+ServerFinder = Callable[[Target, frozenset[str]], tuple[FoundServer, ...] | outcomes.Refused]
+
+
 @functools.singledispatch
 def find_servers(
     target: Target,
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -16,6 +16,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
 from goldcresthall.replication import state as replicated
+from goldcresthall.routing import admission
 from goldcresthall.routing import observations
 from goldcresthall.routing import router
 from tests.fakes import backends
@@ -28,6 +29,7 @@
     from goldcresthall.core import outcomes
 
 SEED = 5
+THREADS = 64
 ROUTES = (
     preset.Route(method="GET", path="/pages/{key}", idempotent=True),
     preset.Route(
@@ -73,9 +75,14 @@
         self.kernel.register(names.INSTANCE_LIST, self.instances)
         self.observations = observations.Observations(self.kernel)
         self.kernel.register(names.OBSERVATIONS, self.observations)
-        self.router = router.Router(self.kernel, self._sleep, random.Random(SEED))
+        generator = random.Random(SEED)
+        self.admission = admission.Admission(self.kernel, "router-0", THREADS, generator)
+        self.kernel.register(names.ADMISSION, self.admission)
+        self.router = router.Router(self.kernel, self._sleep, generator)
         self.kernel.register(names.ROUTER, self.router)
-        self.kernel.start()
+        self.observations.start()
+        self.admission._find_services()
+        self.router.start()
 
     def publish(self, *policies: preset.ServicePolicy) -> None:
         published = preset.Preset(name="day", services=policies)
