--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -29,6 +29,8 @@
 from goldcresthall.replication import replica
 from goldcresthall.replication import snapshot_writer
 from goldcresthall.replication import writer
+from goldcresthall.routing import admission
+from goldcresthall.routing import observations
 from goldcresthall.routing import router
 
 if TYPE_CHECKING:
@@ -111,6 +113,8 @@
         names.INTENTS,
         intents_service.Intents.from_config(built, incarnation, instance_settings.intents),
     )
+    built.register(names.OBSERVATIONS, observations.Observations.from_config(built))
+    built.register(names.ADMISSION, admission.Admission.from_config(built, instance_settings))
     built.register(names.ROUTER, router.Router.from_config(built))
     built.register(
         names.ADMIN, admin_front.AdminFront.from_config(built, incarnation, instance_settings)
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import pytest
@@ -14,9 +16,12 @@
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
 from goldcresthall.replication import state as replicated
+from goldcresthall.routing import admission
+from goldcresthall.routing import observations
 from goldcresthall.routing import router
 from tests.fakes import backends
 from tests.fakes import clock
+from tests.fakes import instances
 from tests.fakes import intents
 from tests.fakes import replica
 
@@ -24,6 +29,8 @@
     from goldcresthall.core import attempts
     from goldcresthall.core import outcomes
 
+SEED = 5
+THREADS = 64
 ROUTES = (
     preset.Route(method="GET", path="/pages/{key}", idempotent=True),
     preset.Route(
@@ -66,9 +73,18 @@
         self.kernel.register(names.REPLICA, self.replica)
         self.kernel.register(names.BACKENDS, self.backends)
         self.kernel.register(names.INTENTS, intents.DirectIntents())
-        self.router = router.Router(self.kernel, self._sleep)
+        self.instances = instances.SettableInstanceList()
+        self.kernel.register(names.INSTANCE_LIST, self.instances)
+        self.observations = observations.Observations(self.kernel)
+        self.kernel.register(names.OBSERVATIONS, self.observations)
+        generator = random.Random(SEED)
+        self.admission = admission.Admission(self.kernel, "router-0", THREADS, generator)
+        self.kernel.register(names.ADMISSION, self.admission)
+        self.router = router.Router(self.kernel, self._sleep, generator)
         self.kernel.register(names.ROUTER, self.router)
-        self.kernel.start()
+        self.observations.start()
+        self.admission._find_services()
+        self.router.start()
 
     def publish(self, *policies: preset.ServicePolicy) -> None:
         published = preset.Preset(name="day", services=policies)
@@ -116,6 +132,9 @@
         self.clock.advance(seconds)
 
 
+BenchAction = Callable[[RouterBench], None]
+
+
 @pytest.fixture
 def bench() -> RouterBench:
     """Return a router over fakes with no preset."""
