--- /dev/null
+++ b/tests/features/failures.py
@@ -0,0 +1,126 @@
+"""Failures of a running system, drawn from a seed, each with its end."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import random
+import signal
+
+from goldcresthall_stand_ins import platform
+
+from tests.features import system as systems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerFrozen:
+    """A backend server's process is stopped and goes on later."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerKilled:
+    """A backend server's process is killed and stays away."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterFrozen:
+    """A router instance's process is stopped and goes on later."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterKilled:
+    """A router instance's process is killed; another comes at the same address."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformMisbehaves:
+    """The log service and the instance list are down, slow or lose answers."""
+
+    misbehavior: platform.Misbehavior
+
+
+Failure = ServerFrozen | ServerKilled | RouterFrozen | RouterKilled | PlatformMisbehaves
+
+
+def draw_pair(system: systems.RunningSystem, seed: int) -> tuple[Failure, Failure]:
+    """Return two failures of different things, the same ones for the same seed."""
+    generator = random.Random(seed)
+    servers = sorted(system.backends)
+    routers = sorted(router.settings.name for router in system.fleet.routers)
+    candidates: list[Failure] = [
+        ServerFrozen(generator.choice(servers)),
+        ServerKilled(generator.choice(servers)),
+        RouterFrozen(generator.choice(routers)),
+        RouterKilled(generator.choice(routers)),
+        PlatformMisbehaves(platform.Misbehavior(down=True)),
+        PlatformMisbehaves(platform.Misbehavior(delay_ms=generator.randrange(50, 400))),
+        PlatformMisbehaves(platform.Misbehavior(lost_answers=generator.randrange(1, 4))),
+    ]
+    first = generator.choice(candidates)
+    others = [item for item in candidates if type(item) is not type(first)]
+    return first, generator.choice(others)
+
+
+@functools.singledispatch
+def inject(failure: Failure, system: systems.RunningSystem) -> None:
+    """Let a failure begin."""
+    raise NotImplementedError(type(failure).__name__)
+
+
+@inject.register
+def _(failure: ServerFrozen, system: systems.RunningSystem) -> None:
+    system.signal_backend(failure.name, signal.SIGSTOP)
+
+
+@inject.register
+def _(failure: ServerKilled, system: systems.RunningSystem) -> None:
+    system.signal_backend(failure.name, signal.SIGKILL)
+
+
+@inject.register
+def _(failure: RouterFrozen, system: systems.RunningSystem) -> None:
+    system.signal_router(failure.name, signal.SIGSTOP)
+
+
+@inject.register
+def _(failure: RouterKilled, system: systems.RunningSystem) -> None:
+    system.signal_router(failure.name, signal.SIGKILL)
+
+
+@inject.register
+def _(failure: PlatformMisbehaves, system: systems.RunningSystem) -> None:
+    system.fleet.misbehave_platform(failure.misbehavior)
+
+
+@functools.singledispatch
+def end(failure: Failure, system: systems.RunningSystem) -> None:
+    """Let a failure end, as far as it has an end."""
+
+
+@end.register
+def _(failure: ServerFrozen, system: systems.RunningSystem) -> None:
+    if system.backends[failure.name].process.poll() is None:
+        system.signal_backend(failure.name, signal.SIGCONT)
+
+
+@end.register
+def _(failure: RouterFrozen, system: systems.RunningSystem) -> None:
+    system.signal_router(failure.name, signal.SIGCONT)
+
+
+@end.register
+def _(failure: RouterKilled, system: systems.RunningSystem) -> None:
+    system.restart_router(failure.name)
+
+
+@end.register
+def _(failure: PlatformMisbehaves, system: systems.RunningSystem) -> None:
+    system.fleet.misbehave_platform(platform.Misbehavior())
--- a/tests/features/system.py
+++ b/tests/features/system.py
@@ -15,6 +15,7 @@
 from goldcresthall.admin import messages
 from goldcresthall.console import admin_client
 from goldcresthall.core import preset
+from goldcresthall.core import settings
 
 if TYPE_CHECKING:
     import signal
@@ -60,6 +61,7 @@
         self.backends: dict[str, fleets.BackendProcess] = {}
         self.policies: list[preset.ServicePolicy] = []
         self.sent: list[Sent] = []
+        self._settings: dict[str, settings.Settings] = {}
         self._pool = urllib3.PoolManager(num_pools=50, maxsize=64, retries=False)
 
     def start_routers(self, count: int, domains: tuple[str, ...]) -> None:
@@ -67,7 +69,9 @@
         self.domains = domains
         for number in range(1, count + 1):
             domain = domains[(number - 1) % len(domains)]
-            self.fleet.start_router(self.fleet.create_settings(f"router-{number}", domain))
+            instance_settings = self.fleet.create_settings(f"router-{number}", domain)
+            self._settings[instance_settings.name] = instance_settings
+            self.fleet.start_router(instance_settings)
 
     def add_service(
         self, name: str, count: int, *, keyed: bool, checks_grants: bool = True
@@ -97,8 +101,10 @@
         method: str,
         path: str,
         router_index: int = 0,
+        *,
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
+        timeout_s: float = GIVE_UP_S,
     ) -> Sent:
         """Send one request through one instance and remember its response."""
         router = self.fleet.routers[router_index]
@@ -107,7 +113,7 @@
             router.callers_url + path,
             headers=headers,
             body=body,
-            timeout=GIVE_UP_S,
+            timeout=timeout_s,
             redirect=False,
         )
         sent = Sent(router.settings.name, path, response.status, response.headers, response.data)
@@ -147,6 +153,10 @@
         router = next(item for item in self.fleet.routers if item.settings.name == name)
         self.fleet.kill(router.process, number)
 
+    def restart_router(self, name: str) -> None:
+        """Start another process at the addresses of a killed router instance."""
+        self.fleet.start_router(self._settings[name])
+
     def read_effects(self) -> tuple[backend.Effect, ...]:
         """Return what all backend servers have done, lost ones too, oldest first."""
         effects = [
--- /dev/null
+++ b/tests/features/test_failure_pairs.py
@@ -0,0 +1,171 @@
+"""Scenarios of failure_pairs.feature: callers go on while two things fail."""
+
+from __future__ import annotations
+
+import collections
+import json
+import threading
+from typing import TYPE_CHECKING
+
+import pytest
+import pytest_bdd
+import urllib3
+from pytest_bdd import parsers
+from pytest_bdd import then
+from pytest_bdd import when
+
+from tests.features import failures
+from tests.features import system as systems
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+pytest_bdd.scenarios("failure_pairs.feature")
+
+CALLERS = 6
+KEYS = 12
+
+
+class CallerGroup:
+    """Callers that read and order through all instances until told to stop."""
+
+    def __init__(self, system: systems.RunningSystem) -> None:
+        self._system = system
+        self._stopping = threading.Event()
+        self._ended = threading.Condition()
+        self._count = 0
+        self.orders: dict[str, list[systems.Sent]] = collections.defaultdict(list)
+        self.reads: list[systems.Sent] = []
+        self._threads = [
+            threading.Thread(target=self._call, args=(number,), daemon=True)
+            for number in range(CALLERS)
+        ]
+
+    def start(self) -> None:
+        """Start all callers."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End all callers after the request each has in progress."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join(systems.GIVE_UP_S)
+            assert not thread.is_alive()
+
+    def wait_for_more(self, count: int) -> None:
+        """Wait until so many more requests have ended."""
+        with self._ended:
+            target = self._count + count
+            assert self._ended.wait_for(lambda: self._count >= target, systems.GIVE_UP_S)
+
+    def _call(self, number: int) -> None:
+        sequence = 0
+        while not self._stopping.is_set():
+            sequence += 1
+            router_index = (number + sequence) % 3
+            path = f"/archive/items/key-{sequence % KEYS}"
+            if sequence % 2:
+                self._order(path, f"{number}-{sequence}", router_index)
+            else:
+                self._read(path, router_index)
+            with self._ended:
+                self._count += 1
+                self._ended.notify_all()
+
+    def _order(self, path: str, idempotency_key: str, router_index: int) -> None:
+        headers = {"Idempotency-Key": idempotency_key}
+        for repeat in range(2):
+            sent = self._try_send("POST", path, router_index + repeat, headers)
+            if sent is not None:
+                self.orders[idempotency_key].append(sent)
+
+    def _read(self, path: str, router_index: int) -> None:
+        sent = self._try_send("GET", path, router_index, None)
+        if sent is not None:
+            self.reads.append(sent)
+
+    def _try_send(
+        self, method: str, path: str, router_index: int, headers: dict[str, str] | None
+    ) -> systems.Sent | None:
+        routers = self._system.fleet.routers
+        try:
+            return self._system.send(
+                method,
+                path,
+                router_index % len(routers),
+                headers=headers,
+                body=None if method == "GET" else b"{}",
+                timeout_s=10.0,
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+
+
+@pytest.fixture
+def callers(system: systems.RunningSystem) -> Iterator[CallerGroup]:
+    group = CallerGroup(system)
+    yield group
+    group.stop()
+
+
+@when("callers read and order all the time")
+def _(callers: CallerGroup) -> None:
+    callers.start()
+
+
+@when(parsers.parse("two failures drawn from seed {seed:d} begin"), target_fixture="drawn_failures")
+def _(system: systems.RunningSystem, seed: int) -> tuple[failures.Failure, failures.Failure]:
+    pair = failures.draw_pair(system, seed)
+    print(f"seed {seed}: {pair}")  # noqa: T201
+    for failure in pair:
+        failures.inject(failure, system)
+    return pair
+
+
+@when(parsers.parse("{count:d} more requests have ended"))
+def _(callers: CallerGroup, count: int) -> None:
+    callers.wait_for_more(count)
+
+
+@when("those failures end")
+def _(
+    system: systems.RunningSystem,
+    drawn_failures: tuple[failures.Failure, failures.Failure],
+) -> None:
+    for failure in drawn_failures:
+        failures.end(failure, system)
+
+
+@then("the callers stop")
+def _(callers: CallerGroup) -> None:
+    callers.stop()
+
+
+@then("no order ran twice")
+def _(system: systems.RunningSystem) -> None:
+    ran = collections.Counter(
+        effect.idempotency_key for effect in system.read_effects() if effect.idempotency_key
+    )
+    assert [key for key, count in ran.items() if count > 1] == []
+
+
+@then("every order that was answered ran once, and every one refused never")
+def _(system: systems.RunningSystem, callers: CallerGroup) -> None:
+    ran = {effect.idempotency_key for effect in system.read_effects()}
+    for key, responses in callers.orders.items():
+        outcomes = [sent.headers.get("Goldcresthall-Outcome") for sent in responses]
+        reasons = [sent.headers.get("Goldcresthall-Reason") for sent in responses]
+        if "answered" in outcomes:
+            assert key in ran, (key, outcomes)
+        if len(responses) == 2 and set(outcomes) == {"refused_not_run"}:
+            assert key not in ran or "already_attempted" in reasons, (key, reasons)
+
+
+@then("every answer was the caller's own")
+def _(callers: CallerGroup) -> None:
+    for sent in callers.reads:
+        if sent.headers.get("Goldcresthall-Outcome") == "answered":
+            content = json.loads(sent.body)
+            assert content["path"] == sent.path.removeprefix("/archive")
+            assert content["request_id"] == sent.headers["Goldcresthall-Request-Id"]
