--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -40,8 +40,8 @@
     for section, kind in [*list_sections(), ("platform", settings.PlatformSettings)]:
         for field in dataclasses.fields(kind):
             name = f"`{section}.{field.name}`"
-            line = next((row for row in SETTING_ROWS if name in row), "")
+            line = next((row for row in SETTING_ROWS if row.startswith(f"| {name}")), "")
             default = field.default if type(field.default) in {int, float} else ""
             if not line or str(default) not in line:
                 missing.append(name)
-    assert missing == []
+    assert not missing, missing
