--- a/src/goldcresthall/ownership/lessor_role.py
+++ b/src/goldcresthall/ownership/lessor_role.py
@@ -47,8 +47,14 @@
         """Life of the server process that answered last; empty if none did."""
         return "" if self._view is None else self._view.server_incarnation
 
+    @property
+    def is_move_pending(self) -> bool:
+        """Whether a move handed to the log may yet be accepted."""
+        return self._handoff.is_pending
+
     def leave(self) -> None:
-        """Forget the lease, as this instance is not its lessor."""
+        """Forget the lease, as this instance is not its lessor now."""
+        self._handoff.settle()
         self._view = None
         self._revocation.forget()
 
@@ -61,6 +67,9 @@
             return
         view = self._renew(keyed, self._enter(base.state), base)
         self._view = view
+        if lease_view.is_overtaken(view):
+            self._shared.wakeup.wait(self._timing.renew_interval_s)
+            return
         if lease_view.has_lapsed(view, self._shared.clock.read_s(), self._timing):
             self._declare_lost(keyed, base)
             self._shared.wakeup.wait(self._timing.renew_interval_s)
