--- /dev/null
+++ b/tests/features/test_at_most_once.py
@@ -0,0 +1,210 @@
+"""Scenarios of at_most_once.feature."""
+
+from __future__ import annotations
+
+import collections
+import concurrent.futures
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+import pytest_bdd
+import urllib3
+from goldcresthall_stand_ins import fleet as fleets
+from goldcresthall_stand_ins import platform
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import then
+from pytest_bdd import when
+
+from goldcresthall.admin import messages
+from tests.features import system as systems
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+pytest_bdd.scenarios("at_most_once.feature")
+
+BODY = b"one keepsake copy"
+REPEAT_DEADLINE_MS = "500"
+
+
+class Orders:
+    """Orders of one scenario: what was sent, what came back, what was run."""
+
+    def __init__(self, system: systems.RunningSystem) -> None:
+        self.system = system
+        self.told: dict[str, list[systems.Sent]] = collections.defaultdict(list)
+        self.work_ms: collections.Counter[str] = collections.Counter()
+        self.executor = concurrent.futures.ThreadPoolExecutor(64)
+        self.pending: concurrent.futures.Future[systems.Sent | None] | None = None
+
+    def send(self, name: str, index: int = 0, deadline_ms: str = "5000") -> systems.Sent | None:
+        """Send an order; none if the instance is lost before it answers."""
+        headers = {"Idempotency-Key": f"0.{name}", "Goldcresthall-Deadline-Ms": deadline_ms}
+        path = f"/ordering/items/{name}?work_ms={self.work_ms[name]}"
+        try:
+            sent = self.system.send("POST", path, index, headers, BODY)
+        except urllib3.exceptions.HTTPError:
+            return None
+        self.told[name].append(sent)
+        return sent
+
+    def count_effects(self) -> collections.Counter[str]:
+        """Return how often the servers ran each order."""
+        effects = self.system.read_effects()
+        return collections.Counter(effect.path.rpartition("/")[2] for effect in effects)
+
+    def wait_for_record(self, index: int, offset: int) -> None:
+        """Wait until an instance has replayed more of the log."""
+        ends_at_s = time.monotonic() + systems.GIVE_UP_S
+        while self.read_offset(index) <= offset:
+            assert time.monotonic() < ends_at_s
+
+    def read_offset(self, index: int) -> int:
+        """Return how far an instance has replayed the log."""
+        view = self.system.admin(index).fetch("/status", messages.StatusView)
+        return view.instance.next_offset
+
+
+@pytest.fixture
+def orders(system: systems.RunningSystem) -> Iterator[Orders]:
+    created = Orders(system)
+    yield created
+    created.executor.shutdown()
+
+
+@given("every instance answers")
+def _(system: systems.RunningSystem) -> None:
+    for index in range(len(system.fleet.routers)):
+        system.send_until_answered("GET", "/ordering/pages/today", index)
+
+
+@when(parsers.parse("{count:d} orders are each sent through all instances at the same moment"))
+def _(orders: Orders, count: int) -> None:
+    calls = [(f"order-{number}", index) for number in range(count) for index in range(3)]
+    futures = [orders.executor.submit(orders.send, *call) for call in calls]
+    for future in futures:
+        assert future.result() is not None
+
+
+@when("each order is repeated through all instances")
+def _(orders: Orders) -> None:
+    for name in list(orders.told):
+        for index in range(3):
+            assert orders.send(name, index) is not None
+
+
+@then("every repeat got the first one's answer")
+def _(orders: Orders) -> None:
+    for told in orders.told.values():
+        assert {(sent.status, sent.body) for sent in told} == {(200, told[0].body)}
+
+
+@then("each order has exactly one effect")
+def _(orders: Orders) -> None:
+    counted = orders.count_effects()
+    assert {name: counted[name] for name in orders.told} == dict.fromkeys(orders.told, 1)
+
+
+@then("no order has more than one effect")
+def _(orders: Orders) -> None:
+    assert not [
+        name for name, count in orders.count_effects().items() if name in orders.told and count > 1
+    ]
+
+
+@when(parsers.parse("order {name} is sent through the first instance and runs for {work_ms:d} ms"))
+def _(orders: Orders, name: str, work_ms: int) -> None:
+    offset = orders.read_offset(1)
+    orders.work_ms[name] = work_ms
+    orders.pending = orders.executor.submit(orders.send, name, 0)
+    orders.wait_for_record(1, offset)
+
+
+@when(parsers.parse("the first instance is {change}"))
+def _(system: systems.RunningSystem, orders: Orders, change: str) -> None:
+    numbers = {"killed": signal.SIGKILL, "frozen": signal.SIGSTOP, "thawed": signal.SIGCONT}
+    system.signal_router("router-1", numbers[change])
+    if change != "frozen":
+        assert orders.pending is not None
+        orders.pending.result()
+
+
+@when(parsers.parse("order {name} is repeated through another instance"))
+def _(orders: Orders, name: str) -> None:
+    last = len(orders.system.fleet.routers) - 1
+    assert orders.send(name, last, deadline_ms=REPEAT_DEADLINE_MS) is not None
+
+
+@then("the repeat is told that the outcome is unknown")
+def _(orders: Orders) -> None:
+    for told in orders.told.values():
+        assert told[-1].headers["Goldcresthall-Outcome"] == "unknown"
+
+
+@given(parsers.parse("the log answers {delay_ms:d} ms late"))
+def _(system: systems.RunningSystem, delay_ms: int) -> None:
+    system.fleet.misbehave_platform(platform.Misbehavior(delay_ms=delay_ms))
+
+
+@when("the log is down")
+def _(system: systems.RunningSystem) -> None:
+    system.fleet.misbehave_platform(platform.Misbehavior(down=True))
+
+
+@when(parsers.parse("the log answers again but loses the answers of {count:d} appends"))
+def _(system: systems.RunningSystem, count: int) -> None:
+    system.fleet.misbehave_platform(platform.Misbehavior(lost_answers=count))
+
+
+@given(parsers.parse("order {name} was answered"))
+@when(parsers.parse("order {name} is sent until answered"))
+def _(orders: Orders, name: str) -> None:
+    ends_at_s = time.monotonic() + systems.GIVE_UP_S
+    while True:
+        sent = orders.send(name)
+        if sent is not None and sent.status == fleets.STATUS_OK:
+            return
+        assert time.monotonic() < ends_at_s, sent
+
+
+@when(parsers.parse("order {name} is sent once"))
+def _(orders: Orders, name: str) -> None:
+    assert orders.send(name, 1) is not None
+
+
+@then("it is refused as not run, to be repeated later")
+def _(orders: Orders) -> None:
+    (refused,) = orders.told["molde"]
+    assert refused.headers["Goldcresthall-Outcome"] == "refused_not_run"
+    assert refused.headers["Goldcresthall-Reason"] == "intent_not_recorded"
+    assert "Retry-After" in refused.headers
+
+
+@then(parsers.parse("order {name} is answered from its record"))
+def _(orders: Orders, name: str) -> None:
+    sent = orders.send(name, 2)
+    assert sent is not None
+    assert sent.headers["Goldcresthall-Recorded"] == "true"
+    assert sent.body == orders.told[name][0].body
+
+
+@then(parsers.parse("order {name} has exactly one effect"))
+def _(orders: Orders, name: str) -> None:
+    assert orders.count_effects()[name] == 1
+
+
+@then(parsers.parse("what callers were told of order {name} agrees with its effects"))
+def _(orders: Orders, name: str) -> None:
+    told = {sent.headers["Goldcresthall-Outcome"] for sent in orders.told[name]}
+    count = orders.count_effects()[name]
+    assert count == 1 or "answered" not in told
+    run = {effect.request_id for effect in orders.system.read_effects()}
+    refused = {
+        sent.headers["Goldcresthall-Request-Id"]
+        for sent in orders.told[name]
+        if sent.headers["Goldcresthall-Outcome"] == "refused_not_run"
+    }
+    assert not run & refused
--- /dev/null
+++ b/tests/features/test_not_run.py
@@ -0,0 +1,99 @@
+"""Scenarios of not_run.feature."""
+
+from __future__ import annotations
+
+import collections
+import concurrent.futures
+import contextlib
+import itertools
+import json
+import signal
+from typing import TYPE_CHECKING
+
+import pytest_bdd
+import urllib3
+from goldcresthall_stand_ins import backend
+from pytest_bdd import parsers
+from pytest_bdd import then
+from pytest_bdd import when
+
+if TYPE_CHECKING:
+    from tests.features import system as systems
+
+pytest_bdd.scenarios("not_run.feature")
+
+ORDER_COUNT = 60
+CALLERS = 24
+DEADLINE_MS = "800"
+order_numbers = itertools.count()
+
+
+def order(system: systems.RunningSystem, number: int) -> None:
+    """Send one order; nothing is told if the instance is lost before it answers."""
+    headers = {"Idempotency-Key": f"0.{number}", "Goldcresthall-Deadline-Ms": DEADLINE_MS}
+    index = number % len(system.fleet.routers)
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        system.send("POST", f"/ordering/items/{number}?work_ms=20", index, headers, b"order")
+
+
+def submit_orders(
+    system: systems.RunningSystem, executor: concurrent.futures.Executor
+) -> list[concurrent.futures.Future[None]]:
+    """Begin to send orders."""
+    return [executor.submit(order, system, next(order_numbers)) for _ in range(ORDER_COUNT)]
+
+
+def list_ids(system: systems.RunningSystem, outcome: str) -> set[str]:
+    """Return the requests whose callers were told an outcome."""
+    return {
+        sent.headers["Goldcresthall-Request-Id"]
+        for sent in system.sent
+        if sent.headers["Goldcresthall-Outcome"] == outcome
+    }
+
+
+def count_effects(system: systems.RunningSystem) -> collections.Counter[str]:
+    """Return how often each request was run."""
+    return collections.Counter(effect.request_id for effect in system.read_effects())
+
+
+@when("orders are sent through all instances")
+def _(system: systems.RunningSystem) -> None:
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as executor:
+        submit_orders(system, executor)
+
+
+@when("an instance is killed while orders are sent")
+def _(system: systems.RunningSystem) -> None:
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as executor:
+        sending = submit_orders(system, executor)
+        concurrent.futures.wait(sending, return_when=concurrent.futures.FIRST_COMPLETED)
+        system.signal_router("router-1", signal.SIGKILL)
+
+
+@when(parsers.parse("server {name} {change}"))
+def _(system: systems.RunningSystem, name: str, change: str) -> None:
+    numbers = {"is killed": signal.SIGKILL, "freezes": signal.SIGSTOP, "wakes": signal.SIGCONT}
+    if change in numbers:
+        system.signal_backend(name, numbers[change])
+        return
+    (config,) = system.backends[name].configs
+    system.fleet.misbehave_backend(config, backend.BackendMisbehavior(shed=True))
+
+
+@then("no order told as not run has an effect")
+def _(system: systems.RunningSystem) -> None:
+    assert not list_ids(system, "refused_not_run") & set(count_effects(system))
+
+
+@then("every order told as answered has one effect")
+def _(system: systems.RunningSystem) -> None:
+    counted = count_effects(system)
+    answered = [sent for sent in system.sent if sent.status == 200]
+    assert {counted[json.loads(sent.body)["request_id"]] for sent in answered} == {1}
+
+
+@then("some orders were told as not run, as answered and as unknown")
+def _(system: systems.RunningSystem) -> None:
+    for outcome in ("refused_not_run", "answered", "unknown"):
+        assert list_ids(system, outcome), outcome
