--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -25,8 +25,12 @@
 from goldcresthall.platform import http_log_client
 from goldcresthall.platform import instance_list
 from goldcresthall.presets import publisher
+from goldcresthall.presets import uptake
 from goldcresthall.replication import replica
+from goldcresthall.replication import snapshot_writer
 from goldcresthall.replication import writer
+from goldcresthall.routing import admission
+from goldcresthall.routing import observations
 from goldcresthall.routing import router
 
 if TYPE_CHECKING:
@@ -75,6 +79,10 @@
     built.register(
         names.PEERS, follower.PeerFollower.from_config(built, incarnation, instance_settings)
     )
+    built.register(
+        names.SNAPSHOTS,
+        snapshot_writer.SnapshotWriter.from_config(built, incarnation, instance_settings),
+    )
 
 
 def _register_ownership(
@@ -96,11 +104,17 @@
 def _register_fronts(
     built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
 ) -> None:
+    built.register(
+        names.UPTAKE,
+        uptake.UptakeGatherer.from_config(built, incarnation, instance_settings.peers),
+    )
     built.register(names.PRESETS, publisher.PresetPublisher.from_config(built))
     built.register(
         names.INTENTS,
         intents_service.Intents.from_config(built, incarnation, instance_settings.intents),
     )
+    built.register(names.OBSERVATIONS, observations.Observations.from_config(built))
+    built.register(names.ADMISSION, admission.Admission.from_config(built, instance_settings))
     built.register(names.ROUTER, router.Router.from_config(built))
     built.register(
         names.ADMIN, admin_front.AdminFront.from_config(built, incarnation, instance_settings)
--- a/src/goldcresthall/replication/replay.py
+++ b/src/goldcresthall/replication/replay.py
@@ -109,7 +109,7 @@
 def _(record: records.PresetPublished, state: replicated.State) -> Decision:
     current = state.preset_in_force
     if current is not None and current.offset >= record.base:
-        return _overtaken("preset", current.offset)
+        return _overtaken(f"preset {current.preset.name} of {current.author}", current.offset)
     rejected = _check_addresses(record, state)
     if rejected is not None:
         return rejected
--- a/tests/fakes/lease_world.py
+++ b/tests/fakes/lease_world.py
@@ -314,7 +314,15 @@
         if asked is None or name in self._instance.world.frozen:
             return None
         offset = asked.replica.state.next_offset
-        return messages.PeerStatus(name, asked.incarnation.token, offset, -1, "", offset)
+        return messages.PeerStatus(
+            name=name,
+            incarnation=asked.incarnation.token,
+            next_offset=offset,
+            preset_offset=-1,
+            chain="",
+            usable=True,
+            uptake=(),
+        )
 
 
 class World:
--- a/tests/intents/conftest.py
+++ b/tests/intents/conftest.py
@@ -36,7 +36,7 @@
         self._kernel.register(names.CLOCK, clock)
         self._kernel.register(names.REPLICA, self.replica)
         self._kernel.register(names.LOG_WRITER, self.writer)
-        self._kernel.register(names.INSTANCE_LIST, instances.FixedInstanceList())
+        self._kernel.register(names.INSTANCE_LIST, instances.SettableInstanceList())
         incarnation = identity.Incarnation.create(name)
         self.service = service.Intents(
             self._kernel, incarnation, settings.IntentSettings(remembered_limit=1_000_000)
