Leave without cutting off, and answer before the deadline whoever is frozen

Cause: a leaving backend server was known by the preset alone; an instance that ended left callers' connections open; a frozen server cost its caller the answer; and a process that had been paused (SIGSTOP, SIGCONT) never saw its SIGTERM: the signal's handler waited for the main thread to wake, which waited for the handler. Seen in the stand-ins, each of which hung until it was killed 20 s later; the router's own runner was written the same way.

An instance that ends is first not ready, tells callers that their connections close, and then finishes what is in progress. Signals are blocked in all threads and awaited by the main one. A first try of idempotent work that may be repeated elsewhere takes half of the time left; a timed-out try counts as a latency, and averages are forgotten with time (5 s), so that a slow server is tried again. Idle connections of callers: 5,000 instead of cheroot's 10.

--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -24,6 +24,7 @@
 from goldcresthall.replication import writer
 from goldcresthall.routing import admission
 from goldcresthall.routing import observations
+from goldcresthall.routing import probes
 from goldcresthall.routing import router
 
 if TYPE_CHECKING:
@@ -87,6 +88,7 @@
     built.register(names.PRESETS, publisher.PresetPublisher.from_config(built))
     built.register(names.OBSERVATIONS, observations.Observations.from_config(built))
     built.register(names.ADMISSION, admission.Admission.from_config(built, instance_settings))
+    built.register(names.PROBES, probes.Probes.from_config(built))
     built.register(names.ROUTER, router.Router.from_config(built))
     built.register(
         names.ADMIN, admin_front.AdminFront.from_config(built, incarnation, instance_settings)
--- a/src/goldcresthall/application/runner.py
+++ b/src/goldcresthall/application/runner.py
@@ -3,34 +3,40 @@
 from __future__ import annotations
 
 import signal
-import threading
+import time
 from typing import TYPE_CHECKING
+from typing import Final
 
 from absl import logging
 
 from goldcresthall.admin import front as admin_front
+from goldcresthall.callers import front as caller_front
 from goldcresthall.kernel import names
 
 if TYPE_CHECKING:
     from goldcresthall.application import factory
 
 NOT_READY_PAUSE_S = 1.0
+ENDING_SIGNALS: Final = frozenset({signal.SIGTERM, signal.SIGINT})
 
 
 def run_until_signalled(instance: factory.Instance) -> None:
     """Start an instance and stop it cleanly at SIGTERM or SIGINT.
 
-    It reports itself as not ready first, so that a balancer sends nothing new,
-    then finishes all requests in progress.
+    It reports itself as not ready first, so that a balancer sends nothing new, and
+    tells callers on open connections to close them. Only then the kernel stops the
+    services, the callers' front end first, which finishes all requests in progress.
+
+    The signals are blocked in all threads and awaited in this one: a handler would
+    run only when the main thread wakes, which a process that was paused may not do.
     """
-    ending = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: ending.set())
+    signal.pthread_sigmask(signal.SIG_BLOCK, ENDING_SIGNALS)
     instance.kernel.start()
     logging.info("instance %s started", instance.incarnation)
-    ending.wait()
+    signal.sigwait(ENDING_SIGNALS)
     logging.info("instance %s leaving", instance.incarnation)
     instance.kernel.find(names.ADMIN, admin_front.AdminFront).mark_leaving()
-    threading.Event().wait(NOT_READY_PAUSE_S)
+    instance.kernel.find(names.CALLERS, caller_front.CallerFront).mark_leaving()
+    time.sleep(NOT_READY_PAUSE_S)
     instance.kernel.stop()
     logging.info("instance %s ended", instance.incarnation)
--- a/src/goldcresthall/backend/client.py
+++ b/src/goldcresthall/backend/client.py
@@ -20,6 +20,12 @@
     def send(self, dispatch: attempts.Dispatch) -> attempts.Attempt:
         """Send one request to one server and wait for its whole answer."""
 
+    def probe(
+        self, server: preset.BackendServer, timeout_s: float
+    ) -> attempts.ServerSignals | None:
+        """Ask a server what it says of itself; none if it gives no usable answer."""
+        return None
+
     @abc.abstractmethod
     def renew_lease(
         self, server: preset.BackendServer, renewal: leases.Renewal, timeout_s: float
--- a/src/goldcresthall/backend/http_client.py
+++ b/src/goldcresthall/backend/http_client.py
@@ -71,6 +71,17 @@
             pool.give_back(connection)
         return attempt
 
+    def probe(
+        self, server: preset.BackendServer, timeout_s: float
+    ) -> attempts.ServerSignals | None:
+        """Ask a server what it says of itself; none if it gives no usable answer."""
+        pool = self._find_lease_pool(server.address)
+        try:
+            response = pool.request("GET", protocol.HEALTH_PATH, timeout=timeout_s, redirect=False)
+        except urllib3.exceptions.HTTPError:
+            return None
+        return responses.read_signals(response.headers) if response.status == STATUS_OK else None
+
     def renew_lease(
         self, server: preset.BackendServer, renewal: leases.Renewal, timeout_s: float
     ) -> leases.LeaseOutcome:
--- a/src/goldcresthall/backend/protocol.py
+++ b/src/goldcresthall/backend/protocol.py
@@ -4,6 +4,7 @@
 
 from typing import Final
 
+HEALTH_PATH: Final = "/goldcresthall/health"
 LEASE_PATH: Final = "/goldcresthall/lease"
 
 REQUEST_ID_HEADER: Final = "Goldcresthall-Request-Id"
--- a/src/goldcresthall/backend/responses.py
+++ b/src/goldcresthall/backend/responses.py
@@ -52,7 +52,7 @@
             outcomes.Step.RECEIVE,
             f"answer of request {echoed}",
         )
-    signals = _read_signals(headers)
+    signals = read_signals(headers)
     not_run = headers.get(protocol.NOT_RUN_HEADER)
     if not_run in NOT_RUN_REASONS:
         return attempts.AttemptNotRun(
@@ -115,7 +115,8 @@
     return any(isinstance(argument, http.client.IncompleteRead) for argument in error.args)
 
 
-def _read_signals(headers: Mapping[str, str]) -> attempts.ServerSignals:
+def read_signals(headers: Mapping[str, str]) -> attempts.ServerSignals:
+    """Return what a server says of itself in the header of an answer."""
     draining = headers.get(protocol.DRAINING_HEADER)
     load = headers.get(protocol.LOAD_HEADER)
     if draining is None and load is None:
--- a/src/goldcresthall/callers/front.py
+++ b/src/goldcresthall/callers/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import http
-import threading
 import uuid
 from typing import TYPE_CHECKING
 from typing import Any
@@ -57,8 +56,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         self._server.server_name = "goldcresthall"
-        self._in_progress = 0
-        self._idle = threading.Condition()
+        self._server.keep_alive_conn_limit = instance_settings.callers.connection_limit
         self._task = tasks.Task("callers", self._run)
 
     @classmethod
@@ -74,10 +72,12 @@
         self._server.prepare()
         self._task.start()
 
+    def mark_leaving(self) -> None:
+        """Tell callers with each answer from now on that their connection closes."""
+        self._server.keep_alive_conn_limit = 0
+
     def stop(self) -> None:
         """Stop accepting and wait for requests in progress."""
-        with self._idle:
-            self._idle.wait_for(lambda: self._in_progress == 0, SHUTDOWN_TIMEOUT_S)
         self._server.stop()
         self._task.stop()
 
@@ -85,16 +85,6 @@
         self._server.serve()
 
     def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        with self._idle:
-            self._in_progress += 1
-        try:
-            return self._respond(environ, start_response)
-        finally:
-            with self._idle:
-                self._in_progress -= 1
-                self._idle.notify_all()
-
-    def _respond(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         received_at_s = self._clock.read_s()
         request_id = uuid.uuid4().hex
         outcome = self._find_outcome(environ, request_id, received_at_s)
--- a/src/goldcresthall/core/settings.py
+++ b/src/goldcresthall/core/settings.py
@@ -68,9 +68,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallerSettings:
-    """Limits of the callers' front end."""
+    """Limits of the callers' front end.
+
+    Attributes
+    ----------
+    threads
+        Requests in progress or waiting at a time.
+    connection_limit
+        Idle connections that are kept open for callers.
+    """
 
     threads: int = 64
+    connection_limit: int = 5_000
     body_limit_bytes: int = 1_048_576
 
 
--- a/src/goldcresthall/routing/admission.py
+++ b/src/goldcresthall/routing/admission.py
@@ -153,6 +153,11 @@
             "Backend servers that get no work for their failures.",
             self._observations.count_ejected,
         )
+        measured.watch(
+            "draining_servers",
+            "Backend servers that say that they are leaving.",
+            self._observations.count_draining,
+        )
 
     def _run(self, stop_signal: tasks.StopSignal) -> None:
         state = self._replica.state
--- a/src/goldcresthall/routing/observations.py
+++ b/src/goldcresthall/routing/observations.py
@@ -29,6 +29,7 @@
 SLOW_START_S = 10.0
 LEAST_WEIGHT = 0.1
 LOAD_AGE_SCALE_S = 1.0
+LATENCY_AGE_SCALE_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +73,7 @@
     def __init__(self, seen_at_s: float) -> None:
         self.trials: dict[int, Trial] = {}
         self.latency_s = INITIAL_LATENCY_S
+        self.latency_at_s = seen_at_s
         self.failures = 0
         self.ejections = 0
         self.ejected_until_s: float | None = None
@@ -82,6 +84,12 @@
         self.heard_at_s = seen_at_s
         self.draining = False
 
+    def note_latency(self, latency_s: float, now_s: float) -> None:
+        """Take one time to an answer into the moving average."""
+        average_s = self._find_average_s(now_s)
+        self.latency_s = average_s + LATENCY_WEIGHT * (latency_s - average_s)
+        self.latency_at_s = now_s
+
     def note_success(self, now_s: float) -> None:
         """Note that the server answered, which ends an ejection."""
         self.failures = 0
@@ -109,16 +117,24 @@
     def describe(self, now_s: float) -> ServerObservation:
         """Return what is known at a clock reading."""
         ejected_until_s = self.ejected_until_s
+        average_s = self._find_average_s(now_s)
         return ServerObservation(
             outstanding=len(self.trials),
-            average_s=self.latency_s,
-            latency_s=max(self.latency_s, self._find_oldest_age_s(now_s)),
+            average_s=average_s,
+            latency_s=max(average_s, self._find_oldest_age_s(now_s)),
             foreign_load=self._find_foreign_load(now_s),
             weight=min(1.0, max(LEAST_WEIGHT, (now_s - self.returned_at_s) / SLOW_START_S)),
             ejected=ejected_until_s is not None and now_s < ejected_until_s,
             probing=ejected_until_s is not None and now_s >= ejected_until_s,
         )
 
+    def _find_average_s(self, now_s: float) -> float:
+        """Return the average, forgotten with time so that a slow server is tried again."""
+        over_s = self.latency_s - INITIAL_LATENCY_S
+        return INITIAL_LATENCY_S + over_s * math.exp(
+            (self.latency_at_s - now_s) / LATENCY_AGE_SCALE_S
+        )
+
     def _find_oldest_age_s(self, now_s: float) -> float:
         for trial in self.trials.values():
             if trial.request_class is preset.RequestClass.SHORT:
@@ -222,6 +238,11 @@
         with self._lock:
             return sum(track.describe(now_s).ejected for track in self._tracks.values())
 
+    def count_draining(self) -> int:
+        """Return the number of servers that said themselves that they are leaving."""
+        with self._lock:
+            return sum(track.draining for track in self._tracks.values())
+
     def _find_track(self, server: str, now_s: float) -> ServerTrack:
         track = self._tracks.get(server)
         if track is None:
@@ -257,8 +278,7 @@
 @note_attempt.register
 def _(attempt: attempts.AttemptAnswered, track: ServerTrack, trial: Trial, now_s: float) -> None:
     if trial.request_class is preset.RequestClass.SHORT:
-        latency_s = now_s - trial.began_at_s
-        track.latency_s += LATENCY_WEIGHT * (latency_s - track.latency_s)
+        track.note_latency(now_s - trial.began_at_s, now_s)
     track.note_signals(attempt.signals, now_s)
     track.note_success(now_s)
 
@@ -277,3 +297,5 @@
 @note_attempt.register
 def _(attempt: attempts.AttemptUnknown, track: ServerTrack, trial: Trial, now_s: float) -> None:
     track.failures += 1
+    if attempt.reason is outcomes.UnknownReason.ANSWER_TIMEOUT:
+        track.note_latency(now_s - trial.began_at_s, now_s)
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -32,6 +32,7 @@
     from goldcresthall.replication import state as replicated
 
 ANSWER_MARGIN_S = 0.005
+FIRST_TRY_FRACTION = 0.5
 BROKEN_OFF = attempts.AttemptUnknown(
     outcomes.UnknownReason.CONNECTION_LOST, outcomes.Step.SEND, "broken off by an error"
 )
@@ -140,7 +141,7 @@
     ) -> attempts.Attempt:
         found = permit.found
         trial = self._observations.begin(found.server.name, plan.route.request_class)
-        timeout_s = self._find_remaining_s(plan)
+        timeout_s = self._find_timeout_s(plan, permit)
         try:
             attempt = self._client.send(_create_dispatch(request, plan, found, timeout_s))
         except BaseException:
@@ -149,6 +150,23 @@
         self._end_try(plan, permit, trial, attempt)
         return attempt
 
+    def _find_timeout_s(self, plan: plans.Plan, permit: queues.Permit) -> float:
+        """Return the seconds that a try may take.
+
+        A first try that could be repeated elsewhere leaves time for that, so that
+        a frozen server costs its caller time but not the answer.
+        """
+        remaining_s = self._find_remaining_s(plan)
+        policy = plan.target.policy
+        may_repeat = (
+            plan.route.idempotent
+            and not permit.work.tried
+            and len(permit.work.servers) > 1
+            and self._budgets.find(policy.name).tokens >= 1
+            and policy.retry_budget > 0
+        )
+        return remaining_s * FIRST_TRY_FRACTION if may_repeat else remaining_s
+
     def _end_try(
         self,
         plan: plans.Plan,
--- a/stand_ins/src/goldcresthall_stand_ins/__main__.py
+++ b/stand_ins/src/goldcresthall_stand_ins/__main__.py
@@ -5,7 +5,6 @@
 import dataclasses
 import pathlib
 import signal
-import threading
 from typing import TYPE_CHECKING
 
 import click
@@ -50,12 +49,11 @@
 
 
 def _run_until_signalled(stand_ins: Sequence[web.StandIn]) -> None:
-    ending = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: ending.set())
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
     for stand_in in stand_ins:
         stand_in.start()
     click.echo("started")
-    ending.wait()
+    signal.sigwait({signal.SIGTERM})
     for stand_in in stand_ins:
         stand_in.stop()
 
--- a/stand_ins/src/goldcresthall_stand_ins/backend.py
+++ b/stand_ins/src/goldcresthall_stand_ins/backend.py
@@ -61,6 +61,10 @@
         It declares a longer body than it sends.
     shed
         It refuses all work.
+    draining
+        It says that it is leaving, and still runs what it gets.
+    drip_ms
+        Milliseconds between two bytes of an answer.
     wrong_request_id
         It answers under another request's identifier.
     """
@@ -70,6 +74,8 @@
     truncate: bool = False
     shed: bool = False
     wrong_request_id: bool = False
+    draining: bool = False
+    drip_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +110,8 @@
         self._admitted = threading.Semaphore(config.slots + config.queue)
         self._behavior_changed = threading.Condition()
         self._misbehavior = BackendMisbehavior()
+        self._load_lock = threading.Lock()
+        self._load = 0
         self._effects: list[Effect] = []
 
     @property
@@ -125,8 +133,14 @@
             self._behavior_changed.wait_for(lambda: not self._misbehavior.frozen)
         if exchange.path == protocol.LEASE_PATH:
             return self._answer_lease(exchange)
+        if exchange.path == protocol.HEALTH_PATH:
+            return web.Reply(STATUS_OK, b"{}", self._list_signals())
         return self._answer_work(exchange)
 
+    def _list_signals(self) -> tuple[tuple[str, str], ...]:
+        load = ((protocol.LOAD_HEADER, str(self._load)),)
+        return (*load, (protocol.DRAINING_HEADER, "1")) if self._misbehavior.draining else load
+
     def _answer_control(self, exchange: web.Exchange) -> web.Reply:
         if exchange.path == "/control/misbehave":
             self.misbehave(documents.decode_document(exchange.body, BackendMisbehavior))
@@ -144,12 +158,18 @@
     def _answer_work(self, exchange: web.Exchange) -> web.Reply:
         if self._misbehavior.shed or not self._admitted.acquire(blocking=False):
             return self._refuse(protocol.NOT_RUN_SHED, STATUS_UNAVAILABLE)
+        self._change_load(1)
         try:
             with self._slots:
                 return self._run(exchange)
         finally:
+            self._change_load(-1)
             self._admitted.release()
 
+    def _change_load(self, change: int) -> None:
+        with self._load_lock:
+            self._load += change
+
     def _run(self, exchange: web.Exchange) -> web.Reply:
         work_ms = self._config.work_ms + self._misbehavior.extra_work_ms
         time.sleep(work_ms / MS_PER_S)
@@ -189,8 +209,13 @@
         return web.Reply(
             STATUS_OK,
             body,
-            (("Content-Type", "application/json"), (protocol.REQUEST_ID_HEADER, echoed)),
+            (
+                ("Content-Type", "application/json"),
+                (protocol.REQUEST_ID_HEADER, echoed),
+                *self._list_signals(),
+            ),
             declared_length=len(body) + 10 if self._misbehavior.truncate else None,
+            drip_ms=self._misbehavior.drip_ms,
         )
 
     def _refuse(self, reason: str, status: int) -> web.Reply:
--- a/stand_ins/src/goldcresthall_stand_ins/fleet.py
+++ b/stand_ins/src/goldcresthall_stand_ins/fleet.py
@@ -139,7 +139,10 @@
 
     def list_instances(self) -> None:
         """Tell the platform's list which instances there are."""
-        entries = tuple(
+        self._control_platform("instances", platform.InstanceListDocument(self._list_entries()))
+
+    def _list_entries(self) -> tuple[identity.InstanceEntry, ...]:
+        return tuple(
             identity.InstanceEntry(
                 router.settings.name,
                 router.settings.failure_domain,
@@ -148,7 +151,18 @@
             )
             for router in self.routers
         )
-        self._control_platform("instances", platform.InstanceListDocument(entries))
+
+    def list_leaving_server(self, config: backend.BackendConfig) -> None:
+        """Tell the platform's list that a backend server is leaving."""
+        leaving = identity.InstanceEntry(
+            config.name,
+            "",
+            identity.Address(config.host, config.port),
+            identity.InstanceStatus.LEAVING,
+            identity.InstanceRole.BACKEND_SERVER,
+        )
+        document = platform.InstanceListDocument((*self._list_entries(), leaving))
+        self._control_platform("instances", document)
 
     def misbehave_platform(self, misbehavior: platform.Misbehavior) -> None:
         """Tell the platform to misbehave."""
--- a/stand_ins/src/goldcresthall_stand_ins/web.py
+++ b/stand_ins/src/goldcresthall_stand_ins/web.py
@@ -5,6 +5,7 @@
 import abc
 import dataclasses
 import threading
+import time
 import urllib.parse
 from typing import TYPE_CHECKING
 from typing import Any
@@ -13,8 +14,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
 LISTEN_BACKLOG = 512
+MS_PER_S = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,12 +39,15 @@
     ----------
     declared_length
         Value of Content-Length; none for the body's true length.
+    drip_ms
+        Milliseconds between two bytes of the body; zero to send it in one piece.
     """
 
     status: int
     body: bytes
     headers: tuple[tuple[str, str], ...] = ()
     declared_length: int | None = None
+    drip_ms: float = 0.0
 
 
 class StandIn(abc.ABC):
@@ -87,4 +93,10 @@
         reply = self.answer(exchange)
         declared = len(reply.body) if reply.declared_length is None else reply.declared_length
         start_response(f"{reply.status} -", [*reply.headers, ("Content-Length", str(declared))])
-        return [reply.body]
+        return _drip(reply) if reply.drip_ms else [reply.body]
+
+
+def _drip(reply: Reply) -> Iterator[bytes]:
+    for position in range(len(reply.body)):
+        time.sleep(reply.drip_ms / MS_PER_S)
+        yield reply.body[position : position + 1]
