--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -9,18 +9,25 @@
 from goldcresthall.backend import http_client
 from goldcresthall.callers import front as caller_front
 from goldcresthall.core import identity
+from goldcresthall.intents import service as intents_service
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import counters
+from goldcresthall.ownership import heat
+from goldcresthall.ownership import lessor_probe
 from goldcresthall.ownership import lessors
+from goldcresthall.ownership import planned_moves
 from goldcresthall.ownership import proposer
 from goldcresthall.peers import follower
 from goldcresthall.peers import server
 from goldcresthall.platform import http_log_client
 from goldcresthall.platform import instance_list
 from goldcresthall.presets import publisher
+from goldcresthall.presets import uptake
 from goldcresthall.replication import replica
+from goldcresthall.replication import snapshot_writer
 from goldcresthall.replication import writer
 from goldcresthall.routing import admission
 from goldcresthall.routing import observations
@@ -54,10 +61,13 @@
     platform = instance_settings.platform
     built.register(names.CLOCK, clock.MonotonicClock())
     built.register(names.METRICS, metrics.Metrics())
-    built.register(names.LOG_CLIENT, http_log_client.HttpLogClient.from_config(platform))
+    built.register(names.LOG_CLIENT, http_log_client.HttpLogClient.from_config(instance_settings))
     built.register(names.LOG_WRITER, writer.LogWriter.from_config(built, platform))
-    built.register(names.INSTANCE_LIST, instance_list.HttpInstanceList.from_config(platform))
+    built.register(
+        names.INSTANCE_LIST, instance_list.HttpInstanceList.from_config(instance_settings)
+    )
     built.register(names.BACKENDS, http_client.HttpBackendClient())
+    built.register(names.HEAT, heat.HeatCounter())
 
 
 def _register_replication(
@@ -70,6 +80,10 @@
     built.register(
         names.PEERS, follower.PeerFollower.from_config(built, incarnation, instance_settings)
     )
+    built.register(
+        names.SNAPSHOTS,
+        snapshot_writer.SnapshotWriter.from_config(built, incarnation, instance_settings),
+    )
 
 
 def _register_ownership(
@@ -79,13 +93,27 @@
         names.OWNERSHIP,
         proposer.OwnershipProposer.from_config(built, incarnation, instance_settings.leases),
     )
+    built.register(names.LEASE_COUNTERS, counters.LeaseCounters.from_config(built))
+    built.register(
+        names.LESSOR_PROBE,
+        lessor_probe.PeerLessorProbe.from_config(built, incarnation, instance_settings),
+    )
+    built.register(names.PLANNED_MOVES, planned_moves.PlannedMoves.from_config(built, incarnation))
     built.register(names.LEASES, lessors.Lessors.from_config(built, incarnation, instance_settings))
 
 
 def _register_fronts(
     built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
 ) -> None:
+    built.register(
+        names.UPTAKE,
+        uptake.UptakeGatherer.from_config(built, incarnation, instance_settings.peers),
+    )
     built.register(names.PRESETS, publisher.PresetPublisher.from_config(built))
+    built.register(
+        names.INTENTS,
+        intents_service.Intents.from_config(built, incarnation, instance_settings.intents),
+    )
     built.register(names.OBSERVATIONS, observations.Observations.from_config(built))
     built.register(names.ADMISSION, admission.Admission.from_config(built, instance_settings))
     built.register(names.PROBES, probes.Probes.from_config(built))
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -10,6 +10,7 @@
 from goldcresthall.backend import client
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
+from goldcresthall.intents import service as intents_service
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
@@ -83,6 +84,7 @@
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
+        self._intents = self._kernel.find(names.INTENTS, intents_service.Intents)
         self._observations = self._kernel.find(names.OBSERVATIONS, observations.Observations)
         self._admission = self._kernel.find(names.ADMISSION, admission.Admission)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
@@ -92,6 +94,9 @@
 
     def handle(self, request: requests.Request) -> outcomes.Outcome:
         """Take a request to its outcome, before its deadline."""
+        condition = self._replica.condition
+        if not condition.is_usable:
+            return plans.refuse_unusable(condition)
         plan = plans.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
@@ -100,10 +105,17 @@
         if refusal is not None:
             return refusal
         try:
-            return self._try_repeatedly(request, plan)
+            return self._run(request, plan)
         finally:
             self._admission.leave(policy)
 
+    def _run(self, request: requests.Request, plan: plans.Plan) -> outcomes.Outcome:
+        if plan.route.idempotent:
+            return self._try_repeatedly(request, plan)
+        return self._intents.run_once(
+            request, plan.deadline_s, lambda: self._try_repeatedly(request, plan)
+        )
+
     def _try_repeatedly(self, request: requests.Request, plan: plans.Plan) -> outcomes.Outcome:
         policy = plan.target.policy
         self._budgets.find(policy.name).add_first_try(policy.retry_budget)
--- a/stand_ins/src/goldcresthall_stand_ins/backend.py
+++ b/stand_ins/src/goldcresthall_stand_ins/backend.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import json
+import os
 import threading
 import time
 
@@ -20,6 +21,7 @@
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 CONTROL_PREFIX = "/control/"
+WORK_PARAMETER = "work_ms"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +35,10 @@
     queue
         Requests that may wait for a slot; more are shed.
     work_ms
-        Milliseconds that one request runs.
+        Milliseconds that one request runs unless its query says otherwise.
+    effects_file
+        File to which each effect is written at once, so that it outlives the
+        process; none if empty.
     """
 
     name: str
@@ -45,6 +50,7 @@
     slots: int = 4
     queue: int = 20
     work_ms: float = 1.0
+    effects_file: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +63,8 @@
         It accepts connections and answers nothing until told otherwise.
     extra_work_ms
         Milliseconds added to each request's work.
+    work_factor
+        Factor by which each request's work is longer, as after a cold start.
     truncate
         It declares a longer body than it sends.
     shed
@@ -71,6 +79,7 @@
 
     frozen: bool = False
     extra_work_ms: float = 0.0
+    work_factor: float = 1.0
     truncate: bool = False
     shed: bool = False
     wrong_request_id: bool = False
@@ -113,6 +122,7 @@
         self._load_lock = threading.Lock()
         self._load = 0
         self._effects: list[Effect] = []
+        self._effects_file = self._open_effects_file()
 
     @property
     def effects(self) -> tuple[Effect, ...]:
@@ -150,7 +160,7 @@
 
     def _answer_lease(self, exchange: web.Exchange) -> web.Reply:
         if exchange.method == "GET":
-            report = self._holder.report(leases.RenewalStatus.REPORTED)
+            report = self._holder.report()
         else:
             report = self._holder.renew(documents.decode_document(exchange.body, leases.Renewal))
         return web.Reply(STATUS_OK, documents.encode_document(report).encode())
@@ -171,17 +181,43 @@
             self._load += change
 
     def _run(self, exchange: web.Exchange) -> web.Reply:
-        work_ms = self._config.work_ms + self._misbehavior.extra_work_ms
-        time.sleep(work_ms / MS_PER_S)
         partition = int(exchange.headers.get(protocol.PARTITION_HEADER.lower(), -1))
         epoch = int(exchange.headers.get(protocol.EPOCH_HEADER.lower(), -1))
-        checked = self._config.keyed and self._config.checks_grants
-        if checked and not self._holder.holds(self._config.service, partition, epoch):
+        if not (self._config.keyed and self._config.checks_grants):
+            self._work(exchange)
+            return self._take_effect(exchange, partition, epoch)
+        grant = leases.Grant(self._config.service, partition, epoch)
+        if not self._holder.begin(grant):
             return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
+        try:
+            self._work(exchange)
+            if not self._holder.holds(grant):
+                return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
+            return self._take_effect(exchange, partition, epoch)
+        finally:
+            self._holder.end(grant)
+
+    def _work(self, exchange: web.Exchange) -> None:
+        asked_ms = float(exchange.query.get(WORK_PARAMETER, self._config.work_ms))
+        misbehavior = self._misbehavior
+        work_ms = asked_ms * misbehavior.work_factor + misbehavior.extra_work_ms
+        time.sleep(work_ms / MS_PER_S)
+
+    def _take_effect(self, exchange: web.Exchange, partition: int, epoch: int) -> web.Reply:
         request_id = exchange.headers.get(protocol.REQUEST_ID_HEADER.lower(), "")
-        self._effects.append(self._create_effect(exchange, partition, epoch, request_id))
+        self._record(self._create_effect(exchange, partition, epoch, request_id))
         return self._reply(exchange, request_id)
 
+    def _open_effects_file(self) -> int | None:
+        if not self._config.effects_file:
+            return None
+        return os.open(self._config.effects_file, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+
+    def _record(self, effect: Effect) -> None:
+        self._effects.append(effect)
+        if self._effects_file is not None:
+            os.write(self._effects_file, documents.encode_document(effect).encode() + b"\n")
+
     def _create_effect(
         self, exchange: web.Exchange, partition: int, epoch: int, request_id: str
     ) -> Effect:
--- a/stand_ins/src/goldcresthall_stand_ins/fleet.py
+++ b/stand_ins/src/goldcresthall_stand_ins/fleet.py
@@ -104,6 +104,10 @@
     def start_backends(self, configs: tuple[backend.BackendConfig, ...]) -> BackendProcess:
         """Start one process that hosts backend servers and wait until they answer."""
         name = f"backends-{configs[0].name}"
+        configs = tuple(
+            dataclasses.replace(config, effects_file=str(self._find_effects_file(config)))
+            for config in configs
+        )
         path = self._folder / f"{name}.json"
         path.write_text(documents.encode_document(stand_in_main.BackendFile(configs)))
         process = self._start_stand_in("backends", str(path), name=name)
@@ -133,6 +137,7 @@
         process = self._start((*self._program, "router", str(path)), instance_settings.name)
         router = RouterProcess(instance_settings, process)
         self.wait_until_ok(f"{router.admin_url}/healthz")
+        self._wait_until_listening(instance_settings.listen.callers)
         self._routers[instance_settings.name] = router
         self.list_instances()
         return router
@@ -175,11 +180,10 @@
         self._post(f"http://{config.host}:{config.port}/control/misbehave", misbehavior)
 
     def read_effects(self, config: backend.BackendConfig) -> tuple[backend.Effect, ...]:
-        """Return the work that a backend server ran."""
-        response = self._pool.request(
-            "GET", f"http://{config.host}:{config.port}/control/effects", timeout=START_TIMEOUT_S
-        )
-        return documents.decode_document(response.data, EffectList).effects
+        """Return the work that a backend server ran, also if it runs no more."""
+        path = self._find_effects_file(config)
+        lines = path.read_bytes().splitlines() if path.exists() else []
+        return tuple(documents.decode_document(line, backend.Effect) for line in lines)
 
     def kill(self, process: subprocess.Popen[bytes], number: int = signal.SIGKILL) -> None:
         """Send a signal to one of the fleet's processes; SIGKILL is awaited."""
@@ -206,6 +210,16 @@
             time.sleep(POLL_S)
         raise FleetError(f"{url} did not answer in {timeout_s} s")
 
+    def _wait_until_listening(self, address: identity.Address) -> None:
+        # The operators' front end answers a moment before the callers' one listens.
+        ends_at_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < ends_at_s:
+            with contextlib.suppress(OSError):
+                socket.create_connection((address.host, address.port), START_TIMEOUT_S).close()
+                return
+            time.sleep(POLL_S)
+        raise FleetError(f"{address} did not listen in {START_TIMEOUT_S} s")
+
     def stop(self) -> None:
         """End every process that was started here."""
         for process in reversed(self._processes):
@@ -219,6 +233,9 @@
                 process.kill()
                 process.wait(STOP_TIMEOUT_S)
 
+    def _find_effects_file(self, config: backend.BackendConfig) -> pathlib.Path:
+        return self._folder / f"{config.name}.effects"
+
     def _start_stand_in(self, *arguments: str, name: str) -> subprocess.Popen[bytes]:
         command = (sys.executable, "-m", "goldcresthall_stand_ins", *arguments)
         return self._start(command, name)
@@ -243,13 +260,6 @@
             raise FleetError(f"{url}: status {response.status}")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EffectList:
-    """The body in which a backend server reports what it ran."""
-
-    effects: tuple[backend.Effect, ...]
-
-
 def create_backend_configs(
     service: str, count: int, *, keyed: bool
 ) -> tuple[backend.BackendConfig, ...]:
--- a/tests/features/system.py
+++ b/tests/features/system.py
@@ -15,6 +15,7 @@
 from goldcresthall.admin import messages
 from goldcresthall.console import admin_client
 from goldcresthall.core import preset
+from goldcresthall.core import settings
 
 if TYPE_CHECKING:
     import signal
@@ -60,14 +61,26 @@
         self.backends: dict[str, fleets.BackendProcess] = {}
         self.policies: list[preset.ServicePolicy] = []
         self.sent: list[Sent] = []
+        self.leases = settings.LeaseSettings()
+        self.aside: set[str] = set()
+        self._settings: dict[str, settings.Settings] = {}
         self._pool = urllib3.PoolManager(num_pools=50, maxsize=64, retries=False)
 
+    @property
+    def reachable(self) -> list[int]:
+        """Indexes of the instances that are not set aside."""
+        routers = enumerate(self.fleet.routers)
+        return [index for index, item in routers if item.settings.name not in self.aside]
+
     def start_routers(self, count: int, domains: tuple[str, ...]) -> None:
         """Start router instances dealt out over failure domains."""
         self.domains = domains
         for number in range(1, count + 1):
             domain = domains[(number - 1) % len(domains)]
-            self.fleet.start_router(self.fleet.create_settings(f"router-{number}", domain))
+            created = self.fleet.create_settings(f"router-{number}", domain)
+            instance_settings = dataclasses.replace(created, leases=self.leases)
+            self._settings[instance_settings.name] = instance_settings
+            self.fleet.start_router(instance_settings)
 
     def add_service(
         self, name: str, count: int, *, keyed: bool, checks_grants: bool = True
@@ -97,8 +110,10 @@
         method: str,
         path: str,
         router_index: int = 0,
+        *,
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
+        timeout_s: float = GIVE_UP_S,
     ) -> Sent:
         """Send one request through one instance and remember its response."""
         router = self.fleet.routers[router_index]
@@ -107,7 +122,7 @@
             router.callers_url + path,
             headers=headers,
             body=body,
-            timeout=GIVE_UP_S,
+            timeout=timeout_s,
             redirect=False,
         )
         sent = Sent(router.settings.name, path, response.status, response.headers, response.data)
@@ -147,12 +162,15 @@
         router = next(item for item in self.fleet.routers if item.settings.name == name)
         self.fleet.kill(router.process, number)
 
+    def restart_router(self, name: str) -> None:
+        """Start another process at the addresses of a killed router instance."""
+        self.fleet.start_router(self._settings[name])
+
     def read_effects(self) -> tuple[backend.Effect, ...]:
-        """Return what all backend servers that still run have done, oldest first."""
+        """Return what all backend servers have done, lost ones too, oldest first."""
         effects = [
             effect
             for process in self.backends.values()
-            if process.process.poll() is None
             for config in process.configs
             for effect in self.fleet.read_effects(config)
         ]
@@ -176,7 +194,7 @@
 def list_answered_without_effect(
     sent: list[Sent], effects: tuple[backend.Effect, ...]
 ) -> list[Sent]:
-    """Return responses of status 200 whose request no running server has run."""
+    """Return responses of status 200 whose request no server has run."""
     run = {effect.request_id for effect in effects}
     return [
         item
--- /dev/null
+++ b/tests/ownership/test_heat.py
@@ -0,0 +1,59 @@
+"""Rates are counted by partition and by key, and forgotten in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.core import heat as core_heat
+from goldcresthall.ownership import heat
+from goldcresthall.ownership import rendezvous
+
+if TYPE_CHECKING:
+    from goldcresthall.core import preset
+
+
+def test_a_steady_rate_is_reported_as_it_is(archive_policy: preset.ServicePolicy) -> None:
+    counter = heat.HeatCounter()
+    for _ in range(40):
+        for number in range(20):
+            key = "hot" if number < 15 else f"key-{number}"
+            partition = rendezvous.find_partition(key, archive_policy.partitions)
+            counter.count(archive_policy, partition, key)
+        counter.close_period()
+    found = counter.report.find_service("archive")
+    assert found is not None
+    assert found.rate_per_s == pytest.approx(20 / heat.PERIOD_S, rel=0.01)
+    assert found.keys[0].key == "hot"
+    assert found.keys[0].rate_per_s == pytest.approx(15 / heat.PERIOD_S, rel=0.01)
+    assert sum(part.rate_per_s for part in found.partitions) == pytest.approx(found.rate_per_s)
+
+
+def test_reports_of_instances_add_up() -> None:
+    one = core_heat.ServiceHeat(
+        "archive",
+        10.0,
+        (core_heat.PartitionHeat(0, 6.0), core_heat.PartitionHeat(1, 4.0)),
+        (core_heat.KeyHeat("molde", 0, 5.0, 1.0),),
+    )
+    other = core_heat.ServiceHeat("archive", 2.0, (core_heat.PartitionHeat(0, 2.0),))
+    counter = heat.HeatCounter()
+    counter.note_peer("entry-2", core_heat.HeatReport((one,)))
+    counter.note_peer("entry-3", core_heat.HeatReport((other,)))
+    found = counter.combine_reports().find_service("archive")
+    assert found is not None
+    assert (found.rate_per_s, found.keys) == (12.0, one.keys)
+    assert {part.number: part.rate_per_s for part in found.partitions} == {0: 8.0, 1: 4.0}
+    counter.forget_peer("entry-2")
+    assert counter.combine_reports().find_service("archive") == other
+
+
+def test_what_draws_nothing_any_more_is_forgotten(archive_policy: preset.ServicePolicy) -> None:
+    counter = heat.HeatCounter()
+    counter.count(archive_policy, 0, "old")
+    for _ in range(40):
+        counter.close_period()
+    found = counter.report.find_service("archive")
+    assert found is not None
+    assert (found.partitions, found.keys) == ((), ())
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -22,6 +22,7 @@
 from tests.fakes import backends
 from tests.fakes import clock
 from tests.fakes import instances
+from tests.fakes import intents
 from tests.fakes import replica
 
 if TYPE_CHECKING:
@@ -71,6 +72,7 @@
         self.kernel.register(names.METRICS, self.metrics)
         self.kernel.register(names.REPLICA, self.replica)
         self.kernel.register(names.BACKENDS, self.backends)
+        self.kernel.register(names.INTENTS, intents.DirectIntents())
         self.instances = instances.SettableInstanceList()
         self.kernel.register(names.INSTANCE_LIST, self.instances)
         self.observations = observations.Observations(self.kernel)
