Look closer only at servers that need it, and at two of the others

Cause: the choice made an observation of every server of a service for each request, asked for each whether it drains, and listed long servers for short work too.

Now: the servers that are ejected or told that they drain are kept as sets, mostly empty; only the two servers drawn are observed; what all requests of a service share is made once for each preset. Servers that were there when the instance began are warm; all servers of a preset are observed from its adoption on.

--- a/src/goldcresthall/routing/admission.py
+++ b/src/goldcresthall/routing/admission.py
@@ -129,7 +129,7 @@
         find_servers = functools.partial(self._find_servers, state)
         for queue in list(self._queues.values()):
             queue.overtake(find_servers)
-        self._observations.keep_only(
+        self._observations.adopt(
             frozenset(server.name for policy in services for server in policy.servers)
         )
 
@@ -190,13 +190,14 @@
         return max(1, len(self._list.listing.live))
 
     def _create_work(self, wish: Wish) -> queues.Work:
+        is_long = wish.request_class is preset.RequestClass.LONG
         key = wish.target.key if isinstance(wish.target, targets.KeyTarget) else ""
         return queues.Work(
             target=wish.target,
             key=key,
             request_class=wish.request_class,
             servers=wish.servers,
-            long_servers=self._list_long_servers(wish),
+            long_servers=self._list_long_servers(wish) if is_long else wish.servers,
             tried=wish.tried,
             remaining_s=wish.remaining_s,
         )
--- a/src/goldcresthall/routing/choice.py
+++ b/src/goldcresthall/routing/choice.py
@@ -2,41 +2,42 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
-from goldcresthall.routing import observations
-from goldcresthall.routing import targets
-
 if TYPE_CHECKING:
     import random
 
-CHOICES = 2
-
+    from goldcresthall.routing import observations
+    from goldcresthall.routing import targets
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
-    """A server that could do the work, and what is known of it."""
-
-    found: targets.FoundServer
-    observation: observations.ServerObservation
+CHOICES = 2
 
 
-def choose(candidates: tuple[Candidate, ...], generator: random.Random) -> Candidate | None:
-    """Return the better of two candidates drawn at random, or none if there are none.
+def choose(
+    servers: list[targets.FoundServer],
+    observed: observations.Observations,
+    generator: random.Random,
+) -> targets.FoundServer | None:
+    """Return the better of two servers drawn at random, or none if there are none.
 
     A server that returns from ejection gets one request, ahead of others, to
-    show that it answers. A server in its slow start takes part in only a share of
-    the draws.
+    show that it answers. One in its slow start gives way in a part of the draws.
     """
-    for candidate in candidates:
-        if candidate.observation.probing:
-            return candidate
-    fullest = max((item.observation.weight for item in candidates), default=1.0)
-    drawn = [item for item in candidates if generator.random() * fullest < item.observation.weight]
-    if len(drawn) > CHOICES:
-        drawn = generator.sample(drawn, CHOICES)
-    return min(drawn, key=lambda item: find_score_s(item.observation), default=None)
+    if len(servers) < CHOICES:
+        return servers[0] if servers else None
+    on_trial = observed.list_on_trial()
+    if on_trial:
+        for found in servers:
+            if found.server.name in on_trial:
+                return found
+    first, second = generator.sample(servers, CHOICES)
+    first_seen = observed.observe(first.server.name)
+    second_seen = observed.observe(second.server.name)
+    if not _takes_part(first_seen, generator):
+        return second
+    if not _takes_part(second_seen, generator):
+        return first
+    return first if find_score_s(first_seen) <= find_score_s(second_seen) else second
 
 
 def find_score_s(observation: observations.ServerObservation) -> float:
@@ -45,6 +46,5 @@
     return observation.latency_s * load
 
 
-def is_usable(observation: observations.ServerObservation) -> bool:
-    """Return whether a server may get work: one on trial gets no second request."""
-    return not observation.ejected and not (observation.probing and observation.outstanding)
+def _takes_part(seen: observations.ServerObservation, generator: random.Random) -> bool:
+    return seen.weight >= 1 or generator.random() < seen.weight
--- a/src/goldcresthall/routing/observations.py
+++ b/src/goldcresthall/routing/observations.py
@@ -7,6 +7,7 @@
 import math
 import threading
 from typing import TYPE_CHECKING
+from typing import Final
 
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
@@ -20,6 +21,7 @@
 if TYPE_CHECKING:
     from goldcresthall.kernel import kernel
 
+NONE: Final[frozenset[str]] = frozenset()
 LATENCY_WEIGHT = 0.2
 INITIAL_LATENCY_S = 0.001
 FAILURES_TO_EJECT = 5
@@ -86,7 +88,7 @@
 
     def note_latency(self, latency_s: float, now_s: float) -> None:
         """Take one time to an answer into the moving average."""
-        average_s = self._find_average_s(now_s)
+        average_s = self.find_average_s(now_s)
         self.latency_s = average_s + LATENCY_WEIGHT * (latency_s - average_s)
         self.latency_at_s = now_s
 
@@ -117,7 +119,7 @@
     def describe(self, now_s: float) -> ServerObservation:
         """Return what is known at a clock reading."""
         ejected_until_s = self.ejected_until_s
-        average_s = self._find_average_s(now_s)
+        average_s = self.find_average_s(now_s)
         return ServerObservation(
             outstanding=len(self.trials),
             average_s=average_s,
@@ -128,7 +130,7 @@
             probing=ejected_until_s is not None and now_s >= ejected_until_s,
         )
 
-    def _find_average_s(self, now_s: float) -> float:
+    def find_average_s(self, now_s: float) -> float:
         """Return the average, forgotten with time so that a slow server is tried again."""
         over_s = self.latency_s - INITIAL_LATENCY_S
         return INITIAL_LATENCY_S + over_s * math.exp(
@@ -156,7 +158,10 @@
         self._lock = threading.Lock()
         self._tracks: dict[str, ServerTrack] = {}
         self._next_trial = 0
-        self._leaving: frozenset[str] = frozenset()
+        self._began_at_s: float | None = None
+        self._suspects: frozenset[str] = NONE
+        self._told_draining: frozenset[str] = NONE
+        self._leaving = NONE
         self._leaving_revision = -1
 
     @classmethod
@@ -173,12 +178,24 @@
     def stop(self) -> None:
         """Do nothing; observations end with the process."""
 
-    def is_draining(self, server: preset.BackendServer) -> bool:
-        """Return whether the preset, the instance list or the server itself says so."""
-        if server.draining or server.name in self._list_leaving():
-            return True
-        track = self._tracks.get(server.name)
-        return track is not None and track.draining
+    def list_draining(self) -> frozenset[str]:
+        """Return the servers that are leaving by the instance list or by their own word."""
+        leaving = self._list_leaving()
+        return leaving | self._told_draining if self._told_draining else leaving
+
+    def list_blocked(self) -> frozenset[str]:
+        """Return the servers that get no work: ejected ones, and those on trial with some."""
+        if not self._suspects:
+            return NONE
+        return frozenset(name for name, seen in self._observe_suspects() if _is_blocked(seen))
+
+    def list_on_trial(self) -> frozenset[str]:
+        """Return the servers that may show by one request that they answer again."""
+        if not self._suspects:
+            return NONE
+        return frozenset(
+            name for name, seen in self._observe_suspects() if seen.probing and not seen.outstanding
+        )
 
     def observe(self, server: str) -> ServerObservation:
         """Return what is known of a server."""
@@ -186,11 +203,11 @@
         with self._lock:
             return self._find_track(server, now_s).describe(now_s)
 
-    def observe_all(self, servers: tuple[str, ...]) -> tuple[ServerObservation, ...]:
-        """Return what is known of several servers at one moment."""
+    def find_least_average_s(self, servers: tuple[str, ...]) -> float:
+        """Return the least average time to an answer among servers, in seconds."""
         now_s = self._clock.read_s()
         with self._lock:
-            return tuple(self._find_track(name, now_s).describe(now_s) for name in servers)
+            return min(self._find_track(name, now_s).find_average_s(now_s) for name in servers)
 
     def find_heard_at_s(self, server: str) -> float:
         """Return the clock reading of the server's last answer of any kind."""
@@ -213,24 +230,27 @@
             track = self._find_track(trial.server, now_s)
             track.trials.pop(trial.number, None)
             note_attempt(attempt, track, trial, now_s)
-            if track.failures < FAILURES_TO_EJECT and not _has_failed_probe(track, now_s):
-                return
-            if self._may_eject(policy, trial.server, now_s):
-                track.eject(now_s)
-                track.failures = 0
-                self._metrics.count_ejection(policy.name)
+            self._eject_if_due(track, policy, trial.server, now_s)
+            self._classify(trial.server, track)
 
     def note_signals(self, server: str, signals: attempts.ServerSignals) -> None:
         """Note what a server said of itself apart from any work."""
         now_s = self._clock.read_s()
         with self._lock:
-            self._find_track(server, now_s).note_signals(signals, now_s)
+            track = self._find_track(server, now_s)
+            track.note_signals(signals, now_s)
+            self._classify(server, track)
 
-    def keep_only(self, servers: frozenset[str]) -> None:
-        """Forget servers that are in the preset no more."""
+    def adopt(self, servers: frozenset[str]) -> None:
+        """Begin to observe the servers of a preset and forget all others."""
+        now_s = self._clock.read_s()
         with self._lock:
+            for name in servers:
+                self._find_track(name, now_s)
             for name in set(self._tracks) - servers:
                 del self._tracks[name]
+            self._suspects &= servers
+            self._told_draining &= servers
 
     def count_ejected(self) -> int:
         """Return the number of servers that get no work for their failures."""
@@ -246,9 +266,42 @@
     def _find_track(self, server: str, now_s: float) -> ServerTrack:
         track = self._tracks.get(server)
         if track is None:
-            track = self._tracks[server] = ServerTrack(now_s)
+            track = self._tracks[server] = ServerTrack(self._find_start_s(now_s))
         return track
 
+    def _find_start_s(self, now_s: float) -> float:
+        """Return when a server seen first now begins its slow start.
+
+        Servers that were there when this instance began are warm already.
+        """
+        if self._began_at_s is None:
+            self._began_at_s = now_s
+        return now_s if now_s - self._began_at_s >= SLOW_START_S else now_s - SLOW_START_S
+
+    def _observe_suspects(self) -> list[tuple[str, ServerObservation]]:
+        now_s = self._clock.read_s()
+        with self._lock:
+            return [
+                (name, self._find_track(name, now_s).describe(now_s)) for name in self._suspects
+            ]
+
+    def _classify(self, server: str, track: ServerTrack) -> None:
+        """Keep the sets of servers that need a closer look; both are mostly empty."""
+        if track.draining != (server in self._told_draining):
+            self._told_draining ^= {server}
+        if (track.ejected_until_s is not None) != (server in self._suspects):
+            self._suspects ^= {server}
+
+    def _eject_if_due(
+        self, track: ServerTrack, policy: preset.ServicePolicy, server: str, now_s: float
+    ) -> None:
+        if track.failures < FAILURES_TO_EJECT and not _has_failed_probe(track, now_s):
+            return
+        if self._may_eject(policy, server, now_s):
+            track.eject(now_s)
+            track.failures = 0
+            self._metrics.count_ejection(policy.name)
+
     def _may_eject(self, policy: preset.ServicePolicy, server: str, now_s: float) -> bool:
         others = [
             self._find_track(other.name, now_s) for other in policy.servers if other.name != server
@@ -264,6 +317,10 @@
         return self._leaving
 
 
+def _is_blocked(seen: ServerObservation) -> bool:
+    return seen.ejected or (seen.probing and seen.outstanding > 0)
+
+
 def _has_failed_probe(track: ServerTrack, now_s: float) -> bool:
     until_s = track.ejected_until_s
     return until_s is not None and now_s >= until_s and track.failures > 0
--- a/src/goldcresthall/routing/plans.py
+++ b/src/goldcresthall/routing/plans.py
@@ -29,21 +29,50 @@
     deadline_s: float
 
 
-def create_plan(request: requests.Request, state: replicated.State) -> Plan | outcomes.Refused:
-    """Return the plan of a request, or why the preset in force has none for it."""
-    if state.preset_in_force is None:
-        return outcomes.Refused(
-            outcomes.RefusalReason.NO_PRESET,
-            outcomes.Step.ROUTE,
-            "",
-            retry_after_s=NO_PRESET_RETRY_AFTER_S,
-        )
-    policy = state.preset_in_force.preset.find_service(request.service)
-    if policy is None:
-        return outcomes.Refused(
-            outcomes.RefusalReason.UNKNOWN_SERVICE, outcomes.Step.ROUTE, request.service
-        )
-    return _create_service_plan(request, policy)
+class Planner:
+    """Makes plans; what a service's requests share is made once for each preset."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, targets.PoolTarget] = {}
+
+    def create_plan(
+        self, request: requests.Request, state: replicated.State
+    ) -> Plan | outcomes.Refused:
+        """Return the plan of a request, or why the preset in force has none for it."""
+        if state.preset_in_force is None:
+            return outcomes.Refused(
+                outcomes.RefusalReason.NO_PRESET,
+                outcomes.Step.ROUTE,
+                "",
+                retry_after_s=NO_PRESET_RETRY_AFTER_S,
+            )
+        policy = state.preset_in_force.preset.find_service(request.service)
+        if policy is None:
+            return outcomes.Refused(
+                outcomes.RefusalReason.UNKNOWN_SERVICE, outcomes.Step.ROUTE, request.service
+            )
+        return self._create_service_plan(request, policy)
+
+    def _create_service_plan(
+        self, request: requests.Request, policy: preset.ServicePolicy
+    ) -> Plan | outcomes.Refused:
+        route = routes.match_route(policy, request.method, request.path)
+        latest_s = request.received_at_s + route.deadline_ms / MS_PER_S
+        deadline_s = latest_s if request.deadline_s is None else min(latest_s, request.deadline_s)
+        if not policy.keyed:
+            return Plan(self._find_pool(policy), route, deadline_s)
+        key = route.key or request.key
+        if not key:
+            return outcomes.Refused(
+                outcomes.RefusalReason.KEY_MISSING, outcomes.Step.ROUTE, policy.name
+            )
+        return Plan(targets.KeyTarget(policy, key), route, deadline_s)
+
+    def _find_pool(self, policy: preset.ServicePolicy) -> targets.PoolTarget:
+        pool = self._pools.get(policy.name)
+        if pool is None or pool.policy is not policy:
+            pool = self._pools[policy.name] = targets.PoolTarget.from_config(policy)
+        return pool
 
 
 def refuse_unusable(condition: conditions.Condition) -> outcomes.Refused:
@@ -57,19 +86,3 @@
     return outcomes.Refused(
         reason, outcomes.Step.ROUTE, "", detail=str(condition), retry_after_s=STATE_RETRY_AFTER_S
     )
-
-
-def _create_service_plan(
-    request: requests.Request, policy: preset.ServicePolicy
-) -> Plan | outcomes.Refused:
-    route = routes.match_route(policy, request.method, request.path)
-    latest_s = request.received_at_s + route.deadline_ms / MS_PER_S
-    deadline_s = latest_s if request.deadline_s is None else min(latest_s, request.deadline_s)
-    if not policy.keyed:
-        return Plan(targets.PoolTarget(policy), route, deadline_s)
-    key = route.key or request.key
-    if not key:
-        return outcomes.Refused(
-            outcomes.RefusalReason.KEY_MISSING, outcomes.Step.ROUTE, policy.name
-        )
-    return Plan(targets.KeyTarget(policy, key), route, deadline_s)
--- a/src/goldcresthall/routing/queues.py
+++ b/src/goldcresthall/routing/queues.py
@@ -186,31 +186,27 @@
         usable = self._list_usable(work)
         if not usable:
             return targets.refuse_unavailable(work.target)
-        free = tuple(
-            candidate
-            for candidate in usable
-            if self._find_gate(candidate.found.server.name).has_room(work.request_class)
-        )
-        chosen = choice.choose(free, self._generator)
+        free = [
+            found
+            for found in usable
+            if self._find_gate(found.server.name).has_room(work.request_class)
+        ]
+        chosen = choice.choose(free, self._observed, self._generator)
         if chosen is None:
             return None
-        self._find_gate(chosen.found.server.name).take(work.request_class)
+        self._find_gate(chosen.server.name).take(work.request_class)
         self._outstanding_of_keys[work.key] += 1
-        return Permit(chosen.found, work)
-
-    def _list_usable(self, work: Work) -> tuple[choice.Candidate, ...]:
-        if isinstance(work.target, targets.KeyTarget):
-            return self._observe(work.eligible)
-        usable = self._observe(work.eligible)
-        usable = tuple(item for item in usable if choice.is_usable(item.observation))
-        if usable or work.eligible == work.servers:
-            return usable
-        fallback = self._observe(work.servers)
-        return tuple(item for item in fallback if choice.is_usable(item.observation))
-
-    def _observe(self, servers: tuple[targets.FoundServer, ...]) -> tuple[choice.Candidate, ...]:
-        observed = self._observed.observe_all(tuple(found.server.name for found in servers))
-        return tuple(map(choice.Candidate, servers, observed))
+        return Permit(chosen, work)
+
+    def _list_usable(self, work: Work) -> tuple[targets.FoundServer, ...]:
+        blocked = self._observed.list_blocked()
+        if not blocked or isinstance(work.target, targets.KeyTarget):
+            return work.eligible
+        for servers in (work.eligible, work.servers):
+            usable = tuple(found for found in servers if found.server.name not in blocked)
+            if usable:
+                return usable
+        return ()
 
     def _find_refusal(self, work: Work) -> outcomes.Refused | None:
         names = frozenset(found.server.name for found in work.eligible)
@@ -227,7 +223,7 @@
     def _estimate_wait_s(self, work: Work, ahead: int) -> float:
         names = tuple(found.server.name for found in work.eligible)
         capacity = sum(self._find_gate(name).limit for name in names)
-        average_s = min(item.average_s for item in self._observed.observe_all(names))
+        average_s = self._observed.find_least_average_s(names)
         return average_s * ((ahead + 1) / capacity + 1)
 
     def _refuse(self, reason: outcomes.RefusalReason, wait_s: float) -> outcomes.Refused:
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -73,6 +73,7 @@
         self._sleep = sleep
         self._generator = generator
         self._budgets = retries.RetryBudgets()
+        self._planner = plans.Planner()
 
     @classmethod
     def from_config(cls, owner: kernel.Kernel) -> Router:
@@ -97,7 +98,7 @@
         condition = self._replica.condition
         if not condition.is_usable:
             return plans.refuse_unusable(condition)
-        plan = plans.create_plan(request, self._replica.state)
+        plan = self._planner.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
         policy = plan.target.policy
@@ -202,9 +203,11 @@
         keyed = isinstance(plan.target, targets.KeyTarget)
         situation = retries.Situation(plan.route.idempotent, keyed)
         rule = retries.find_rule(attempt, situation)
+        if isinstance(rule, retries.NoRetry):
+            return False
         backoff_s = retries.find_backoff_s(progress.tries - 1, self._generator)
         pause = retries.find_pause(rule, situation, backoff_s, self._find_remaining_s(plan))
-        if isinstance(rule, retries.NoRetry) or pause is None:
+        if pause is None:
             return False
         if not self._is_paid(rule, plan.target.policy):
             self._metrics.count_retry_denied(rule.reason)
--- a/src/goldcresthall/routing/targets.py
+++ b/src/goldcresthall/routing/targets.py
@@ -16,6 +16,14 @@
 NO_SERVER_RETRY_AFTER_S = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundServer:
+    """The server to try, and the grant to present if the work is keyed."""
+
+    server: preset.BackendServer
+    grant: attempts.PresentedGrant | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyTarget:
     """Work that only the owner of a key may do."""
@@ -26,20 +34,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolTarget:
-    """Work that any backend server of a service may do."""
-
-    policy: preset.ServicePolicy
+    """Work that any backend server of a service may do.
 
+    Attributes
+    ----------
+    servers
+        Those that do not drain by the preset.
+    """
 
-Target = KeyTarget | PoolTarget
+    policy: preset.ServicePolicy
+    servers: tuple[FoundServer, ...]
 
+    @classmethod
+    def from_config(cls, policy: preset.ServicePolicy) -> PoolTarget:
+        """Return the target of all work of an unkeyed service."""
+        servers = (server for server in policy.servers if not server.draining)
+        return cls(policy, tuple(FoundServer(server, None) for server in servers))
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FoundServer:
-    """The server to try, and the grant to present if the work is keyed."""
 
-    server: preset.BackendServer
-    grant: attempts.PresentedGrant | None
+Target = KeyTarget | PoolTarget
 
 
 ServerFinder = Callable[[Target, frozenset[str]], tuple[FoundServer, ...] | outcomes.Refused]
@@ -91,11 +104,10 @@
     tried: frozenset[str],
     observed: observations.Observations,
 ) -> tuple[FoundServer, ...] | outcomes.Refused:
-    untried = tuple(
-        FoundServer(server, None)
-        for server in target.policy.servers
-        if server.name not in tried and not observed.is_draining(server)
-    )
+    avoided = tried | observed.list_draining()
+    if not avoided:
+        return target.servers or refuse_unavailable(target)
+    untried = tuple(found for found in target.servers if found.server.name not in avoided)
     return untried or refuse_unavailable(target)
 
 
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -94,6 +94,8 @@
             dataclasses.replace(state, next_offset=state.next_offset + 1, preset_in_force=in_force)
         )
 
+        self.admission.adopt(self.replica.state)
+
     def give_ownership(self, server: str) -> None:
         state = self.replica.state
         partition = replicated.PartitionId("program", 0)
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -48,7 +48,7 @@
     remaining_s: float = REMAINING_S,
 ) -> queues.Work:
     """Return pool work, or work for the first server as the owner of a key."""
-    target = targets.KeyTarget(policy, key) if key else targets.PoolTarget(policy)
+    target = targets.KeyTarget(policy, key) if key else targets.PoolTarget.from_config(policy)
     servers = tuple(targets.FoundServer(server, None) for server in policy.servers)
     usable = servers[:1] if key else servers
     return queues.Work(
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -135,6 +135,7 @@
 
 def test_new_server_starts_slowly(bench: conftest.RouterBench) -> None:
     bench.publish(conftest.create_policy(3))
+    answer_with(bench, attempts.NO_SIGNALS)
     warm_up(bench)
     bench.publish(conftest.create_policy(4))
     sent = send_many(bench)
@@ -178,5 +179,5 @@
 
 def test_what_is_known_of_a_server_goes_with_it(bench: conftest.RouterBench) -> None:
     bench.observations.note_signals("program-1", attempts.ServerSignals(load=8.0))
-    bench.observations.keep_only(frozenset({"program-2"}))
+    bench.observations.adopt(frozenset({"program-2"}))
     assert bench.observations.observe("program-1").foreign_load == 0
