--- a/src/goldcresthall/replication/__init__.py
+++ b/src/goldcresthall/replication/__init__.py
@@ -2,4 +2,5 @@
 
 from __future__ import annotations
 
+from goldcresthall.replication import cancellations as cancellations  # registers its `apply`
 from goldcresthall.replication import hot_keys as hot_keys  # registers its `apply`
