Move partitions by load within a budget of moves

Hot keys still move with their partition: an entry of their own is not fenced at the servers yet.

The experiments freeze servers by SIGSTOP in processes of their own: a stand-in told to freeze had all its threads taken under a baseline without limits and could not be told to thaw. Ports of stand-ins are drawn below the range of outgoing connections, one of which had taken a server's port before it bound.

--- a/bench/runner.py
+++ b/bench/runner.py
@@ -96,7 +96,10 @@
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         count = experiment.router_count
-        with system.run_system(folder, scaled, policy, count, seed) as running:
+        alone = steps.list_frozen(experiment.steps)
+        with system.run_system(
+            folder, scaled, policy, router_count=count, seed=seed, alone=alone
+        ) as running:
             before = [processes.read_usage(number) for number in running.router_process_ids]
             taken = _send(experiment, running, arrivals, folder)
             after = [processes.read_usage(number) for number in running.router_process_ids]
--- a/bench/steps.py
+++ b/bench/steps.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import functools
+import signal
 
 from goldcresthall_stand_ins import backend
 
@@ -12,7 +13,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FreezeServer:
-    """A backend server accepts connections and answers nothing, until thawed."""
+    """A backend server's process stops, until thawed; its connections stay open."""
 
     at_s: float
     server: str
@@ -54,6 +55,11 @@
 Step = FreezeServer | ThawServer | SlowServer | FailQuickly | LoseDomain
 
 
+def list_frozen(happenings: tuple[Step, ...]) -> frozenset[str]:
+    """Return the servers that are frozen, which need processes of their own."""
+    return frozenset(step.server for step in happenings if isinstance(step, FreezeServer))
+
+
 @functools.singledispatch
 def perform(step: Step, running: system.RunningSystem) -> None:
     """Do what a step says to the running system."""
@@ -62,12 +68,12 @@
 
 @perform.register
 def _(step: FreezeServer, running: system.RunningSystem) -> None:
-    running.misbehave(step.server, backend.BackendMisbehavior(frozen=True))
+    running.signal_server(step.server, signal.SIGSTOP)
 
 
 @perform.register
 def _(step: ThawServer, running: system.RunningSystem) -> None:
-    running.misbehave(step.server, backend.BackendMisbehavior())
+    running.signal_server(step.server, signal.SIGCONT)
 
 
 @perform.register
--- a/bench/system.py
+++ b/bench/system.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     import pathlib
+    import signal
     import subprocess
     from collections.abc import Iterator
 
@@ -36,11 +37,19 @@
 class RunningSystem:
     """The processes of one run under one policy."""
 
-    def __init__(self, fleet: fleets.Fleet, scaled: users.Scaled, policy: policies.Policy) -> None:
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        scaled: users.Scaled,
+        policy: policies.Policy,
+        alone: frozenset[str],
+    ) -> None:
         self._fleet = fleet
+        self._alone = alone
         self._scaled = scaled
         self._policy = policy
         self._domains: dict[str, subprocess.Popen[bytes]] = {}
+        self._servers: dict[str, subprocess.Popen[bytes]] = {}
         self._pool = urllib3.PoolManager(retries=False)
 
     @property
@@ -58,8 +67,7 @@
         self._fleet.start_platform()
         domains = self._scaled.list_domains()
         for domain in domains:
-            started = self._fleet.start_backends(self._scaled.list_in_domain(domain))
-            self._domains[domain] = started.process
+            self._start_domain(domain)
         for number in range(1, router_count + 1):
             domain = domains[(number - 1) % len(domains)]
             self._fleet.start_router(self._fleet.create_settings(f"entry-{number}", domain))
@@ -71,13 +79,28 @@
         """Tell one backend server to misbehave."""
         self._fleet.misbehave_backend(self._scaled.find_backend(server), misbehavior)
 
+    def signal_server(self, server: str, number: signal.Signals) -> None:
+        """Send a signal to a backend server that has a process of its own."""
+        self._fleet.kill(self._servers[server], number)
+
     def lose_domain(self, domain: str) -> None:
         """Kill a failure domain's backend servers and router instances."""
         self._fleet.kill(self._domains[domain])
+        for config in self._scaled.list_in_domain(domain):
+            if config.name in self._servers:
+                self._fleet.kill(self._servers[config.name])
         for router in self._fleet.routers:
             if router.settings.failure_domain == domain:
                 self._fleet.kill(router.process)
 
+    def _start_domain(self, domain: str) -> None:
+        configs = self._scaled.list_in_domain(domain)
+        together = tuple(config for config in configs if config.name not in self._alone)
+        self._domains[domain] = self._fleet.start_backends(together).process
+        for config in configs:
+            if config.name in self._alone:
+                self._servers[config.name] = self._fleet.start_backends((config,)).process
+
     def _publish(self) -> None:
         address = str(self._fleet.routers[0].settings.listen.admin)
         wish = messages.PublishRequest("bench", "experiment", self._scaled.preset)
@@ -112,14 +135,16 @@
     folder: pathlib.Path,
     scaled: users.Scaled,
     policy: policies.Policy,
+    *,
     router_count: int,
     seed: int,
+    alone: frozenset[str] = frozenset(),
 ) -> Iterator[RunningSystem]:
     """Yield a running system whose processes are all ended afterwards."""
     preset_file = folder / "preset.json"
     preset_file.write_text(documents.encode_document(scaled.preset))
     program = policies.create_program(policy, preset_file, seed)
     with fleets.run_fleet(folder, program) as fleet:
-        running = RunningSystem(fleet, scaled, policy)
+        running = RunningSystem(fleet, scaled, policy, alone)
         running.start(router_count)
         yield running
--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -19,6 +19,7 @@
 from goldcresthall.ownership import lessors
 from goldcresthall.ownership import planned_moves
 from goldcresthall.ownership import proposer
+from goldcresthall.ownership import rebalancer
 from goldcresthall.peers import follower
 from goldcresthall.peers import server
 from goldcresthall.platform import http_log_client
@@ -87,6 +88,7 @@
         lessor_probe.PeerLessorProbe.from_config(built, incarnation, instance_settings),
     )
     built.register(names.PLANNED_MOVES, planned_moves.PlannedMoves.from_config(built, incarnation))
+    built.register(names.REBALANCER, rebalancer.Rebalancer.from_config(built, incarnation))
     built.register(names.LEASES, lessors.Lessors.from_config(built, incarnation, instance_settings))
 
 
--- a/src/goldcresthall/peers/follower.py
+++ b/src/goldcresthall/peers/follower.py
@@ -27,7 +27,7 @@
 MS_PER_S = 1_000
 LIST_CHECK_S = 1.0
 RELAY_LIMIT = 500
-HEAT_INTERVAL_S = 20.0
+HEAT_INTERVAL_S = 30.0
 
 
 class PeerFollower(service.Service):
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -14,6 +14,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import heat
 from goldcresthall.replication import replica
 from goldcresthall.routing import conclusions
 from goldcresthall.routing import plans
@@ -73,6 +74,7 @@
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
+        self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
 
     def stop(self) -> None:
         """Do nothing; requests in progress are the callers' front end's to await."""
@@ -82,6 +84,7 @@
         plan = plans.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
+        targets.count_request(plan.target, self._heat)
         return self._try_repeatedly(request, plan)
 
     def _try_repeatedly(self, request: requests.Request, plan: plans.Plan) -> outcomes.Outcome:
--- a/src/goldcresthall/routing/targets.py
+++ b/src/goldcresthall/routing/targets.py
@@ -9,7 +9,9 @@
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
+from goldcresthall.ownership import heat
 from goldcresthall.ownership import lookup
+from goldcresthall.ownership import rendezvous
 from goldcresthall.replication import state as replicated
 
 
@@ -39,6 +41,23 @@
     grant: attempts.PresentedGrant | None
 
 
+@functools.singledispatch
+def count_request(target: Target, counter: heat.HeatCounter) -> None:
+    """Count one request towards the heat of its key, if its target has one."""
+    raise NotImplementedError(type(target).__name__)
+
+
+@count_request.register
+def _(target: KeyTarget, counter: heat.HeatCounter) -> None:
+    partition = rendezvous.find_partition(target.key, target.policy.partitions)
+    counter.count(target.policy, partition, target.key)
+
+
+@count_request.register
+def _(target: PoolTarget, counter: heat.HeatCounter) -> None:
+    del target, counter
+
+
 @functools.singledispatch
 def find_server(
     target: Target, state: replicated.State, tried: frozenset[str], generator: random.Random
--- a/stand_ins/src/goldcresthall_stand_ins/fleet.py
+++ b/stand_ins/src/goldcresthall_stand_ins/fleet.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -27,6 +28,8 @@
     from collections.abc import Iterator
 
 HOST = "127.0.0.1"
+FIRST_PORT = 12_000
+END_PORT = 32_000
 POLL_S = 0.02
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
@@ -64,10 +67,15 @@
 
 
 def find_free_port() -> int:
-    """Return a port that the kernel says is free."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port below those that the kernel gives to outgoing connections.
+
+    A port among those may be taken by a connection before its server binds it.
+    """
+    while True:
+        port = random.randrange(FIRST_PORT, END_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 class Fleet:
--- /dev/null
+++ b/tests/ownership/test_rebalancer.py
@@ -0,0 +1,124 @@
+"""The rebalancer hands moves to the planned moves, as lessor and within its budget."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pyrsistent
+import pytest
+
+from goldcresthall.core import heat as core_heat
+from goldcresthall.core import identity
+from goldcresthall.core import preset
+from goldcresthall.kernel import kernel
+from goldcresthall.kernel import names
+from goldcresthall.observability import metrics
+from goldcresthall.ownership import counters
+from goldcresthall.ownership import heat
+from goldcresthall.ownership import planned_moves
+from goldcresthall.ownership import rebalancer
+from goldcresthall.replication import state as replicated
+from tests.fakes import clock
+from tests.fakes import replica
+
+OWN = identity.Incarnation("entry-1", "one")
+OTHER = identity.Incarnation("entry-2", "two")
+RATES = (30.0, 1.0, 1.0, 20.0, 1.0, 1.0)
+
+
+def create_state(policy: preset.ServicePolicy, lessor: identity.Incarnation) -> replicated.State:
+    servers = [server.name for server in policy.servers]
+    owners = {
+        replicated.PartitionId("archive", number): replicated.Ownership(
+            servers[number % len(servers)], 1, "test", "test"
+        )
+        for number in range(policy.partitions)
+    }
+    return dataclasses.replace(
+        replicated.State.create_empty(),
+        next_offset=5,
+        preset_in_force=replicated.PresetInForce(
+            preset.Preset(name="day", services=(policy,)), 0, "test", "test"
+        ),
+        partitions=pyrsistent.pmap(owners),
+        servers=pyrsistent.pmap({name: replicated.ServerState(lessor, 2, 2) for name in servers}),
+    )
+
+
+@dataclasses.dataclass
+class RebalancerBench:
+    replica: replica.SettableReplica
+    planned: planned_moves.PlannedMoves
+    rebalancer: rebalancer.Rebalancer
+    metrics: metrics.Metrics
+
+
+@pytest.fixture
+def bench(archive_policy: preset.ServicePolicy) -> RebalancerBench:
+    built = kernel.Kernel()
+    settable = replica.SettableReplica(create_state(archive_policy, OWN))
+    counter = heat.HeatCounter()
+    found = core_heat.ServiceHeat(
+        service="archive",
+        rate_per_s=sum(RATES),
+        partitions=tuple(core_heat.PartitionHeat(*item) for item in enumerate(RATES)),
+        keys=(core_heat.KeyHeat("molde", 0, 30.0),),
+    )
+    counter.note_peer("entry-3", core_heat.HeatReport((found,)))
+    counted = metrics.Metrics()
+    built.register(names.CLOCK, clock.ManualClock())
+    built.register(names.METRICS, counted)
+    built.register(names.REPLICA, settable)
+    built.register(names.HEAT, counter)
+    built.register(names.LEASE_COUNTERS, counters.LeaseCounters.from_config(built))
+    planned = planned_moves.PlannedMoves.from_config(built, OWN)
+    built.register(names.PLANNED_MOVES, planned)
+    started = rebalancer.Rebalancer.from_config(built, OWN)
+    planned.start()
+    started.start()
+    started.stop()
+    return RebalancerBench(settable, planned, started, counted)
+
+
+def test_the_hottest_servers_lessor_asks_for_moves(bench: RebalancerBench) -> None:
+    bench.rebalancer.decide_once()
+    wishes = bench.planned.take("archive-1", 10)
+    assert [wish.partition.number for wish in wishes] == [3]
+    assert wishes[0].to_server != "archive-1"
+    assert wishes[0].reason == rebalancer.REASON
+    assert b'rebalance_moves_total{result="queued"} 1.0' in bench.metrics.render()
+
+
+def test_another_instances_servers_are_left_to_it(
+    bench: RebalancerBench, archive_policy: preset.ServicePolicy
+) -> None:
+    bench.replica.set_state(create_state(archive_policy, OTHER))
+    bench.rebalancer.decide_once()
+    assert bench.planned.take("archive-1", 10) == ()
+
+
+def test_servers_that_check_no_grants_are_left_alone(
+    bench: RebalancerBench, archive_policy: preset.ServicePolicy
+) -> None:
+    unchecked = dataclasses.replace(archive_policy, checks_grants=False)
+    bench.replica.set_state(create_state(unchecked, OWN))
+    bench.rebalancer.decide_once()
+    assert bench.planned.take("archive-1", 10) == ()
+
+
+def test_moves_beyond_the_budget_wait_for_a_later_window(bench: RebalancerBench) -> None:
+    for _ in range(rebalancer.MOVES_PER_WINDOW + 3):
+        bench.rebalancer.decide_once()
+    assert len(bench.planned.take("archive-1", 100)) == rebalancer.MOVES_PER_WINDOW
+    assert b'rebalance_moves_total{result="over_budget"} 3.0' in bench.metrics.render()
+
+
+def test_a_budget_is_given_back_after_its_window() -> None:
+    budget = rebalancer.MoveBudget(2, 60.0)
+    assert [budget.take(now_s) for now_s in (0.0, 1.0, 2.0, 60.5, 60.6)] == [
+        True,
+        True,
+        False,
+        True,
+        False,
+    ]
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -13,6 +13,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import heat
 from goldcresthall.replication import state as replicated
 from goldcresthall.routing import router
 from tests.fakes import backends
@@ -64,6 +65,7 @@
         self.kernel.register(names.METRICS, self.metrics)
         self.kernel.register(names.REPLICA, self.replica)
         self.kernel.register(names.BACKENDS, self.backends)
+        self.kernel.register(names.HEAT, heat.HeatCounter())
         self.router = router.Router(self.kernel, self._sleep)
         self.kernel.register(names.ROUTER, self.router)
         self.kernel.start()
