--- a/src/goldcresthall/replication/replay.py
+++ b/src/goldcresthall/replication/replay.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 import functools
+import hashlib
 
 from goldcresthall.core import cancellations
 from goldcresthall.core import preset
@@ -17,6 +18,9 @@
 from goldcresthall.encoding import log_entries
 from goldcresthall.replication import state as replicated
 
+ACCEPTED_VERDICT = "accepted"
+CHAIN_DIGEST_BYTES = 16
+
 
 class RejectionReason(enum.Enum):
     """Why replay rejected a record."""
@@ -30,6 +34,9 @@
     UNKNOWN_PARTITION = "unknown_partition"
     ADDRESS_CHANGED = "address_changed"
     GRANTS_NOT_CHECKED = "grants_not_checked"
+    SNAPSHOT_SUPERSEDED = "snapshot_superseded"
+    SNAPSHOT_OUT_OF_ORDER = "snapshot_out_of_order"
+    SNAPSHOT_DAMAGED = "snapshot_damaged"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,11 +59,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replayed:
-    """The result of replaying one entry; `record` is none if it was malformed."""
+    """The result of replaying one entry.
+
+    Attributes
+    ----------
+    record
+        The entry's record; none if it was malformed, unknown or not replayed.
+    malformed
+        What was wrong with the entry; none if it was whole.
+    """
 
     state: replicated.State
     record: records.Record | None
     decision: Decision
+    malformed: exceptions.MalformedReason | None = None
 
 
 def replay_entry(entry: bytes, state: replicated.State) -> Replayed:
@@ -70,13 +86,13 @@
         record = log_entries.decode_record(entry)
     except exceptions.RecordDecodeError as error:
         rejected = Rejected(RejectionReason.MALFORMED, str(error))
-        return Replayed(_advance(state), None, rejected)
+        return Replayed(_advance(state, entry, rejected), None, rejected, error.reason)
     except exceptions.UnknownRecordError as error:
         halted = dataclasses.replace(state, halted=f"offset {state.next_offset}: {error}")
         return Replayed(halted, None, Accepted(halted))
     decision = apply(record, state)
     changed = decision.state if isinstance(decision, Accepted) else state
-    return Replayed(_advance(changed), record, decision)
+    return Replayed(_advance(changed, entry, decision), record, decision)
 
 
 @functools.singledispatch
@@ -103,7 +119,11 @@
     servers = state.servers.evolver()
     for name, known in state.servers.items():
         servers[name] = dataclasses.replace(known, server=_find_named(name, named) or known.server)
-    return Accepted(dataclasses.replace(named, servers=servers.persistent()))
+    entry = replicated.PresetEntry(
+        in_force.offset, record.preset.name, record.author, record.reason
+    )
+    presets = (*state.presets, entry)[-replicated.PRESETS_REMEMBERED :]
+    return Accepted(dataclasses.replace(named, servers=servers.persistent(), presets=presets))
 
 
 @apply.register
@@ -254,8 +274,12 @@
     return None
 
 
-def _advance(state: replicated.State) -> replicated.State:
-    return dataclasses.replace(state, next_offset=state.next_offset + 1)
+def _advance(state: replicated.State, entry: bytes, decision: Decision) -> replicated.State:
+    verdict = decision.reason.value if isinstance(decision, Rejected) else ACCEPTED_VERDICT
+    digest = hashlib.blake2b(state.chain.encode(), digest_size=CHAIN_DIGEST_BYTES)
+    digest.update(verdict.encode())
+    digest.update(entry)
+    return dataclasses.replace(state, next_offset=state.next_offset + 1, chain=digest.hexdigest())
 
 
 def _overtaken(what: str, offset: int) -> Rejected:
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -81,6 +81,9 @@
 
     def handle(self, request: requests.Request) -> outcomes.Outcome:
         """Take a request to its outcome, before its deadline."""
+        condition = self._replica.condition
+        if not condition.is_usable:
+            return plans.refuse_unusable(condition)
         plan = plans.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
