--- a/src/goldcresthall/backend/connections.py
+++ b/src/goldcresthall/backend/connections.py
@@ -20,6 +20,7 @@
     from goldcresthall.core import identity
 
 LONGEST_IDLE_S = 5.0
+EARLY_HINTS: Final = range(102, 200)
 BLANK_LINES: Final = frozenset({b"\r\n", b"\n"})
 
 
@@ -78,13 +79,18 @@
         self._last_line = self._file.readline(limit)
         return self._last_line
 
+    def close(self) -> None:
+        """Close the answer, as the library does on a status line it cannot read."""
+        self._file.close()
+
 
 class WholeResponse(http.client.HTTPResponse):
     """An answer whose header is whole and says where its body ends.
 
     The standard library takes the end of the connection for the end of the header
     or, where the header gives no length, of the body, so that an answer cut off
-    there would look complete.
+    there would look complete. It also takes an early hint (status 102 to 199) for
+    the answer and leaves the true one to be read as the next request's.
     """
 
     def begin(self) -> None:
@@ -95,6 +101,12 @@
         http.client.IncompleteRead
             If the header is cut off or does not say where the body ends.
         """
+        self._begin_whole()
+        while self.status in EARLY_HINTS:
+            self.headers = self.msg = None  # type: ignore[assignment]
+            self._begin_whole()
+
+    def _begin_whole(self) -> None:
         file = self.fp
         reader = HeaderReader(file)
         self.fp = reader  # type: ignore[assignment]
@@ -104,6 +116,12 @@
             self.fp = file
         if not reader.has_ended or (self.length is None and not self.chunked):
             raise http.client.IncompleteRead(b"")
+        if self._has_two_lengths():
+            raise http.client.IncompleteRead(b"")
+
+    def _has_two_lengths(self) -> bool:
+        lengths = set(self.headers.get_all("Content-Length", ()))
+        return len(lengths) > 1 or bool(lengths and self.chunked)
 
 
 class BackendConnection(connection.HTTPConnection):
--- a/src/goldcresthall/backend/responses.py
+++ b/src/goldcresthall/backend/responses.py
@@ -34,6 +34,8 @@
     protocol.LOAD_HEADER.lower(),
 }
 
+FIRST_REFUSAL_STATUS: Final = 400
+
 NOT_RUN_REASONS: Final = {
     protocol.NOT_RUN_NOT_OWNER: outcomes.RefusalReason.NOT_OWNER,
     protocol.NOT_RUN_SHED: outcomes.RefusalReason.SERVER_SHED,
@@ -54,6 +56,12 @@
         )
     signals = _read_signals(headers)
     not_run = headers.get(protocol.NOT_RUN_HEADER)
+    if not_run is not None and status < FIRST_REFUSAL_STATUS:
+        return attempts.AttemptUnknown(
+            outcomes.UnknownReason.ANSWER_MISMATCHED,
+            outcomes.Step.RECEIVE,
+            f"status {status} with {protocol.NOT_RUN_HEADER}: {not_run}",
+        )
     if not_run in NOT_RUN_REASONS:
         return attempts.AttemptNotRun(
             NOT_RUN_REASONS[not_run],
--- /dev/null
+++ b/src/goldcresthall/callers/rejections.py
@@ -0,0 +1,74 @@
+"""Requests that the HTTP library itself refuses, answered and counted like all others."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from cheroot import server
+from cheroot import wsgi
+
+from goldcresthall.callers import responses
+from goldcresthall.core import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+HEADER_LIMIT_BYTES: Final = 65_536
+STATUS_DIGITS: Final = 3
+
+REASONS: Final = {
+    "400": outcomes.RefusalReason.MALFORMED_REQUEST,
+    "405": outcomes.RefusalReason.MALFORMED_REQUEST,
+    "413": outcomes.RefusalReason.REQUEST_TOO_LARGE,
+    "414": outcomes.RefusalReason.REQUEST_TOO_LARGE,
+    "501": outcomes.RefusalReason.MALFORMED_REQUEST,
+    "503": outcomes.RefusalReason.QUEUE_FULL,
+    "505": outcomes.RefusalReason.MALFORMED_REQUEST,
+}
+
+
+class RejectingRequest(server.HTTPRequest):
+    """A request whose rejection by the library becomes a refusal of ours."""
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer a request that never reached the front end, and close its connection."""
+        reason = REASONS.get(str(status)[:STATUS_DIGITS])
+        if reason is None:
+            super().simple_response(status, msg)
+            return
+        self.close_connection = True
+        peer = self.conn.remote_addr or ""
+        refused = outcomes.Refused(reason, outcomes.Step.DECODE, peer, msg or str(status))
+        self.server.count_rejection(refused)
+        self.conn.wfile.write(_create_message(str(status), responses.create_response(refused)))
+
+
+class RejectingConnection(server.HTTPConnection):
+    """A connection of a caller."""
+
+    RequestHandlerClass = RejectingRequest
+
+
+class CallerServer(wsgi.Server):
+    """The callers' server with bounded headers.
+
+    Attributes
+    ----------
+    count_rejection
+        Called with each refusal that the front end does not see.
+    """
+
+    ConnectionClass = RejectingConnection
+    max_request_header_size = HEADER_LIMIT_BYTES
+    count_rejection: Callable[[outcomes.Refused], None]
+
+
+def _create_message(status: str, response: responses.Response) -> bytes:
+    headers = (
+        *response.headers,
+        outcomes.Header("Content-Length", str(len(response.body))),
+        outcomes.Header("Connection", "close"),
+    )
+    lines = [f"HTTP/1.1 {status}", *(f"{header.name}: {header.value}" for header in headers)]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + response.body
--- a/src/goldcresthall/encoding/documents.py
+++ b/src/goldcresthall/encoding/documents.py
@@ -31,7 +31,7 @@
     """
     try:
         value = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         fault = exceptions.Fault("$", "", f"a JSON document ({error})")
         raise exceptions.DocumentError((fault,)) from error
     return decode_plain(value, kind)
--- a/src/goldcresthall/encoding/log_entries.py
+++ b/src/goldcresthall/encoding/log_entries.py
@@ -9,6 +9,7 @@
 
 from goldcresthall.core import cancellations
 from goldcresthall.core import hot_keys
+from goldcresthall.core import intents
 from goldcresthall.core import records
 from goldcresthall.core import snapshots
 from goldcresthall.encoding import documents
@@ -21,6 +22,9 @@
     "partitions_moved": records.PartitionsMoved,
     "server_returned": records.ServerReturned,
     "lessors_appointed": records.LessorsAppointed,
+    "intent_recorded": intents.IntentRecorded,
+    "intent_concluded": intents.IntentConcluded,
+    "intents_forgotten": intents.IntentsForgotten,
     "move_cancelled": cancellations.MoveCancelled,
     "snapshot_chunk": snapshots.SnapshotChunk,
     "hot_key_moved": hot_keys.HotKeyMoved,
--- a/src/goldcresthall/observability/metrics.py
+++ b/src/goldcresthall/observability/metrics.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import functools
+from typing import TYPE_CHECKING
 
 import prometheus_client
 
 from goldcresthall.core import outcomes
 from goldcresthall.kernel import service
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class Metrics(service.Service):
     """Counters and histograms of one instance, in a registry of their own."""
@@ -44,6 +48,12 @@
             ["reason"],
             registry=self._registry,
         )
+        self._ejections = prometheus_client.Counter(
+            "goldcresthall_server_ejections",
+            "Ejections of backend servers for their failures.",
+            ["service"],
+            registry=self._registry,
+        )
         self._duration = prometheus_client.Histogram(
             "goldcresthall_request_duration_seconds",
             "Time from a request's arrival to its outcome.",
@@ -74,6 +84,17 @@
         """Count one retry that the budget did not allow, with the reason for it."""
         self._retries_denied.labels(reason.value).inc()
 
+    def count_ejection(self, service: str) -> None:
+        """Count one ejection of a backend server of a service."""
+        self._ejections.labels(service).inc()
+
+    def watch(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Show a value that is read whenever the metrics are asked for."""
+        gauge = prometheus_client.Gauge(
+            f"goldcresthall_{name}", description, registry=self._registry
+        )
+        gauge.set_function(read)
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         return prometheus_client.generate_latest(self._registry)
@@ -99,6 +120,16 @@
     answered.inc()
 
 
+@_count.register
+def _(
+    outcome: outcomes.AlreadyAnswered,
+    answered: prometheus_client.Counter,
+    refused: prometheus_client.Counter,
+    unknown: prometheus_client.Counter,
+) -> None:
+    refused.labels("already_answered", outcomes.Step.RECORD_INTENT.value).inc()
+
+
 @_count.register
 def _(
     outcome: outcomes.Refused,
--- a/src/goldcresthall/platform/instance_list.py
+++ b/src/goldcresthall/platform/instance_list.py
@@ -1,9 +1,10 @@
-"""The platform's lagging list of live and leaving router instances."""
+"""The platform's lagging list of live and leaving instances."""
 
 from __future__ import annotations
 
 import abc
 import dataclasses
+import math
 import threading
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 from goldcresthall.core import identity
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
+from goldcresthall.kernel import clock
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
 
@@ -32,9 +34,22 @@
 
     @property
     def live(self) -> tuple[identity.InstanceEntry, ...]:
-        """Instances that are not leaving."""
+        """Router instances that are not leaving."""
         return tuple(
-            entry for entry in self.instances if entry.status is identity.InstanceStatus.LIVE
+            entry
+            for entry in self.instances
+            if entry.status is identity.InstanceStatus.LIVE
+            and entry.role is identity.InstanceRole.ROUTER
+        )
+
+    @property
+    def leaving_servers(self) -> frozenset[str]:
+        """Names of backend servers that are leaving."""
+        return frozenset(
+            entry.name
+            for entry in self.instances
+            if entry.status is identity.InstanceStatus.LEAVING
+            and entry.role is identity.InstanceRole.BACKEND_SERVER
         )
 
 
@@ -44,7 +59,15 @@
 
 
 class InstanceList(service.Service):
-    """The list of router instances as the rest of the code sees it."""
+    """The list of instances as the rest of the code sees it."""
+
+    @property
+    def last_read_at_s(self) -> float:
+        """Reading of the process's clock at the start of the last good read."""
+        return -math.inf
+
+    def adopt(self, instances: tuple[identity.InstanceEntry, ...]) -> None:
+        """Take over a peer's view of the list, as long as none was read here."""
 
     @property
     @abc.abstractmethod
@@ -58,6 +81,8 @@
     def __init__(self, platform: settings.PlatformSettings, user_agent: str = "") -> None:
         self._platform = platform
         self._listing = InstanceListing(0, ())
+        self._clock = clock.MonotonicClock()
+        self._last_read_at_s = -math.inf
         self._lock = threading.Lock()
         address = platform.instance_list
         self._pool = urllib3.HTTPConnectionPool(
@@ -80,6 +105,17 @@
         with self._lock:
             return self._listing
 
+    @property
+    def last_read_at_s(self) -> float:
+        """Reading of the process's clock at the start of the last good read."""
+        return self._last_read_at_s
+
+    def adopt(self, instances: tuple[identity.InstanceEntry, ...]) -> None:
+        """Take over a peer's view of the list, as long as none was read here."""
+        with self._lock:
+            if instances and not self._listing.revision:
+                self._listing = InstanceListing(1, instances)
+
     def start(self) -> None:
         """Begin to read the list."""
         self._task.start()
@@ -96,6 +132,7 @@
 
     def _refresh(self) -> None:
         timeout_s = self._platform.request_timeout_ms / MS_PER_S
+        began_at_s = self._clock.read_s()
         try:
             response = self._pool.request("GET", "/instances", timeout=timeout_s)
             if response.status != STATUS_OK:
@@ -106,6 +143,7 @@
             logging.warning("instance list: %s", error)
             return
         self._keep(document.instances)
+        self._last_read_at_s = began_at_s
 
     def _keep(self, instances: tuple[identity.InstanceEntry, ...]) -> None:
         with self._lock:
--- a/src/goldcresthall/replication/replay.py
+++ b/src/goldcresthall/replication/replay.py
@@ -32,6 +32,10 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_SERVER = "unknown_server"
     UNKNOWN_PARTITION = "unknown_partition"
+    INTENT_HELD = "intent_held"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    KEY_NOT_ISSUED = "key_not_issued"
     ADDRESS_CHANGED = "address_changed"
     GRANTS_NOT_CHECKED = "grants_not_checked"
     SNAPSHOT_SUPERSEDED = "snapshot_superseded"
@@ -105,7 +109,7 @@
 def _(record: records.PresetPublished, state: replicated.State) -> Decision:
     current = state.preset_in_force
     if current is not None and current.offset >= record.base:
-        return _overtaken("preset", current.offset)
+        return _overtaken(f"preset {current.preset.name} of {current.author}", current.offset)
     rejected = _check_addresses(record, state)
     if rejected is not None:
         return rejected
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -10,14 +10,19 @@
 from goldcresthall.backend import client
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
+from goldcresthall.intents import service as intents_service
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.observability import metrics
 from goldcresthall.ownership import heat
 from goldcresthall.replication import replica
+from goldcresthall.routing import admission
 from goldcresthall.routing import conclusions
+from goldcresthall.routing import heat_counts
+from goldcresthall.routing import observations
 from goldcresthall.routing import plans
+from goldcresthall.routing import queues
 from goldcresthall.routing import retries
 from goldcresthall.routing import targets
 
@@ -27,8 +32,12 @@
     from goldcresthall.core import preset
     from goldcresthall.core import requests
     from goldcresthall.kernel import kernel
+    from goldcresthall.replication import state as replicated
 
 ANSWER_MARGIN_S = 0.005
+BROKEN_OFF = attempts.AttemptUnknown(
+    outcomes.UnknownReason.CONNECTION_LOST, outcomes.Step.SEND, "broken off by an error"
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,32 +56,38 @@
     tried: frozenset[str] = frozenset()
     outcome: outcomes.Outcome | None = None
 
-    def advance(self, attempt: attempts.Attempt, server: str) -> Progress:
-        """Return the progress after one more attempt."""
-        tries = self.tries + 1
-        latest = conclusions.conclude(attempt, server, tries)
-        return Progress(tries, self.tried | {server}, conclusions.combine(self.outcome, latest))
+    def advance(self, server: str, outcome: outcomes.Outcome) -> Progress:
+        """Return the progress after one more try at a server."""
+        return Progress(self.tries + 1, self.tried | {server}, outcome)
 
 
 class Router(service.Service):
     """Decides where a request goes, tries it and says what became of it."""
 
-    def __init__(self, owner: kernel.Kernel, sleep: Callable[[float], None] = time.sleep) -> None:
+    def __init__(
+        self,
+        owner: kernel.Kernel,
+        sleep: Callable[[float], None],
+        generator: random.Random,
+    ) -> None:
         self._kernel = owner
         self._sleep = sleep
-        self._generator = random.Random()  # noqa: S311
+        self._generator = generator
         self._budgets = retries.RetryBudgets()
 
     @classmethod
     def from_config(cls, owner: kernel.Kernel) -> Router:
         """Return the router of an instance."""
-        return cls(owner)
+        return cls(owner, time.sleep, random.Random())  # noqa: S311
 
     def start(self) -> None:
         """Find the services that requests need."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
+        self._intents = self._kernel.find(names.INTENTS, intents_service.Intents)
+        self._observations = self._kernel.find(names.OBSERVATIONS, observations.Observations)
+        self._admission = self._kernel.find(names.ADMISSION, admission.Admission)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
         self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
 
@@ -87,8 +102,22 @@
         plan = plans.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
-        targets.count_request(plan.target, self._heat)
-        return self._try_repeatedly(request, plan)
+        heat_counts.count_request(plan.target, self._heat)
+        policy = plan.target.policy
+        refusal = self._admission.enter(policy)
+        if refusal is not None:
+            return refusal
+        try:
+            return self._run(request, plan)
+        finally:
+            self._admission.leave(policy)
+
+    def _run(self, request: requests.Request, plan: plans.Plan) -> outcomes.Outcome:
+        if plan.route.idempotent:
+            return self._try_repeatedly(request, plan)
+        return self._intents.run_once(
+            request, plan.deadline_s, lambda: self._try_repeatedly(request, plan)
+        )
 
     def _try_repeatedly(self, request: requests.Request, plan: plans.Plan) -> outcomes.Outcome:
         policy = plan.target.policy
@@ -96,18 +125,56 @@
         progress = Progress()
         while True:
             state = self._replica.state
-            found = targets.find_server(plan.target, state, progress.tried, self._generator)
-            if isinstance(found, outcomes.Refused):
-                if not self._await_owner(found, plan, state.next_offset):
-                    return progress.outcome or found
-                continue
-            timeout_s = self._find_remaining_s(plan)
-            if timeout_s <= 0:
-                return progress.outcome or _refuse_late(plan)
+            admitted = self._admit(plan, state, progress.tried)
+            if isinstance(admitted, outcomes.Refused):
+                if not self._await_owner(admitted, plan, state.next_offset):
+                    return progress.outcome or admitted
+            elif isinstance(admitted, queues.Permit):
+                attempt = self._try_once(request, plan, admitted)
+                server = admitted.found.server.name
+                latest = conclusions.conclude(attempt, server, progress.tries + 1)
+                outcome = conclusions.combine(progress.outcome, latest)
+                progress = progress.advance(server, outcome)
+                if not self._prepare_retry(attempt, plan, progress, state.next_offset):
+                    return outcome
+
+    def _admit(
+        self, plan: plans.Plan, state: replicated.State, tried: frozenset[str]
+    ) -> queues.Admitted:
+        servers = targets.find_servers(plan.target, state, tried, self._observations)
+        if isinstance(servers, outcomes.Refused):
+            return servers
+        remaining_s = self._find_remaining_s(plan)
+        if remaining_s <= 0:
+            return _refuse_late(plan)
+        return self._admission.admit(
+            admission.Wish(plan.target, plan.route.request_class, servers, tried, remaining_s)
+        )
+
+    def _try_once(
+        self, request: requests.Request, plan: plans.Plan, permit: queues.Permit
+    ) -> attempts.Attempt:
+        found = permit.found
+        trial = self._observations.begin(found.server.name, plan.route.request_class)
+        timeout_s = self._find_remaining_s(plan)
+        try:
             attempt = self._client.send(_create_dispatch(request, plan, found, timeout_s))
-            progress = progress.advance(attempt, found.server.name)
-            if not self._prepare_retry(attempt, plan, progress, state.next_offset):
-                return progress.outcome or conclusions.conclude(attempt, found.server.name, 1)
+        except BaseException:
+            self._end_try(plan, permit, trial, BROKEN_OFF)
+            raise
+        self._end_try(plan, permit, trial, attempt)
+        return attempt
+
+    def _end_try(
+        self,
+        plan: plans.Plan,
+        permit: queues.Permit,
+        trial: observations.Trial,
+        attempt: attempts.Attempt,
+    ) -> None:
+        self._observations.finish(trial, plan.target.policy, attempt)
+        duration_s = self._clock.read_s() - trial.began_at_s
+        self._admission.release(permit, attempt, duration_s)
 
     def _await_owner(self, found: outcomes.Refused, plan: plans.Plan, offset: int) -> bool:
         remaining_s = self._find_remaining_s(plan)
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import pytest
@@ -15,15 +17,21 @@
 from goldcresthall.observability import metrics
 from goldcresthall.ownership import heat
 from goldcresthall.replication import state as replicated
+from goldcresthall.routing import admission
+from goldcresthall.routing import observations
 from goldcresthall.routing import router
 from tests.fakes import backends
 from tests.fakes import clock
+from tests.fakes import instances
+from tests.fakes import intents
 from tests.fakes import replica
 
 if TYPE_CHECKING:
     from goldcresthall.core import attempts
     from goldcresthall.core import outcomes
 
+SEED = 5
+THREADS = 64
 ROUTES = (
     preset.Route(method="GET", path="/pages/{key}", idempotent=True),
     preset.Route(
@@ -65,10 +73,20 @@
         self.kernel.register(names.METRICS, self.metrics)
         self.kernel.register(names.REPLICA, self.replica)
         self.kernel.register(names.BACKENDS, self.backends)
+        self.kernel.register(names.INTENTS, intents.DirectIntents())
         self.kernel.register(names.HEAT, heat.HeatCounter())
-        self.router = router.Router(self.kernel, self._sleep)
+        self.instances = instances.SettableInstanceList()
+        self.kernel.register(names.INSTANCE_LIST, self.instances)
+        self.observations = observations.Observations(self.kernel)
+        self.kernel.register(names.OBSERVATIONS, self.observations)
+        generator = random.Random(SEED)
+        self.admission = admission.Admission(self.kernel, "router-0", THREADS, generator)
+        self.kernel.register(names.ADMISSION, self.admission)
+        self.router = router.Router(self.kernel, self._sleep, generator)
         self.kernel.register(names.ROUTER, self.router)
-        self.kernel.start()
+        self.observations.start()
+        self.admission._find_services()
+        self.router.start()
 
     def publish(self, *policies: preset.ServicePolicy) -> None:
         published = preset.Preset(name="day", services=policies)
@@ -116,6 +134,9 @@
         self.clock.advance(seconds)
 
 
+BenchAction = Callable[[RouterBench], None]
+
+
 @pytest.fixture
 def bench() -> RouterBench:
     """Return a router over fakes with no preset."""
