--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,311 @@
+"""Recomputes the tables of docs/CAPACITY.md from the measured slopes."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+import click
+
+from bench import slopes
+from goldcresthall.encoding import documents
+
+FOLDER = pathlib.Path(__file__).parent
+SLOPES_FILE = FOLDER / "slopes.json"
+PAGE_FILE = FOLDER.parent / "docs" / "CAPACITY.md"
+BEGIN_MARK = "<!-- computed by python -m bench.capacity: begin -->"
+END_MARK = "<!-- computed by python -m bench.capacity: end -->"
+
+US_PER_S = 1_000_000
+BYTES_PER_KIB = 1_024
+BYTES_PER_MIB = 1_048_576
+SECONDS_PER_DAY = 86_400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The size of two years from now, and what it leaves open.
+
+    Attributes
+    ----------
+    servers, keyed_servers
+        Not given; today's ratio of servers to instances is kept.
+    partitions
+        Not given; 16 for each keyed server, so that one move is a small step.
+    non_idempotent_share
+        Not given; the share of orders in the bench's shape of Minnelys.
+    """
+
+    nodes: int = 920
+    keys: int = 690_000_000
+    requests_per_s: int = 5_700_000
+    core_share: float = 0.016
+    memory_mib: float = 32.0
+    control_bytes_per_s: int = 4_096
+    presets_per_day: int = 550
+    nodes_replaced_per_day: int = 303
+    servers: int = 3_956
+    keyed_servers: int = 1_288
+    partitions: int = 20_608
+    non_idempotent_share: float = 0.05
+    append_batch: int = 200
+    appends_per_s: int = 300
+    candidates: int = 3
+    connections_per_server: int = 130
+
+    @property
+    def requests_per_node(self) -> float:
+        """Requests per second of one node."""
+        return self.requests_per_s / self.nodes
+
+    @property
+    def servers_per_lessor(self) -> float:
+        """Keyed servers whose lease one node renews."""
+        return self.keyed_servers / self.nodes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One line of a table: what is needed at the size, against what there is."""
+
+    role: str
+    what: str
+    needed: float
+    unit: str
+    bound: float
+    bound_is: str
+
+    @property
+    def is_carried(self) -> bool:
+        """Whether today's design carries it."""
+        return self.needed <= self.bound
+
+
+def compute_rows(target: Target, measured: slopes.SlopeFile) -> tuple[Row, ...]:
+    """Return all rows, role by role."""
+    return (
+        *_compute_entry(target, measured),
+        *_compute_leases(target, measured),
+        *_compute_peer(target, measured),
+        *_compute_log(target, measured),
+        *_compute_list(target, measured),
+        *_compute_server(target),
+    )
+
+
+def _compute_entry(target: Target, measured: slopes.SlopeFile) -> tuple[Row, ...]:
+    product_us = measured.find("path_cpu_per_request_product")
+    bare_us = measured.find("path_cpu_per_request_round_robin")
+    sketch_us = measured.find("sketch_per_request")
+    cores = target.requests_per_node * product_us / US_PER_S
+    bare_cores = target.requests_per_node * bare_us / US_PER_S
+    sketch_cores = target.requests_per_node * sketch_us / US_PER_S
+    return (
+        Row("entry", "processor for requests", cores, "cores", 1.0, "one interpreter"),
+        Row("entry", "the same, bare pass-through", bare_cores, "cores", 1.0, "one interpreter"),
+        Row(
+            "entry", "counting hot keys", sketch_cores, "cores", target.core_share, "control share"
+        ),
+        Row(
+            "entry",
+            "memory after the imports alone",
+            measured.find("imported_resident"),
+            "MiB",
+            target.memory_mib,
+            "control memory",
+        ),
+        Row(
+            "entry",
+            "memory idle, 12 instances and 12 servers",
+            measured.find("idle_resident_12x12"),
+            "MiB",
+            target.memory_mib,
+            "control memory",
+        ),
+    )
+
+
+def _compute_leases(target: Target, measured: slopes.SlopeFile) -> tuple[Row, ...]:
+    few = measured.find("idle_core_share_mean_6x6")
+    many = measured.find("idle_core_share_mean_6x24")
+    per_leased = (many - few) / ((24 - 6) / 6)
+    threads_few = measured.find("idle_threads_6x6")
+    threads_per_server = (measured.find("idle_threads_6x24") - threads_few) / (24 - 6)
+    cores = per_leased * target.servers_per_lessor
+    threads = threads_few + threads_per_server * target.keyed_servers
+    state_mib = target.partitions * measured.find("state_per_partition") / BYTES_PER_MIB
+    return (
+        Row("any role", "processor at rest, one lease", few, "cores", target.core_share, "share"),
+        Row("lessor", "processor for its leases", cores, "cores", target.core_share, "share"),
+        Row("candidate", "threads of keepers", threads, "threads", 200.0, "threads of today"),
+        Row("any role", "replicated state", state_mib, "MiB", target.memory_mib, "control memory"),
+    )
+
+
+def _compute_peer(target: Target, measured: slopes.SlopeFile) -> tuple[Row, ...]:
+    # Of these three fleets the first two have one lease an instance, the last has four.
+    small = _find_both_ways(measured, "6x6")
+    large = _find_both_ways(measured, "12x12")
+    leased = _find_both_ways(measured, "6x24")
+    per_instance = (large - small) / (12 - 6)
+    per_lease = (leased - small) / (4 - 1)
+    at_size = (
+        small + per_instance * (target.nodes - 6) + per_lease * (target.servers_per_lessor - 1)
+    )
+    bound = target.control_bytes_per_s
+    return (
+        Row("peer", "all control bytes, 12 instances", large, "B/s", bound, "control bytes"),
+        Row("lessor", "control bytes for each lease", per_lease, "B/s", bound, "control bytes"),
+        Row("peer", "all control bytes on these slopes", at_size, "B/s", bound, "control bytes"),
+    )
+
+
+def _find_both_ways(measured: slopes.SlopeFile, size: str) -> float:
+    sent = measured.find(f"idle_sent_mean_{size}")
+    return sent + measured.find(f"idle_received_mean_{size}")
+
+
+def _compute_log(target: Target, measured: slopes.SlopeFile) -> tuple[Row, ...]:
+    intents = target.requests_per_s * target.non_idempotent_share
+    intent_bytes = intents * measured.find("record_size")
+    intent_cores = intents * measured.find("replay_per_record") / US_PER_S
+    preset_bytes = target.servers * measured.find("preset_per_server")
+    preset_rate = preset_bytes * target.presets_per_day / SECONDS_PER_DAY
+    appointments = target.nodes_replaced_per_day * target.servers_per_lessor
+    ownership_rate = appointments / SECONDS_PER_DAY
+    snapshot = target.partitions * measured.find("snapshot_per_partition") / BYTES_PER_KIB
+    appends = intents / target.append_batch
+    return (
+        Row(
+            "log",
+            "appends for intents, all batches full",
+            appends,
+            "1/s",
+            target.appends_per_s,
+            "appends",
+        ),
+        Row(
+            "log",
+            "intents read by each node",
+            intent_bytes,
+            "B/s",
+            target.control_bytes_per_s,
+            "control bytes",
+        ),
+        Row("replica", "replay of all intents", intent_cores, "cores", target.core_share, "share"),
+        Row(
+            "log",
+            "presets read by each node",
+            preset_rate,
+            "B/s",
+            target.control_bytes_per_s,
+            "control bytes",
+        ),
+        Row(
+            "proposer",
+            "appointments of lessors, replaced nodes",
+            ownership_rate,
+            "1/s",
+            target.appends_per_s,
+            "appends",
+        ),
+        Row("log", "one snapshot", snapshot, "KiB", 1_024.0, "one read"),
+    )
+
+
+def _compute_list(target: Target, measured: slopes.SlopeFile) -> tuple[Row, ...]:
+    bytes_per_s = target.nodes * measured.find("instance_entry")
+    return (
+        Row(
+            "instance list",
+            "read by each node every second",
+            bytes_per_s,
+            "B/s",
+            target.control_bytes_per_s,
+            "control bytes",
+        ),
+    )
+
+
+def _compute_server(target: Target) -> tuple[Row, ...]:
+    return (
+        Row(
+            "backend server",
+            "connections, one from each node",
+            target.nodes,
+            "connections",
+            target.connections_per_server,
+            "its limit",
+        ),
+        Row(
+            "backend server",
+            "probes of leases by candidates",
+            target.candidates / 0.15,
+            "1/s",
+            50.0,
+            "a slot's time",
+        ),
+    )
+
+
+def render_table(rows: tuple[Row, ...]) -> str:
+    """Return the rows as a Markdown table."""
+    lines = [
+        "| role | what | needed | bound | carried |",
+        "|---|---|---:|---:|---|",
+    ]
+    for row in rows:
+        carried = "yes" if row.is_carried else "**no**"
+        needed = f"{_format(row.needed)} {row.unit}"
+        bound = f"{_format(row.bound)} ({row.bound_is})"
+        lines.append(f"| {row.role} | {row.what} | {needed} | {bound} | {carried} |")
+    return "\n".join(lines)
+
+
+def render_slopes(measured: slopes.SlopeFile) -> str:
+    """Return the measured figures as a Markdown table."""
+    lines = ["| figure | value | unit |", "|---|---:|---|"]
+    lines.extend(
+        f"| `{figure.name}` | {_format(figure.value)} | {figure.unit} |"
+        for figure in measured.figures
+    )
+    return "\n".join(lines)
+
+
+def render(measured: slopes.SlopeFile) -> str:
+    """Return the computed part of the page."""
+    table = render_table(compute_rows(Target(), measured))
+    return f"{table}\n\n### Measured slopes\n\n{render_slopes(measured)}"
+
+
+def replace_computed(page: str, computed: str) -> str:
+    """Return the page with its computed part replaced.
+
+    Raises
+    ------
+    ValueError
+        If the page has no marks.
+    """
+    begin = page.index(BEGIN_MARK) + len(BEGIN_MARK)
+    end = page.index(END_MARK)
+    return f"{page[:begin]}\n{computed}\n{page[end:]}"
+
+
+def read_slopes() -> slopes.SlopeFile:
+    """Return the committed slopes."""
+    return documents.decode_document(SLOPES_FILE.read_bytes(), slopes.SlopeFile)
+
+
+def _format(value: float) -> str:
+    return f"{value:,.0f}" if abs(value) >= 100 else f"{value:.3g}"  # noqa: PLR2004
+
+
+@click.command()
+def main() -> None:
+    """Rewrite the computed part of docs/CAPACITY.md."""
+    page = PAGE_FILE.read_text()
+    PAGE_FILE.write_text(replace_computed(page, render(read_slopes())))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -5,8 +5,13 @@
 import dataclasses
 import os
 import pathlib
+import re
+import subprocess
 
 KIB_PER_MIB = 1_024
+SOCKET_LIST = ("/usr/bin/ss", "--tcp", "--info", "--processes", "--no-header", "--oneline")
+SENT_PATTERN = re.compile(r"bytes_sent:(\d+)")
+RECEIVED_PATTERN = re.compile(r"bytes_received:(\d+)")
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 USER_TICKS_FIELD = 11
 SYSTEM_TICKS_FIELD = 12
@@ -21,6 +26,24 @@
     threads: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SocketBytes:
+    """Payload bytes of a process's open TCP connections since they were opened."""
+
+    sent: int
+    received: int
+
+
+def read_socket_bytes(process_id: int) -> SocketBytes:
+    """Return the payload that a process's open TCP connections have carried."""
+    listed = subprocess.run(SOCKET_LIST, capture_output=True, text=True, check=True)
+    lines = [line for line in listed.stdout.splitlines() if f"pid={process_id}," in line]
+    return SocketBytes(
+        sum(int(found) for line in lines for found in SENT_PATTERN.findall(line)),
+        sum(int(found) for line in lines for found in RECEIVED_PATTERN.findall(line)),
+    )
+
+
 def read_usage(process_id: int) -> Usage:
     """Return what a process has used so far."""
     folder = pathlib.Path("/proc") / str(process_id)
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -136,8 +136,8 @@
             arrivals=arrivals[number :: experiment.workers],
             run_id=f"{folder.name}-{number}",
         )
-        workers.append(_start_worker(config, folder, number))
-    taken = tuple(sample for worker in workers for sample in _collect(*worker))
+        workers.append(start_worker(config, folder, number))
+    taken = tuple(sample for worker in workers for sample in collect(*worker))
     happenings.join()
     return taken
 
@@ -150,9 +150,10 @@
         steps.perform(step, running)
 
 
-def _start_worker(
+def start_worker(
     config: sender.SenderConfig, folder: pathlib.Path, number: int
 ) -> tuple[subprocess.Popen[bytes], pathlib.Path]:
+    """Start a load worker and return it with the file its samples will be in."""
     config_file = folder / f"worker-{number}.json"
     result_file = folder / f"samples-{number}.json"
     config_file.write_text(documents.encode_document(config))
@@ -164,9 +165,16 @@
     return process, result_file
 
 
-def _collect(
+def collect(
     process: subprocess.Popen[bytes], result_file: pathlib.Path
 ) -> tuple[samples.Sample, ...]:
+    """Wait for a load worker and return its samples.
+
+    Raises
+    ------
+    LoadWorkerError
+        If it failed or took too long.
+    """
     try:
         code = process.wait(WORKER_PATIENCE_S)
     except subprocess.TimeoutExpired as error:
