--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -45,6 +45,8 @@
         plots.plot_result(result, path.with_suffix(".png"))
     for item in result.results:
         click.echo(_describe(item))
+        for found in item.window.not_answered:
+            click.echo(f"  {found.service} {found.verdict.value} {found.reason} {found.count}")
     click.echo(str(path))
 
 
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -39,6 +39,16 @@
     largest_over_mean: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReasonCount:
+    """How many requests of a service were not answered, by verdict and reason."""
+
+    service: str
+    verdict: samples.Verdict
+    reason: str
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Measures:
     """What one stretch of one run gave.
@@ -72,6 +82,7 @@
     worst_key_unavailable_s: float
     mean_key_unavailable_s: float
     sent_late_p99_ms: float
+    not_answered: tuple[ReasonCount, ...] = ()
 
 
 def measure(
@@ -101,6 +112,7 @@
         worst_key_unavailable_s=round(max(gaps, default=0.0), 3),
         mean_key_unavailable_s=round(sum(gaps) / len(gaps), 4) if gaps else 0.0,
         sent_late_p99_ms=summarize(sample.sent_late_s for sample in taken).p99_ms,
+        not_answered=count_reasons(taken, kinds),
     )
 
 
@@ -116,6 +128,18 @@
     return Percentiles(recorded.get_total_count(), p50_ms, p99_ms, p999_ms)
 
 
+def count_reasons(
+    taken: tuple[samples.Sample, ...], kinds: tuple[workload.RequestKind, ...]
+) -> tuple[ReasonCount, ...]:
+    """Return the requests without an answer by service and reason, the most frequent first."""
+    counts = collections.Counter(
+        (kinds[sample.kind].service, sample.verdict, sample.reason)
+        for sample in taken
+        if sample.verdict is not samples.Verdict.ANSWERED
+    )
+    return tuple(ReasonCount(*found, count) for found, count in counts.most_common())
+
+
 def find_key_gaps(
     taken: tuple[samples.Sample, ...], kinds: tuple[workload.RequestKind, ...]
 ) -> list[float]:
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -66,6 +66,15 @@
     assert measured.refused_share == 0.6
 
 
+def test_requests_without_an_answer_are_counted_by_reason() -> None:
+    full = dataclasses.replace(REFUSED, reason="queue_full")
+    counted = measure(SAMPLE, full, full, dataclasses.replace(full, reason="no_owner"))
+    assert [(found.reason, found.count) for found in counted.not_answered] == [
+        ("queue_full", 2),
+        ("no_owner", 1),
+    ]
+
+
 def test_tries_are_counted_per_request_that_reached_an_instance() -> None:
     measured = measure(SAMPLE, dataclasses.replace(SAMPLE, tries=3))
     assert measured.retry_amplification == 2.0
