--- a/tests/features/system.py
+++ b/tests/features/system.py
@@ -63,6 +63,7 @@
         self.sent: list[Sent] = []
         self.leases = settings.LeaseSettings()
         self.aside: set[str] = set()
+        self._settings: dict[str, settings.Settings] = {}
         self._pool = urllib3.PoolManager(num_pools=50, maxsize=64, retries=False)
 
     @property
@@ -77,7 +78,9 @@
         for number in range(1, count + 1):
             domain = domains[(number - 1) % len(domains)]
             created = self.fleet.create_settings(f"router-{number}", domain)
-            self.fleet.start_router(dataclasses.replace(created, leases=self.leases))
+            instance_settings = dataclasses.replace(created, leases=self.leases)
+            self._settings[instance_settings.name] = instance_settings
+            self.fleet.start_router(instance_settings)
 
     def add_service(
         self, name: str, count: int, *, keyed: bool, checks_grants: bool = True
@@ -107,8 +110,10 @@
         method: str,
         path: str,
         router_index: int = 0,
+        *,
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
+        timeout_s: float = GIVE_UP_S,
     ) -> Sent:
         """Send one request through one instance and remember its response."""
         router = self.fleet.routers[router_index]
@@ -117,7 +122,7 @@
             router.callers_url + path,
             headers=headers,
             body=body,
-            timeout=GIVE_UP_S,
+            timeout=timeout_s,
             redirect=False,
         )
         sent = Sent(router.settings.name, path, response.status, response.headers, response.data)
@@ -157,6 +162,10 @@
         router = next(item for item in self.fleet.routers if item.settings.name == name)
         self.fleet.kill(router.process, number)
 
+    def restart_router(self, name: str) -> None:
+        """Start another process at the addresses of a killed router instance."""
+        self.fleet.start_router(self._settings[name])
+
     def read_effects(self) -> tuple[backend.Effect, ...]:
         """Return what all backend servers have done, lost ones too, oldest first."""
         effects = [
