--- a/src/goldcresthall/peers/follower.py
+++ b/src/goldcresthall/peers/follower.py
@@ -12,6 +12,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.ownership import heat
 from goldcresthall.peers import client
 from goldcresthall.peers import divergence
 from goldcresthall.peers import exceptions
@@ -28,6 +29,7 @@
     from goldcresthall.kernel import kernel
 
 MS_PER_S = 1_000
+HEAT_INTERVAL_S = 20.0
 LIST_CHECK_S = 1.0
 RELAY_LIMIT = 500
 STATE_SOURCE = "peer"
@@ -79,6 +81,7 @@
         """Begin to follow peers."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._replica = self._kernel.find(names.REPLICA, replica.LogReplica)
+        self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
         self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
         self._uptake = self._kernel.find(names.PEER_SERVER, server.PeerServer).uptake
         self._meter = meters.PeerMeter(replication_meters.find_registry(self._kernel), "client")
@@ -150,8 +153,12 @@
         entry: identity.InstanceEntry,
         stop_signal: tasks.StopSignal,
     ) -> None:
+        heat_due_s = self._clock.read_s()
         while not stop_signal.is_set:
             self._exchange_status(connection, entry)
+            if self._clock.read_s() >= heat_due_s:
+                self._heat.note_peer(entry.name, connection.report_heat())
+                heat_due_s = self._clock.read_s() + HEAT_INTERVAL_S
             if not self._list.listing.revision:
                 self._list.adopt(connection.list_instances())
             if not self._is_stale() or not self._follow_through(connection):
@@ -206,6 +213,7 @@
         return self._replica.state.next_offset < max([next_offset, *heard])
 
     def _forget(self, entry: identity.InstanceEntry) -> None:
+        self._heat.forget_peer(entry.name)
         with self._lock:
             self._statuses.pop(entry.name, None)
             self._votes.forget(entry.name)
--- a/src/goldcresthall/peers/handler.py
+++ b/src/goldcresthall/peers/handler.py
@@ -7,10 +7,12 @@
 from goldcresthall.core import identity
 from goldcresthall.generated.peer import constants
 from goldcresthall.generated.peer import ttypes
+from goldcresthall.peers import heat_encoding
 from goldcresthall.replication import state_encoding
 
 if TYPE_CHECKING:
     from goldcresthall.kernel import clock
+    from goldcresthall.ownership import heat
     from goldcresthall.peers import meters
     from goldcresthall.peers import uptake
     from goldcresthall.platform import instance_list
@@ -36,6 +38,7 @@
         monotonic_clock: clock.Clock,
         cursor: uptake.UptakeCursor,
         meter: meters.PeerMeter,
+        heat_counter: heat.HeatCounter,
         caller_address: str,
     ) -> None:
         self._incarnation = incarnation
@@ -45,6 +48,7 @@
         self._clock = monotonic_clock
         self._cursor = cursor
         self._meter = meter
+        self._heat = heat_counter
         self._caller = caller_address
         self._encoded: state_encoding.EncodedState | None = None
 
@@ -86,6 +90,10 @@
             ],
         )
 
+    def report_heat(self) -> ttypes.HeatReport:
+        """Return what this instance's keyed services draw."""
+        return heat_encoding.encode_report(self._heat.report)
+
     def relay_records(self, from_offset: int, limit: int, wait_ms: int) -> ttypes.RecordPage:
         """Return committed entries, fresh if a read begun after the question said so."""
         asked_at_s = self._clock.read_s()
--- a/src/goldcresthall/peers/server.py
+++ b/src/goldcresthall/peers/server.py
@@ -16,6 +16,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.ownership import heat
 from goldcresthall.peers import handler
 from goldcresthall.peers import meters
 from goldcresthall.peers import transport
@@ -72,6 +73,7 @@
         self._replica = self._kernel.find(names.REPLICA, replica.LogReplica)
         self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
         self._meter = meters.PeerMeter(replication_meters.find_registry(self._kernel), "server")
         self._listener.listen()
         self._task.start()
@@ -130,6 +132,7 @@
             monotonic_clock=self._clock,
             cursor=cursor,
             meter=self._meter,
+            heat_counter=self._heat,
             caller_address=_find_address(accepted),
         )
 
--- a/src/goldcresthall/replication/__init__.py
+++ b/src/goldcresthall/replication/__init__.py
@@ -6,4 +6,5 @@
 from __future__ import annotations
 
 from goldcresthall.replication import cancellations as cancellations
+from goldcresthall.replication import hot_keys as hot_keys
 from goldcresthall.replication import replay_snapshots as replay_snapshots
--- a/src/goldcresthall/replication/state.py
+++ b/src/goldcresthall/replication/state.py
@@ -21,6 +21,14 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HotKeyId:
+    """One key of a keyed service that has an entry of its own."""
+
+    service: str
+    key: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ownership:
     """Who owns a partition, and by which decision.
@@ -37,6 +45,9 @@
     reason: str
 
 
+NO_HOT_KEYS: pyrsistent_typing.PMap[HotKeyId, Ownership] = pyrsistent.pmap()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerState:
     """Which instance may renew a server's lease, and whether the server is lost.
@@ -125,6 +136,8 @@
         The last `PRESETS_REMEMBERED` presets put in force, the newest last.
     snapshots
         Which snapshot is whole.
+    hot_keys
+        Owners of keys that are not with their partition's owner.
     """
 
     next_offset: int
@@ -135,6 +148,7 @@
     chain: str = ""
     presets: tuple[PresetEntry, ...] = ()
     snapshots: SnapshotProgress = SnapshotProgress()
+    hot_keys: pyrsistent_typing.PMap[HotKeyId, Ownership] = NO_HOT_KEYS
 
     @classmethod
     def create_empty(cls) -> State:
