--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -20,6 +20,7 @@
 from goldcresthall.ownership import lessors
 from goldcresthall.ownership import planned_moves
 from goldcresthall.ownership import proposer
+from goldcresthall.ownership import rebalancer
 from goldcresthall.peers import follower
 from goldcresthall.peers import server
 from goldcresthall.platform import http_log_client
@@ -31,6 +32,7 @@
 from goldcresthall.replication import writer
 from goldcresthall.routing import admission
 from goldcresthall.routing import observations
+from goldcresthall.routing import probes
 from goldcresthall.routing import router
 
 if TYPE_CHECKING:
@@ -88,16 +90,17 @@
 def _register_ownership(
     built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
 ) -> None:
+    built.register(names.LEASE_COUNTERS, counters.LeaseCounters.from_config(built))
     built.register(
         names.OWNERSHIP,
         proposer.OwnershipProposer.from_config(built, incarnation, instance_settings.leases),
     )
-    built.register(names.LEASE_COUNTERS, counters.LeaseCounters.from_config(built))
     built.register(
         names.LESSOR_PROBE,
         lessor_probe.PeerLessorProbe.from_config(built, incarnation, instance_settings),
     )
     built.register(names.PLANNED_MOVES, planned_moves.PlannedMoves.from_config(built, incarnation))
+    built.register(names.REBALANCER, rebalancer.Rebalancer.from_config(built, incarnation))
     built.register(names.LEASES, lessors.Lessors.from_config(built, incarnation, instance_settings))
 
 
@@ -115,6 +118,7 @@
     )
     built.register(names.OBSERVATIONS, observations.Observations.from_config(built))
     built.register(names.ADMISSION, admission.Admission.from_config(built, instance_settings))
+    built.register(names.PROBES, probes.Probes.from_config(built))
     built.register(names.ROUTER, router.Router.from_config(built))
     built.register(
         names.ADMIN, admin_front.AdminFront.from_config(built, incarnation, instance_settings)
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -15,9 +15,11 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import heat
 from goldcresthall.replication import replica
 from goldcresthall.routing import admission
 from goldcresthall.routing import conclusions
+from goldcresthall.routing import heat_counts
 from goldcresthall.routing import observations
 from goldcresthall.routing import plans
 from goldcresthall.routing import queues
@@ -33,6 +35,7 @@
     from goldcresthall.replication import state as replicated
 
 ANSWER_MARGIN_S = 0.005
+FIRST_TRY_FRACTION = 0.5
 BROKEN_OFF = attempts.AttemptUnknown(
     outcomes.UnknownReason.CONNECTION_LOST, outcomes.Step.SEND, "broken off by an error"
 )
@@ -72,6 +75,7 @@
         self._sleep = sleep
         self._generator = generator
         self._budgets = retries.RetryBudgets()
+        self._planner = plans.Planner()
 
     @classmethod
     def from_config(cls, owner: kernel.Kernel) -> Router:
@@ -87,6 +91,7 @@
         self._observations = self._kernel.find(names.OBSERVATIONS, observations.Observations)
         self._admission = self._kernel.find(names.ADMISSION, admission.Admission)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
+        self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
 
     def stop(self) -> None:
         """Do nothing; requests in progress are the callers' front end's to await."""
@@ -96,9 +101,10 @@
         condition = self._replica.condition
         if not condition.is_usable:
             return plans.refuse_unusable(condition)
-        plan = plans.create_plan(request, self._replica.state)
+        plan = self._planner.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
+        heat_counts.count_request(plan.target, self._heat)
         policy = plan.target.policy
         refusal = self._admission.enter(policy)
         if refusal is not None:
@@ -152,7 +158,7 @@
     ) -> attempts.Attempt:
         found = permit.found
         trial = self._observations.begin(found.server.name, plan.route.request_class)
-        timeout_s = self._find_remaining_s(plan)
+        timeout_s = self._find_timeout_s(plan, permit)
         try:
             attempt = self._client.send(_create_dispatch(request, plan, found, timeout_s))
         except BaseException:
@@ -161,6 +167,23 @@
         self._end_try(plan, permit, trial, attempt)
         return attempt
 
+    def _find_timeout_s(self, plan: plans.Plan, permit: queues.Permit) -> float:
+        """Return the seconds that a try may take.
+
+        A first try that could be repeated elsewhere leaves time for that, so that
+        a frozen server costs its caller time but not the answer.
+        """
+        remaining_s = self._find_remaining_s(plan)
+        policy = plan.target.policy
+        may_repeat = (
+            plan.route.idempotent
+            and not permit.work.tried
+            and len(permit.work.servers) > 1
+            and self._budgets.find(policy.name).tokens >= 1
+            and policy.retry_budget > 0
+        )
+        return remaining_s * FIRST_TRY_FRACTION if may_repeat else remaining_s
+
     def _end_try(
         self,
         plan: plans.Plan,
@@ -184,9 +207,11 @@
         keyed = isinstance(plan.target, targets.KeyTarget)
         situation = retries.Situation(plan.route.idempotent, keyed)
         rule = retries.find_rule(attempt, situation)
+        if isinstance(rule, retries.NoRetry):
+            return False
         backoff_s = retries.find_backoff_s(progress.tries - 1, self._generator)
         pause = retries.find_pause(rule, situation, backoff_s, self._find_remaining_s(plan))
-        if isinstance(rule, retries.NoRetry) or pause is None:
+        if pause is None:
             return False
         if not self._is_paid(rule, plan.target.policy):
             self._metrics.count_retry_denied(rule.reason)
--- a/stand_ins/src/goldcresthall_stand_ins/fleet.py
+++ b/stand_ins/src/goldcresthall_stand_ins/fleet.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -27,6 +28,8 @@
     from collections.abc import Iterator
 
 HOST = "127.0.0.1"
+FIRST_PORT = 12_000
+END_PORT = 32_000
 POLL_S = 0.02
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
@@ -64,10 +67,15 @@
 
 
 def find_free_port() -> int:
-    """Return a port that the kernel says is free."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port below those that the kernel gives to outgoing connections.
+
+    A port among those may be taken by a connection before its server binds it.
+    """
+    while True:
+        port = random.randrange(FIRST_PORT, END_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 class Fleet:
@@ -144,7 +152,10 @@
 
     def list_instances(self) -> None:
         """Tell the platform's list which instances there are."""
-        entries = tuple(
+        self._control_platform("instances", platform.InstanceListDocument(self._list_entries()))
+
+    def _list_entries(self) -> tuple[identity.InstanceEntry, ...]:
+        return tuple(
             identity.InstanceEntry(
                 router.settings.name,
                 router.settings.failure_domain,
@@ -153,7 +164,18 @@
             )
             for router in self.routers
         )
-        self._control_platform("instances", platform.InstanceListDocument(entries))
+
+    def list_leaving_server(self, config: backend.BackendConfig) -> None:
+        """Tell the platform's list that a backend server is leaving."""
+        leaving = identity.InstanceEntry(
+            config.name,
+            "",
+            identity.Address(config.host, config.port),
+            identity.InstanceStatus.LEAVING,
+            identity.InstanceRole.BACKEND_SERVER,
+        )
+        document = platform.InstanceListDocument((*self._list_entries(), leaving))
+        self._control_platform("instances", document)
 
     def misbehave_platform(self, misbehavior: platform.Misbehavior) -> None:
         """Tell the platform to misbehave."""
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -15,6 +15,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import heat
 from goldcresthall.replication import state as replicated
 from goldcresthall.routing import admission
 from goldcresthall.routing import observations
@@ -73,6 +74,7 @@
         self.kernel.register(names.REPLICA, self.replica)
         self.kernel.register(names.BACKENDS, self.backends)
         self.kernel.register(names.INTENTS, intents.DirectIntents())
+        self.kernel.register(names.HEAT, heat.HeatCounter())
         self.instances = instances.SettableInstanceList()
         self.kernel.register(names.INSTANCE_LIST, self.instances)
         self.observations = observations.Observations(self.kernel)
@@ -94,6 +96,8 @@
             dataclasses.replace(state, next_offset=state.next_offset + 1, preset_in_force=in_force)
         )
 
+        self.admission.adopt(self.replica.state)
+
     def give_ownership(self, server: str) -> None:
         state = self.replica.state
         partition = replicated.PartitionId("program", 0)
