--- a/src/goldcresthall/intents/keys.py
+++ b/src/goldcresthall/intents/keys.py
@@ -5,7 +5,6 @@
 import dataclasses
 import hashlib
 import re
-import uuid
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -44,11 +43,6 @@
     return intents.IdempotencyKey(int(matched.group(1)), matched.group(2))
 
 
-def issue_key(next_offset: int) -> intents.IdempotencyKey:
-    """Return a fresh key for work that is first sent at or after an offset of the log."""
-    return intents.IdempotencyKey(next_offset, uuid.uuid4().hex)
-
-
 def digest_request(request: requests.Request) -> str:
     """Return a digest of all that decides what a request does."""
     hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
--- a/src/goldcresthall/intents/service.py
+++ b/src/goldcresthall/intents/service.py
@@ -69,10 +69,6 @@
         self._forgetter.stop()
         self._concluder.stop()
 
-    def issue_key(self) -> intents.IdempotencyKey:
-        """Return a fresh key that a caller may use for one piece of work."""
-        return keys.issue_key(self._replica.state.next_offset)
-
     def run_once(
         self,
         request: requests.Request,
--- a/tests/intents/conftest.py
+++ b/tests/intents/conftest.py
@@ -28,7 +28,13 @@
 class FakeInstance:
     """One instance's intents service with its own lagging replica."""
 
-    def __init__(self, name: str, log: logs.InMemoryLog, clock: clocks.ManualClock) -> None:
+    def __init__(
+        self,
+        name: str,
+        log: logs.InMemoryLog,
+        clock: clocks.ManualClock,
+        remembered_limit: int = 1_000_000,
+    ) -> None:
         self.clock = clock
         self.replica = replicas.SteppedReplica(log, clock)
         self.writer = replicas.SteppedWriter(log)
@@ -39,7 +45,7 @@
         self._kernel.register(names.INSTANCE_LIST, instances.SettableInstanceList())
         incarnation = identity.Incarnation.create(name)
         self.service = service.Intents(
-            self._kernel, incarnation, settings.IntentSettings(remembered_limit=1_000_000)
+            self._kernel, incarnation, settings.IntentSettings(remembered_limit=remembered_limit)
         )
         self._kernel.register(names.INTENTS, self.service)
         self._kernel.start()
@@ -48,6 +54,10 @@
         """End the service's tasks."""
         self._kernel.stop()
 
+    def create_key(self) -> str:
+        """Return a fresh key, as a caller makes it from an answer of this instance."""
+        return f"{self.replica.state.next_offset}.{identity.create_record_id()}"
+
     def run(
         self, key: str, attempt: Callable[[], outcomes.Outcome], body: bytes = b"order"
     ) -> outcomes.Outcome:
--- a/tests/intents/test_machine.py
+++ b/tests/intents/test_machine.py
@@ -47,7 +47,7 @@
 
     @stateful.rule(target=keys, number=numbers)
     def issue(self, number: int) -> str:
-        return str(self.instances[number].service.issue_key())
+        return self.instances[number].create_key()
 
     @stateful.rule(target=keys, ahead=strategies.integers(0, 6))
     def forge(self, ahead: int) -> str:
--- a/tests/intents/test_service.py
+++ b/tests/intents/test_service.py
@@ -10,6 +10,8 @@
 from goldcresthall.core import intents
 from goldcresthall.core import outcomes
 from goldcresthall.encoding import log_entries
+from goldcresthall.replication import state_encoding
+from tests.fakes import clock as clocks
 from tests.fakes import stepped_replica as replicas
 from tests.intents import conftest as doubles
 
@@ -115,8 +117,7 @@
         repeated = instance.run("0.a", fail)
         assert isinstance(repeated, outcomes.OutcomeUnknown)
         assert repeated.reason is outcomes.UnknownReason.IDEMPOTENCY_KEY_EXPIRED
-    key = str(second.service.issue_key())
-    assert second.run(key, doubles.answer) == doubles.answer()
+    assert second.run(second.create_key(), doubles.answer) == doubles.answer()
 
 
 def test_late_conclusion_of_a_given_up_attempt_frees_nobody_elses(pair: Pair) -> None:
@@ -144,3 +145,31 @@
     log.append((log_entries.encode_record(record),))
     pair[0].replica.catch_up()
     assert not pair[0].replica.state.intents
+
+
+def test_oldest_intents_are_forgotten_when_there_are_too_many(log: logs.InMemoryLog) -> None:
+    instance = doubles.FakeInstance("router-1", log, clocks.ManualClock(), remembered_limit=8)
+    oldest = instance.create_key()
+    instance.run(oldest, doubles.answer)
+    for _ in range(8):
+        newest = instance.create_key()
+        instance.run(newest, doubles.answer)
+    instance.replica.catch_up()
+    instance.service._forgetter.propose()
+    assert len(instance.replica.state.intents) == 6
+    expired, repeated = instance.run(oldest, fail), instance.run(newest, fail)
+    instance.stop()
+    assert isinstance(expired, outcomes.OutcomeUnknown)
+    assert expired.reason is outcomes.UnknownReason.IDEMPOTENCY_KEY_EXPIRED
+    assert isinstance(repeated, outcomes.Answered)
+
+
+def test_intents_survive_a_snapshot(pair: Pair) -> None:
+    first, _ = pair
+    for key, attempt in (("0.a", doubles.answer), ("0.b", doubles.refuse), ("0.c", doubles.lose)):
+        first.run(key, attempt)
+    first.replica.catch_up()
+    encoded = state_encoding.encode_state(first.replica.state)
+    restored = state_encoding.decode_state(encoded.pieces, encoded.state_digest)
+    assert restored.intents == first.replica.state.intents
+    assert len(restored.intents) == 3
