Keep only the servers that an instance leases or watches

Each instance ran a task for every keyed server of the preset, and each record of a server woke all of them. An instance now keeps the servers whose lessor or candidate it is, and wakes a keeper for a change of its own server, of the partitions or of the preset. Ranks stand in one module, used by candidates and by the handover.

--- a/src/goldcresthall/ownership/candidate_role.py
+++ b/src/goldcresthall/ownership/candidate_role.py
@@ -9,9 +9,9 @@
 
 from goldcresthall.core import leases
 from goldcresthall.ownership import appointments
+from goldcresthall.ownership import candidates
 from goldcresthall.ownership import grant_tables
 from goldcresthall.ownership import ground
-from goldcresthall.ownership import rendezvous
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
@@ -20,7 +20,6 @@
     from goldcresthall.replication import state as replicated
 
 MS_PER_S = 1_000
-CANDIDATE_COUNT = 3
 IDLE_WAIT_S = 1.0
 TAKEOVER_FRACTION = 0.2
 MIN_PAUSE_S = 0.02
@@ -70,7 +69,8 @@
         """Look at the server and its lessor once, and act or wait."""
         base = ground.Ground.read(self._shared.replica)
         known = base.state.servers.get(self._shared.server_name)
-        rank = self._find_rank(keyed, known)
+        live = self._shared.instance_list.listing.live
+        rank = candidates.find_rank(keyed, base.state, live, self._shared.incarnation.name)
         if rank is None or not self._shared.is_log_reachable(base):
             self._shared.wakeup.wait(IDLE_WAIT_S)
             return
@@ -82,21 +82,6 @@
         if self._wait_rank(rank, delay_s, known, keyed):
             self._appoint_self(outcome, known, reason)
 
-    def _find_rank(
-        self, keyed: lookup.KeyedServer, known: replicated.ServerState | None
-    ) -> int | None:
-        live = self._shared.instance_list.listing.live
-        others = [entry for entry in live if entry.failure_domain != keyed.server.failure_domain]
-        own_name = self._shared.incarnation.name
-        failing = known.lessor.name if known is not None else ""
-        listed = [
-            entry.name
-            for entry in (others or live)
-            if entry.name != failing or entry.name == own_name
-        ]
-        ranked = rendezvous.rank_names(self._shared.server_name, listed)[:CANDIDATE_COUNT]
-        return ranked.index(own_name) if own_name in ranked else None
-
     def _look(self, keyed: lookup.KeyedServer) -> leases.LeaseOutcome:
         return self._shared.client.report_lease(keyed.server, self._timing.request_timeout_s)
 
--- a/src/goldcresthall/ownership/handover.py
+++ b/src/goldcresthall/ownership/handover.py
@@ -6,8 +6,8 @@
 
 from goldcresthall.core import identity
 from goldcresthall.ownership import appointments
+from goldcresthall.ownership import candidates
 from goldcresthall.ownership import ground
-from goldcresthall.ownership import rendezvous
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
@@ -48,14 +48,8 @@
 def _find_successor(
     shared: surroundings.Surroundings, keyed: lookup.KeyedServer
 ) -> identity.Incarnation | None:
-    live = [
-        entry
-        for entry in shared.instance_list.listing.live
-        if entry.name != shared.incarnation.name
-    ]
-    others = [entry for entry in live if entry.failure_domain != keyed.server.failure_domain]
-    listed = [entry.name for entry in (others or live)]
-    for name in rendezvous.rank_names(shared.server_name, listed):
+    live = shared.instance_list.listing.live
+    for name in candidates.rank_successors(keyed, live, shared.incarnation.name):
         status = shared.probe.ask(name)
         if status is not None:
             return identity.Incarnation(status.name, status.incarnation)
--- a/src/goldcresthall/ownership/keeper.py
+++ b/src/goldcresthall/ownership/keeper.py
@@ -64,8 +64,9 @@
         Another keeper of the same server would not know of a pending move, and would
         renew the lease that has to rest.
         """
-        self._is_retired = is_retired
-        self.wake()
+        if is_retired != self._is_retired:
+            self._is_retired = is_retired
+            self.wake()
 
     def run(self, stop_signal: tasks.StopSignal) -> None:
         """Keep the server until asked to stop, then hand the lessor's duty over."""
--- a/src/goldcresthall/ownership/lessors.py
+++ b/src/goldcresthall/ownership/lessors.py
@@ -1,4 +1,4 @@
-"""The leases service: one task for each server of a keyed service."""
+"""The leases service: one task for each server that this instance leases or watches."""
 
 from __future__ import annotations
 
@@ -8,8 +8,10 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.ownership import candidates
 from goldcresthall.ownership import keeper
 from goldcresthall.ownership import lookup
+from goldcresthall.platform import instance_list
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
@@ -35,7 +37,11 @@
 
 
 class Lessors(service.Service):
-    """Starts a keeper for each server that the preset in force names, and ends it."""
+    """Starts and ends keepers as the preset, the log and the instance list change.
+
+    An instance keeps the servers whose lessor or candidate it is and no others, so
+    that its tasks do not grow with the number of all servers.
+    """
 
     def __init__(
         self,
@@ -48,6 +54,7 @@
         self._settings = instance_settings
         self._keepers: dict[str, RunningKeeper] = {}
         self._seen: replicated.State | None = None
+        self._listing: instance_list.InstanceListing | None = None
         self._task = tasks.Task("lessors", self._run)
 
     @classmethod
@@ -63,6 +70,7 @@
     def start(self) -> None:
         """Begin to follow the preset in force."""
         self._replica = self._kernel.find(names.REPLICA, replica.Replica)
+        self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
         self._task.start()
 
     def stop(self) -> None:
@@ -76,17 +84,26 @@
     def _run(self, stop_signal: tasks.StopSignal) -> None:
         while not stop_signal.is_set:
             state = self._replica.state
-            same = lookup.has_same_ownership(state, self._seen)
-            if not same or self._has_ended_keepers():
-                self._adjust_keepers(state)
-            self._seen = state
+            listing = self._list.listing
+            if self._must_adjust(state, listing):
+                self._adjust_keepers(state, listing)
+                self._wake_keepers(state)
+            self._seen, self._listing = state, listing
             self._replica.wait_beyond(state.next_offset, IDLE_WAIT_S)
 
-    def _has_ended_keepers(self) -> bool:
-        return any(running.keeper.has_ended for running in self._keepers.values())
+    def _must_adjust(self, state: replicated.State, listing: instance_list.InstanceListing) -> bool:
+        has_ended = any(running.keeper.has_ended for running in self._keepers.values())
+        same = lookup.has_same_ownership(state, self._seen) and listing is self._listing
+        return has_ended or not same
 
-    def _adjust_keepers(self, state: replicated.State) -> None:
-        wanted = {keyed.server.name for keyed in lookup.iterate_keyed_servers(state)}
+    def _adjust_keepers(
+        self, state: replicated.State, listing: instance_list.InstanceListing
+    ) -> None:
+        wanted = {
+            keyed.server.name
+            for keyed in lookup.iterate_keyed_servers(state)
+            if self._concerns(keyed, state, listing)
+        }
         for name, running in list(self._keepers.items()):
             if running.keeper.has_ended:
                 del self._keepers[name]
@@ -95,6 +112,29 @@
         for name in wanted - self._keepers.keys():
             self._start_keeper(name)
 
+    def _concerns(
+        self,
+        keyed: lookup.KeyedServer,
+        state: replicated.State,
+        listing: instance_list.InstanceListing,
+    ) -> bool:
+        known = state.servers.get(keyed.server.name)
+        if known is not None and known.lessor == self._incarnation:
+            return True
+        rank = candidates.find_rank(keyed, state, listing.live, self._incarnation.name)
+        return rank is not None
+
+    def _wake_keepers(self, state: replicated.State) -> None:
+        seen = self._seen
+        for name, running in self._keepers.items():
+            if (
+                seen is None
+                or seen.partitions is not state.partitions
+                or seen.preset_in_force is not state.preset_in_force
+                or seen.servers.get(name) is not state.servers.get(name)
+            ):
+                running.keeper.wake()
+
     def _start_keeper(self, server_name: str) -> None:
         server_keeper = keeper.ServerKeeper.from_config(
             self._kernel, self._incarnation, self._settings, server_name
--- a/tests/ownership/test_keepers.py
+++ b/tests/ownership/test_keepers.py
@@ -184,6 +184,18 @@
     assert world.find_lessor(FIRST) == wishes[0][0]
 
 
+def test_server_refuses_the_lessor_before_once_it_knows_the_successor(
+    world: lease_world.World,
+) -> None:
+    lessor = world.find_lessor(FIRST)
+    world.cut.add((lessor, "log"))
+    world.appoint(FIRST, list_others(world, lessor)[0])
+    world.flow(0.3)
+    cut_others(world, lessor, FIRST)
+    world.flow(LEASE_S + TAKEOVER_S)
+    assert count_held_by(world, SECOND) == 4
+
+
 def test_restarted_server_is_not_renewed_by_a_lessor_it_has_refused(
     world: lease_world.World,
 ) -> None:
