Count moves by a fixed set of reasons, when their fate becomes known

A wish's own text was a label of the counter of moved partitions, without bound, and a move whose fate came later was not counted. The handoff counts both. A test shows that the keys of a leaving server that does not check grants stay, and that the refusal is counted.

--- a/src/goldcresthall/ownership/lessor_role.py
+++ b/src/goldcresthall/ownership/lessor_role.py
@@ -193,10 +193,7 @@
             lost_server=name,
         )
         logging.warning("server %s lost, %d partitions move", name, len(moves))
-        outcome = self._handoff.hand_over(name, record, COMMIT_TIMEOUT_S)
-        if isinstance(outcome, replica.CommitAccepted):
-            self._shared.counters.lost_servers.inc(int(not known.lost))
-            self._shared.counters.moves.labels(LOST_REASON).inc(len(moves))
+        self._handoff.hand_over(name, record, LOST_REASON, COMMIT_TIMEOUT_S)
 
     def _note_return(self, view: lease_view.LeaseView, base: ground.Ground) -> None:
         name = self._shared.server_name
--- a/src/goldcresthall/ownership/move_handoff.py
+++ b/src/goldcresthall/ownership/move_handoff.py
@@ -28,12 +28,18 @@
 
     Attributes
     ----------
+    kind
+        Reason under which the move is counted.
+    is_first_loss
+        Whether the move also declares a server lost that was not lost before.
     waits_from_s
         Clock reading when the move, or its last cancellation, was handed over.
     """
 
     server: str
     record: records.PartitionsMoved
+    kind: str
+    is_first_loss: bool
     waits_from_s: float
 
 
@@ -62,32 +68,39 @@
         return self._handed is not None
 
     def hand_over(
-        self, server: str, record: records.PartitionsMoved, timeout_s: float
-    ) -> replica.CommitOutcome:
+        self, server: str, record: records.PartitionsMoved, kind: str, timeout_s: float
+    ) -> None:
         """Hand a move to the log and wait for its fate up to a timeout."""
-        self._handed = HandedMove(server, record, self._clock.read_s())
+        was_lost = self._replica.state.servers[server].lost
+        is_first_loss = bool(record.lost_server) and not was_lost
+        handed = HandedMove(server, record, kind, is_first_loss, self._clock.read_s())
+        self._handed = handed
         outcome = self._replica.commit(record, timeout_s)
         logging.info("move from %s (%s): %s", server, record.reason, outcome)
         if isinstance(outcome, replica.CommitUnknown):
             self._counters.held_moves.inc()
         else:
-            self._handed = None
-        return outcome
+            self._conclude(handed, outcome)
 
     def settle(self) -> None:
         """Find out a pending move's fate; cancel the move if that takes too long."""
         handed = self._handed
         if handed is None:
             return
-        if self._is_decided(handed):
-            self._handed = None
+        outcome = self._replica.find_outcome(handed.record.record_id)
+        if outcome is not None or self._is_overtaken(handed):
+            self._conclude(handed, outcome)
             return
         if self._clock.read_s() - handed.waits_from_s > CANCEL_AFTER_S:
             self._cancel(handed)
 
-    def _is_decided(self, handed: HandedMove) -> bool:
-        if self._replica.find_outcome(handed.record.record_id) is not None:
-            return True
+    def _conclude(self, handed: HandedMove, outcome: replica.CommitOutcome | None) -> None:
+        self._handed = None
+        if isinstance(outcome, replica.CommitAccepted):
+            self._counters.moves.labels(handed.kind).inc(len(handed.record.moves))
+            self._counters.lost_servers.inc(int(handed.is_first_loss))
+
+    def _is_overtaken(self, handed: HandedMove) -> bool:
         known = self._replica.state.servers.get(handed.server)
         return known is not None and known.changed_at >= handed.record.base
 
--- a/src/goldcresthall/ownership/revocation.py
+++ b/src/goldcresthall/ownership/revocation.py
@@ -8,7 +8,6 @@
 from goldcresthall.core import identity
 from goldcresthall.core import records
 from goldcresthall.ownership import placement
-from goldcresthall.replication import replica
 from goldcresthall.replication import state as replicated
 
 if TYPE_CHECKING:
@@ -23,6 +22,7 @@
 FINISH_LIMIT_S = 10.0
 REST_S = 30.0
 LEAVING_REASON = "server is leaving"
+WISHED_KIND = "wished"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,9 +133,8 @@
         self._batch = dataclasses.replace(batch, is_handed=True)
         # The wait is short, as the rest of the server's grants must be renewed meanwhile.
         timeout_s = self._shared.timing.renew_interval_s
-        outcome = self._handoff.hand_over(name, record, timeout_s)
-        if isinstance(outcome, replica.CommitAccepted):
-            self._shared.counters.moves.labels(batch.reason).inc(len(batch.moves))
+        kind = LEAVING_REASON if batch.reason == LEAVING_REASON else WISHED_KIND
+        self._handoff.hand_over(name, record, kind, timeout_s)
 
     def _end_if_settled(self) -> bool:
         if self._handoff.is_pending:
--- a/tests/fakes/lease_world.py
+++ b/tests/fakes/lease_world.py
@@ -116,6 +116,11 @@
         self.kernel = built
         return built
 
+    def read_counter(self, name: str, **labels: str) -> float:
+        """Return a counter's value; zero if it never counted."""
+        registry = self.kernel.find(names.METRICS, metrics.Metrics).registry
+        return registry.get_sample_value(f"goldcresthall_{name}_total", labels) or 0.0
+
     def start(self, server_names: tuple[str, ...]) -> None:
         """Start a keeper for each server."""
         self.kernel.register(names.PLANNED_MOVES, self.planned)
@@ -378,10 +383,12 @@
         """Start a server's process anew, with nothing remembered."""
         self.holders[server] = lease_holder.LeaseHolder(self.server_clocks[server].read_s)
 
-    def publish(self, servers: tuple[preset.BackendServer, ...]) -> None:
+    def publish(
+        self, servers: tuple[preset.BackendServer, ...], *, checks_grants: bool = True
+    ) -> None:
         """Put a preset with these servers in force."""
         policy = preset.ServicePolicy(
-            name=SERVICE, keyed=True, checks_grants=True, servers=servers, partitions=4
+            name=SERVICE, keyed=True, checks_grants=checks_grants, servers=servers, partitions=4
         )
         self.append(
             records.PresetPublished(
--- a/tests/ownership/test_keepers.py
+++ b/tests/ownership/test_keepers.py
@@ -41,6 +41,10 @@
     return sum(server in held for held in world.list_holders().values())
 
 
+def sum_counter(world: lease_world.World, name: str, **labels: str) -> float:
+    return sum(item.read_counter(name, **labels) for item in world.instances.values())
+
+
 def list_others(world: lease_world.World, instance: str) -> list[str]:
     return [name for name in world.instances if name != instance]
 
@@ -66,6 +70,8 @@
     world.flow(1.0)
     assert count_held_by(world, SECOND) == 4
     assert world.state.servers[FIRST].lost
+    assert sum_counter(world, "lost_servers") == 1
+    assert sum_counter(world, "moved_partitions", reason="lease ran out") == 2
     world.frozen.clear()
     world.flow(4.0)
     assert not world.state.servers[FIRST].lost
@@ -401,3 +407,13 @@
     world.frozen.add(FIRST)
     world.flow(TAKEOVER_S)
     assert count_held_by(world, SECOND) == 4
+
+
+def test_keys_stay_with_a_leaving_server_that_does_not_check_grants(
+    world: lease_world.World,
+) -> None:
+    before = world.state.partitions
+    world.publish(world.name_servers(draining=FIRST), checks_grants=False)
+    world.flow(3.0)
+    assert world.state.partitions == before
+    assert sum_counter(world, "refused_moves", reason="grants_not_checked") > 0
