--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
 from bench import experiments
 from bench import plots
 from bench import runner
+from bench import tables
 from bench import users
 from goldcresthall.encoding import documents
 
@@ -50,6 +51,15 @@
     click.echo(str(path))
 
 
+@main.command("tables")
+@click.option("--results", type=click.Path(path_type=pathlib.Path), default=RESULTS)
+def show_tables(results: pathlib.Path) -> None:
+    """Print the results of a folder as Markdown tables."""
+    click.echo(tables.render_experiments(results))
+    click.echo()
+    click.echo(tables.render_placements(results))
+
+
 def _describe(item: runner.PolicyResult) -> str:
     window = item.window
     worst = max(window.imbalance, key=lambda found: found.largest_over_mean)
