--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,11 +9,13 @@
 
 from bench import experiments
 from bench import plots
+from bench import policies
 from bench import runner
 from bench import tables
 from bench import users
 from goldcresthall.encoding import documents
 
+POLICY_NAMES = tuple(policy.name for policy in policies.POLICIES)
 RESULTS = pathlib.Path(__file__).parent / "results"
 
 
@@ -34,11 +36,21 @@
 @click.option("--user", type=click.Choice(list(users.USERS)), default="minnelys")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--results", type=click.Path(path_type=pathlib.Path), default=RESULTS)
+@click.option("--policy", "names", type=click.Choice(POLICY_NAMES), multiple=True)
 @click.option("--plot/--no-plot", default=False, help="Also draw a PNG beside the JSON.")
-def run(name: str, user: str, seed: int, results: pathlib.Path, *, plot: bool) -> None:
-    """Run one experiment under every policy and write its result as JSON."""
+def run(
+    *,
+    name: str,
+    user: str,
+    seed: int,
+    results: pathlib.Path,
+    names: tuple[str, ...],
+    plot: bool,
+) -> None:
+    """Run one experiment under the named policies, or all, and write its result as JSON."""
     experiment = experiments.create_experiment(name, user)
-    result = runner.run_experiment(experiment, seed, click.echo)
+    compared = tuple(policy for policy in policies.POLICIES if not names or policy.name in names)
+    result = runner.run_experiment(experiment, compared, seed, click.echo)
     results.mkdir(parents=True, exist_ok=True)
     path = results / f"{user}-{name}-{seed}.json"
     path.write_text(json.dumps(documents.to_plain(result), indent=1) + "\n")
--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -71,6 +71,11 @@
     return _create("hot-key", user, load)
 
 
+def _skew(user: users.User) -> Experiment:
+    load = dataclasses.replace(_steady(user, 2.0, 60.0), zipf_exponent=1.0)
+    return _create("skew", user, load, window=Window(45.0, 60.0))
+
+
 def _stragglers(user: users.User) -> Experiment:
     load = _steady(user, 1.5, 12.0)
     kinds = tuple(
@@ -130,6 +135,7 @@
     "ordinary": _ordinary,
     "swing": _swing,
     "hot-key": _hot_key,
+    "skew": _skew,
     "stragglers": _stragglers,
     "cold-start": _cold_start,
     "lying-health": _lying_health,
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -65,9 +65,12 @@
 
 
 def run_experiment(
-    experiment: experiments.Experiment, seed: int, report: Callable[[str], None]
+    experiment: experiments.Experiment,
+    compared: tuple[policies.Policy, ...],
+    seed: int,
+    report: Callable[[str], None],
 ) -> ExperimentResult:
-    """Run an experiment under each policy, one after the other.
+    """Run an experiment under each of the policies, one after the other.
 
     Raises
     ------
@@ -77,7 +80,7 @@
     load_average = os.getloadavg()[0]
     arrivals = workload.draw_arrivals(experiment.workload, seed)
     results = []
-    for policy in policies.POLICIES:
+    for policy in compared:
         report(f"{experiment.user} {experiment.name}: {policy.name}, {len(arrivals)} requests")
         results.append(_run_policy(experiment, policy, arrivals, seed))
     return ExperimentResult(experiment, seed, round(load_average, 2), tuple(results))
