--- a/stand_ins/src/goldcresthall_stand_ins/fleet.py
+++ b/stand_ins/src/goldcresthall_stand_ins/fleet.py
@@ -5,7 +5,6 @@
 import contextlib
 import dataclasses
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -28,13 +27,13 @@
     from collections.abc import Iterator
 
 HOST = "127.0.0.1"
-FIRST_PORT = 12_000
-END_PORT = 32_000
 POLL_S = 0.02
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 STATUS_OK = 200
 
+_RESERVATIONS: list[socket.socket] = []
+
 
 class FleetError(Exception):
     """A process did not come up, or a control was refused."""
@@ -67,15 +66,17 @@
 
 
 def find_free_port() -> int:
-    """Return a free port below those that the kernel gives to outgoing connections.
+    """Return a port that the kernel says is free.
 
-    A port among those may be taken by a connection before its server binds it.
+    It stays reserved while this process lives: the kernel gives it to no other
+    process as the source of a connection, yet a listener that reuses addresses
+    may take it, also again after a restart.
     """
-    while True:
-        port = random.randrange(FIRST_PORT, END_PORT)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            return port
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, 0))
+    _RESERVATIONS.append(reservation)
+    return int(reservation.getsockname()[1])
 
 
 class Fleet:
@@ -181,6 +182,17 @@
         """Tell the platform to misbehave."""
         self._control_platform("misbehave", misbehavior)
 
+    def expire_log(self, before: int) -> None:
+        """Let the log forget its entries below an offset."""
+        self._post(f"http://{self._platform_address}/control/expire?before={before}", None)
+
+    def append_raw(self, entry: bytes) -> None:
+        """Append an entry to the log as a faulty writer would."""
+        url = f"http://{self._platform_address}/control/append"
+        response = self._pool.request("POST", url, body=entry, timeout=START_TIMEOUT_S)
+        if response.status != STATUS_OK:
+            raise FleetError(f"{url}: status {response.status}")
+
     def misbehave_backend(
         self, config: backend.BackendConfig, misbehavior: backend.BackendMisbehavior
     ) -> None:
