--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -15,9 +15,11 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import heat
 from goldcresthall.replication import replica
 from goldcresthall.routing import admission
 from goldcresthall.routing import conclusions
+from goldcresthall.routing import heat_counts
 from goldcresthall.routing import observations
 from goldcresthall.routing import plans
 from goldcresthall.routing import queues
@@ -89,6 +91,7 @@
         self._observations = self._kernel.find(names.OBSERVATIONS, observations.Observations)
         self._admission = self._kernel.find(names.ADMISSION, admission.Admission)
         self._client = self._kernel.find(names.BACKENDS, client.BackendClient)
+        self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
 
     def stop(self) -> None:
         """Do nothing; requests in progress are the callers' front end's to await."""
@@ -101,6 +104,7 @@
         plan = self._planner.create_plan(request, self._replica.state)
         if isinstance(plan, outcomes.Refused):
             return plan
+        heat_counts.count_request(plan.target, self._heat)
         policy = plan.target.policy
         refusal = self._admission.enter(policy)
         if refusal is not None:
