--- a/src/goldcresthall/routing/retries.py
+++ b/src/goldcresthall/routing/retries.py
@@ -210,8 +210,3 @@
         """Return the budget of a service; it starts full."""
         budget = self._budgets.get(service)
         return self._budgets.setdefault(service, RetryBudget()) if budget is None else budget
-
-    def keep_only(self, services: frozenset[str]) -> None:
-        """Forget the budgets of services that are gone."""
-        for name in set(self._budgets) - services:
-            self._budgets.pop(name, None)
