--- a/src/goldcresthall/admin/front.py
+++ b/src/goldcresthall/admin/front.py
@@ -14,6 +14,7 @@
 
 from goldcresthall.admin import messages
 from goldcresthall.admin import views
+from goldcresthall.callers import input_checks
 from goldcresthall.core import identity
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
@@ -155,14 +156,14 @@
         return _wrap(views.create_key_view(service_name, key, self._replica.state))
 
     def _answer_publish(self, environ: dict[str, Any]) -> tuple[http.HTTPStatus, object]:
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        if length > BODY_LIMIT_BYTES:
-            fault = messages.AdminFault("decode", ("the preset is too large",))
-            return http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, fault
         try:
-            wish = documents.decode_document(
-                environ["wsgi.input"].read(length), messages.PublishRequest
-            )
+            body = input_checks.read_body(environ, BODY_LIMIT_BYTES)
+            wish = documents.decode_document(body, messages.PublishRequest)
+        except input_checks.RequestTooLargeError as error:
+            fault = messages.AdminFault("decode", (str(error),))
+            return http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, fault
+        except input_checks.MalformedRequestError as error:
+            return http.HTTPStatus.BAD_REQUEST, messages.AdminFault("decode", (str(error),))
         except exceptions.DocumentError as error:
             return http.HTTPStatus.BAD_REQUEST, _list_faults(error.faults)
         faults = checks.check_preset(wish.preset)
--- a/src/goldcresthall/backend/http_client.py
+++ b/src/goldcresthall/backend/http_client.py
@@ -65,12 +65,23 @@
             except (urllib3.exceptions.HTTPError, OSError) as error:
                 return responses.classify_connect_error(error)
         attempt = _exchange(connection, dispatch, ends_at_s)
-        if isinstance(attempt, attempts.AttemptUnknown):
+        if isinstance(attempt, attempts.AttemptUnknown) or _is_body_unread(attempt, dispatch):
             connection.close()
         else:
             pool.give_back(connection)
         return attempt
 
+    def probe(
+        self, server: preset.BackendServer, timeout_s: float
+    ) -> attempts.ServerSignals | None:
+        """Ask a server what it says of itself; none if it gives no usable answer."""
+        pool = self._find_lease_pool(server.address)
+        try:
+            response = pool.request("GET", protocol.HEALTH_PATH, timeout=timeout_s, redirect=False)
+        except urllib3.exceptions.HTTPError:
+            return None
+        return responses.read_signals(response.headers) if response.status == STATUS_OK else None
+
     def renew_lease(
         self, server: preset.BackendServer, renewal: leases.Renewal, timeout_s: float
     ) -> leases.LeaseOutcome:
@@ -112,6 +123,11 @@
             return self._lease_pools[address]
 
 
+def _is_body_unread(attempt: attempts.Attempt, dispatch: attempts.Dispatch) -> bool:
+    """Return whether a server may still take the request's body for the next request."""
+    return isinstance(attempt, attempts.AttemptNotRun) and bool(dispatch.body)
+
+
 def _exchange(
     connection: connections.BackendConnection, dispatch: attempts.Dispatch, ends_at_s: float
 ) -> attempts.Attempt:
--- a/src/goldcresthall/backend/responses.py
+++ b/src/goldcresthall/backend/responses.py
@@ -34,6 +34,8 @@
     protocol.LOAD_HEADER.lower(),
 }
 
+FIRST_REFUSAL_STATUS: Final = 400
+
 NOT_RUN_REASONS: Final = {
     protocol.NOT_RUN_NOT_OWNER: outcomes.RefusalReason.NOT_OWNER,
     protocol.NOT_RUN_SHED: outcomes.RefusalReason.SERVER_SHED,
@@ -52,8 +54,14 @@
             outcomes.Step.RECEIVE,
             f"answer of request {echoed}",
         )
-    signals = _read_signals(headers)
+    signals = read_signals(headers)
     not_run = headers.get(protocol.NOT_RUN_HEADER)
+    if not_run is not None and status < FIRST_REFUSAL_STATUS:
+        return attempts.AttemptUnknown(
+            outcomes.UnknownReason.ANSWER_MISMATCHED,
+            outcomes.Step.RECEIVE,
+            f"status {status} with {protocol.NOT_RUN_HEADER}: {not_run}",
+        )
     if not_run in NOT_RUN_REASONS:
         return attempts.AttemptNotRun(
             NOT_RUN_REASONS[not_run],
@@ -115,7 +123,8 @@
     return any(isinstance(argument, http.client.IncompleteRead) for argument in error.args)
 
 
-def _read_signals(headers: Mapping[str, str]) -> attempts.ServerSignals:
+def read_signals(headers: Mapping[str, str]) -> attempts.ServerSignals:
+    """Return what a server says of itself in the header of an answer."""
     draining = headers.get(protocol.DRAINING_HEADER)
     load = headers.get(protocol.LOAD_HEADER)
     if draining is None and load is None:
--- a/src/goldcresthall/peers/follower.py
+++ b/src/goldcresthall/peers/follower.py
@@ -29,9 +29,9 @@
     from goldcresthall.kernel import kernel
 
 MS_PER_S = 1_000
-HEAT_INTERVAL_S = 20.0
 LIST_CHECK_S = 1.0
 RELAY_LIMIT = 500
+HEAT_INTERVAL_S = 30.0
 STATE_SOURCE = "peer"
 
 
@@ -81,8 +81,8 @@
         """Begin to follow peers."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._replica = self._kernel.find(names.REPLICA, replica.LogReplica)
-        self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
         self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
+        self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
         self._uptake = self._kernel.find(names.PEER_SERVER, server.PeerServer).uptake
         self._meter = meters.PeerMeter(replication_meters.find_registry(self._kernel), "client")
         self._started_at_s = self._clock.read_s()
@@ -213,7 +213,7 @@
         return self._replica.state.next_offset < max([next_offset, *heard])
 
     def _forget(self, entry: identity.InstanceEntry) -> None:
-        self._heat.forget_peer(entry.name)
         with self._lock:
             self._statuses.pop(entry.name, None)
             self._votes.forget(entry.name)
+        self._heat.forget_peer(entry.name)
--- a/src/goldcresthall/routing/targets.py
+++ b/src/goldcresthall/routing/targets.py
@@ -4,13 +4,24 @@
 
 import dataclasses
 import functools
-import random
+from collections.abc import Callable
 
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
 from goldcresthall.ownership import lookup
 from goldcresthall.replication import state as replicated
+from goldcresthall.routing import observations
+
+NO_SERVER_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundServer:
+    """The server to try, and the grant to present if the work is keyed."""
+
+    server: preset.BackendServer
+    grant: attempts.PresentedGrant | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,34 +34,52 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolTarget:
-    """Work that any backend server of a service may do."""
+    """Work that any backend server of a service may do.
+
+    Attributes
+    ----------
+    servers
+        Those that do not drain by the preset.
+    """
 
     policy: preset.ServicePolicy
+    servers: tuple[FoundServer, ...]
+
+    @classmethod
+    def from_config(cls, policy: preset.ServicePolicy) -> PoolTarget:
+        """Return the target of all work of an unkeyed service."""
+        servers = (server for server in policy.servers if not server.draining)
+        return cls(policy, tuple(FoundServer(server, None) for server in servers))
 
 
 Target = KeyTarget | PoolTarget
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FoundServer:
-    """The server to try, and the grant to present if the work is keyed."""
-
-    server: preset.BackendServer
-    grant: attempts.PresentedGrant | None
+ServerFinder = Callable[[Target, frozenset[str]], tuple[FoundServer, ...] | outcomes.Refused]
 
 
 @functools.singledispatch
-def find_server(
-    target: Target, state: replicated.State, tried: frozenset[str], generator: random.Random
-) -> FoundServer | outcomes.Refused:
-    """Return the server to try next for a target, by the kind of target."""
+def find_servers(
+    target: Target,
+    state: replicated.State,
+    tried: frozenset[str],
+    observed: observations.Observations,
+) -> tuple[FoundServer, ...] | outcomes.Refused:
+    """Return the servers that may do the work of a target, by the kind of target.
+
+    A server found for a key is its owner and the only one, also if it drains:
+    its keys move away by the log, and until then nobody else may serve them.
+    """
     raise NotImplementedError(type(target).__name__)
 
 
-@find_server.register
+@find_servers.register
 def _(
-    target: KeyTarget, state: replicated.State, tried: frozenset[str], generator: random.Random
-) -> FoundServer | outcomes.Refused:
+    target: KeyTarget,
+    state: replicated.State,
+    tried: frozenset[str],
+    observed: observations.Observations,
+) -> tuple[FoundServer, ...] | outcomes.Refused:
     owner = lookup.find_key_owner(target.policy, target.key, state)
     if owner.ownership is None:
         return outcomes.Refused(
@@ -64,19 +93,29 @@
             owner.ownership.owner,
             "the owner is not in the preset in force",
         )
-    return FoundServer(server, attempts.PresentedGrant(owner.partition, owner.ownership.epoch))
+    grant = attempts.PresentedGrant(owner.partition, owner.ownership.epoch)
+    return (FoundServer(server, grant),)
 
 
-@find_server.register
+@find_servers.register
 def _(
-    target: PoolTarget, state: replicated.State, tried: frozenset[str], generator: random.Random
-) -> FoundServer | outcomes.Refused:
-    usable = [server for server in target.policy.servers if not server.draining]
-    untried = [server for server in usable if server.name not in tried]
-    if not untried:
-        return outcomes.Refused(
-            outcomes.RefusalReason.NO_SERVER_AVAILABLE,
-            outcomes.Step.CHOOSE_SERVER,
-            target.policy.name,
-        )
-    return FoundServer(generator.choice(untried), None)
+    target: PoolTarget,
+    state: replicated.State,
+    tried: frozenset[str],
+    observed: observations.Observations,
+) -> tuple[FoundServer, ...] | outcomes.Refused:
+    avoided = tried | observed.list_draining()
+    if not avoided:
+        return target.servers or refuse_unavailable(target)
+    untried = tuple(found for found in target.servers if found.server.name not in avoided)
+    return untried or refuse_unavailable(target)
+
+
+def refuse_unavailable(target: Target) -> outcomes.Refused:
+    """Return the refusal of work for which no server may be used now."""
+    return outcomes.Refused(
+        outcomes.RefusalReason.NO_SERVER_AVAILABLE,
+        outcomes.Step.CHOOSE_SERVER,
+        target.policy.name,
+        retry_after_s=NO_SERVER_RETRY_AFTER_S,
+    )
--- a/stand_ins/src/goldcresthall_stand_ins/fleet.py
+++ b/stand_ins/src/goldcresthall_stand_ins/fleet.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -27,13 +28,13 @@
     from collections.abc import Iterator
 
 HOST = "127.0.0.1"
+FIRST_PORT = 12_000
+END_PORT = 32_000
 POLL_S = 0.02
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 STATUS_OK = 200
 
-_RESERVATIONS: list[socket.socket] = []
-
 
 class FleetError(Exception):
     """A process did not come up, or a control was refused."""
@@ -66,17 +67,15 @@
 
 
 def find_free_port() -> int:
-    """Return a port that the kernel says is free.
+    """Return a free port below those that the kernel gives to outgoing connections.
 
-    It stays reserved while this process lives: the kernel gives it to no other
-    process as the source of a connection, yet a listener that reuses addresses
-    may take it, also again after a restart.
+    A port among those may be taken by a connection before its server binds it.
     """
-    reservation = socket.socket()
-    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    reservation.bind((HOST, 0))
-    _RESERVATIONS.append(reservation)
-    return int(reservation.getsockname()[1])
+    while True:
+        port = random.randrange(FIRST_PORT, END_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 class Fleet:
@@ -153,7 +152,10 @@
 
     def list_instances(self) -> None:
         """Tell the platform's list which instances there are."""
-        entries = tuple(
+        self._control_platform("instances", platform.InstanceListDocument(self._list_entries()))
+
+    def _list_entries(self) -> tuple[identity.InstanceEntry, ...]:
+        return tuple(
             identity.InstanceEntry(
                 router.settings.name,
                 router.settings.failure_domain,
@@ -162,7 +164,18 @@
             )
             for router in self.routers
         )
-        self._control_platform("instances", platform.InstanceListDocument(entries))
+
+    def list_leaving_server(self, config: backend.BackendConfig) -> None:
+        """Tell the platform's list that a backend server is leaving."""
+        leaving = identity.InstanceEntry(
+            config.name,
+            "",
+            identity.Address(config.host, config.port),
+            identity.InstanceStatus.LEAVING,
+            identity.InstanceRole.BACKEND_SERVER,
+        )
+        document = platform.InstanceListDocument((*self._list_entries(), leaving))
+        self._control_platform("instances", document)
 
     def misbehave_platform(self, misbehavior: platform.Misbehavior) -> None:
         """Tell the platform to misbehave."""
--- a/tests/peers/test_greeting.py
+++ b/tests/peers/test_greeting.py
@@ -20,7 +20,7 @@
 from goldcresthall.peers import meters
 from goldcresthall.peers import server
 from goldcresthall.replication import replica
-from tests.fakes import listing
+from tests.fakes import instances
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -48,8 +48,8 @@
     silent.start = lambda: None  # type: ignore[method-assign]
     silent.stop = lambda: None  # type: ignore[method-assign]
     built.register(names.REPLICA, silent)
-    built.register(names.INSTANCE_LIST, listing.FixedInstanceList())
     built.register(names.HEAT, heat.HeatCounter())
+    built.register(names.INSTANCE_LIST, instances.SettableInstanceList())
     incarnation = identity.Incarnation("router-1", "one")
     built.register(
         names.PEER_SERVER, server.PeerServer.from_config(built, incarnation, instance_settings)
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import pytest
@@ -13,16 +15,23 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
+from goldcresthall.ownership import heat
 from goldcresthall.replication import state as replicated
+from goldcresthall.routing import admission
+from goldcresthall.routing import observations
 from goldcresthall.routing import router
 from tests.fakes import backends
 from tests.fakes import clock
+from tests.fakes import instances
+from tests.fakes import intents
 from tests.fakes import replica
 
 if TYPE_CHECKING:
     from goldcresthall.core import attempts
     from goldcresthall.core import outcomes
 
+SEED = 5
+THREADS = 64
 ROUTES = (
     preset.Route(method="GET", path="/pages/{key}", idempotent=True),
     preset.Route(
@@ -64,9 +73,20 @@
         self.kernel.register(names.METRICS, self.metrics)
         self.kernel.register(names.REPLICA, self.replica)
         self.kernel.register(names.BACKENDS, self.backends)
-        self.router = router.Router(self.kernel, self._sleep)
+        self.kernel.register(names.INTENTS, intents.DirectIntents())
+        self.kernel.register(names.HEAT, heat.HeatCounter())
+        self.instances = instances.SettableInstanceList()
+        self.kernel.register(names.INSTANCE_LIST, self.instances)
+        self.observations = observations.Observations(self.kernel)
+        self.kernel.register(names.OBSERVATIONS, self.observations)
+        generator = random.Random(SEED)
+        self.admission = admission.Admission(self.kernel, "router-0", THREADS, generator)
+        self.kernel.register(names.ADMISSION, self.admission)
+        self.router = router.Router(self.kernel, self._sleep, generator)
         self.kernel.register(names.ROUTER, self.router)
-        self.kernel.start()
+        self.observations.start()
+        self.admission._find_services()
+        self.router.start()
 
     def publish(self, *policies: preset.ServicePolicy) -> None:
         published = preset.Preset(name="day", services=policies)
@@ -76,6 +96,8 @@
             dataclasses.replace(state, next_offset=state.next_offset + 1, preset_in_force=in_force)
         )
 
+        self.admission.adopt(self.replica.state)
+
     def give_ownership(self, server: str) -> None:
         state = self.replica.state
         partition = replicated.PartitionId("program", 0)
@@ -114,6 +136,9 @@
         self.clock.advance(seconds)
 
 
+BenchAction = Callable[[RouterBench], None]
+
+
 @pytest.fixture
 def bench() -> RouterBench:
     """Return a router over fakes with no preset."""
