--- a/tests/ownership/test_keepers.py
+++ b/tests/ownership/test_keepers.py
@@ -41,6 +41,10 @@
     return sum(server in held for held in world.list_holders().values())
 
 
+def sum_counter(world: lease_world.World, name: str, **labels: str) -> float:
+    return sum(item.read_counter(name, **labels) for item in world.instances.values())
+
+
 def list_others(world: lease_world.World, instance: str) -> list[str]:
     return [name for name in world.instances if name != instance]
 
@@ -66,6 +70,8 @@
     world.flow(1.0)
     assert count_held_by(world, SECOND) == 4
     assert world.state.servers[FIRST].lost
+    assert sum_counter(world, "lost_servers") == 1
+    assert sum_counter(world, "moved_partitions", reason="lease ran out") == 2
     world.frozen.clear()
     world.flow(4.0)
     assert not world.state.servers[FIRST].lost
@@ -184,6 +190,18 @@
     assert world.find_lessor(FIRST) == wishes[0][0]
 
 
+def test_server_refuses_the_lessor_before_once_it_knows_the_successor(
+    world: lease_world.World,
+) -> None:
+    lessor = world.find_lessor(FIRST)
+    world.cut.add((lessor, "log"))
+    world.appoint(FIRST, list_others(world, lessor)[0])
+    world.flow(0.3)
+    cut_others(world, lessor, FIRST)
+    world.flow(LEASE_S + TAKEOVER_S)
+    assert count_held_by(world, SECOND) == 4
+
+
 def test_restarted_server_is_not_renewed_by_a_lessor_it_has_refused(
     world: lease_world.World,
 ) -> None:
@@ -375,3 +393,27 @@
     world.cut.clear()
     world.flow(TAKEOVER_S)
     assert ending.has_ended
+
+
+def test_server_that_restarts_and_is_lost_at_once_is_not_waited_for_long(
+    world: lease_world.World,
+) -> None:
+    lessor = world.find_lessor(FIRST)
+    cut_others(world, lessor, FIRST)
+    epoch = world.state.servers[FIRST].epoch
+    world.restart_server(FIRST)
+    while world.state.servers[FIRST].epoch == epoch:
+        world.flow(lease_world.STEP_S)
+    world.frozen.add(FIRST)
+    world.flow(TAKEOVER_S)
+    assert count_held_by(world, SECOND) == 4
+
+
+def test_keys_stay_with_a_leaving_server_that_does_not_check_grants(
+    world: lease_world.World,
+) -> None:
+    before = world.state.partitions
+    world.publish(world.name_servers(draining=FIRST), checks_grants=False)
+    world.flow(3.0)
+    assert world.state.partitions == before
+    assert sum_counter(world, "refused_moves", reason="grants_not_checked") > 0
