Wait for an order's record everywhere before the log goes down

The scenario took the log down at once after an order's answer, yet conclusions are appended without making the caller wait, so that the asked instance could not know the record. The step now asks every instance for the recorded answer first, which also checks more than before.

--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -22,6 +22,7 @@
 
   Scenario: The log is down, then its answers are lost
     Given order early was answered
+    And every instance answers order early from its record
     When the log is down
     And order molde is sent once
     Then it is refused as not run, to be repeated later
--- a/tests/features/test_at_most_once.py
+++ b/tests/features/test_at_most_once.py
@@ -170,6 +170,14 @@
         assert time.monotonic() < ends_at_s, sent
 
 
+@given(parsers.parse("every instance answers order {name} from its record"))
+def _(system: systems.RunningSystem, orders: Orders, name: str) -> None:
+    for index in range(len(system.fleet.routers)):
+        sent = orders.send(name, index)
+        assert sent is not None
+        assert sent.headers["Goldcresthall-Recorded"] == "true"
+
+
 @when(parsers.parse("order {name} is sent once"))
 def _(orders: Orders, name: str) -> None:
     assert orders.send(name, 1) is not None
