Let the preset's queue bound what waits, not the threads

Cause: at the crest of the swing most refusals were queue_full although the queues were short: 64 threads, half of them reserved by service, ran out long before the preset's queue_limit.

--- a/src/goldcresthall/core/settings.py
+++ b/src/goldcresthall/core/settings.py
@@ -111,7 +111,7 @@
         Idle connections that are kept open for callers.
     """
 
-    threads: int = 64
+    threads: int = 128
     connection_limit: int = 5_000
     body_limit_bytes: int = 1_048_576
 
