End a wait while a try still fits in before the deadline

Cause: a request waited until its deadline and was then sent to a server for an answer that could only be late, so that slots worked for nobody. Ruled out: slow servers (short work took its 120 ms).

--- a/src/goldcresthall/routing/admission.py
+++ b/src/goldcresthall/routing/admission.py
@@ -96,13 +96,13 @@
         self._threads.leave(policy.name)
 
     def admit(self, wish: Wish) -> queues.Admitted:
-        """Wait for a place at a server, until the request could not be answered any more."""
+        """Wait for a place at a server for as long as the request could still be answered."""
         queue = self._find_queue(wish.target.policy)
         work = self._create_work(wish)
         found = queue.ask(work)
         if not isinstance(found, queues.Waiter):
             return found
-        found.wait(wish.remaining_s)
+        found.wait(queue.find_patience_s(work))
         result = queue.give_up(found)
         if result is not None:
             return result
--- a/src/goldcresthall/routing/queues.py
+++ b/src/goldcresthall/routing/queues.py
@@ -149,6 +149,11 @@
             self._waiters.append(waiter)
             return waiter
 
+    def find_patience_s(self, work: Work) -> float:
+        """Return the seconds for which a wait makes sense: a try must fit in after it."""
+        names = tuple(found.server.name for found in work.eligible)
+        return max(0.0, work.remaining_s - self._observed.find_least_average_s(names))
+
     def give_up(self, waiter: Waiter) -> Permit | Overtaken | None:
         """Take a waiter out of the queue; return the result that came just before."""
         with self._lock:
