Keep a server's share at the fair one unless the server sheds

Cause: at the crest all instances saw answers come later and halved their shares to one, three of a server's four slots in all, while work waited. Ruled out: threads (128) and late sends (mended before). A test held the old rule (a share of four halved below fair); it is replaced by one that checks growth, the fair floor, the shed below it and that no late answer raises it again.

--- a/src/goldcresthall/routing/gates.py
+++ b/src/goldcresthall/routing/gates.py
@@ -44,8 +44,9 @@
     """Limits the requests that this instance has at one server.
 
     The limit starts at the fair share. It grows by one when work waited through a
-    window of answers that mostly came as fast as ever, and is halved when the
-    server sheds or when most answers of a window took more than twice as long.
+    window of answers that mostly came as fast as ever. It is halved when the server
+    sheds, and down to the fair share when most answers of a window took more than
+    twice as long: below that share, waiting here only leaves slots idle.
     """
 
     def __init__(self, share: Share) -> None:
@@ -107,7 +108,7 @@
         """
         if isinstance(attempt, attempts.AttemptNotRun):
             if attempt.reason is outcomes.RefusalReason.SERVER_SHED:
-                self._decrease()
+                self._decrease(least=1)
         elif request_class is preset.RequestClass.SHORT:
             self._note_duration(duration_s, wanted=wanted)
 
@@ -118,13 +119,13 @@
         if self._answers < WINDOW:
             return
         if self._inflated > MOST_INFLATED * self._answers:
-            self._decrease()
+            self._decrease(least=min(self._share.fair, self._limit))
         elif wanted:
             self._limit = min(self._share.most, self._limit + 1)
         self._answers = 0
         self._inflated = 0
 
-    def _decrease(self) -> None:
-        self._limit = max(1, int(self._limit * DECREASE))
+    def _decrease(self, *, least: int) -> None:
+        self._limit = max(least, int(self._limit * DECREASE))
         self._answers = 0
         self._inflated = 0
