Log a failing log or list at most every ten seconds

Cause: in an outage each instance wrote five lines a second for the log's reads alone, an hour of outage 18,000 lines (seen in an instance's log of a demonstration whose platform had ended). Every failure is still counted. Ruled out: dropping the lines, since the first one carries the reason.

--- a/src/goldcresthall/platform/instance_list.py
+++ b/src/goldcresthall/platform/instance_list.py
@@ -23,6 +23,7 @@
 
 MS_PER_S = 1_000
 STATUS_OK = 200
+LOG_INTERVAL_S = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,11 +137,11 @@
         try:
             response = self._pool.request("GET", "/instances", timeout=timeout_s)
             if response.status != STATUS_OK:
-                logging.warning("instance list: status %d", response.status)
+                _warn(f"status {response.status}")
                 return
             document = documents.decode_document(response.data, _ListDocument)
         except (urllib3.exceptions.HTTPError, exceptions.DocumentError) as error:
-            logging.warning("instance list: %s", error)
+            _warn(str(error))
             return
         self._keep(document.instances)
         self._last_read_at_s = began_at_s
@@ -149,3 +150,7 @@
         with self._lock:
             if instances != self._listing.instances:
                 self._listing = InstanceListing(self._listing.revision + 1, instances)
+
+
+def _warn(detail: str) -> None:
+    logging.log_every_n_seconds(logging.WARNING, "instance list: %s", LOG_INTERVAL_S, detail)
--- a/src/goldcresthall/replication/replica.py
+++ b/src/goldcresthall/replication/replica.py
@@ -36,6 +36,7 @@
 MS_PER_S = 1_000
 DECISIONS_KEPT = 8_192
 RETRY_DELAY_S = 0.2
+LOG_INTERVAL_S = 10
 RECOVERY_DELAY_S = 1.0
 HALTED_DELAY_S = 1.0
 STALL_READS = 2
@@ -352,7 +353,13 @@
 
     @_take.register
     def _(self, outcome: log_client.ReadFailed, began_at_s: float) -> float:
-        logging.warning("log read at offset %d: %s", self._state.next_offset, outcome.detail)
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "log read at offset %d: %s",
+            LOG_INTERVAL_S,
+            self._state.next_offset,
+            outcome.detail,
+        )
         return RETRY_DELAY_S
 
     @_take.register
--- a/src/goldcresthall/replication/writer.py
+++ b/src/goldcresthall/replication/writer.py
@@ -25,6 +25,7 @@
     from goldcresthall.kernel import kernel
 
 QUEUE_POLL_S = 0.5
+LOG_INTERVAL_S = 10
 QUEUE_LIMIT = 2_000
 BATCH_BYTES_LIMIT = 1_048_576
 
@@ -132,7 +133,9 @@
         outcome = self._client.append(entries)
         self._meter.count_append(tuple(pending.record for pending in batch), entries, outcome)
         if not isinstance(outcome, log_client.Appended):
-            logging.warning("append of %d records: %s", len(batch), outcome)
+            logging.log_every_n_seconds(
+                logging.WARNING, "append of %d records: %s", LOG_INTERVAL_S, len(batch), outcome
+            )
         for pending in batch:
             pending.notify(outcome)
 
