Say when an owner was decided

Issue: explain told who decided and why, but not when. A record of moves now carries its author's UTC time, replay keeps it with the ownership, and explain prints it. Ruled out: a time taken in replay, which would differ between instances; the text is never decided by.

--- a/src/goldcresthall/admin/messages.py
+++ b/src/goldcresthall/admin/messages.py
@@ -55,6 +55,7 @@
     author: str
     reason: str
     lessor: str
+    decided_at: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/admin/views.py
+++ b/src/goldcresthall/admin/views.py
@@ -75,6 +75,7 @@
         author=found.ownership.author,
         reason=found.ownership.reason,
         lessor="" if known is None else str(known.lessor),
+        decided_at=found.ownership.decided_at,
     )
 
 
--- a/src/goldcresthall/console/commands/explain.py
+++ b/src/goldcresthall/console/commands/explain.py
@@ -28,3 +28,4 @@
     click.echo(f"  owner   {view.owner} since epoch {view.epoch}")
     click.echo(f"  lessor  {view.lessor or 'none'}")
     click.echo(f"  decided by {view.author}: {view.reason}")
+    click.echo(f"  decided at {view.decided_at or 'unknown'}, by its author's clock")
--- a/src/goldcresthall/core/identity.py
+++ b/src/goldcresthall/core/identity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime as dt
 import enum
 import uuid
 
@@ -65,6 +66,14 @@
     role: InstanceRole = InstanceRole.ROUTER
 
 
+def describe_now() -> str:
+    """Return the present UTC time by this process's wall clock, for operators to read.
+
+    Clocks of instances differ; nothing is ever decided by this text.
+    """
+    return dt.datetime.now(dt.UTC).isoformat(timespec="seconds")
+
+
 def create_record_id() -> str:
     """Return a fresh identifier, unique over all instances."""
     return uuid.uuid4().hex
--- a/src/goldcresthall/core/records.py
+++ b/src/goldcresthall/core/records.py
@@ -60,12 +60,15 @@
         zero if all the partitions had no owner.
     lost_server
         Server whose lease the lessor has waited out; empty for a planned move.
+    decided_at
+        UTC time by the author's wall clock; for operators only.
     """
 
     moves: tuple[PartitionMove, ...]
     lessor: identity.Incarnation
     lessor_epoch: int
     lost_server: str = ""
+    decided_at: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/goldcresthall/ownership/lessor_role.py
+++ b/src/goldcresthall/ownership/lessor_role.py
@@ -187,6 +187,7 @@
             base=base.state.next_offset,
             author=str(self._shared.incarnation),
             reason=f"lease of {name} ran out without an answer",
+            decided_at=identity.describe_now(),
             moves=moves,
             lessor=self._shared.incarnation,
             lessor_epoch=known.epoch,
--- a/src/goldcresthall/ownership/proposer.py
+++ b/src/goldcresthall/ownership/proposer.py
@@ -96,6 +96,7 @@
             base=state.next_offset,
             author=str(self._incarnation),
             reason=REASON,
+            decided_at=identity.describe_now(),
             moves=moves,
             lessor=self._incarnation,
             lessor_epoch=0,
--- a/src/goldcresthall/replication/replay.py
+++ b/src/goldcresthall/replication/replay.py
@@ -170,6 +170,7 @@
             epoch=state.next_offset,
             author=record.author,
             reason=record.reason,
+            decided_at=record.decided_at,
         )
     servers = {move.from_server for move in record.moves if move.from_server}
     if record.lost_server:
--- a/src/goldcresthall/replication/state.py
+++ b/src/goldcresthall/replication/state.py
@@ -38,12 +38,15 @@
     ----------
     epoch
         Offset of the accepted record; a higher epoch fences all lower ones.
+    decided_at
+        UTC time by the author's wall clock; empty if it told none.
     """
 
     owner: str
     epoch: int
     author: str
     reason: str
+    decided_at: str = ""
 
 
 NO_HOT_KEYS: pyrsistent_typing.PMap[HotKeyId, Ownership] = pyrsistent.pmap()
