Send the failure pairs' orders with keys that are taken

Cause: found on rereading. Ruled out: a fault of the product. The step now fails unless orders were answered, 40 requests end before the failures begin, and a reason that no longer exists is no excuse any more.

--- a/tests/features/failure_pairs.feature
+++ b/tests/features/failure_pairs.feature
@@ -7,6 +7,7 @@
     And the preset day is in force
     And key molde of archive is served
     When callers read and order all the time
+    And 40 more requests have ended
     And two failures drawn from seed <seed> begin
     And 40 more requests have ended
     And those failures end
--- a/tests/features/test_failure_pairs.py
+++ b/tests/features/test_failure_pairs.py
@@ -66,7 +66,7 @@
             router_index = (number + sequence) % 3
             path = f"/archive/items/key-{sequence % KEYS}"
             if sequence % 2:
-                self._order(path, f"{number}-{sequence}", router_index)
+                self._order(path, f"0.{number}-{sequence}", router_index)
             else:
                 self._read(path, router_index)
             with self._ended:
@@ -153,13 +153,14 @@
 @then("every order that was answered ran once, and every one refused never")
 def _(system: systems.RunningSystem, callers: CallerGroup) -> None:
     ran = {effect.idempotency_key for effect in system.read_effects()}
+    told = [sent for responses in callers.orders.values() for sent in responses]
+    assert any(sent.headers.get("Goldcresthall-Outcome") == "answered" for sent in told)
     for key, responses in callers.orders.items():
         outcomes = [sent.headers.get("Goldcresthall-Outcome") for sent in responses]
-        reasons = [sent.headers.get("Goldcresthall-Reason") for sent in responses]
         if "answered" in outcomes:
             assert key in ran, (key, outcomes)
         if len(responses) == 2 and set(outcomes) == {"refused_not_run"}:
-            assert key not in ran or "already_attempted" in reasons, (key, reasons)
+            assert key not in ran, key
 
 
 @then("every answer was the caller's own")
