Move the clients of the log service to a folder of their own

The name platform is needed for the adapter to the users' platform. The log protocol and the instance list stay the product's own interface.

--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -13,6 +13,8 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.log_service import http_log_client
+from goldcresthall.log_service import instance_list
 from goldcresthall.observability import metrics
 from goldcresthall.ownership import counters
 from goldcresthall.ownership import heat
@@ -23,8 +25,6 @@
 from goldcresthall.ownership import rebalancer
 from goldcresthall.peers import follower
 from goldcresthall.peers import server
-from goldcresthall.platform import http_log_client
-from goldcresthall.platform import instance_list
 from goldcresthall.presets import publisher
 from goldcresthall.presets import uptake
 from goldcresthall.replication import replica
--- a/src/goldcresthall/intents/concluder.py
+++ b/src/goldcresthall/intents/concluder.py
@@ -9,7 +9,7 @@
 
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
-from goldcresthall.platform import log_client
+from goldcresthall.log_service import log_client
 from goldcresthall.replication import writer
 
 if TYPE_CHECKING:
--- a/src/goldcresthall/intents/forgetter.py
+++ b/src/goldcresthall/intents/forgetter.py
@@ -11,8 +11,8 @@
 from goldcresthall.core import intents
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
+from goldcresthall.log_service import instance_list
 from goldcresthall.ownership import rendezvous
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
--- a/src/goldcresthall/platform/http_log_client.py
+++ b/src/goldcresthall/log_service/http_log_client.py
@@ -9,7 +9,7 @@
 
 import urllib3
 
-from goldcresthall.platform import log_client
+from goldcresthall.log_service import log_client
 
 if TYPE_CHECKING:
     from goldcresthall.core import settings
--- a/src/goldcresthall/ownership/lessor_probe.py
+++ b/src/goldcresthall/ownership/lessor_probe.py
@@ -9,9 +9,9 @@
 
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.log_service import instance_list
 from goldcresthall.peers import client
 from goldcresthall.peers import exceptions
-from goldcresthall.platform import instance_list
 
 if TYPE_CHECKING:
     from goldcresthall.core import identity
--- a/src/goldcresthall/ownership/lessors.py
+++ b/src/goldcresthall/ownership/lessors.py
@@ -8,10 +8,10 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.log_service import instance_list
 from goldcresthall.ownership import candidates
 from goldcresthall.ownership import keeper
 from goldcresthall.ownership import lookup
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
--- a/src/goldcresthall/ownership/proposer.py
+++ b/src/goldcresthall/ownership/proposer.py
@@ -11,11 +11,11 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.log_service import instance_list
 from goldcresthall.ownership import counters
 from goldcresthall.ownership import lookup
 from goldcresthall.ownership import placement
 from goldcresthall.ownership import rendezvous
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
--- a/src/goldcresthall/ownership/surroundings.py
+++ b/src/goldcresthall/ownership/surroundings.py
@@ -9,13 +9,13 @@
 from goldcresthall.core import identity
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
+from goldcresthall.log_service import instance_list
 from goldcresthall.ownership import counters
 from goldcresthall.ownership import ground
 from goldcresthall.ownership import lease_view
 from goldcresthall.ownership import lessor_probe
 from goldcresthall.ownership import planned_moves
 from goldcresthall.ownership import wakeup as wakeups
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
--- a/src/goldcresthall/peers/follower.py
+++ b/src/goldcresthall/peers/follower.py
@@ -12,6 +12,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.log_service import instance_list
 from goldcresthall.ownership import heat
 from goldcresthall.peers import client
 from goldcresthall.peers import divergence
@@ -20,7 +21,6 @@
 from goldcresthall.peers import meters
 from goldcresthall.peers import neighbors
 from goldcresthall.peers import server
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import meters as replication_meters
 from goldcresthall.replication import replica
 
--- a/src/goldcresthall/peers/handler.py
+++ b/src/goldcresthall/peers/handler.py
@@ -12,10 +12,10 @@
 
 if TYPE_CHECKING:
     from goldcresthall.kernel import clock
+    from goldcresthall.log_service import instance_list
     from goldcresthall.ownership import heat
     from goldcresthall.peers import meters
     from goldcresthall.peers import uptake
-    from goldcresthall.platform import instance_list
     from goldcresthall.replication import replica
 
 MS_PER_S = 1_000
--- a/src/goldcresthall/peers/server.py
+++ b/src/goldcresthall/peers/server.py
@@ -16,12 +16,12 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.log_service import instance_list
 from goldcresthall.ownership import heat
 from goldcresthall.peers import handler
 from goldcresthall.peers import meters
 from goldcresthall.peers import transport
 from goldcresthall.peers import uptake
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import meters as replication_meters
 from goldcresthall.replication import replica
 
--- a/src/goldcresthall/presets/uptake.py
+++ b/src/goldcresthall/presets/uptake.py
@@ -10,9 +10,9 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.log_service import instance_list
 from goldcresthall.peers import server
 from goldcresthall.peers import uptake
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
--- a/src/goldcresthall/replication/meters.py
+++ b/src/goldcresthall/replication/meters.py
@@ -8,8 +8,8 @@
 
 from goldcresthall.encoding import log_entries
 from goldcresthall.kernel import names
+from goldcresthall.log_service import log_client
 from goldcresthall.observability import metrics
-from goldcresthall.platform import log_client
 from goldcresthall.replication import replay
 
 if TYPE_CHECKING:
--- a/src/goldcresthall/replication/replica.py
+++ b/src/goldcresthall/replication/replica.py
@@ -16,7 +16,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
-from goldcresthall.platform import log_client
+from goldcresthall.log_service import log_client
 from goldcresthall.replication import conditions
 from goldcresthall.replication import meters
 from goldcresthall.replication import recent
--- a/src/goldcresthall/replication/snapshot_reader.py
+++ b/src/goldcresthall/replication/snapshot_reader.py
@@ -9,7 +9,7 @@
 from goldcresthall.core import snapshots
 from goldcresthall.encoding import exceptions
 from goldcresthall.encoding import log_entries
-from goldcresthall.platform import log_client
+from goldcresthall.log_service import log_client
 from goldcresthall.replication import state as replicated
 from goldcresthall.replication import state_encoding
 
--- a/src/goldcresthall/replication/snapshot_writer.py
+++ b/src/goldcresthall/replication/snapshot_writer.py
@@ -14,8 +14,8 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.log_service import instance_list
 from goldcresthall.ownership import rendezvous
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import meters
 from goldcresthall.replication import replica
 from goldcresthall.replication import state_encoding
--- a/src/goldcresthall/routing/admission.py
+++ b/src/goldcresthall/routing/admission.py
@@ -13,8 +13,8 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.log_service import instance_list
 from goldcresthall.observability import metrics
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import replica
 from goldcresthall.routing import gates
 from goldcresthall.routing import observations
--- a/src/goldcresthall/routing/observations.py
+++ b/src/goldcresthall/routing/observations.py
@@ -15,8 +15,8 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.log_service import instance_list
 from goldcresthall.observability import metrics
-from goldcresthall.platform import instance_list
 
 if TYPE_CHECKING:
     from goldcresthall.kernel import kernel
--- a/tests/fakes/instances.py
+++ b/tests/fakes/instances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from goldcresthall.core import identity
-from goldcresthall.platform import instance_list
+from goldcresthall.log_service import instance_list
 
 ADDRESS = identity.Address("127.0.0.1", 1)
 
--- a/tests/fakes/lease_world.py
+++ b/tests/fakes/lease_world.py
@@ -20,6 +20,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
+from goldcresthall.log_service import instance_list
 from goldcresthall.observability import metrics
 from goldcresthall.ownership import counters
 from goldcresthall.ownership import keeper
@@ -30,7 +31,6 @@
 from goldcresthall.ownership import surroundings
 from goldcresthall.ownership import wakeup
 from goldcresthall.peers import messages
-from goldcresthall.platform import instance_list
 from goldcresthall.replication import replay
 from goldcresthall.replication import replica
 from goldcresthall.replication import state as replicated
--- a/tests/fakes/log.py
+++ b/tests/fakes/log.py
@@ -4,7 +4,7 @@
 
 import threading
 
-from goldcresthall.platform import log_client
+from goldcresthall.log_service import log_client
 
 MS_PER_S = 1_000
 
--- a/tests/fakes/stepped_replica.py
+++ b/tests/fakes/stepped_replica.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from goldcresthall.encoding import log_entries
-from goldcresthall.platform import log_client
+from goldcresthall.log_service import log_client
 from goldcresthall.replication import replay
 from goldcresthall.replication import replica
 from goldcresthall.replication import state as replicated
--- a/tests/replication/conftest.py
+++ b/tests/replication/conftest.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
-    from goldcresthall.platform import log_client
+    from goldcresthall.log_service import log_client
 
 ADDRESS = identity.Address("127.0.0.1", 1)
 PLATFORM = settings.PlatformSettings(log=ADDRESS, instance_list=ADDRESS, long_poll_ms=50)
--- a/tests/replication/test_replay_machine.py
+++ b/tests/replication/test_replay_machine.py
@@ -12,7 +12,7 @@
 from goldcresthall.core import preset
 from goldcresthall.core import records
 from goldcresthall.encoding import log_entries
-from goldcresthall.platform import log_client
+from goldcresthall.log_service import log_client
 from goldcresthall.replication import replay
 from goldcresthall.replication import snapshot_reader
 from goldcresthall.replication import snapshot_writer
