--- a/src/goldcresthall/core/attempts.py
+++ b/src/goldcresthall/core/attempts.py
@@ -35,6 +35,7 @@
     body: bytes
     timeout_s: float
     grant: PresentedGrant | None = None
+    idempotent: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/core/requests.py
+++ b/src/goldcresthall/core/requests.py
@@ -13,6 +13,10 @@
 
     Attributes
     ----------
+    service
+        Service that the caller named; empty if a route decides.
+    host
+        Host that the caller named; empty if the service is named instead.
     path
         Path within the service, beginning with a slash, without the query.
     raw_target
@@ -33,6 +37,7 @@
     service: str
     method: str
     path: str
+    host: str = ""
     query: str = ""
     raw_target: str = ""
     key: str = ""
--- /dev/null
+++ b/src/goldcresthall/kernel/cancellation.py
@@ -0,0 +1,47 @@
+"""Cancellation of work whose caller has left."""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+
+class Cancellation:
+    """Tells work in progress to end, and interrupts what it waits for."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._is_cancelled = False
+        self._interrupts: list[Callable[[], None]] = []
+
+    @property
+    def is_cancelled(self) -> bool:
+        """Whether the work is to end."""
+        return self._is_cancelled
+
+    def cancel(self) -> None:
+        """Ask the work to end and interrupt its waits."""
+        with self._lock:
+            self._is_cancelled = True
+            interrupts = tuple(self._interrupts)
+        for interrupt in interrupts:
+            interrupt()
+
+    @contextlib.contextmanager
+    def interrupting(self, interrupt: Callable[[], None]) -> Iterator[None]:
+        """Call `interrupt` if the work is cancelled before the block ends."""
+        with self._lock:
+            self._interrupts.append(interrupt)
+            is_cancelled = self._is_cancelled
+        try:
+            if is_cancelled:
+                interrupt()
+            yield
+        finally:
+            with self._lock:
+                self._interrupts.remove(interrupt)
--- a/src/goldcresthall/kernel/clock.py
+++ b/src/goldcresthall/kernel/clock.py
@@ -1,4 +1,4 @@
-"""The clock service: one monotonic clock for each process."""
+"""The clock service: one clock for each process that never goes back."""
 
 from __future__ import annotations
 
@@ -23,8 +23,8 @@
 
 
 class MonotonicClock(Clock):
-    """The operating system's monotonic clock."""
+    """The operating system's monotonic clock, which also counts while it is suspended."""
 
     def read_s(self) -> float:
         """Return the present reading in seconds."""
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
