Assign key ranges through the store, with one lessor that grants and moves

Ownership is one record, written under a condition on its offset; the offset is the fencing token. A range moves after its release under the latest fence, or after all grants that anyone may have sent have run out. Weighed: one record a range (more writes, no atomic move), leases a server through the log (the platform's servers know no such leases).

--- /dev/null
+++ b/src/goldcresthall/ranges/election.py
@@ -0,0 +1,430 @@
+"""The election service: follows the lessor, or takes over when it is lost."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+import threading
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.core import identity
+from goldcresthall.core import key_ranges
+from goldcresthall.gateway import directory
+from goldcresthall.gateway import estimates
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import names
+from goldcresthall.kernel import tasks
+from goldcresthall.ranges import grants
+from goldcresthall.ranges import lessor
+from goldcresthall.ranges import owners
+from goldcresthall.ranges import reports
+from goldcresthall.ranges import tables
+from goldcresthall.store import client
+
+if TYPE_CHECKING:
+    from goldcresthall.core import deployment_settings
+    from goldcresthall.kernel import kernel
+
+REPORT_WAIT_S = 0.5
+REPORT_TIMEOUT_S = 0.9
+OWN_REPORT_S = 0.2
+SILENT_AFTER_S = 0.8
+ALONE_AFTER_S = 4.0
+REREAD_AFTER_S = 1.0
+STORELESS_AFTER_S = 0.5
+RETRY_S = 0.15
+JITTER_S = 0.3
+PEERS_ASKED = 3
+PEER_TIMEOUT_S = 0.3
+HEARD_LATELY_S = 1.0
+SETTLE_INTERVAL_S = 0.3
+REPORTER_LIFETIME_S = 2.0
+UNKNOWN_INSTANCES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reporter:
+    peer: reports.Peer
+    heard_at_s: float
+
+
+class _Step(enum.Enum):
+    """What a follower does next."""
+
+    REPORT_ON = "report on"
+    REPORT_LATER = "report later"
+    LOOK_AGAIN = "look again"
+    TAKE_OVER = "take over"
+
+
+class Election(reports.Reports):
+    """Follows the lessor by reports and takes over when there is none.
+
+    An instance that cannot reach the lessor first asks its peers: if one of them
+    was answered lately, or none can be reached at all, the fault is its own.
+    """
+
+    def __init__(
+        self,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        instance_settings: deployment_settings.DeploymentSettings,
+    ) -> None:
+        self._kernel = owner
+        self._own = key_ranges.Lessor(incarnation, instance_settings.listen.peers)
+        self._longest_hold_s = instance_settings.longest_hold_s
+        self._generator = random.Random()  # noqa: S311
+        self._lock = threading.Lock()
+        self._lessor: lessor.Lessor | None = None
+        self._followed: key_ranges.Lessor | None = None
+        self._peers: tuple[reports.Peer, ...] = ()
+        self._reporters: dict[str, _Reporter] = {}
+        self._heard_at_s = -ALONE_AFTER_S
+        self._followed_since_s = 0.0
+        self._storeless_since_s: float | None = None
+        self._task = tasks.Task("election", self._run)
+        self._own_task = tasks.Task("lessor-settling", self._settle_repeatedly)
+
+    @classmethod
+    def from_config(
+        cls,
+        owner: kernel.Kernel,
+        incarnation: identity.Incarnation,
+        instance_settings: deployment_settings.DeploymentSettings,
+    ) -> Election:
+        """Return the election of an instance."""
+        return cls(owner, incarnation, instance_settings)
+
+    @property
+    def live_instances(self) -> int:
+        """Number of instances that report to the lessor, this one included."""
+        if self._lessor is not None:
+            return 1 + len(self._list_reporters())
+        return max(1, len(self._peers)) if self._peers else UNKNOWN_INSTANCES
+
+    @property
+    def is_lessor(self) -> bool:
+        """Whether this instance is the lessor."""
+        return self._lessor is not None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._store = self._kernel.find(names.STORE, client.StoreClient)
+        self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
+        self._owners = self._kernel.find(names.OWNERS, owners.Owners)
+        self._estimates = self._kernel.find(names.ESTIMATES, estimates.Estimates)
+        self._channel = self._kernel.find(names.GRANTS, grants.GrantChannel)
+        self._dialer = self._kernel.find(names.PEERS, reports.PeerDialer)
+        self._task.start()
+        self._own_task.start()
+
+    def stop(self) -> None:
+        """End the tenure, if there is one, and stop following."""
+        self._task.request_stop()
+        self._own_task.request_stop()
+        current = self._lessor
+        if current is not None:
+            current.hand_over()
+
+    def answer_report(self, report: reports.Report) -> reports.Reply:
+        """Answer an instance's report, once there is news or after a while."""
+        current = self._lessor
+        if current is None or current.is_over:
+            return reports.Reply(is_lessor=False, has_store=True, peers=(), view=None)
+        now_s = self._clock.read_s()
+        current.heat.add(report.counts, now_s)
+        current.heat.speeds.add(report.samples, now_s)
+        peer = reports.Peer(report.reporter.incarnation.name, report.reporter.address)
+        with self._lock:
+            self._reporters[peer.name] = _Reporter(peer, now_s)
+        view = self._await_news(report.known)
+        own = reports.Peer(self._own.incarnation.name, self._own.address)
+        return reports.Reply(
+            is_lessor=not current.is_over,
+            has_store=current.has_store,
+            peers=(own, *self._list_reporters()),
+            view=view,
+        )
+
+    def describe_presence(self) -> reports.Presence:
+        """Return what this instance says of itself to a peer."""
+        if self._lessor is not None:
+            return reports.Presence(self._own.incarnation, 0.0)
+        return reports.Presence(self._own.incarnation, self._clock.read_s() - self._heard_at_s)
+
+    def answer_stand_down(self, term: int) -> bool:
+        """End a tenure that is older than a term; return whether it grants no more."""
+        current = self._lessor
+        if current is None:
+            return True
+        if current.term >= term:
+            return False
+        logging.info("term %d stands down for term %d", current.term, term)
+        return current.step_down(PEER_TIMEOUT_S / 2)
+
+    def _await_news(self, known: owners.OwnersView) -> owners.OwnersView | None:
+        ends_at_s = self._clock.read_s() + REPORT_WAIT_S
+        while True:
+            serial = self._owners.serial
+            view = self._owners.view
+            if (view.term, view.revision) != (known.term, known.revision):
+                return view
+            remaining_s = ends_at_s - self._clock.read_s()
+            if remaining_s <= 0:
+                return None
+            self._owners.wait_beyond(serial, remaining_s)
+
+    def _list_reporters(self) -> tuple[reports.Peer, ...]:
+        latest_s = self._clock.read_s() - REPORTER_LIFETIME_S
+        with self._lock:
+            return tuple(
+                reporter.peer
+                for reporter in self._reporters.values()
+                if reporter.heard_at_s >= latest_s
+            )
+
+    def _run(self, stop_signal: tasks.StopSignal) -> None:
+        while not stop_signal.is_set:
+            if self._directory.configuration is None or not self._directory.servers.by_name:
+                stop_signal.wait(RETRY_S)
+                continue
+            stored = self._read_table()
+            if stored is None:
+                stop_signal.wait(RETRY_S)
+                continue
+            self._adopt_stored(stored)
+            found = stored.table.lessor
+            if found is None or found.address == self._own.address:
+                stop_signal.wait(self._generator.uniform(0, JITTER_S) if found is None else 0.0)
+                self._take_over(stored, stop_signal)
+            elif self._follow(found, stop_signal):
+                self._take_over(stored, stop_signal)
+
+    def _read_table(self) -> key_ranges.StoredTable | None:
+        outcome = self._store.read_newest(tables.TOPIC)
+        if isinstance(outcome, client.StoreFailed):
+            return None
+        record = tables.find_latest(outcome.records)
+        if record is None:
+            return key_ranges.StoredTable(outcome.end_offset - 1, key_ranges.OwnershipTable())
+        try:
+            stored = tables.decode(record)
+        except tables.UnreadableTableError as error:
+            logging.warning("ownership table unreadable, step decode: %s", error)
+            return None
+        return key_ranges.StoredTable(outcome.end_offset - 1, stored.table)
+
+    def _adopt_stored(self, stored: key_ranges.StoredTable) -> None:
+        """Adopt the owners of a stored table if this is later than what is known."""
+        owned = tuple(
+            key_ranges.RangeOwner(item.service, item.keys, item.owner, ready=True)
+            for item in stored.table.assignments
+        )
+        self._owners.adopt(owners.OwnersView(stored.table.term, stored.table.revision, owned))
+
+    def _follow(self, found: key_ranges.Lessor, stop_signal: tasks.StopSignal) -> bool:
+        """Report to a lessor until it is lost; return whether to take over."""
+        self._followed = found
+        self._followed_since_s = self._clock.read_s()
+        self._storeless_since_s = None
+        channel: reports.PeerChannel | None = None
+        try:
+            while not stop_signal.is_set:
+                try:
+                    channel = channel or self._dialer.dial(found.address, REPORT_TIMEOUT_S)
+                    reply = channel.report(self._create_report())
+                except reports.UnreachableError as error:
+                    channel = None
+                    step = self._find_step(found, error)
+                else:
+                    step = self._note_reply(reply)
+                if step is _Step.TAKE_OVER:
+                    stop_signal.wait(self._generator.uniform(0, JITTER_S))
+                    return not self._has_changed(found)
+                if step is not _Step.REPORT_ON:
+                    stop_signal.wait(RETRY_S)
+                if step is _Step.LOOK_AGAIN:
+                    return False
+        finally:
+            if channel is not None:
+                channel.close()
+        return False
+
+    def _find_step(self, found: key_ranges.Lessor, error: reports.UnreachableError) -> _Step:
+        """Return what follows from a report that had no answer."""
+        if self._is_lost(error):
+            self._log_loss(found, error)
+            return _Step.TAKE_OVER
+        if self._find_silence_s() > REREAD_AFTER_S and self._has_changed(found):
+            return _Step.LOOK_AGAIN
+        return _Step.REPORT_LATER
+
+    def _find_silence_s(self) -> float:
+        return self._clock.read_s() - max(self._heard_at_s, self._followed_since_s)
+
+    def _create_report(self) -> reports.Report:
+        return reports.Report(
+            reporter=self._own,
+            known=self._owners.view,
+            counts=self._owners.take_counts(),
+            samples=self._estimates.take_samples(),
+        )
+
+    def _note_reply(self, reply: reports.Reply) -> _Step:
+        """Adopt a reply and return what follows from it."""
+        if not reply.is_lessor:
+            return _Step.LOOK_AGAIN
+        self._heard_at_s = self._clock.read_s()
+        self._peers = reply.peers
+        if reply.view is not None:
+            self._owners.adopt(reply.view)
+        return _Step.TAKE_OVER if self._is_storeless(reply) else _Step.REPORT_ON
+
+    def _is_storeless(self, reply: reports.Reply) -> bool:
+        """Return whether the lessor has lost the store for long while others may have it."""
+        if reply.has_store:
+            self._storeless_since_s = None
+            return False
+        now_s = self._clock.read_s()
+        if self._storeless_since_s is None:
+            self._storeless_since_s = now_s
+        return now_s - self._storeless_since_s >= STORELESS_AFTER_S
+
+    def _is_lost(self, error: reports.UnreachableError) -> bool:
+        if error.is_refused:
+            return True
+        silent_s = self._find_silence_s()
+        if silent_s < SILENT_AFTER_S:
+            return False
+        return silent_s >= ALONE_AFTER_S or self._is_silent_to_peers()
+
+    def _is_silent_to_peers(self) -> bool:
+        """Return whether peers can be reached and the lessor does not answer them either."""
+        own = self._own.incarnation.name
+        followed = self._followed
+        others = [
+            peer
+            for peer in self._peers
+            if peer.name != own and followed is not None and peer.address != followed.address
+        ]
+        if not others:
+            return True
+        answered = False
+        for peer in self._generator.sample(others, min(PEERS_ASKED, len(others))):
+            try:
+                channel = self._dialer.dial(peer.address, PEER_TIMEOUT_S)
+                presence = channel.ask_presence()
+                channel.close()
+            except reports.UnreachableError as error:
+                answered = answered or error.is_refused
+                continue
+            answered = True
+            if presence.heard_lessor_s < HEARD_LATELY_S:
+                return False
+        return answered
+
+    def _has_changed(self, found: key_ranges.Lessor) -> bool:
+        stored = self._read_table()
+        if stored is None:
+            return True
+        self._adopt_stored(stored)
+        return stored.table.lessor != found
+
+    def _log_loss(self, found: key_ranges.Lessor, error: reports.UnreachableError) -> None:
+        logging.warning(
+            "lessor %s lost, step report, heard %.2f s ago: %s",
+            found.incarnation,
+            self._clock.read_s() - self._heard_at_s,
+            error,
+        )
+
+    def _take_over(self, stored: key_ranges.StoredTable, stop_signal: tasks.StopSignal) -> None:
+        """Become the lessor, unless another instance is faster, and serve as such."""
+        latest = self._read_table()
+        if latest is None or latest.table.lessor != stored.table.lessor or stop_signal.is_set:
+            return
+        expected = latest.offset + 1
+        table = self._create_table(latest.table, expected)
+        outcome = self._store.write(tables.TOPIC, tables.KEY, tables.encode(table), expected)
+        if not isinstance(outcome, client.Written):
+            logging.info("no take-over, step write: %s", outcome)
+            return
+        taken = key_ranges.StoredTable(outcome.offset, table)
+        duties = lessor.Duties(self._store, self._channel, self._directory, self._clock)
+        current = lessor.Lessor(duties, self._own, taken, self._longest_hold_s)
+        logging.info(
+            "lessor from term %d, ranges %d, predecessors %d",
+            outcome.offset,
+            len(table.assignments),
+            len(table.predecessors),
+        )
+        self._serve(current, stop_signal)
+
+    def _create_table(
+        self, latest: key_ranges.OwnershipTable, fence: int
+    ) -> key_ranges.OwnershipTable:
+        """Return the table of a take-over: all owners stay, under a higher fence.
+
+        Servers refuse what an earlier lessor still sends once they have seen it.
+        """
+        earlier = latest.predecessors
+        if latest.lessor is not None and latest.lessor.address != self._own.address:
+            earlier = (*earlier, latest.lessor)
+        return key_ranges.OwnershipTable(
+            lessor=self._own,
+            term=fence,
+            predecessors=tuple(item for item in earlier if item.address != self._own.address),
+            assignments=tuple(
+                dataclasses.replace(item, fence=fence) for item in latest.assignments
+            ),
+        )
+
+    def _serve(self, current: lessor.Lessor, stop_signal: tasks.StopSignal) -> None:
+        with self._lock:
+            self._reporters.clear()
+        self._lessor = current
+        publishing = tasks.Task("lessor-view", lambda stop: self._publish(current, stop))
+        publishing.start()
+        try:
+            current.run(stop_signal)
+        finally:
+            publishing.stop()
+            if not stop_signal.is_set:
+                current.step_down(timeout_s=0.0)
+                self._lessor = None
+
+    def _publish(self, current: lessor.Lessor, stop_signal: tasks.StopSignal) -> None:
+        """Keep this instance's own view and its own counts up to date."""
+        reported_at_s = self._clock.read_s()
+        while not stop_signal.is_set:
+            current.book.wait_for_change(self._owners.view.revision, OWN_REPORT_S)
+            self._owners.adopt(current.book.create_view())
+            now_s = self._clock.read_s()
+            if now_s - reported_at_s >= OWN_REPORT_S:
+                reported_at_s = now_s
+                current.heat.add(self._owners.take_counts(), now_s)
+                current.heat.speeds.add(self._estimates.take_samples(), now_s)
+
+    def _settle_repeatedly(self, stop_signal: tasks.StopSignal) -> None:
+        """Find out whether earlier lessors have ended, so that nobody waits for them."""
+        while not stop_signal.wait(SETTLE_INTERVAL_S):
+            current = self._lessor
+            if current is None or current.is_over or not current.awaits_predecessors:
+                continue
+            if all(self._has_ended(item, current.term) for item in current.predecessors):
+                logging.info("term %d: all earlier lessors have ended", current.term)
+                current.settle_predecessors()
+
+    def _has_ended(self, earlier: key_ranges.Lessor, term: int) -> bool:
+        try:
+            channel = self._dialer.dial(earlier.address, PEER_TIMEOUT_S)
+            presence = channel.ask_presence()
+            has_ended = presence.incarnation != earlier.incarnation or channel.stand_down(term)
+            channel.close()
+        except reports.UnreachableError:
+            return False
+        return has_ended
--- /dev/null
+++ b/src/goldcresthall/ranges/grants.py
@@ -0,0 +1,92 @@
+"""Orders to backend servers about keys, and what comes of them."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+from typing import TYPE_CHECKING
+
+from goldcresthall.core import key_ranges
+from goldcresthall.kernel import service
+
+if TYPE_CHECKING:
+    from goldcresthall.core import deployment
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GrantOrder:
+    """Grants keys, or renews a grant, for `hold_s` seconds from its arrival.
+
+    Attributes
+    ----------
+    handover
+        What the last holder gave on release; empty if there is nothing.
+    """
+
+    holding_id: int
+    keys: key_ranges.KeyRange
+    fence: int
+    hold_s: float
+    handover: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReleaseOrder:
+    """Takes keys back once the work on them has ended."""
+
+    holding_id: int
+    keys: key_ranges.KeyRange
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """The server holds the keys."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Released:
+    """The server holds the keys no longer and works on none of them."""
+
+    handover: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceTooLow:
+    """The server has seen a higher fencing token on one of the keys."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderRejected:
+    """The server did not take the order."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderNotSent:
+    """No byte of the order left."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderUnanswered:
+    """The order may be carried out, now or later."""
+
+    detail: str
+
+
+OrderOutcome = Granted | Released | FenceTooLow | OrderRejected | OrderNotSent | OrderUnanswered
+
+
+class GrantChannel(service.Service):
+    """Sends orders about keys to backend servers."""
+
+    @abc.abstractmethod
+    def grant(self, server: deployment.RegisteredServer, order: GrantOrder) -> OrderOutcome:
+        """Grant or renew."""
+
+    @abc.abstractmethod
+    def release(self, server: deployment.RegisteredServer, order: ReleaseOrder) -> OrderOutcome:
+        """Take keys back and wait until the work on them has ended."""
--- /dev/null
+++ b/src/goldcresthall/ranges/peer_server.py
@@ -0,0 +1,118 @@
+"""The answering side of reports: one task for each connection of a peer."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+from absl import logging
+from thrift.transport import TSocket
+from thrift.transport import TTransport
+
+from goldcresthall.generated.lessor import Lessor
+from goldcresthall.generated.lessor import ttypes
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
+from goldcresthall.peers import meters
+from goldcresthall.peers import transport
+from goldcresthall.ranges import election
+from goldcresthall.ranges import peer_channel
+
+if TYPE_CHECKING:
+    from goldcresthall.core import identity
+    from goldcresthall.kernel import kernel
+
+IDLE_TIMEOUT_MS = 10_000
+MS_PER_S = 1_000
+NEVER_MS = 2**31 - 1
+
+
+class ReportHandler:
+    """Answers the calls of one peer."""
+
+    def __init__(self, answering: election.Election) -> None:
+        self._election = answering
+
+    def report(self, report: ttypes.Report) -> ttypes.ReportReply:
+        """Answer a report."""
+        reply = self._election.answer_report(peer_channel.decode_report(report))
+        return peer_channel.encode_reply(reply)
+
+    def ask_presence(self) -> ttypes.Presence:
+        """Say who this instance is."""
+        presence = self._election.describe_presence()
+        return ttypes.Presence(
+            presence.incarnation.name,
+            presence.incarnation.token,
+            min(NEVER_MS, int(presence.heard_lessor_s * MS_PER_S)),
+        )
+
+    def stand_down(self, term: int) -> bool:
+        """End a tenure that is older than a term."""
+        return self._election.answer_stand_down(term)
+
+
+class ReportServer(service.Service):
+    """Accepts connections of peers."""
+
+    def __init__(
+        self, owner: kernel.Kernel, address: identity.Address, meter: meters.PeerMeter
+    ) -> None:
+        self._kernel = owner
+        self._meter = meter
+        self._listener = TSocket.TServerSocket(address.host, address.port)
+        self._lock = threading.Lock()
+        self._open: set[TSocket.TSocket] = set()
+        self._task = tasks.Task("report-server", self._run)
+
+    def start(self) -> None:
+        """Listen and begin to answer."""
+        self._election = self._kernel.find(names.REPORTS, election.Election)
+        self._listener.listen()
+        self._task.start()
+
+    def stop(self) -> None:
+        """Close the listening socket and all connections."""
+        self._task.request_stop()
+        with contextlib.suppress(OSError):
+            self._listener.handle.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        with self._lock:
+            remaining = tuple(self._open)
+        for accepted in remaining:
+            accepted.close()
+
+    def _run(self, stop_signal: tasks.StopSignal) -> None:
+        while not stop_signal.is_set:
+            try:
+                accepted = self._listener.accept()
+            except OSError as error:
+                if not stop_signal.is_set:
+                    logging.warning("peer not accepted, step accept: %s", error)
+                    stop_signal.wait(0.1)
+                continue
+            if accepted is not None:
+                accepted.setTimeout(IDLE_TIMEOUT_MS)
+                self._serve(accepted)
+
+    def _serve(self, accepted: TSocket.TSocket) -> None:
+        with self._lock:
+            self._open.add(accepted)
+        tasks.Task("report-connection", lambda _: self._answer_calls(accepted)).start()
+
+    def _answer_calls(self, accepted: TSocket.TSocket) -> None:
+        processor = Lessor.Processor(ReportHandler(self._election))
+        protocol = transport.create_protocol(accepted, self._meter)
+        try:
+            while processor.process(protocol, protocol):
+                pass
+            logging.warning("peer sent an unknown call, step decode")
+        except (TTransport.TTransportException, OSError, EOFError):
+            logging.debug("peer connection closed")
+        finally:
+            accepted.close()
+            with self._lock:
+                self._open.discard(accepted)
--- /dev/null
+++ b/src/goldcresthall/ranges/reports.py
@@ -0,0 +1,145 @@
+"""Reports to the lessor: what is asked for here, against the lessor's view of the owners."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+
+from goldcresthall.core import identity
+from goldcresthall.core import key_ranges
+from goldcresthall.gateway import estimates
+from goldcresthall.kernel import service
+from goldcresthall.ranges import owners
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """An instance that reports to the lessor."""
+
+    name: str
+    address: identity.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """What an instance tells the lessor.
+
+    Attributes
+    ----------
+    known
+        View that it has; only the term and the revision matter.
+    """
+
+    reporter: key_ranges.Lessor
+    known: owners.OwnersView
+    counts: tuple[owners.CountedKeys, ...]
+    samples: tuple[estimates.TimeSample, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """What the lessor answers.
+
+    Attributes
+    ----------
+    is_lessor
+        Whether the instance asked is the lessor at all.
+    has_store
+        Whether it reaches the store, without which it can change nothing.
+    view
+        The owners; none if the reporter knows the latest view.
+    """
+
+    is_lessor: bool
+    has_store: bool
+    peers: tuple[Peer, ...]
+    view: owners.OwnersView | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Presence:
+    """What an instance says of itself.
+
+    Attributes
+    ----------
+    heard_lessor_s
+        Seconds since the lessor last answered it.
+    """
+
+    incarnation: identity.Incarnation
+    heard_lessor_s: float
+
+
+class UnreachableError(Exception):
+    """A peer gave no answer.
+
+    Attributes
+    ----------
+    is_refused
+        Whether nothing listens at its address.
+    """
+
+    def __init__(self, detail: str, *, is_refused: bool) -> None:
+        super().__init__(detail)
+        self.is_refused = is_refused
+
+
+class PeerChannel(abc.ABC):
+    """A connection to a peer; not to be shared between tasks."""
+
+    @abc.abstractmethod
+    def report(self, report: Report) -> Reply:
+        """Report to a lessor, which may hold the answer back until there is news.
+
+        Raises
+        ------
+        UnreachableError
+            If there is no answer.
+        """
+
+    @abc.abstractmethod
+    def ask_presence(self) -> Presence:
+        """Ask a peer who it is.
+
+        Raises
+        ------
+        UnreachableError
+            If there is no answer.
+        """
+
+    @abc.abstractmethod
+    def stand_down(self, term: int) -> bool:
+        """Tell a lessor that another has taken over; return whether it grants no more.
+
+        Raises
+        ------
+        UnreachableError
+            If there is no answer.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class PeerDialer(service.Service):
+    """Opens connections to peers."""
+
+    @abc.abstractmethod
+    def dial(self, address: identity.Address, timeout_s: float) -> PeerChannel:
+        """Return a connection, each of whose calls may take `timeout_s` seconds.
+
+        Raises
+        ------
+        UnreachableError
+            If it cannot be opened.
+        """
+
+
+class Reports(service.Service):
+    """Knows how many instances there are."""
+
+    @property
+    @abc.abstractmethod
+    def live_instances(self) -> int:
+        """Number of instances that report to the lessor, this one included."""
