Route requests by host and path, with ordered answers and cancellation

cheroot answers one request of a connection at a time and cannot see a caller leave meanwhile, and urllib3 hides surplus bytes, so both sides use h11.

--- /dev/null
+++ b/src/goldcresthall/backend/exchange.py
@@ -0,0 +1,331 @@
+"""One request and its whole answer over a connection to a backend server."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import dataclasses
+import select
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import h11
+
+from goldcresthall.core import outcomes
+
+if TYPE_CHECKING:
+    from goldcresthall.core import identity
+    from goldcresthall.kernel import cancellation
+
+CONNECT_TIMEOUT_S = 0.3
+RECEIVE_BYTES = 65_536
+HEADER_LIMIT_BYTES = 65_536
+BODY_LIMIT_BYTES = 64 * 1_048_576
+LONGEST_IDLE_S = 4.0
+IDLE_FRACTION = 0.5
+STRAY_ANSWERS_LIMIT = 4
+
+
+class ExchangeError(Exception):
+    """An exchange failed; `step` says where."""
+
+    def __init__(self, step: outcomes.Step, detail: str) -> None:
+        super().__init__(detail)
+        self.step = step
+
+
+class ConnectFailedError(ExchangeError):
+    """No connection was made: no byte of the request left."""
+
+
+class TimedOutError(ExchangeError):
+    """The whole answer did not come in time."""
+
+
+class TruncatedError(ExchangeError):
+    """The answer broke off or is no HTTP."""
+
+
+class ConnectionLostError(ExchangeError):
+    """The connection ended before an answer began."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawRequest:
+    """A request in the terms of HTTP."""
+
+    method: str
+    target: str
+    headers: tuple[outcomes.Header, ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """A whole answer in the terms of HTTP."""
+
+    status: int
+    headers: tuple[outcomes.Header, ...]
+    body: bytes
+
+    def find(self, name: str) -> str | None:
+        """Return the value of a header by its name in lower case, or none."""
+        for header in self.headers:
+            if header.name.lower() == name:
+                return header.value
+        return None
+
+
+class Connection:
+    """A connection to a backend server, used for one exchange at a time."""
+
+    def __init__(self, connected: socket.socket) -> None:
+        self._socket = connected
+        self._leftover = b""
+        self._is_reusable = False
+        self._keep_s = LONGEST_IDLE_S
+        self.idle_since_s = 0.0
+
+    @classmethod
+    def open(cls, address: identity.Address, timeout_s: float) -> Connection:
+        """Return a new connection.
+
+        Raises
+        ------
+        ConnectFailedError
+            If the server does not accept it in time.
+        """
+        try:
+            connected = socket.create_connection((address.host, address.port), timeout_s)
+            connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as error:
+            detail = f"{type(error).__name__}: {error}"
+            raise ConnectFailedError(outcomes.Step.CONNECT, detail) from error
+        return cls(connected)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another exchange may follow on it now."""
+        if not self._is_reusable or time.monotonic() - self.idle_since_s > self._keep_s:
+            return False
+        return not self._is_readable()
+
+    def exchange(self, request: RawRequest, id_header: str, timeout_s: float) -> RawAnswer:
+        """Send a request and return its whole answer; answers of others are skipped.
+
+        Parameters
+        ----------
+        id_header
+            Name in lower case of the header that an answer repeats.
+
+        Raises
+        ------
+        ExchangeError
+            If there is no whole answer.
+        """
+        ends_at_s = time.monotonic() + timeout_s
+        self._is_reusable = False
+        expected = _find_header(request.headers, id_header)
+        self._send(request, ends_at_s)
+        for _ in range(STRAY_ANSWERS_LIMIT):
+            answer = self._receive(request, ends_at_s)
+            echoed = answer.find(id_header)
+            if echoed is None or echoed == expected:
+                return answer
+            if not self._is_reusable:
+                break
+        raise TruncatedError(outcomes.Step.RECEIVE, "answers of other requests only")
+
+    def interrupt(self) -> None:
+        """End an exchange in progress from another thread."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
+
+    def _send(self, request: RawRequest, ends_at_s: float) -> None:
+        parser = h11.Connection(h11.CLIENT)
+        data = parser.send(_create_head(request)) or b""
+        if request.body:
+            data += parser.send(h11.Data(data=request.body)) or b""
+        data += parser.send(h11.EndOfMessage()) or b""
+        try:
+            self._socket.settimeout(max(0.001, ends_at_s - time.monotonic()))
+            self._socket.sendall(data)
+        except TimeoutError as error:
+            raise TimedOutError(outcomes.Step.SEND, "timed out") from error
+        except OSError as error:
+            raise ConnectionLostError(outcomes.Step.SEND, str(error)) from error
+
+    def _receive(self, request: RawRequest, ends_at_s: float) -> RawAnswer:
+        parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
+        parser.send(_create_head(request))
+        if request.body:
+            parser.send(h11.Data(data=request.body))
+        parser.send(h11.EndOfMessage())
+        if self._leftover:
+            parser.receive_data(self._leftover)
+        try:
+            answer = self._read_answer(parser, ends_at_s)
+        except h11.RemoteProtocolError as error:
+            raise TruncatedError(outcomes.Step.RECEIVE, str(error)) from error
+        self._leftover, at_end = parser.trailing_data
+        self._is_reusable = parser.their_state is h11.DONE and not at_end
+        self._note_keep_alive(answer)
+        return answer
+
+    def _read_answer(self, parser: h11.Connection, ends_at_s: float) -> RawAnswer:
+        head: h11.Response | None = None
+        pieces: list[bytes] = []
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                self._feed(parser, ends_at_s, begun=head is not None)
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                pieces.append(bytes(event.data))
+                if sum(map(len, pieces)) > BODY_LIMIT_BYTES:
+                    raise TruncatedError(outcomes.Step.RECEIVE, "the answer is too long")
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _create_answer(head, b"".join(pieces))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionLostError(outcomes.Step.RECEIVE, "closed without an answer")
+
+    def _feed(self, parser: h11.Connection, ends_at_s: float, *, begun: bool) -> None:
+        remaining_s = ends_at_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimedOutError(outcomes.Step.RECEIVE, "timed out")
+        try:
+            self._socket.settimeout(remaining_s)
+            data = self._socket.recv(RECEIVE_BYTES)
+        except TimeoutError as error:
+            raise TimedOutError(outcomes.Step.RECEIVE, "timed out") from error
+        except OSError as error:
+            kind = TruncatedError if begun else ConnectionLostError
+            raise kind(outcomes.Step.RECEIVE, str(error)) from error
+        if not data and not begun and not parser.trailing_data[0]:
+            raise ConnectionLostError(outcomes.Step.RECEIVE, "closed without an answer")
+        parser.receive_data(data)
+
+    def _note_keep_alive(self, answer: RawAnswer) -> None:
+        if self._leftover:
+            self._is_reusable = False
+        self.idle_since_s = time.monotonic()
+        for item in (answer.find("keep-alive") or "").split(","):
+            name, _, value = item.strip().partition("=")
+            if name == "timeout" and value.isdigit():
+                self._keep_s = min(LONGEST_IDLE_S, int(value) * IDLE_FRACTION)
+
+    def _is_readable(self) -> bool:
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        return bool(poll.poll(0))
+
+
+class ConnectionPool:
+    """Idle connections by address, the latest used first."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._idle: dict[identity.Address, collections.deque[Connection]] = {}
+
+    def exchange(
+        self,
+        address: identity.Address,
+        request: RawRequest,
+        id_header: str,
+        timeout_s: float,
+        cancelled: cancellation.Cancellation,
+        *,
+        keep: int,
+        fresh: bool,
+    ) -> RawAnswer:
+        """Send a request to an address and return its whole answer.
+
+        Parameters
+        ----------
+        keep
+            Idle connections to keep open to the address.
+        fresh
+            Whether the request must not risk a connection that was idle.
+
+        Raises
+        ------
+        ExchangeError
+            If there is no whole answer.
+        """
+        began_at_s = time.monotonic()
+        used = None if fresh else self._take(address)
+        if used is None:
+            used = Connection.open(address, min(CONNECT_TIMEOUT_S, timeout_s))
+        remaining_s = timeout_s - (time.monotonic() - began_at_s)
+        try:
+            with cancelled.interrupting(used.interrupt):
+                answer = used.exchange(request, id_header, remaining_s)
+        except BaseException:
+            used.close()
+            raise
+        self._give_back(address, used, keep)
+        return answer
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            idle = [used for pool in self._idle.values() for used in pool]
+            self._idle.clear()
+        for used in idle:
+            used.close()
+
+    def _take(self, address: identity.Address) -> Connection | None:
+        while True:
+            with self._lock:
+                pool = self._idle.get(address)
+                if not pool:
+                    return None
+                used = pool.pop()
+            if used.is_reusable:
+                return used
+            used.close()
+
+    def _give_back(self, address: identity.Address, used: Connection, keep: int) -> None:
+        if not used.is_reusable:
+            used.close()
+            return
+        with self._lock:
+            pool = self._idle.setdefault(address, collections.deque())
+            pool.append(used)
+            surplus = [pool.popleft() for _ in range(max(0, len(pool) - keep))]
+        for old in surplus:
+            old.close()
+
+
+def _create_head(request: RawRequest) -> h11.Request:
+    headers = [
+        (header.name.encode("latin-1"), header.value.encode("latin-1"))
+        for header in request.headers
+    ]
+    if request.body:
+        headers.append((b"Content-Length", str(len(request.body)).encode()))
+    elif request.method not in {"GET", "HEAD"}:
+        headers.append((b"Content-Length", b"0"))
+    return h11.Request(method=request.method, target=request.target, headers=headers)
+
+
+def _create_answer(head: h11.Response, body: bytes) -> RawAnswer:
+    headers = tuple(
+        outcomes.Header(name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers.raw_items()
+    )
+    return RawAnswer(head.status_code, headers, body)
+
+
+def _find_header(headers: tuple[outcomes.Header, ...], name: str) -> str:
+    for header in headers:
+        if header.name.lower() == name:
+            return header.value
+    return ""
--- /dev/null
+++ b/src/goldcresthall/backend/work.py
@@ -0,0 +1,22 @@
+"""Sending of work to backend servers, with cancellation."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+from goldcresthall.kernel import service
+
+if TYPE_CHECKING:
+    from goldcresthall.core import attempts
+    from goldcresthall.kernel import cancellation
+
+
+class WorkSender(service.Service):
+    """Sends requests to backend servers and waits for their whole answers."""
+
+    @abc.abstractmethod
+    def send(
+        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
+    ) -> attempts.Attempt:
+        """Send one request to one server; cancellation drops the server's work."""
--- /dev/null
+++ b/src/goldcresthall/callers/connections.py
@@ -0,0 +1,320 @@
+"""A caller's connection: requests are read ahead and answered in their order."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import dataclasses
+import select
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import h11
+
+from goldcresthall.backend import exchange
+from goldcresthall.core import outcomes
+from goldcresthall.kernel import cancellation
+
+if TYPE_CHECKING:
+    from goldcresthall.callers import codec
+    from goldcresthall.core import deployment
+
+RECEIVE_BYTES = 65_536
+SEND_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 30.0
+IDLE_MARGIN_S = 0.5
+LINGER_S = 0.5
+MOST_IN_PROGRESS = 16
+LONGEST_POLL_S = 5.0
+MS_PER_S = 1_000
+CONTINUE_STATUS = 100
+BAD_REQUEST_STATUS = 400
+TOO_LARGE_STATUS = 413
+
+
+class CallerGoneError(Exception):
+    """The caller closed the connection, or it was idle for too long."""
+
+
+class BadRequestError(Exception):
+    """What the caller sent is no proper request."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A request that was read in whole.
+
+    Attributes
+    ----------
+    has_more
+        Whether the caller may send further requests on the connection.
+    """
+
+    request: exchange.RawRequest
+    pending: PendingAnswer
+    has_more: bool
+
+
+class PendingAnswer:
+    """The place of one answer in the order of a connection's answers."""
+
+    def __init__(self, parser: h11.Connection) -> None:
+        self.parser = parser
+        self.cancelled = cancellation.Cancellation()
+        self.closes = False
+        self.data: bytes | None = None
+
+
+class CallerConnection:
+    """Reads a caller's requests and sends their answers in order.
+
+    One task reads; the tasks that handle requests hand in the answers.
+    """
+
+    def __init__(self, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = accepted
+        self._lock = threading.Lock()
+        self._changed = threading.Condition(self._lock)
+        self._pending: collections.deque[PendingAnswer] = collections.deque()
+        self._leftover = b""
+        self._is_closed = False
+        self._is_leaving = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no answer is due."""
+        return not self._pending
+
+    def mark_leaving(self) -> None:
+        """Answer the next request as the last one."""
+        self._is_leaving = True
+
+    def close_idle(self) -> bool:
+        """Close the connection if no answer is due; return whether it is closed."""
+        with self._lock:
+            if self._pending:
+                return False
+            self._is_closed = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        return True
+
+    def receive(self, limits: deployment.CallerLimits) -> Received:
+        """Return the next request, in whole.
+
+        Raises
+        ------
+        CallerGoneError
+            If there is none.
+        BadRequestError
+            If it is malformed or too long; the answer's place is taken already.
+        """
+        with self._changed:
+            self._changed.wait_for(lambda: len(self._pending) < MOST_IN_PROGRESS or self._is_closed)
+        parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        if self._leftover:
+            parser.receive_data(self._leftover)
+            self._leftover = b""
+        try:
+            return self._read_request(parser, limits)
+        except h11.RemoteProtocolError as error:
+            raise BadRequestError(
+                error.error_status_hint or BAD_REQUEST_STATUS, str(error)
+            ) from error
+
+    def answer(self, pending: PendingAnswer, response: codec.RawResponse) -> None:
+        """Hand in an answer; it is sent once all before it are."""
+        data = _encode(pending, response)
+        with self._changed:
+            pending.data = data
+            self._send_ready()
+            self._changed.notify_all()
+
+    def reject(self, error: BadRequestError) -> None:
+        """Answer a malformed request after all others and close the connection."""
+        pending = PendingAnswer(h11.Connection(h11.SERVER))
+        pending.closes = True
+        head = f"HTTP/1.1 {error.status} Rejected\r\nContent-Length: 0\r\n"
+        pending.data = (head + "Connection: close\r\n\r\n").encode()
+        with self._changed:
+            self._pending.append(pending)
+            self._send_ready()
+
+    def await_answers(self) -> None:
+        """Wait until all answers are sent, or the caller is gone."""
+        while True:
+            with self._changed:
+                if not self._pending or self._is_closed:
+                    break
+            try:
+                self._wait_readable(LONGEST_POLL_S, only_hangup=True)
+            except CallerGoneError:
+                return
+        self._drain()
+
+    def abandon(self) -> None:
+        """Cancel all work in progress and close the connection."""
+        with self._changed:
+            self._is_closed = True
+            abandoned = tuple(self._pending)
+            self._pending.clear()
+            self._changed.notify_all()
+        for pending in abandoned:
+            pending.cancelled.cancel()
+        self._socket.close()
+
+    def _read_request(self, parser: h11.Connection, limits: deployment.CallerLimits) -> Received:
+        head = self._read_head(parser, limits)
+        pieces: list[bytes] = []
+        room = limits.body_bytes
+        ends_at_s = time.monotonic() + BODY_TIMEOUT_S
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                if parser.they_are_waiting_for_100_continue:
+                    self._send_continue(parser)
+                parser.receive_data(self._receive_bytes(ends_at_s, limits))
+            elif isinstance(event, h11.Data):
+                pieces.append(bytes(event.data))
+                room -= len(pieces[-1])
+                if room < 0:
+                    raise BadRequestError(TOO_LARGE_STATUS, "the body is too long")
+            elif isinstance(event, h11.EndOfMessage):
+                return self._finish_request(parser, head, b"".join(pieces))
+
+    def _read_head(self, parser: h11.Connection, limits: deployment.CallerLimits) -> h11.Request:
+        ends_at_s: float | None = None
+        while True:
+            event = parser.next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                raise CallerGoneError("closed")
+            if parser.trailing_data[0] and ends_at_s is None:
+                ends_at_s = time.monotonic() + limits.header_timeout_s
+            parser.receive_data(self._receive_bytes(ends_at_s, limits))
+
+    def _finish_request(self, parser: h11.Connection, head: h11.Request, body: bytes) -> Received:
+        self._leftover, _ = parser.trailing_data
+        pending = PendingAnswer(parser)
+        pending.closes = self._is_leaving or parser.their_state is h11.MUST_CLOSE
+        with self._changed:
+            if self._is_closed:
+                raise CallerGoneError("closed")
+            self._pending.append(pending)
+        headers = tuple(
+            outcomes.Header(name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers.raw_items()
+        )
+        request = exchange.RawRequest(
+            head.method.decode("ascii"), head.target.decode("latin-1"), headers, body
+        )
+        return Received(request, pending, has_more=not pending.closes)
+
+    def _receive_bytes(self, ends_at_s: float | None, limits: deployment.CallerLimits) -> bytes:
+        idle_ends_at_s = time.monotonic() + limits.idle_timeout_s + IDLE_MARGIN_S
+        while True:
+            limit_s = ends_at_s if ends_at_s is not None else idle_ends_at_s
+            remaining_s = limit_s - time.monotonic()
+            if remaining_s <= 0:
+                if self._pending:
+                    idle_ends_at_s = time.monotonic() + limits.idle_timeout_s
+                    continue
+                raise CallerGoneError("timed out")
+            if not self._wait_readable(min(remaining_s, LONGEST_POLL_S)):
+                continue
+            try:
+                data = self._socket.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise CallerGoneError(str(error)) from error
+            if not data:
+                raise CallerGoneError("closed")
+            return data
+
+    def _wait_readable(self, timeout_s: float, *, only_hangup: bool = False) -> bool:
+        poll = select.poll()
+        try:
+            wanted = select.POLLRDHUP if only_hangup else select.POLLIN | select.POLLRDHUP
+            poll.register(self._socket, wanted)
+            events = poll.poll(timeout_s * MS_PER_S)
+        except (OSError, ValueError) as error:
+            raise CallerGoneError(str(error)) from error
+        if events and only_hangup:
+            raise CallerGoneError("closed")
+        return bool(events)
+
+    def _drain(self) -> None:
+        """Read what the caller still sends: unread bytes would reset the last answer."""
+        ends_at_s = time.monotonic() + LINGER_S
+        while time.monotonic() < ends_at_s:
+            try:
+                if self._wait_readable(LINGER_S) and not self._socket.recv(RECEIVE_BYTES):
+                    return
+            except (OSError, CallerGoneError):
+                return
+
+    def _send_continue(self, parser: h11.Connection) -> None:
+        status = h11.InformationalResponse(status_code=CONTINUE_STATUS, headers=[])
+        data = parser.send(status)
+        with self._changed:
+            self._changed.wait_for(lambda: not self._pending or self._is_closed)
+            self._send(data or b"")
+
+    def _send_ready(self) -> None:
+        while self._pending and self._pending[0].data is not None and not self._is_closed:
+            pending = self._pending.popleft()
+            self._send(pending.data or b"")
+            if pending.closes:
+                self._is_closed = True
+                with contextlib.suppress(OSError):
+                    self._socket.shutdown(socket.SHUT_WR)
+
+    def _send(self, data: bytes) -> None:
+        view = memoryview(data)
+        ends_at_s = time.monotonic() + SEND_TIMEOUT_S
+        while view:
+            try:
+                view = view[self._socket.send(view) :]
+            except BlockingIOError:
+                if not self._wait_writable(ends_at_s - time.monotonic()):
+                    self._is_closed = True
+                    return
+            except OSError:
+                # The reading task sees the same and abandons what is in progress.
+                self._is_closed = True
+                return
+
+    def _wait_writable(self, timeout_s: float) -> bool:
+        poll = select.poll()
+        try:
+            poll.register(self._socket, select.POLLOUT)
+            return timeout_s > 0 and bool(poll.poll(timeout_s * MS_PER_S))
+        except (OSError, ValueError):
+            return False
+
+
+def _encode(pending: PendingAnswer, response: codec.RawResponse) -> bytes:
+    headers = [
+        (header.name.encode("latin-1"), header.value.encode("latin-1"))
+        for header in response.headers
+    ]
+    headers.append((b"Content-Length", str(len(response.body)).encode()))
+    if pending.closes:
+        headers.append((b"Connection", b"close"))
+    parser = pending.parser
+    head = h11.Response(status_code=response.status, headers=headers)
+    data = parser.send(head) or b""
+    if response.body and parser.our_state is h11.SEND_BODY:
+        data += parser.send(h11.Data(data=response.body)) or b""
+    data += parser.send(h11.EndOfMessage()) or b""
+    return data
--- /dev/null
+++ b/src/goldcresthall/callers/ordered_front.py
@@ -0,0 +1,160 @@
+"""The callers' front end of a deployment: one task for each connection."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.callers import connections
+from goldcresthall.core import deployment
+from goldcresthall.core import outcomes
+from goldcresthall.gateway import directory
+from goldcresthall.gateway import gateway
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
+
+if TYPE_CHECKING:
+    from goldcresthall.callers import codec
+    from goldcresthall.core import deployment_settings
+    from goldcresthall.kernel import kernel
+
+LISTEN_BACKLOG = 512
+IDLE_CHECK_S = 0.05
+
+
+class OrderedFront(service.Service):
+    """Accepts callers, reads their requests ahead and answers each in its order."""
+
+    def __init__(
+        self,
+        owner: kernel.Kernel,
+        instance_settings: deployment_settings.DeploymentSettings,
+        caller_codec: codec.CallerCodec,
+    ) -> None:
+        self._kernel = owner
+        self._address = instance_settings.listen.callers
+        self._codec = caller_codec
+        self._lock = threading.Lock()
+        self._open: set[connections.CallerConnection] = set()
+        self._is_leaving = False
+        self._task = tasks.Task("callers", self._run)
+
+    def start(self) -> None:
+        """Listen and begin to serve."""
+        self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
+        self._gateway = self._kernel.find(names.GATEWAY, gateway.Gateway)
+        self._listener = socket.create_server(
+            (self._address.host, self._address.port), backlog=LISTEN_BACKLOG
+        )
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop accepting and close what is open."""
+        self.stop_accepting()
+        with self._lock:
+            remaining = tuple(self._open)
+        for connection in remaining:
+            connection.close_idle()
+
+    def mark_leaving(self) -> None:
+        """Tell callers with each answer from now on that their connection closes."""
+        with self._lock:
+            self._is_leaving = True
+            for connection in self._open:
+                connection.mark_leaving()
+
+    def stop_accepting(self) -> None:
+        """Take no further connections."""
+        self._task.request_stop()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def finish(self, stop_signal: tasks.StopSignal, longest_s: float) -> bool:
+        """Close connections as they become idle; return whether all are closed in time."""
+        ends_at_s = self._clock.read_s() + longest_s
+        while True:
+            with self._lock:
+                remaining = tuple(self._open)
+            if all(connection.close_idle() for connection in remaining):
+                return True
+            if self._clock.read_s() >= ends_at_s:
+                logging.warning("%d connections cut at the end", len(remaining))
+                return False
+            stop_signal.wait(IDLE_CHECK_S)
+
+    def _run(self, stop_signal: tasks.StopSignal) -> None:
+        while not stop_signal.is_set:
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError as error:
+                if not stop_signal.is_set:
+                    logging.warning("accept failed, step accept: %s", error)
+                    stop_signal.wait(IDLE_CHECK_S)
+                continue
+            self._admit(accepted)
+
+    def _admit(self, accepted: socket.socket) -> None:
+        connection = connections.CallerConnection(accepted)
+        with self._lock:
+            self._open.add(connection)
+            if self._is_leaving:
+                connection.mark_leaving()
+        tasks.Task("caller", lambda _: self._serve(connection)).start()
+
+    def _serve(self, connection: connections.CallerConnection) -> None:
+        try:
+            while True:
+                received = connection.receive(self._find_limits())
+                self._start_request(connection, received)
+                if not received.has_more:
+                    connection.await_answers()
+                    return
+        except connections.BadRequestError as error:
+            logging.info("bad request, step decode, status %d: %s", error.status, error)
+            connection.reject(error)
+            connection.await_answers()
+        except connections.CallerGoneError:
+            logging.debug("caller gone")
+        finally:
+            connection.abandon()
+            with self._lock:
+                self._open.discard(connection)
+
+    def _start_request(
+        self, connection: connections.CallerConnection, received: connections.Received
+    ) -> None:
+        received_at_s = self._clock.read_s()
+        tasks.Task("request", lambda _: self._handle(connection, received, received_at_s)).start()
+
+    def _handle(
+        self,
+        connection: connections.CallerConnection,
+        received: connections.Received,
+        received_at_s: float,
+    ) -> None:
+        decoded = self._codec.decode(received.request, received_at_s)
+        request_id = ""
+        if isinstance(decoded, outcomes.Refused):
+            outcome: outcomes.Outcome = decoded
+        else:
+            request_id = decoded.request_id
+            try:
+                outcome = self._gateway.handle(decoded, received.pending.cancelled)
+            except Exception as error:
+                logging.exception("request %s failed", request_id)
+                outcome = outcomes.OutcomeUnknown(
+                    outcomes.UnknownReason.CONNECTION_LOST, outcomes.Step.SEND, "", str(error)
+                )
+        connection.answer(received.pending, self._codec.encode(outcome, request_id))
+
+    def _find_limits(self) -> deployment.CallerLimits:
+        configuration = self._directory.configuration
+        return deployment.CallerLimits() if configuration is None else configuration.limits
--- /dev/null
+++ b/src/goldcresthall/gateway/directory.py
@@ -0,0 +1,169 @@
+"""The directory service: the configuration in force and the registered servers."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.core import deployment
+from goldcresthall.gateway import routes
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+
+if TYPE_CHECKING:
+    from goldcresthall.kernel import kernel
+
+RETURN_TIME_S = 2.6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """A registered server and when it was first seen as draining.
+
+    Attributes
+    ----------
+    draining_since_s
+        Reading of the instance's clock; none while it does not drain.
+    first_seen_s
+        Reading of the clock when this life of it was first seen.
+    """
+
+    server: deployment.RegisteredServer
+    first_seen_s: float
+    draining_since_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerList:
+    """All servers that may be used, by name; replaced as a whole when it changes."""
+
+    by_name: dict[str, Listed]
+    by_service: dict[str, tuple[Listed, ...]]
+
+    def find(self, life: deployment.ServerLife) -> Listed | None:
+        """Return a server if the given life of it is the latest."""
+        listed = self.by_name.get(life.name)
+        return listed if listed is not None and listed.server.life == life else None
+
+
+class Directory(service.Service):
+    """What the platform says of the deployment, as last read here.
+
+    An entry that is missing while the store is away or has just returned is kept:
+    entries lapse without the server's doing then, and are back soon if it lives.
+    """
+
+    def __init__(self, owner: kernel.Kernel) -> None:
+        self._kernel = owner
+        self._lock = threading.Lock()
+        self._configuration: deployment.Configuration | None = None
+        self._routes = routes.RouteTable(())
+        self._servers = ServerList({}, {})
+        self._lapsed: set[str] = set()
+        self._returned_at_s = 0.0
+
+    def start(self) -> None:
+        """Find the clock."""
+        self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def read_s(self) -> float:
+        """Return the reading of the clock by which entries are timed."""
+        return self._clock.read_s()
+
+    @property
+    def configuration(self) -> deployment.Configuration | None:
+        """The configuration in force; none before the first was read."""
+        return self._configuration
+
+    @property
+    def routes(self) -> routes.RouteTable:
+        """The routes of the configuration in force."""
+        return self._routes
+
+    @property
+    def servers(self) -> ServerList:
+        """The servers that may be used."""
+        return self._servers
+
+    def adopt_configuration(self, configuration: deployment.Configuration) -> bool:
+        """Put a configuration in force unless it is not newer; return whether it is."""
+        with self._lock:
+            current = self._configuration
+            if current is not None and configuration.version <= current.version:
+                return False
+            self._routes = routes.RouteTable(configuration.routes)
+            self._configuration = configuration
+        logging.info(
+            "configuration %08x in force, routes %d, services %d",
+            configuration.version,
+            len(configuration.routes),
+            len(configuration.services),
+        )
+        return True
+
+    def note_store_returned(self) -> None:
+        """Give entries that lapsed while the store was away time to come back."""
+        with self._lock:
+            self._returned_at_s = self._clock.read_s()
+
+    def adopt_changes(
+        self,
+        present: tuple[deployment.RegisteredServer, ...],
+        absent: frozenset[str],
+    ) -> None:
+        """Adopt changed entries and the names of those that are gone."""
+        now_s = self._clock.read_s()
+        with self._lock:
+            by_name = dict(self._servers.by_name)
+            for server in present:
+                self._lapsed.discard(server.name)
+                by_name[server.name] = _merge(by_name.get(server.name), server, now_s)
+            self._lapsed.update(name for name in absent if name in by_name)
+            if now_s >= self._returned_at_s + RETURN_TIME_S:
+                for name in self._lapsed:
+                    logging.info("server %s gone, step discover", name)
+                    by_name.pop(name, None)
+                self._lapsed.clear()
+            if by_name != self._servers.by_name:
+                self._servers = _create_list(by_name)
+
+    def adopt_all(self, present: tuple[deployment.RegisteredServer, ...]) -> None:
+        """Adopt the whole list; entries not in it are gone."""
+        kept = {server.name for server in present}
+        absent = frozenset(name for name in self._servers.by_name if name not in kept)
+        self.adopt_changes(present, absent)
+
+
+def _merge(known: Listed | None, server: deployment.RegisteredServer, now_s: float) -> Listed:
+    if known is None or known.server.life != server.life:
+        logging.info(
+            "server %s of %s at %s, step discover, draining %s",
+            server.name,
+            server.service,
+            server.address,
+            server.draining,
+        )
+        return Listed(server, now_s, now_s if server.draining else None)
+    if known.server == server:
+        return known
+    if not server.draining:
+        return dataclasses.replace(known, server=server, draining_since_s=None)
+    if known.draining_since_s is None:
+        logging.info("server %s draining, step discover", server.name)
+        return dataclasses.replace(known, server=server, draining_since_s=now_s)
+    return dataclasses.replace(known, server=server)
+
+
+def _create_list(by_name: dict[str, Listed]) -> ServerList:
+    by_service: dict[str, list[Listed]] = {}
+    for name in sorted(by_name):
+        listed = by_name[name]
+        by_service.setdefault(listed.server.service, []).append(listed)
+    return ServerList(by_name, {key: tuple(value) for key, value in by_service.items()})
--- /dev/null
+++ b/src/goldcresthall/gateway/repeats.py
@@ -0,0 +1,60 @@
+"""Which attempts may be repeated, and how long a request waits for an owner."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+
+from goldcresthall.core import attempts
+from goldcresthall.core import outcomes
+from goldcresthall.routing import retries
+
+OWNER_RECHECK_S = 0.1
+PATIENT_FRACTION = 0.5
+FIRST_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Patience:
+    """How long a request may wait for its key to have an owner."""
+
+    began_at_s: float
+    available_s: float
+
+    def find_remaining_s(self, now_s: float) -> float:
+        """Return the seconds that it may still wait."""
+        return self.began_at_s + PATIENT_FRACTION * self.available_s - now_s
+
+
+@functools.singledispatch
+def find_reason(attempt: attempts.Attempt, *, idempotent: bool) -> retries.RetryReason | None:
+    """Return the reason to repeat an attempt, or none if it must not be repeated."""
+    raise NotImplementedError(type(attempt).__name__)
+
+
+@find_reason.register
+def _(attempt: attempts.AttemptAnswered, *, idempotent: bool) -> retries.RetryReason | None:
+    if idempotent and attempt.answer.status >= FIRST_SERVER_ERROR:
+        return outcomes.UnknownReason.SERVER_ERROR
+    return None
+
+
+@find_reason.register
+def _(attempt: attempts.AttemptNotRun, *, idempotent: bool) -> retries.RetryReason | None:
+    if attempt.reason is outcomes.RefusalReason.DEADLINE_EXPIRED:
+        return None
+    return attempt.reason
+
+
+@find_reason.register
+def _(attempt: attempts.AttemptUnknown, *, idempotent: bool) -> retries.RetryReason | None:
+    if not idempotent or attempt.reason is outcomes.UnknownReason.CALLER_LEFT:
+        return None
+    return attempt.reason
+
+
+def was_sent(attempt: attempts.Attempt) -> bool:
+    """Return whether the request reached a server in an attempt."""
+    return not (
+        isinstance(attempt, attempts.AttemptNotRun) and attempt.step is outcomes.Step.CONNECT
+    )
--- /dev/null
+++ b/src/goldcresthall/gateway/selection.py
@@ -0,0 +1,65 @@
+"""The choice among the servers of a service that is not divided by key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from goldcresthall.gateway import estimates
+
+if TYPE_CHECKING:
+    import random
+
+    from goldcresthall.core import deployment
+    from goldcresthall.gateway import directory
+
+FAR_PENALTY = 1.15
+WARMUP_PENALTY = 2.0
+FAILURE_PENALTY = 6.0
+JITTER = 0.15
+DRAWN = 4
+
+
+def choose(
+    candidates: list[directory.Listed],
+    seen: estimates.Estimates,
+    failure_domain: str,
+    now_s: float,
+    generator: random.Random,
+) -> deployment.RegisteredServer | None:
+    """Return the server that should answer soonest among some drawn at random.
+
+    Servers that just failed to answer are left out while there are others.
+    """
+    usable = [
+        listed.server for listed in candidates if seen.find(listed.server).shunned_until_s <= now_s
+    ]
+    usable = usable or [listed.server for listed in candidates]
+    if not usable:
+        return None
+    drawn = generator.sample(usable, DRAWN) if len(usable) > DRAWN else usable
+    by_name = {listed.server.name: listed for listed in candidates}
+    return min(
+        drawn,
+        key=lambda server: find_score_s(by_name[server.name], seen, failure_domain, now_s)
+        * generator.uniform(1.0 - JITTER, 1.0 + JITTER),
+    )
+
+
+def find_score_s(
+    listed: directory.Listed, seen: estimates.Estimates, failure_domain: str, now_s: float
+) -> float:
+    """Return the seconds after which a server should answer, with penalties."""
+    server = listed.server
+    known = seen.find(server)
+    age_s = now_s - known.reported_at_s
+    freshness = max(0.0, 1.0 - age_s / estimates.LOAD_LIFETIME_S)
+    load = known.outstanding + known.reported_load * freshness
+    waiting = max(0.0, load + 1.0 - server.slots) / server.slots
+    crowding = 0.25 * load / server.slots
+    score_s = known.service_s * (1.0 + waiting + crowding)
+    score_s *= 1.0 + FAILURE_PENALTY * known.failure_rate
+    if now_s < listed.first_seen_s + server.warmup_left_s:
+        score_s *= WARMUP_PENALTY
+    if server.failure_domain != failure_domain:
+        score_s *= FAR_PENALTY
+    return score_s
--- /dev/null
+++ b/src/goldcresthall/gateway/watchers.py
@@ -0,0 +1,128 @@
+"""Tasks that keep the directory up to date from the store."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.gateway import directory
+from goldcresthall.kernel import clock
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
+from goldcresthall.store import client
+from goldcresthall.store import topics
+
+if TYPE_CHECKING:
+    from goldcresthall.core import deployment
+    from goldcresthall.kernel import kernel
+
+CONFIGURATION_WAIT_S = 20.0
+FIRST_RETRY_S = 0.1
+RETRY_S = 0.4
+SERVERS_INTERVAL_S = 0.9
+
+
+class EntryDecoder(abc.ABC):
+    """Decodes what the platform keeps in the store.
+
+    Attributes
+    ----------
+    configuration_topic
+        Topic of the configuration.
+    servers_topic
+        Topic of the servers' entries, each under the server's name.
+    """
+
+    configuration_topic: str
+    servers_topic: str
+
+    @abc.abstractmethod
+    def decode_configuration(self, record: client.KeyedRecord) -> deployment.Configuration | None:
+        """Return the configuration of a record; none if it holds none that can be used."""
+
+    @abc.abstractmethod
+    def decode_server(self, record: client.KeyedRecord) -> deployment.RegisteredServer | None:
+        """Return the server of a record; none if it names none that can be used."""
+
+
+class Watchers(service.Service):
+    """Follows the configuration by a long poll and the servers at an interval."""
+
+    def __init__(self, owner: kernel.Kernel, decoder: EntryDecoder) -> None:
+        self._kernel = owner
+        self._decoder = decoder
+        self._configuration_task = tasks.Task("configuration", self._watch_configuration)
+        self._servers_task = tasks.Task("servers", self._watch_servers)
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._clock = self._kernel.find(names.CLOCK, clock.Clock)
+        self._store = self._kernel.find(names.STORE, client.StoreClient)
+        self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
+        self._configuration_task.start()
+        self._servers_task.start()
+
+    def stop(self) -> None:
+        """Stop following; a long poll in progress is left to end by itself."""
+        self._configuration_task.request_stop()
+        self._servers_task.request_stop()
+
+    def _watch_configuration(self, stop_signal: tasks.StopSignal) -> None:
+        follower = topics.TopicFollower(self._store, self._clock, self._decoder.configuration_topic)
+        failures = 0
+        while not stop_signal.is_set:
+            # The first long poll after a failure is short, to see that the store is back.
+            followed = follower.follow(0.0 if failures else CONFIGURATION_WAIT_S)
+            if isinstance(followed, client.StoreFailed):
+                failures += 1
+                _log_failure("configuration", failures, followed)
+                stop_signal.wait(FIRST_RETRY_S if failures == 1 else RETRY_S)
+                continue
+            _log_return("configuration", failures)
+            failures = 0
+            for record in followed.changed:
+                configuration = self._decoder.decode_configuration(record)
+                if configuration is not None:
+                    self._directory.adopt_configuration(configuration)
+            if self._directory.configuration is None:
+                stop_signal.wait(RETRY_S)
+
+    def _watch_servers(self, stop_signal: tasks.StopSignal) -> None:
+        follower = topics.TopicFollower(self._store, self._clock, self._decoder.servers_topic)
+        failures = 0
+        while not stop_signal.is_set:
+            followed = follower.follow(0.0)
+            if isinstance(followed, client.StoreFailed):
+                failures += 1
+                _log_failure("servers", failures, followed)
+                stop_signal.wait(FIRST_RETRY_S if failures == 1 else RETRY_S)
+                continue
+            if failures:
+                self._directory.note_store_returned()
+            _log_return("servers", failures)
+            failures = 0
+            self._adopt(followed)
+            stop_signal.wait(SERVERS_INTERVAL_S)
+
+    def _adopt(self, followed: topics.Followed) -> None:
+        latest = {record.key: record for record in followed.changed}
+        decoded = {key: self._decoder.decode_server(record) for key, record in latest.items()}
+        present = tuple(server for server in decoded.values() if server is not None)
+        if followed.complete:
+            self._directory.adopt_all(present)
+            return
+        absent = frozenset(key for key, record in latest.items() if record.value is None)
+        self._directory.adopt_changes(present, absent)
+
+
+def _log_failure(name: str, failures: int, failed: client.StoreFailed) -> None:
+    if failures == 1:
+        logging.warning("store lost for %s, step %s: %s", name, failed.step, failed.detail)
+
+
+def _log_return(name: str, failures: int) -> None:
+    if failures:
+        logging.info("store regained for %s after %d failures", name, failures)
--- /dev/null
+++ b/src/goldcresthall/observability/decisions.py
@@ -0,0 +1,125 @@
+"""The decision log: one line for each request, bounded in volume and never blocking."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime as dt
+import json
+import sys
+import threading
+from typing import TYPE_CHECKING
+
+import prometheus_client
+
+from goldcresthall.kernel import names
+from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
+from goldcresthall.observability import metrics
+
+if TYPE_CHECKING:
+    from typing import TextIO
+
+    from goldcresthall.kernel import kernel
+
+QUEUE_LIMIT = 2_000
+BATCH_LIMIT = 200
+WRITE_INTERVAL_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestDecision:
+    """What was decided on one request and on what grounds.
+
+    Attributes
+    ----------
+    configuration
+        Version of the configuration that was used; 0 if there was none.
+    owners_term
+        Term of the ownership view that was used.
+    owners_age_ms
+        Age of that view in milliseconds.
+    tried
+        Servers that were tried, in order, each with what came of it.
+    """
+
+    request_id: str
+    route: str
+    service: str
+    key: str
+    configuration: int
+    owners_term: int
+    owners_age_ms: int
+    tried: tuple[str, ...]
+    outcome: str
+    reason: str
+    step: str
+    peer: str
+    detail: str
+    duration_ms: int
+
+
+class DecisionLog(service.Service):
+    """Writes decisions in batches from a task of its own; what does not fit is counted."""
+
+    def __init__(self, owner: kernel.Kernel, instance: str, stream: TextIO) -> None:
+        self._kernel = owner
+        self._instance = instance
+        self._stream = stream
+        self._lock = threading.Lock()
+        self._waiting: collections.deque[RequestDecision] = collections.deque()
+        self._dropped = 0
+        self._task = tasks.Task("decision-log", self._run)
+
+    @classmethod
+    def from_config(cls, owner: kernel.Kernel, instance: str) -> DecisionLog:
+        """Return a log that writes to standard output."""
+        return cls(owner, instance, sys.stdout)
+
+    def start(self) -> None:
+        """Begin to write."""
+        found = self._kernel.find(names.METRICS, metrics.Metrics)
+        self._dropped_total = prometheus_client.Counter(
+            "goldcresthall_decisions_dropped",
+            "Lines of the decision log that did not fit.",
+            registry=found.registry,
+        )
+        self._task.start()
+
+    def stop(self) -> None:
+        """Write what waits and end."""
+        self._task.stop()
+
+    def note(self, decision: RequestDecision) -> None:
+        """Add a line, or count it as dropped if too many wait."""
+        with self._lock:
+            if len(self._waiting) < QUEUE_LIMIT:
+                self._waiting.append(decision)
+                return
+            self._dropped += 1
+        self._dropped_total.inc()
+
+    def _run(self, stop_signal: tasks.StopSignal) -> None:
+        while not stop_signal.wait(WRITE_INTERVAL_S):
+            self._write_batch()
+        while self._write_batch():
+            pass
+
+    def _write_batch(self) -> bool:
+        with self._lock:
+            count = min(BATCH_LIMIT, len(self._waiting))
+            batch = [self._waiting.popleft() for _ in range(count)]
+            dropped, self._dropped = self._dropped, 0
+        lines = [self._format(dataclasses.asdict(decision)) for decision in batch]
+        if dropped:
+            lines.append(self._format({"event": "decisions_dropped", "count": dropped}))
+        if lines:
+            self._stream.write("".join(lines))
+            self._stream.flush()
+        return bool(lines)
+
+    def _format(self, fields: dict[str, object]) -> str:
+        time = dt.datetime.now(dt.UTC).isoformat(timespec="milliseconds")
+        shown = {name: value for name, value in fields.items() if value not in ("", ())}
+        line = {"time": time, "instance": self._instance, **shown}
+        return json.dumps(line, separators=(",", ":")) + "\n"
--- a/src/goldcresthall/observability/logs.py
+++ b/src/goldcresthall/observability/logs.py
@@ -1,13 +1,17 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines."""
 
 from __future__ import annotations
 
 import json
 import logging as standard_logging
 import sys
+from typing import TYPE_CHECKING
 
 from absl import logging
 
+if TYPE_CHECKING:
+    from typing import TextIO
+
 
 class JsonFormatter(standard_logging.Formatter):
     """Formats one log record as one line of JSON."""
@@ -31,9 +35,9 @@
         return json.dumps(fields)
 
 
-def configure_logs(instance: str) -> None:
-    """Write all logs of this process to standard error as JSON lines."""
-    handler = standard_logging.StreamHandler(sys.stderr)
+def configure_logs(instance: str, stream: TextIO = sys.stderr) -> None:
+    """Write all logs of this process as JSON lines, by default to standard error."""
+    handler = standard_logging.StreamHandler(stream)
     handler.setFormatter(JsonFormatter(instance))
     root = standard_logging.getLogger()
     root.handlers = [handler]
