--- a/src/goldcresthall/console/commands/router.py
+++ b/src/goldcresthall/console/commands/router.py
@@ -2,18 +2,34 @@
 
 from __future__ import annotations
 
+import sys
+
 import click
 
+from goldcresthall.application import deployment_factory
+from goldcresthall.application import deployment_runner
 from goldcresthall.application import factory
 from goldcresthall.application import runner
 from goldcresthall.console import files
+from goldcresthall.console import options
 from goldcresthall.observability import logs
 
 
 @click.command()
-@click.argument("settings_file", type=click.Path(dir_okay=False))
-def router(settings_file: str) -> None:
+@click.argument("settings_file", required=False, type=click.Path(dir_okay=False))
+@options.deployment_option
+def router(settings_file: str | None, deployment: bool) -> None:
     """Run one router instance with the settings of SETTINGS_FILE until SIGTERM."""
-    instance_settings = files.read_settings(settings_file)
+    if deployment:
+        _run_deployed(settings_file)
+        return
+    instance_settings = files.read_settings(files.require_path(settings_file))
     logs.configure_logs(instance_settings.name)
     runner.run_until_signalled(factory.Instance.from_config(instance_settings))
+
+
+def _run_deployed(settings_file: str | None) -> None:
+    instance_settings = files.read_deployment_settings(settings_file)
+    logs.configure_logs(instance_settings.name, sys.stdout)
+    instance = deployment_factory.DeploymentInstance.from_config(instance_settings)
+    deployment_runner.run_until_signalled(instance)
--- a/src/goldcresthall/console/files.py
+++ b/src/goldcresthall/console/files.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
+from typing import TYPE_CHECKING
 from typing import TypeVar
 
 from goldcresthall.application import settings_checks
@@ -11,8 +13,14 @@
 from goldcresthall.core import settings
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions as encoding_exceptions
+from goldcresthall.platform import exceptions as platform_exceptions
+from goldcresthall.platform import names as platform_names
+from goldcresthall.platform import settings as platform_settings
 from goldcresthall.presets import checks
 
+if TYPE_CHECKING:
+    from goldcresthall.core import deployment_settings
+
 Document = TypeVar("Document")
 
 
@@ -47,6 +55,36 @@
     return document
 
 
+def require_path(path: str | None) -> str:
+    """Return the path of a settings file.
+
+    Raises
+    ------
+    InvalidDocumentError
+        If none was given.
+    """
+    if not path:
+        raise exceptions.InvalidDocumentError("no settings file was named")
+    return path
+
+
+def read_deployment_settings(
+    path: str | None,
+) -> deployment_settings.DeploymentSettings:
+    """Read the settings that the platform places, by default where its variable says.
+
+    Raises
+    ------
+    InvalidDocumentError
+        If they have faults.
+    """
+    found = require_path(path or os.environ.get(platform_names.SETTINGS_VARIABLE))
+    try:
+        return platform_settings.read_settings(found)
+    except platform_exceptions.InvalidSettingsError as error:
+        raise exceptions.InvalidDocumentError(str(error)) from error
+
+
 def read_preset(path: str) -> preset.Preset:
     """Read a preset and check it in whole.
 
--- a/src/goldcresthall/console/options.py
+++ b/src/goldcresthall/console/options.py
@@ -14,3 +14,8 @@
     help="Address of an instance's operators' front end, as IP:PORT.",
 )
 json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+deployment_option = click.option(
+    "--deployment",
+    is_flag=True,
+    help="Take the settings file that the platform places, by default the one it names.",
+)
--- /dev/null
+++ b/src/goldcresthall/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the platform: its names, formats and calls, decoded once."""
--- /dev/null
+++ b/src/goldcresthall/platform/decoder.py
@@ -0,0 +1,51 @@
+"""What the platform keeps in the store, as the rest of the code sees it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.gateway import watchers
+from goldcresthall.platform import entries
+from goldcresthall.platform import exceptions
+from goldcresthall.platform import names
+
+if TYPE_CHECKING:
+    from goldcresthall.core import deployment
+    from goldcresthall.store import client
+
+LOG_INTERVAL_S = 5
+
+
+class PlatformDecoder(watchers.EntryDecoder):
+    """Decodes the operator's configuration and the servers' entries."""
+
+    configuration_topic = names.CONFIGURATION_TOPIC
+    servers_topic = names.SERVERS_TOPIC
+
+    def decode_configuration(self, record: client.KeyedRecord) -> deployment.Configuration | None:
+        """Return the configuration of a record; none if it holds none that can be used."""
+        if record.key != names.CONFIGURATION_KEY or record.value is None:
+            return None
+        try:
+            return entries.decode_configuration(record.value)
+        except exceptions.MalformedEntryError as error:
+            logging.warning("configuration ignored, step decode: %s", error)
+            return None
+
+    def decode_server(self, record: client.KeyedRecord) -> deployment.RegisteredServer | None:
+        """Return the server of a record; none if it names none that can be used."""
+        if record.value is None:
+            return None
+        try:
+            return entries.decode_server(record.key, record.value)
+        except exceptions.MalformedEntryError as error:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "entry %s ignored, step decode: %s",
+                LOG_INTERVAL_S,
+                record.key,
+                error,
+            )
+            return None
--- /dev/null
+++ b/src/goldcresthall/platform/entries.py
@@ -0,0 +1,120 @@
+"""Decoding of the operator's configuration and of the servers' entries."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+
+from goldcresthall.core import deployment
+from goldcresthall.platform import exceptions
+from goldcresthall.platform import fields
+
+IDEMPOTENT_TYPE: Final = "safe"
+STATES: Final = {"ready": False, "draining": True}
+DEFAULT_ATTEMPTS = 1
+DEFAULT_TIMEOUT_S = 30.0
+DEFAULT_CONNECTION_LIMIT = 100
+
+
+def decode_configuration(content: bytes) -> deployment.Configuration:
+    """Return the operator's configuration.
+
+    Raises
+    ------
+    MalformedEntryError
+        If a field is missing or of a wrong type, or a route names no known service.
+    """
+    document = fields.parse_object(content)
+    services = tuple(_decode_service(item) for item in fields.read_list(document, "services"))
+    routes = tuple(_decode_route(item) for item in fields.read_list(document, "routes"))
+    known = {spec.name for spec in services}
+    for route in routes:
+        for part in route.parts:
+            if part.service not in known:
+                raise exceptions.MalformedEntryError(f"{route.name}: no service {part.service}")
+    return deployment.Configuration(
+        version=_decode_version(document),
+        routes=routes,
+        services=services,
+        limits=_decode_limits(fields.read_table(document, "limits")),
+    )
+
+
+def decode_server(name: str, content: bytes) -> deployment.RegisteredServer:
+    """Return a backend server from its entry.
+
+    Raises
+    ------
+    MalformedEntryError
+        If a field is missing or of a wrong type, or the state is not known.
+    """
+    document = fields.parse_object(content)
+    state = fields.read_text(document, "state")
+    if state not in STATES:
+        raise exceptions.MalformedEntryError(f"state: {state} is not known")
+    return deployment.RegisteredServer(
+        # `born` is the start of the process, not of the first life under this name.
+        life=deployment.ServerLife(name, fields.read_count(document, "born", 0)),
+        service=fields.read_text(document, "service"),
+        address=fields.read_address(document, "address"),
+        failure_domain=fields.read_text(document, "zone"),
+        slots=max(1, fields.read_count(document, "slots", 1)),
+        draining=STATES[state],
+        warmup_left_s=fields.read_number(document, "warmup_left_s", 0.0),
+    )
+
+
+def _decode_version(document: dict[str, Any]) -> int:
+    # Hexadecimal digits, not a decimal number.
+    text = fields.read_text(document, "version")
+    try:
+        return int(text, 16)
+    except ValueError as error:
+        raise exceptions.MalformedEntryError(f"version: {text}") from error
+
+
+def _decode_service(item: dict[str, Any]) -> deployment.ServiceSpec:
+    return deployment.ServiceSpec(
+        name=fields.read_text(item, "name"),
+        health_path=fields.read_text(item, "health_check"),
+        connection_limit=max(1, fields.read_count(item, "max_conns", DEFAULT_CONNECTION_LIMIT)),
+        keyed=item.get("sharded") is True,
+    )
+
+
+def _decode_route(item: dict[str, Any]) -> deployment.HostRoute:
+    timeout_s = fields.read_number(item, "timeout_s", DEFAULT_TIMEOUT_S)
+    return deployment.HostRoute(
+        name=fields.read_text(item, "name"),
+        host=fields.read_text(item, "host").lower(),
+        path_prefix=fields.read_text(item, "path_prefix"),
+        # `type` tells what may be repeated, not what the request is about.
+        idempotent=item.get("type") == IDEMPOTENT_TYPE,
+        timeout_s=timeout_s or DEFAULT_TIMEOUT_S,
+        target_latency_s=fields.read_number(item, "target_latency_s", timeout_s),
+        priority=fields.read_count(item, "priority", 0),
+        max_attempts=max(1, fields.read_count(item, "max_attempts", DEFAULT_ATTEMPTS)),
+        parts=_decode_parts(item),
+    )
+
+
+def _decode_parts(item: dict[str, Any]) -> tuple[deployment.TrafficPart, ...]:
+    split = fields.read_list(item, "traffic_split")
+    if not split:
+        return (deployment.TrafficPart(fields.read_text(item, "service"), 1.0),)
+    return tuple(
+        deployment.TrafficPart(
+            fields.read_text(part, "service"), fields.read_number(part, "weight")
+        )
+        for part in split
+    )
+
+
+def _decode_limits(item: dict[str, Any]) -> deployment.CallerLimits:
+    defaults = deployment.CallerLimits()
+    return deployment.CallerLimits(
+        header_bytes=fields.read_count(item, "max_header_bytes", defaults.header_bytes),
+        body_bytes=fields.read_count(item, "max_body_bytes", defaults.body_bytes),
+        header_timeout_s=fields.read_number(item, "header_timeout_s", defaults.header_timeout_s),
+        idle_timeout_s=fields.read_number(item, "idle_timeout_s", defaults.idle_timeout_s),
+    )
--- /dev/null
+++ b/src/goldcresthall/platform/grant_client.py
@@ -0,0 +1,102 @@
+"""Grants and releases of keys in the platform's form."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from goldcresthall.backend import exchange
+from goldcresthall.core import outcomes
+from goldcresthall.kernel import cancellation
+from goldcresthall.platform import names
+from goldcresthall.platform import work_client
+from goldcresthall.ranges import grants
+
+if TYPE_CHECKING:
+    from goldcresthall.core import deployment
+
+GRANT_TIMEOUT_S = 0.5
+RELEASE_TIMEOUT_S = 3.5
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+KEPT_CONNECTIONS = 1
+
+
+class PlatformGrantChannel(grants.GrantChannel):
+    """Sends grants and releases over connections of their own."""
+
+    def __init__(self) -> None:
+        self._pool = exchange.ConnectionPool()
+
+    def start(self) -> None:
+        """Do nothing; connections are opened when needed."""
+
+    def stop(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    def grant(
+        self, server: deployment.RegisteredServer, order: grants.GrantOrder
+    ) -> grants.OrderOutcome:
+        """Grant or renew."""
+        # `target` is the last key here; elsewhere the word names a header's server.
+        document: dict[str, int | float | str] = {
+            "from": order.keys.first,
+            "target": order.keys.last,
+            "fence": order.fence,
+            "hold_s": order.hold_s,
+        }
+        if order.handover:
+            document["handover"] = order.handover
+        answer = self._call(server, names.GRANT_PATH, document, GRANT_TIMEOUT_S)
+        if not isinstance(answer, exchange.RawAnswer):
+            return answer
+        if answer.status == STATUS_OK:
+            return grants.Granted()
+        if answer.status == STATUS_CONFLICT:
+            return grants.FenceTooLow()
+        return grants.OrderRejected(f"status {answer.status}")
+
+    def release(
+        self, server: deployment.RegisteredServer, order: grants.ReleaseOrder
+    ) -> grants.OrderOutcome:
+        """Take keys back and wait until the work on them has ended."""
+        document: dict[str, int | float | str] = {
+            "from": order.keys.first,
+            "target": order.keys.last,
+            "fence": order.fence,
+        }
+        answer = self._call(server, names.RELEASE_PATH, document, RELEASE_TIMEOUT_S)
+        if not isinstance(answer, exchange.RawAnswer):
+            return answer
+        if answer.status == STATUS_OK:
+            return grants.Released(answer.find(names.LEASE_HANDOVER) or "")
+        return grants.OrderRejected(f"status {answer.status}")
+
+    def _call(
+        self,
+        server: deployment.RegisteredServer,
+        path: str,
+        document: dict[str, int | float | str],
+        timeout_s: float,
+    ) -> exchange.RawAnswer | grants.OrderOutcome:
+        headers = (
+            outcomes.Header("Host", str(server.address)),
+            outcomes.Header("Content-Type", "application/json"),
+            outcomes.Header(names.TARGET_INSTANCE, server.name),
+        )
+        body = work_client.encode_order(document)
+        request = exchange.RawRequest("POST", path, headers, body)
+        try:
+            return self._pool.exchange(
+                server.address,
+                request,
+                names.REQUEST_ID,
+                timeout_s,
+                cancellation.Cancellation(),
+                keep=KEPT_CONNECTIONS,
+                fresh=False,
+            )
+        except exchange.ConnectFailedError as error:
+            return grants.OrderNotSent(str(error))
+        except exchange.ExchangeError as error:
+            return grants.OrderUnanswered(f"{error.step.value}: {error}")
--- /dev/null
+++ b/src/goldcresthall/platform/settings.py
@@ -0,0 +1,148 @@
+"""Reading of the settings file that the platform places."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+from typing import TYPE_CHECKING
+from typing import Any
+
+from goldcresthall.core import deployment_settings
+from goldcresthall.core import identity
+from goldcresthall.platform import exceptions
+from goldcresthall.platform import fields
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+DEFAULT_HEARTBEAT_S = 1.0
+DEFAULT_MEMORY_MB = 300
+
+
+def read_settings(path: str) -> deployment_settings.DeploymentSettings:
+    """Read and check the settings file; unknown fields are ignored.
+
+    Raises
+    ------
+    InvalidSettingsError
+        If the file cannot be read or has faults, all of which are listed.
+    """
+    try:
+        document = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise exceptions.InvalidSettingsError(f"{path}: {error}") from error
+    reader = _FaultCollector(path)
+    decoded = _decode(document, reader)
+    reader.check()
+    return decoded
+
+
+class _FaultCollector:
+    """Reads fields and keeps the faults, so that all are told at once."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._faults: list[str] = []
+
+    def read(self, section: str, read: Callable[[], Any], fallback: Any) -> Any:
+        """Return what `read` returns, or the fallback after noting a fault."""
+        try:
+            return read()
+        except exceptions.MalformedEntryError as error:
+            self._faults.append(f"{section}{error}")
+            return fallback
+
+    def check(self) -> None:
+        """Raise all faults that were noted."""
+        if self._faults:
+            raise exceptions.InvalidSettingsError(
+                "\n".join((f"{self._path}: {len(self._faults)} fault(s)", *self._faults))
+            )
+
+
+NO_ADDRESS = identity.Address("", 0)
+
+
+def _decode(
+    document: dict[str, Any], reader: _FaultCollector
+) -> deployment_settings.DeploymentSettings:
+    bounds = reader.read("", lambda: _read_bounds(document), {})
+    platform = reader.read("", lambda: fields.read_table(document, "platform"), {})
+    limits = reader.read("", lambda: fields.read_table(document, "limits"), {})
+    defaults = deployment_settings.RetryLimits()
+
+    def bound(name: str, default: float) -> float:
+        return float(
+            reader.read("bounds.", lambda: fields.read_number(bounds, name, default), default)
+        )
+
+    return deployment_settings.DeploymentSettings(
+        name=reader.read("", lambda: fields.read_text(document, "node_name"), ""),
+        failure_domain=reader.read("", lambda: fields.read_text(document, "zone"), ""),
+        listen=_decode_listen(document, reader),
+        store=reader.read(
+            "platform.", lambda: fields.read_address(platform, "address"), NO_ADDRESS
+        ),
+        heartbeat_s=reader.read(
+            "",
+            lambda: fields.read_number(document, "heartbeat_s", DEFAULT_HEARTBEAT_S),
+            DEFAULT_HEARTBEAT_S,
+        ),
+        longest_hold_s=bound("max_hold_s", 10.0),
+        drain_s=bound("drain_s", 2.0),
+        grace_s=bound("grace_s", 6.0),
+        memory_mb=reader.read(
+            "limits.",
+            lambda: fields.read_count(limits, "memory_mb", DEFAULT_MEMORY_MB),
+            DEFAULT_MEMORY_MB,
+        ),
+        retries=deployment_settings.RetryLimits(
+            ratio=bound("retry_budget_ratio", defaults.ratio),
+            window_s=bound("budget_window_s", defaults.window_s),
+            slack=bound("budget_slack", defaults.slack),
+        ),
+    )
+
+
+def _decode_listen(
+    document: dict[str, Any], reader: _FaultCollector
+) -> deployment_settings.DeploymentListen:
+    listen = reader.read("", lambda: fields.read_table(document, "listen"), {})
+    admin = None
+    if "admin" in listen:
+        admin = reader.read("listen.", lambda: fields.read_address(listen, "admin"), None)
+    return deployment_settings.DeploymentListen(
+        # `http` is where callers connect; `readiness` is asked by the balancer only.
+        callers=reader.read("listen.", lambda: fields.read_address(listen, "http"), NO_ADDRESS),
+        readiness=reader.read(
+            "listen.", lambda: fields.read_address(listen, "readiness"), NO_ADDRESS
+        ),
+        peers=reader.read("", lambda: _read_peer_address(document), NO_ADDRESS),
+        admin=admin,
+    )
+
+
+def _read_peer_address(document: dict[str, Any]) -> identity.Address:
+    ports = document.get("port_range")
+    if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
+        raise exceptions.MalformedEntryError("port_range: two ports are needed")
+    return identity.Address(fields.read_text(document, "ip"), ports[0])
+
+
+def _read_bounds(document: dict[str, Any]) -> dict[str, Any]:
+    bounds: dict[str, Any] = {}
+    listed = document.get("bounds", [])
+    if not isinstance(listed, list):
+        raise exceptions.MalformedEntryError("bounds: a list is needed")
+    for item in listed:
+        name, _, value = str(item).partition("=")
+        bounds[name] = _parse_bound(value)
+    return bounds
+
+
+def _parse_bound(value: str) -> Any:
+    try:
+        return float(value)
+    except ValueError:
+        # Some bounds are true or false.
+        return value
--- /dev/null
+++ b/src/goldcresthall/platform/store_client.py
@@ -0,0 +1,206 @@
+"""The platform's store over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import socket
+import struct
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+
+import urllib3
+from urllib3 import connection
+
+from goldcresthall.platform import exceptions
+from goldcresthall.platform import fields
+from goldcresthall.platform import names
+from goldcresthall.store import client
+
+if TYPE_CHECKING:
+    from goldcresthall.core import deployment_settings
+    from goldcresthall.core import identity
+
+CONNECT_TIMEOUT_S = 0.5
+ANSWER_TIMEOUT_S = 1.0
+MS_PER_S = 1_000
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+POOL_SIZE = 4
+STATUS_OK = 200
+STATUS_MISSING = 404
+STATUS_GONE = 410
+STATUS_PRECONDITION_FAILED = 412
+NOT_DONE_STATUSES: Final = frozenset({400, 403, 409, 413, 429, 503, 507})
+OFFSETS: Final = struct.Struct(">QQ")
+LENGTH: Final = struct.Struct(">I")
+PARTITION: Final = "part=0"
+
+# A connection may go silent without a reset; probes end a long poll on it.
+SOCKET_OPTIONS: Final = [
+    *connection.HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+]
+
+
+class HttpStoreClient(client.StoreClient):
+    """Speaks to the store at one address; never retries by itself."""
+
+    def __init__(self, address: identity.Address) -> None:
+        self._pool = urllib3.HTTPConnectionPool(
+            address.host,
+            address.port,
+            maxsize=POOL_SIZE,
+            block=False,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
+        )
+
+    @classmethod
+    def from_config(
+        cls, instance_settings: deployment_settings.DeploymentSettings
+    ) -> HttpStoreClient:
+        """Return a client of the store of a deployment."""
+        return cls(instance_settings.store)
+
+    def start(self) -> None:
+        """Do nothing; connections are opened when needed."""
+
+    def stop(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    def read_newest(self, topic: str) -> client.Records | client.StoreFailed:
+        """Return the newest record of each key of a topic, page by page.
+
+        Pages are not a snapshot: what is read on from the first page's end
+        brings a record of the later pages a second time, which does no harm.
+        """
+        records: list[client.KeyedRecord] = []
+        end_offset: int | None = None
+        after = ""
+        while True:
+            path = f"{names.NEWEST_PATH}?topic={topic}&{PARTITION}{after}"
+            outcome = self._call("GET", path, b"", 0.0)
+            if isinstance(outcome, client.StoreFailed):
+                return outcome
+            if outcome.status == STATUS_MISSING:
+                return client.Records((), 0)
+            try:
+                page = _decode_newest(outcome)
+            except exceptions.MalformedEntryError as error:
+                return client.StoreFailed("decode", str(error))
+            records.extend(page.records)
+            end_offset = page.end_offset if end_offset is None else end_offset
+            if not page.has_more or not page.records:
+                return client.Records(tuple(records), end_offset)
+            after = f"&after={page.records[-1].key}"
+
+    def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
+        """Return the records from an offset on, waiting up to `wait_s` seconds for one."""
+        wait = f"&wait_ms={int(wait_s * MS_PER_S)}" if wait_s else ""
+        path = f"{names.READ_PATH}?topic={topic}&{PARTITION}&from={from_offset}{wait}"
+        outcome = self._call("GET", path, b"", wait_s)
+        if isinstance(outcome, client.StoreFailed):
+            return outcome
+        if outcome.status == STATUS_GONE:
+            return client.RecordsExpired()
+        if outcome.status == STATUS_MISSING:
+            return client.Records((), from_offset)
+        if outcome.status != STATUS_OK:
+            return client.StoreFailed("read", f"status {outcome.status}")
+        try:
+            return _decode_records(outcome.data, from_offset)
+        except exceptions.MalformedEntryError as error:
+            return client.StoreFailed("decode", str(error))
+
+    def write(self, topic: str, key: str, value: bytes, expected_end: int) -> client.WriteOutcome:
+        """Write a record if the topic ends at `expected_end`."""
+        name = key.encode()
+        content = bytes([len(name)]) + name + value
+        path = f"{names.APPEND_PATH}?topic={topic}&{PARTITION}&at={expected_end}"
+        outcome = self._call("POST", path, LENGTH.pack(len(content)) + content, 0.0)
+        if isinstance(outcome, client.StoreFailed):
+            return outcome
+        try:
+            document = fields.parse_object(outcome.data)
+            if outcome.status == STATUS_OK:
+                return client.Written(fields.read_count(document, "offset"))
+            if outcome.status == STATUS_PRECONDITION_FAILED:
+                return client.Overtaken(fields.read_count(document, "end_offset"))
+        except exceptions.MalformedEntryError as error:
+            if outcome.status not in NOT_DONE_STATUSES:
+                return client.StoreFailed("decode", str(error))
+        if outcome.status in NOT_DONE_STATUSES:
+            return client.WriteRefused("write", f"status {outcome.status}")
+        return client.StoreFailed("write", f"status {outcome.status}")
+
+    def _call(
+        self, method: str, path: str, body: bytes, wait_s: float
+    ) -> urllib3.BaseHTTPResponse | client.StoreFailed:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=ANSWER_TIMEOUT_S + wait_s)
+        try:
+            return self._pool.request(method, path, body=body or None, timeout=timeout)
+        except urllib3.exceptions.NewConnectionError as error:
+            return client.StoreFailed("connect", str(error))
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return client.StoreFailed("receive", f"{type(error).__name__}: {error}")
+
+
+class _NewestPage:
+    """One page of the newest records."""
+
+    def __init__(
+        self, records: tuple[client.KeyedRecord, ...], end_offset: int, *, has_more: bool
+    ) -> None:
+        self.records = records
+        self.end_offset = end_offset
+        self.has_more = has_more
+
+
+def _decode_newest(response: urllib3.BaseHTTPResponse) -> _NewestPage:
+    if response.status != STATUS_OK:
+        raise exceptions.MalformedEntryError(f"status {response.status}")
+    document = fields.parse_object(response.data)
+    # `items` is a list of records here, though other calls use the name otherwise.
+    records = tuple(_decode_item(item) for item in fields.read_list(document, "items"))
+    end_offset = fields.read_count(document, "end_offset")
+    return _NewestPage(records, end_offset, has_more=document.get("has_more") is True)
+
+
+def _decode_item(item: dict[str, Any]) -> client.KeyedRecord:
+    try:
+        value = base64.b64decode(item.get("value") or "", validate=True)
+    except (ValueError, TypeError) as error:
+        raise exceptions.MalformedEntryError(f"value: {error}") from error
+    return client.KeyedRecord(
+        fields.read_text(item, "key"), value, fields.read_count(item, "offset")
+    )
+
+
+def _decode_records(data: bytes, from_offset: int) -> client.Records:
+    if len(data) < OFFSETS.size:
+        raise exceptions.MalformedEntryError("the offsets are cut off")
+    position = OFFSETS.size
+    records: list[client.KeyedRecord] = []
+    while position < len(data):
+        if position + LENGTH.size > len(data):
+            raise exceptions.MalformedEntryError("a record is cut off")
+        (length,) = LENGTH.unpack_from(data, position)
+        begin = position + LENGTH.size
+        position = begin + length
+        if position > len(data):
+            raise exceptions.MalformedEntryError("a record is cut off")
+        records.append(_decode_record(data[begin:position], from_offset + len(records)))
+    return client.Records(tuple(records), from_offset + len(records))
+
+
+def _decode_record(content: bytes, offset: int) -> client.KeyedRecord:
+    size = content[0] if content else 0
+    key = content[1 : 1 + size].decode("utf-8", errors="replace")
+    value = content[1 + size :]
+    return client.KeyedRecord(key, value or None, offset)
--- /dev/null
+++ b/src/goldcresthall/platform/work_client.py
@@ -0,0 +1,158 @@
+"""Work and grants for the platform's backend servers over HTTP."""
+
+from __future__ import annotations
+
+import functools
+import json
+from typing import TYPE_CHECKING
+from typing import Final
+
+from goldcresthall.backend import exchange
+from goldcresthall.backend import responses
+from goldcresthall.backend import work
+from goldcresthall.core import attempts
+from goldcresthall.core import outcomes
+from goldcresthall.platform import names
+
+if TYPE_CHECKING:
+    from goldcresthall.kernel import cancellation
+
+MS_PER_S = 1_000
+FIRST_FAILURE_STATUS = 400
+STATUS_MISDIRECTED = 421
+STATUS_BAD_REQUEST = 400
+KEPT_CONNECTIONS = 4
+LOAD_NUMBERS = 3
+
+NOT_FORWARDED: Final = responses.HOP_BY_HOP_HEADERS | {
+    "content-length",
+    names.DEADLINE,
+    names.TARGET_INSTANCE,
+}
+NOT_RETURNED: Final = responses.HOP_BY_HOP_HEADERS | {"content-length", names.SERVER_LOAD}
+
+
+class PlatformWorkSender(work.WorkSender):
+    """Sends work to backend servers in the platform's form."""
+
+    def __init__(self) -> None:
+        self._pool = exchange.ConnectionPool()
+
+    def start(self) -> None:
+        """Do nothing; connections are opened when needed."""
+
+    def stop(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    def send(
+        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
+    ) -> attempts.Attempt:
+        """Send one request to one server; cancellation drops the server's work."""
+        request = _encode(dispatch)
+        try:
+            answer = self._pool.exchange(
+                dispatch.server.address,
+                request,
+                names.REQUEST_ID,
+                dispatch.timeout_s,
+                cancelled,
+                keep=min(KEPT_CONNECTIONS, dispatch.connection_limit),
+                fresh=not dispatch.idempotent,
+            )
+        except exchange.ExchangeError as error:
+            if cancelled.is_cancelled:
+                return attempts.AttemptUnknown(
+                    outcomes.UnknownReason.CALLER_LEFT, error.step, "the caller left"
+                )
+            return _describe_failure(error)
+        return _decode(answer, dispatch.request_id)
+
+
+def _encode(dispatch: attempts.Dispatch) -> exchange.RawRequest:
+    # The deadline is what is left in milliseconds, not a point in time.
+    remaining_ms = max(1, int(dispatch.timeout_s * MS_PER_S))
+    headers = (
+        *(header for header in dispatch.headers if header.name.lower() not in NOT_FORWARDED),
+        outcomes.Header(names.DEADLINE, str(remaining_ms)),
+        outcomes.Header(names.TARGET_INSTANCE, dispatch.server.name),
+    )
+    return exchange.RawRequest(dispatch.method, dispatch.target, headers, dispatch.body)
+
+
+def _decode(answer: exchange.RawAnswer, request_id: str) -> attempts.Attempt:
+    signals = attempts.ServerSignals(
+        draining=(answer.find("connection") or "").lower() == "close",
+        load=_parse_load(answer.find(names.SERVER_LOAD)),
+    )
+    if answer.find(names.NOT_EXECUTED) is not None or answer.status == STATUS_MISDIRECTED:
+        if answer.status < FIRST_FAILURE_STATUS:
+            return _describe_mismatch(f"status {answer.status} of a request that was not run")
+        return attempts.AttemptNotRun(
+            _find_refusal(answer.status),
+            outcomes.Step.EXECUTE,
+            f"status {answer.status}",
+            _parse_seconds(answer.find("retry-after")),
+            signals,
+        )
+    if answer.find(names.REQUEST_ID) != request_id or answer.find(names.SIGNATURE) is None:
+        return _describe_mismatch(f"status {answer.status} without request id or signature")
+    if answer.find("content-encoding") is not None:
+        return _describe_mismatch("the body is encoded")
+    returned = tuple(header for header in answer.headers if header.name.lower() not in NOT_RETURNED)
+    return attempts.AttemptAnswered(outcomes.Answer(answer.status, returned, answer.body), signals)
+
+
+def _describe_mismatch(detail: str) -> attempts.AttemptUnknown:
+    return attempts.AttemptUnknown(
+        outcomes.UnknownReason.ANSWER_MISMATCHED, outcomes.Step.RECEIVE, detail
+    )
+
+
+def _find_refusal(status: int) -> outcomes.RefusalReason:
+    if status == STATUS_MISDIRECTED:
+        return outcomes.RefusalReason.NOT_OWNER
+    if status == STATUS_BAD_REQUEST:
+        return outcomes.RefusalReason.MALFORMED_REQUEST
+    return outcomes.RefusalReason.SERVER_SHED
+
+
+@functools.singledispatch
+def _describe_failure(error: exchange.ExchangeError) -> attempts.Attempt:
+    return attempts.AttemptUnknown(outcomes.UnknownReason.CONNECTION_LOST, error.step, str(error))
+
+
+@_describe_failure.register
+def _(error: exchange.ConnectFailedError) -> attempts.Attempt:
+    return attempts.AttemptNotRun(outcomes.RefusalReason.CONNECT_FAILED, error.step, str(error))
+
+
+@_describe_failure.register
+def _(error: exchange.TimedOutError) -> attempts.Attempt:
+    return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TIMEOUT, error.step, str(error))
+
+
+@_describe_failure.register
+def _(error: exchange.TruncatedError) -> attempts.Attempt:
+    return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TRUNCATED, error.step, str(error))
+
+
+def _parse_load(text: str | None) -> float | None:
+    """Return running and waiting requests together; the third number are the slots."""
+    parts = (text or "").split(",")
+    if len(parts) < LOAD_NUMBERS or not all(part.strip().isdigit() for part in parts[:2]):
+        return None
+    return float(int(parts[0]) + int(parts[1]))
+
+
+def _parse_seconds(text: str | None) -> float | None:
+    try:
+        seconds = float(text) if text is not None else None
+    except ValueError:
+        return None
+    return seconds if seconds is not None and 0 <= seconds < float("inf") else None
+
+
+def encode_order(document: dict[str, int | float | str]) -> bytes:
+    """Return the body of a call about keys."""
+    return json.dumps(document, separators=(",", ":")).encode()
