--- a/src/goldcresthall/core/deployment.py
+++ b/src/goldcresthall/core/deployment.py
@@ -101,6 +101,10 @@
     name: str
     started_ms: int
 
+    def __str__(self) -> str:
+        """Return ``name@start``."""
+        return f"{self.name}@{self.started_ms}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RegisteredServer:
--- a/src/goldcresthall/core/key_ranges.py
+++ b/src/goldcresthall/core/key_ranges.py
@@ -20,6 +20,10 @@
     first: int
     last: int
 
+    def __str__(self) -> str:
+        """Return both ends."""
+        return f"{self.first}-{self.last}"
+
     @property
     def size(self) -> int:
         """Number of keys."""
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -19,7 +19,7 @@
     from goldcresthall.core import deployment
     from goldcresthall.kernel import kernel
 
-CONFIGURATION_WAIT_S = 20.0
+CONFIGURATION_WAIT_S = 5.0
 FIRST_RETRY_S = 0.1
 RETRY_S = 0.4
 SERVERS_INTERVAL_S = 0.9
@@ -83,10 +83,7 @@
                 continue
             _log_return("configuration", failures)
             failures = 0
-            for record in followed.changed:
-                configuration = self._decoder.decode_configuration(record)
-                if configuration is not None:
-                    self._directory.adopt_configuration(configuration)
+            self._adopt_configuration(followed.changed)
             if self._directory.configuration is None:
                 stop_signal.wait(RETRY_S)
 
@@ -102,11 +99,26 @@
                 continue
             if failures:
                 self._directory.note_store_returned()
+                self._reread_configuration()
             _log_return("servers", failures)
             failures = 0
             self._adopt(followed)
             stop_signal.wait(SERVERS_INTERVAL_S)
 
+    def _reread_configuration(self) -> None:
+        """Read the configuration apart from the long poll, whose answer may be lost."""
+        outcome = self._store.read_newest(self._decoder.configuration_topic)
+        if isinstance(outcome, client.StoreFailed):
+            _log_failure("configuration", 1, outcome)
+            return
+        self._adopt_configuration(outcome.records)
+
+    def _adopt_configuration(self, records: tuple[client.KeyedRecord, ...]) -> None:
+        for record in records:
+            configuration = self._decoder.decode_configuration(record)
+            if configuration is not None:
+                self._directory.adopt_configuration(configuration)
+
     def _adopt(self, followed: topics.Followed) -> None:
         latest = {record.key: record for record in followed.changed}
         decoded = {key: self._decoder.decode_server(record) for key, record in latest.items()}
--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
 
-GRANT_TIMEOUT_S = 0.5
+GRANT_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 3.5
 STATUS_OK = 200
 STATUS_CONFLICT = 409
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -247,6 +247,8 @@
                 self._expire(holding_id, item)
             elif latest is None or latest.draining_since_s is not None:
                 self._release(holding_id, item, None)
+            elif item.unanswered and item.failing_since_s is None:
+                self._book.update(holding_id, _demand_fence)
 
     def _is_unknown(self, owner: deployment.ServerLife, latest: directory.Listed | None) -> bool:
         return latest is None and self._keepers.find_server(owner) is None
