--- a/src/goldcresthall/application/deployment_runner.py
+++ b/src/goldcresthall/application/deployment_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 import threading
@@ -13,6 +14,7 @@
 from goldcresthall.callers import ordered_front
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
+from goldcresthall.observability import decisions
 from goldcresthall.ranges import election
 
 if TYPE_CHECKING:
@@ -40,6 +42,8 @@
     _leave(instance)
     logging.info("instance %s ended", instance.incarnation)
     sys.stdout.flush()
+    # Threads of the HTTP library would hold the process until it is killed.
+    os._exit(0)
 
 
 def _leave(instance: deployment_factory.DeploymentInstance) -> None:
@@ -54,3 +58,4 @@
     front.stop_accepting()
     front.finish(never, instance.settings.grace_s - BALANCER_NOTICE_S - END_MARGIN_S)
     handing_over.join(END_MARGIN_S / 2)
+    instance.kernel.find(names.REQUEST_LOG, decisions.DecisionLog).stop()
