--- a/src/goldcresthall/application/deployment_runner.py
+++ b/src/goldcresthall/application/deployment_runner.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from goldcresthall.callers import ordered_front
+from goldcresthall.gateway import gateway
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
 from goldcresthall.observability import decisions
@@ -24,6 +25,8 @@
 AWAITED_SIGNALS: Final = ENDING_SIGNALS | {signal.SIGHUP}
 BALANCER_NOTICE_S = 2.3
 END_MARGIN_S = 0.7
+LAST_ANSWER_MARGIN_S = 0.85
+LINGER_S = 0.2
 
 
 def run_until_signalled(instance: deployment_factory.DeploymentInstance) -> None:
@@ -51,11 +54,15 @@
     following = instance.kernel.find(names.REPORTS, election.Election)
     instance.readiness.mark_leaving()
     front.mark_leaving()
+    serving = instance.kernel.find(names.GATEWAY, gateway.Gateway)
+    serving.mark_leaving(instance.settings.grace_s - LAST_ANSWER_MARGIN_S)
     handing_over = threading.Thread(target=following.stop, name="hand-over", daemon=True)
     handing_over.start()
     never = tasks.StopSignal()
     never.wait(BALANCER_NOTICE_S)
     front.stop_accepting()
     front.finish(never, instance.settings.grace_s - BALANCER_NOTICE_S - END_MARGIN_S)
-    handing_over.join(END_MARGIN_S / 2)
+    # Closing at once could reset connections whose last answer is on its way.
+    never.wait(LINGER_S)
+    handing_over.join(LINGER_S)
     instance.kernel.find(names.REQUEST_LOG, decisions.DecisionLog).stop()
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -60,6 +60,8 @@
     def __init__(self, owner: kernel.Kernel) -> None:
         self._kernel = owner
         self._lock = threading.Lock()
+        self._version_noted = threading.Condition(self._lock)
+        self._latest_version = 0
         self._configuration: deployment.Configuration | None = None
         self._routes = routes.RouteTable(())
         self._servers = ServerList({}, {})
@@ -82,6 +84,27 @@
         """The configuration in force; none before the first was read."""
         return self._configuration
 
+    @property
+    def latest_version(self) -> int:
+        """Highest version of the configuration that is known to be in force anywhere."""
+        return self._latest_version
+
+    def note_version(self, version: int) -> None:
+        """Note a version that is in force at another instance."""
+        with self._version_noted:
+            if version > self._latest_version:
+                self._latest_version = version
+                self._version_noted.notify_all()
+
+    def await_version(self, timeout_s: float) -> bool:
+        """Wait until another instance is ahead of this one; return whether one is."""
+        with self._version_noted:
+            return self._version_noted.wait_for(self._is_behind, timeout_s)
+
+    def _is_behind(self) -> bool:
+        current = self._configuration
+        return current is not None and current.version < self._latest_version
+
     @property
     def routes(self) -> routes.RouteTable:
         """The routes of the configuration in force."""
@@ -100,6 +123,7 @@
                 return False
             self._routes = routes.RouteTable(configuration.routes)
             self._configuration = configuration
+            self._latest_version = max(self._latest_version, configuration.version)
         logging.info(
             "configuration %08x in force, routes %d, services %d",
             configuration.version,
--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -69,6 +69,7 @@
     def __init__(self, owner: kernel.Kernel) -> None:
         self._kernel = owner
         self._lock = threading.Lock()
+        self._ended = threading.Condition(self._lock)
         self._known: dict[deployment.ServerLife, Estimate] = {}
         self._samples: dict[deployment.ServerLife, TimeSample] = {}
         self._typical_s: dict[str, float] = {}
@@ -103,6 +104,7 @@
             known = self._known[server.life]
             known = dataclasses.replace(known, outstanding=max(0, known.outstanding - 1))
             self._known[server.life] = self._learn(server, known, attempt, duration_s, now_s)
+            self._ended.notify_all()
 
     def finish_cancelled(self, server: deployment.RegisteredServer) -> None:
         """Count the end of a try that tells nothing of the server."""
@@ -111,6 +113,12 @@
             self._known[server.life] = dataclasses.replace(
                 known, outstanding=max(0, known.outstanding - 1)
             )
+            self._ended.notify_all()
+
+    def await_end(self, timeout_s: float) -> None:
+        """Wait until a try ends, up to `timeout_s` seconds."""
+        with self._ended:
+            self._ended.wait(timeout_s)
 
     def take_samples(self) -> tuple[TimeSample, ...]:
         """Return the time samples since the last call."""
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -87,6 +88,7 @@
         self._generator = generator
         self._budgets = budgets.WindowedBudgets(instance_settings.retries)
         self._rotations = routes.SplitRotations(generator)
+        self._last_deadline_s = math.inf
 
     @classmethod
     def from_config(
@@ -106,12 +108,21 @@
         self._sender = self._kernel.find(names.WORK, work.WorkSender)
         self._log = self._kernel.find(names.REQUEST_LOG, decisions.DecisionLog)
         self._finder = targets.ServerFinder(
-            self._directory, self._owners, self._estimates, self._failure_domain, self._drain_s
+            self._directory,
+            self._owners,
+            self._estimates,
+            self._failure_domain,
+            self._drain_s,
+            self._reports,
         )
 
     def stop(self) -> None:
         """Do nothing; requests in progress are the front end's to await."""
 
+    def mark_leaving(self, remaining_s: float) -> None:
+        """Answer all requests that come from now on within so many seconds."""
+        self._last_deadline_s = self._clock.read_s() + remaining_s
+
     def handle(
         self, request: requests.Request, cancelled: cancellation.Cancellation
     ) -> outcomes.Outcome:
@@ -143,7 +154,9 @@
             configuration, self._rotations.take(route), request.key, request.path
         )
         latest_s = request.received_at_s + route.timeout_s
-        deadline_s = latest_s if request.deadline_s is None else min(latest_s, request.deadline_s)
+        if request.deadline_s is not None:
+            latest_s = min(latest_s, request.deadline_s)
+        deadline_s = min(latest_s, self._last_deadline_s)
         return Plan(route, target, configuration.version, deadline_s)
 
     def _try_repeatedly(
@@ -159,7 +172,7 @@
             serial = self._owners.serial
             found = self._finder.find(plan.target, progress.tried, self._generator)
             if isinstance(found, targets.NotNow):
-                if not self._await_owner(plan, patience, serial):
+                if not self._await_owner(plan, patience, serial, is_busy=found.is_busy):
                     return _settle(progress, found.refused)
                 continue
             attempt = self._try_once(request, plan, found, cancelled)
@@ -168,14 +181,19 @@
                 return progress
         return _settle_cancelled(progress)
 
-    def _await_owner(self, plan: Plan, patience: repeats.Patience, serial: int) -> bool:
-        """Wait for the key's owner to change; return whether to look again."""
+    def _await_owner(
+        self, plan: Plan, patience: repeats.Patience, serial: int, *, is_busy: bool = False
+    ) -> bool:
+        """Wait for the key's owner to change or to have room; return whether to look again."""
         if not isinstance(plan.target, targets.KeyTarget):
             return False
         remaining_s = patience.find_remaining_s(self._clock.read_s())
         if remaining_s <= 0:
             return False
-        self._owners.wait_beyond(serial, min(remaining_s, repeats.OWNER_RECHECK_S))
+        if is_busy:
+            self._estimates.await_end(min(remaining_s, repeats.OWNER_RECHECK_S))
+        else:
+            self._owners.wait_beyond(serial, min(remaining_s, repeats.OWNER_RECHECK_S))
         return True
 
     def _try_once(
--- a/src/goldcresthall/gateway/repeats.py
+++ b/src/goldcresthall/gateway/repeats.py
@@ -10,7 +10,7 @@
 from goldcresthall.routing import retries
 
 OWNER_RECHECK_S = 0.1
-PATIENT_FRACTION = 0.5
+PATIENT_FRACTION = 0.7
 FIRST_SERVER_ERROR = 500
 
 
--- a/src/goldcresthall/gateway/targets.py
+++ b/src/goldcresthall/gateway/targets.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import functools
+import math
 import random
 import zlib
 
@@ -15,10 +16,12 @@
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import selection
 from goldcresthall.ranges import owners
+from goldcresthall.ranges import reports
 
 NO_SERVER_RETRY_S = 0.5
 NO_OWNER_RETRY_S = 0.5
 DRAIN_FRACTION = 0.25
+QUEUED_PER_SLOT = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,9 +44,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotNow:
-    """No server may be used now."""
+    """No server may be used now.
+
+    Attributes
+    ----------
+    is_busy
+        Whether the server to use has as much as it may get from this instance.
+    """
 
     refused: outcomes.Refused
+    is_busy: bool = False
 
 
 def create_target(
@@ -96,12 +106,18 @@
         seen: estimates.Estimates,
         failure_domain: str,
         drain_s: float,
+        counted: reports.Reports,
     ) -> None:
         self.directory = known
         self.owners = owned
         self.estimates = seen
         self.failure_domain = failure_domain
         self.drain_s = drain_s
+        self._counted = counted
+
+    def find_limit(self, server: deployment.RegisteredServer) -> int:
+        """Return the requests that this instance may have at the owner of a key."""
+        return max(1, math.ceil(QUEUED_PER_SLOT * server.slots / self._counted.live_instances))
 
     def find(
         self, target: Target, tried: frozenset[str], generator: random.Random
@@ -152,6 +168,9 @@
         return _refuse_ownerless(target, f"{owned.owner.name} is gone")
     if _drains_for_long(listed, finder):
         return _refuse_ownerless(target, f"{owned.owner.name} is draining")
+    known = finder.estimates.find(listed.server)
+    if known.outstanding >= finder.find_limit(listed.server):
+        return _refuse_busy(target, listed.server)
     return listed.server
 
 
@@ -162,6 +181,17 @@
     return finder.directory.read_s() - since_s > DRAIN_FRACTION * finder.drain_s
 
 
+def _refuse_busy(target: KeyTarget, server: deployment.RegisteredServer) -> NotNow:
+    refused = outcomes.Refused(
+        outcomes.RefusalReason.QUEUE_FULL,
+        outcomes.Step.ADMIT,
+        target.service,
+        f"{server.name} has as much as it may get from here",
+        retry_after_s=NO_OWNER_RETRY_S,
+    )
+    return NotNow(refused, is_busy=True)
+
+
 def _refuse_ownerless(target: KeyTarget, detail: str) -> NotNow:
     return NotNow(
         outcomes.Refused(
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -20,6 +20,7 @@
     from goldcresthall.kernel import kernel
 
 CONFIGURATION_WAIT_S = 5.0
+CATCH_UP_CHECK_S = 5.0
 FIRST_RETRY_S = 0.1
 RETRY_S = 0.4
 SERVERS_INTERVAL_S = 0.9
@@ -56,6 +57,7 @@
         self._decoder = decoder
         self._configuration_task = tasks.Task("configuration", self._watch_configuration)
         self._servers_task = tasks.Task("servers", self._watch_servers)
+        self._behind_task = tasks.Task("configuration-behind", self._catch_up)
 
     def start(self) -> None:
         """Begin to follow."""
@@ -64,11 +66,13 @@
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
         self._configuration_task.start()
         self._servers_task.start()
+        self._behind_task.start()
 
     def stop(self) -> None:
         """Stop following; a long poll in progress is left to end by itself."""
         self._configuration_task.request_stop()
         self._servers_task.request_stop()
+        self._behind_task.request_stop()
 
     def _watch_configuration(self, stop_signal: tasks.StopSignal) -> None:
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.configuration_topic)
@@ -105,6 +109,13 @@
             self._adopt(followed)
             stop_signal.wait(SERVERS_INTERVAL_S)
 
+    def _catch_up(self, stop_signal: tasks.StopSignal) -> None:
+        """Read the configuration at once when another instance has a later version."""
+        while not stop_signal.is_set:
+            if self._directory.await_version(CATCH_UP_CHECK_S):
+                self._reread_configuration()
+                stop_signal.wait(FIRST_RETRY_S)
+
     def _reread_configuration(self) -> None:
         """Read the configuration apart from the long poll, whose answer may be lost."""
         outcome = self._store.read_newest(self._decoder.configuration_topic)
--- a/src/goldcresthall/kernel/tasks.py
+++ b/src/goldcresthall/kernel/tasks.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import threading
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from absl import logging
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 JOIN_TIMEOUT_S = 10.0
 
 
@@ -33,6 +30,9 @@
         return self._event.wait(timeout_s)
 
 
+TaskStarter = Callable[[str, Callable[["StopSignal"], None]], "Task"]
+
+
 class Task:
     """A named thread that runs one function until it returns.
 
@@ -74,3 +74,10 @@
             self._run(self._stop_signal)
         except Exception:
             logging.exception("task %s ended by an error", self._name)
+
+
+def start(name: str, run: Callable[[StopSignal], None]) -> Task:
+    """Return a task that was started."""
+    task = Task(name, run)
+    task.start()
+    return task
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -134,8 +134,11 @@
         """Answer an instance's report, once there is news or after a while."""
         current = self._lessor
         if current is None or current.is_over:
-            return reports.Reply(is_lessor=False, has_store=True, peers=(), view=None)
+            return reports.Reply(
+                is_lessor=False, has_store=True, peers=(), view=None, configuration=0
+            )
         now_s = self._clock.read_s()
+        self._directory.note_version(report.configuration)
         current.heat.add(report.counts, now_s)
         current.heat.speeds.add(report.samples, now_s)
         peer = reports.Peer(report.reporter.incarnation.name, report.reporter.address)
@@ -148,6 +151,7 @@
             has_store=current.has_store,
             peers=(own, *self._list_reporters()),
             view=view,
+            configuration=self._directory.latest_version,
         )
 
     def describe_presence(self) -> reports.Presence:
@@ -272,6 +276,7 @@
             known=self._owners.view,
             counts=self._owners.take_counts(),
             samples=self._estimates.take_samples(),
+            configuration=self._directory.latest_version,
         )
 
     def _note_reply(self, reply: reports.Reply) -> _Step:
@@ -280,6 +285,7 @@
             return _Step.LOOK_AGAIN
         self._heard_at_s = self._clock.read_s()
         self._peers = reply.peers
+        self._directory.note_version(reply.configuration)
         if reply.view is not None:
             self._owners.adopt(reply.view)
         return _Step.TAKE_OVER if self._is_storeless(reply) else _Step.REPORT_ON
@@ -348,7 +354,7 @@
         if latest is None or latest.table.lessor != stored.table.lessor or stop_signal.is_set:
             return
         expected = latest.offset + 1
-        table = self._create_table(latest.table, expected)
+        table = tables.take_over(latest.table, self._own, expected)
         outcome = self._store.write(tables.TOPIC, tables.KEY, tables.encode(table), expected)
         if not isinstance(outcome, client.Written):
             logging.info("no take-over, step write: %s", outcome)
@@ -364,25 +370,6 @@
         )
         self._serve(current, stop_signal)
 
-    def _create_table(
-        self, latest: key_ranges.OwnershipTable, fence: int
-    ) -> key_ranges.OwnershipTable:
-        """Return the table of a take-over: all owners stay, under a higher fence.
-
-        Servers refuse what an earlier lessor still sends once they have seen it.
-        """
-        earlier = latest.predecessors
-        if latest.lessor is not None and latest.lessor.address != self._own.address:
-            earlier = (*earlier, latest.lessor)
-        return key_ranges.OwnershipTable(
-            lessor=self._own,
-            term=fence,
-            predecessors=tuple(item for item in earlier if item.address != self._own.address),
-            assignments=tuple(
-                dataclasses.replace(item, fence=fence) for item in latest.assignments
-            ),
-        )
-
     def _serve(self, current: lessor.Lessor, stop_signal: tasks.StopSignal) -> None:
         with self._lock:
             self._reporters.clear()
--- a/src/goldcresthall/ranges/keepers.py
+++ b/src/goldcresthall/ranges/keepers.py
@@ -4,12 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from goldcresthall.kernel import tasks
-
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
     from goldcresthall.gateway import directory
     from goldcresthall.kernel import clock
+    from goldcresthall.kernel import tasks
     from goldcresthall.ranges import book
     from goldcresthall.ranges import grants
 
@@ -25,11 +24,13 @@
         known: directory.Directory,
         clock: clock.Clock,
         holding_book: book.HoldingBook,
+        start_task: tasks.TaskStarter,
     ) -> None:
         self._channel = channel
         self._directory = known
         self._clock = clock
         self._book = holding_book
+        self._start_task = start_task
         self._tasks: dict[deployment.ServerLife, tasks.Task] = {}
         self._servers: dict[deployment.ServerLife, deployment.RegisteredServer] = {}
 
@@ -56,9 +57,9 @@
         self._tasks.clear()
 
     def _start(self, life: deployment.ServerLife) -> None:
-        task = tasks.Task(f"keeper-{life.name}", lambda stop: self._run(life, stop))
-        self._tasks[life] = task
-        task.start()
+        self._tasks[life] = self._start_task(
+            f"keeper-{life.name}", lambda stop: self._run(life, stop)
+        )
 
     def _run(self, life: deployment.ServerLife, stop_signal: tasks.StopSignal) -> None:
         while not stop_signal.is_set:
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -30,6 +30,7 @@
 TICK_S = 0.1
 BALANCE_INTERVAL_S = 0.4
 CONFIRM_INTERVAL_S = 1.0
+CONFIRM_RETRY_S = 0.3
 LOST_AFTER_S = 1.0
 STORE_LOST_AFTER_S = 1.2
 ANNOUNCE_S = 0.02
@@ -43,6 +44,7 @@
     channel: grants.GrantChannel
     directory: directory.Directory
     clock: clock.Clock
+    start_task: tasks.TaskStarter = tasks.start
 
 
 class Lessor:
@@ -71,13 +73,16 @@
         has_predecessors = bool(taken_over.table.predecessors)
         self._others_end_at_s = now_s + (AUTHORITY_S if has_predecessors else 0.0)
         self._confirmed_at_s = now_s
+        self._asked_at_s = now_s
         self._failing_since_s: float | None = None
         self._balanced_at_s = now_s
         self._book = book.HoldingBook(min(HOLD_S, longest_hold_s), taken_over.offset)
         self._book.extend_authority(now_s + AUTHORITY_S)
         for assigned in taken_over.table.assignments:
             self._book.add(_resume(assigned))
-        self._keepers = keepers.Keepers(duties.channel, duties.directory, duties.clock, self._book)
+        self._keepers = keepers.Keepers(
+            duties.channel, duties.directory, duties.clock, self._book, duties.start_task
+        )
 
     @property
     def term(self) -> int:
@@ -139,18 +144,24 @@
     def run(self, stop_signal: tasks.StopSignal) -> None:
         """Do the lessor's work until the tenure ends."""
         while not stop_signal.is_set and not self._is_over:
-            self._confirm()
-            self._keepers.adopt(self._list_owners())
-            self._plan()
-            self._record()
+            self.step()
             stop_signal.wait(TICK_S)
 
+    def step(self) -> None:
+        """Do what is due now."""
+        self._confirm()
+        self._keepers.adopt(self._list_owners())
+        self._plan()
+        self._record()
+
     def _confirm(self) -> None:
         """Read the store now and then, to go on only while nobody took over."""
         now_s = self._duties.clock.read_s()
-        is_due = now_s - self._confirmed_at_s >= CONFIRM_INTERVAL_S
-        if not is_due and self._failing_since_s is None:
+        is_failing = self._failing_since_s is not None
+        interval_s = CONFIRM_RETRY_S if is_failing else CONFIRM_INTERVAL_S
+        if now_s - max(self._confirmed_at_s, self._asked_at_s) < interval_s:
             return
+        self._asked_at_s = now_s
         outcome = self._duties.store.read_changes(tables.TOPIC, self._table.offset + 1, 0.0)
         if isinstance(outcome, client.StoreFailed):
             self._note_store_failed(now_s)
@@ -231,24 +242,29 @@
 
     def _drop_lost(self, service: str, now_s: float) -> None:
         """Let go of owners that are gone, leave or fail to answer."""
-        servers = self._duties.directory.servers
         for holding_id, item in self._book.snapshot().holdings.items():
-            if item.service != service or item.owner is None:
-                continue
-            latest = servers.by_name.get(item.owner.name)
-            if latest is not None and latest.server.life != item.owner:
-                self._free(holding_id, item, f"{item.owner} is over")
-            elif item.phase is holdings.Phase.EXPIRING:
-                if now_s >= item.find_expiry_s(self._book.hold_s, self._others_end_at_s):
-                    self._free(holding_id, item, "the grant ran out")
-            elif (item.is_granted and _is_failing(item, now_s)) or (
-                latest is None and self._keepers.find_server(item.owner) is None
-            ):
-                self._expire(holding_id, item)
-            elif latest is None or latest.draining_since_s is not None:
-                self._release(holding_id, item, None)
-            elif item.unanswered and item.failing_since_s is None:
-                self._book.update(holding_id, _demand_fence)
+            if item.service == service and item.owner is not None:
+                self._review(holding_id, item, item.owner, now_s)
+
+    def _review(
+        self,
+        holding_id: int,
+        item: holdings.Holding,
+        owner: deployment.ServerLife,
+        now_s: float,
+    ) -> None:
+        latest = self._duties.directory.servers.by_name.get(owner.name)
+        if latest is not None and latest.server.life != owner:
+            self._free(holding_id, item, f"{owner} is over")
+        elif item.phase is holdings.Phase.EXPIRING:
+            if now_s >= item.find_expiry_s(self._book.hold_s, self._others_end_at_s):
+                self._free(holding_id, item, "the grant ran out")
+        elif _is_failing(item, now_s) or self._is_unknown(owner, latest):
+            self._expire(holding_id, item)
+        elif latest is None or latest.draining_since_s is not None:
+            self._release(holding_id, item, None)
+        elif item.unanswered and item.failing_since_s is None:
+            self._book.update(holding_id, _demand_fence)
 
     def _is_unknown(self, owner: deployment.ServerLife, latest: directory.Listed | None) -> bool:
         return latest is None and self._keepers.find_server(owner) is None
@@ -305,12 +321,13 @@
         if not self.has_store or not self._book.update(holding_id, change):
             return
         order = grants.ReleaseOrder(holding_id=holding_id, keys=item.keys, fence=item.fence)
-        task = tasks.Task("release", lambda _: self._run_release(item, order))
-        task.start()
+        self._duties.start_task("release", lambda stop: self._run_release(item, order, stop))
 
-    def _run_release(self, item: holdings.Holding, order: grants.ReleaseOrder) -> None:
+    def _run_release(
+        self, item: holdings.Holding, order: grants.ReleaseOrder, stop_signal: tasks.StopSignal
+    ) -> None:
         # Time for the instances to learn that they must not send to the owner any more.
-        tasks.StopSignal().wait(ANNOUNCE_S)
+        stop_signal.wait(ANNOUNCE_S)
         server = self._keepers.find_server(item.owner) if item.owner is not None else None
         if server is None:
             outcome: grants.OrderOutcome = grants.OrderNotSent("no address is known")
@@ -389,7 +406,7 @@
         """Write new owners and fences to the store, then have them granted."""
         held = self._book.snapshot().holdings
         decided = tuple(holding_id for holding_id, item in held.items() if _is_decided(item))
-        if not decided or self._is_over:
+        if not decided or self._is_over or self._failing_since_s is not None:
             return
         began_at_s = self._duties.clock.read_s()
         expected = self._table.offset + 1
--- a/src/goldcresthall/ranges/peer_channel.py
+++ b/src/goldcresthall/ranges/peer_channel.py
@@ -108,6 +108,7 @@
             )
             for sample in report.samples
         ],
+        configuration=report.configuration,
     )
 
 
@@ -130,6 +131,7 @@
             )
             for item in received.times
         ),
+        configuration=received.configuration,
     )
 
 
@@ -142,6 +144,7 @@
             ttypes.PeerRow(peer.name, peer.address.host, peer.address.port) for peer in reply.peers
         ],
         view=None if reply.view is None else _encode_view(reply.view),
+        configuration=reply.configuration,
     )
 
 
@@ -154,6 +157,7 @@
             reports.Peer(row.name, identity.Address(row.host, row.port)) for row in received.peers
         ),
         view=None if received.view is None else _decode_view(received.view),
+        configuration=received.configuration,
     )
 
 
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -28,12 +28,15 @@
     ----------
     known
         View that it has; only the term and the revision matter.
+    configuration
+        Version of the configuration that is in force there.
     """
 
     reporter: key_ranges.Lessor
     known: owners.OwnersView
     counts: tuple[owners.CountedKeys, ...]
     samples: tuple[estimates.TimeSample, ...]
+    configuration: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,12 +51,15 @@
         Whether it reaches the store, without which it can change nothing.
     view
         The owners; none if the reporter knows the latest view.
+    configuration
+        Highest version of the configuration that any instance has in force.
     """
 
     is_lessor: bool
     has_store: bool
     peers: tuple[Peer, ...]
     view: owners.OwnersView | None
+    configuration: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/ranges/tables.py
+++ b/src/goldcresthall/ranges/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -49,3 +50,22 @@
         if record.key == KEY:
             found = record
     return found
+
+
+def take_over(
+    latest: key_ranges.OwnershipTable, own: key_ranges.Lessor, fence: int
+) -> key_ranges.OwnershipTable:
+    """Return the table by which an instance becomes the lessor.
+
+    All owners stay, under a higher fence: servers that have seen it refuse what an
+    earlier lessor still sends. An earlier life of the same instance has ended.
+    """
+    earlier = latest.predecessors
+    if latest.lessor is not None:
+        earlier = (*earlier, latest.lessor)
+    return key_ranges.OwnershipTable(
+        lessor=own,
+        term=fence,
+        predecessors=tuple(item for item in earlier if item.address != own.address),
+        assignments=tuple(dataclasses.replace(item, fence=fence) for item in latest.assignments),
+    )
--- /dev/null
+++ b/tests/fakes/store.py
@@ -0,0 +1,63 @@
+"""A store in memory that can be taken away."""
+
+from __future__ import annotations
+
+
+from goldcresthall.store import client
+
+
+class MemoryStore:
+    """What all instances share: one topic's records."""
+
+    def __init__(self) -> None:
+        self.records: list[client.KeyedRecord] = []
+
+
+class FakeStore(client.StoreClient):
+    """One instance's way to the shared records.
+
+    Attributes
+    ----------
+    is_down
+        Whether calls fail and do nothing.
+    loses_answers
+        Whether writes are done and not answered.
+    """
+
+    def __init__(self, shared: MemoryStore) -> None:
+        self._shared = shared
+        self.is_down = False
+        self.loses_answers = False
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def read_newest(self, topic: str) -> client.Records | client.StoreFailed:
+        """Return the newest record of each key."""
+        if self.is_down:
+            return client.StoreFailed("connect", "down")
+        newest = {record.key: record for record in self._shared.records}
+        return client.Records(tuple(newest.values()), len(self._shared.records))
+
+    def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
+        """Return the records from an offset on at once."""
+        if self.is_down:
+            return client.StoreFailed("connect", "down")
+        return client.Records(tuple(self._shared.records[from_offset:]), len(self._shared.records))
+
+    def write(self, topic: str, key: str, value: bytes, expected_end: int) -> client.WriteOutcome:
+        """Write a record if the topic ends at `expected_end`."""
+        if self.is_down:
+            return client.StoreFailed("connect", "down")
+        offset = len(self._shared.records)
+        if offset != expected_end:
+            return client.Overtaken(offset)
+        self._shared.records.append(client.KeyedRecord(key, value, offset))
+        if self.loses_answers:
+            return client.StoreFailed("receive", "the answer was lost")
+        return client.Written(offset)
+
+
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -36,6 +36,7 @@
   6: required i64 known_revision
   7: required list<KeyCounts> counts
   8: required list<ServerTimes> times
+  9: required i64 configuration
 }
 
 struct PeerRow {
@@ -49,6 +50,7 @@
   2: required bool has_store
   3: required list<PeerRow> peers
   4: optional OwnershipView view
+  5: required i64 configuration
 }
 
 struct Presence {
