--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -108,12 +108,12 @@
         self._sender = self._kernel.find(names.WORK, work.WorkSender)
         self._log = self._kernel.find(names.REQUEST_LOG, decisions.DecisionLog)
         self._finder = targets.ServerFinder(
-            self._directory,
-            self._owners,
-            self._estimates,
-            self._failure_domain,
-            self._drain_s,
-            self._reports,
+            known=self._directory,
+            owned=self._owners,
+            seen=self._estimates,
+            failure_domain=self._failure_domain,
+            drain_s=self._drain_s,
+            counted=self._reports,
         )
 
     def stop(self) -> None:
--- a/src/goldcresthall/gateway/targets.py
+++ b/src/goldcresthall/gateway/targets.py
@@ -101,6 +101,7 @@
 
     def __init__(
         self,
+        *,
         known: directory.Directory,
         owned: owners.Owners,
         seen: estimates.Estimates,
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -13,6 +13,7 @@
 from goldcresthall.gateway import directory
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import tasks
+from goldcresthall.ranges import avoidance
 from goldcresthall.ranges import book
 from goldcresthall.ranges import grants
 from goldcresthall.ranges import heat
@@ -68,6 +69,7 @@
         self._own = own
         self._table = taken_over
         self._heat = heat.ServiceHeat()
+        self._avoided = avoidance.AvoidedServers()
         self._is_over = False
         now_s = duties.clock.read_s()
         has_predecessors = bool(taken_over.table.predecessors)
@@ -295,6 +297,8 @@
             return dataclasses.replace(present, phase=holdings.Phase.EXPIRING, ready=False)
 
         if self._book.update(holding_id, change):
+            if item.owner is not None:
+                self._avoided.note_failure(item.owner, self._duties.clock.read_s())
             logging.info(
                 "range %s of %s: no renewal for %s any more, grants fail since %.2f s",
                 item.keys,
@@ -373,7 +377,11 @@
             for item in self._book.snapshot().holdings.values()
             if item.failing_since_s is not None
         }
-        usable = [server for server in listed if server.life not in failing] or listed
+        usable = [
+            server
+            for server in listed
+            if server.life not in failing and not self._avoided.has(server.life, now_s)
+        ] or listed
         times_s = self._heat.speeds.find_times_s(tuple(server.life for server in usable), now_s)
         return tuple(
             planner.Candidate(server.life, server.slots / max(0.001, times_s[server.life]))
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 from goldcresthall.store import client
 
 
@@ -59,5 +58,3 @@
         if self.loses_answers:
             return client.StoreFailed("receive", "the answer was lost")
         return client.Written(offset)
-
-
