--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -32,12 +32,17 @@
 CONTINUE_STATUS = 100
 BAD_REQUEST_STATUS = 400
 TOO_LARGE_STATUS = 413
+HEADER_TOO_LARGE_STATUS = 431
 
 
 class CallerGoneError(Exception):
     """The caller closed the connection, or it was idle for too long."""
 
 
+class LeavingError(Exception):
+    """The connection closes after the answers that are due."""
+
+
 class BadRequestError(Exception):
     """What the caller sent is no proper request."""
 
@@ -114,6 +119,8 @@
         ------
         CallerGoneError
             If there is none.
+        LeavingError
+            If there is one that is not taken any more.
         BadRequestError
             If it is malformed or too long; the answer's place is taken already.
         """
@@ -132,9 +139,12 @@
 
     def answer(self, pending: PendingAnswer, response: codec.RawResponse) -> None:
         """Hand in an answer; it is sent once all before it are."""
-        data = _encode(pending, response)
         with self._changed:
-            pending.data = data
+            # Another request may follow the last answer of an instance that leaves
+            # before the connection is closed, and would be cut off later.
+            is_last = bool(self._pending) and self._pending[-1] is pending
+            pending.closes = pending.closes or (self._is_leaving and is_last)
+            pending.data = _encode(pending, response)
             self._send_ready()
             self._changed.notify_all()
 
@@ -195,6 +205,7 @@
         while True:
             event = parser.next_event()
             if isinstance(event, h11.Request):
+                _check_head(event, limits)
                 return event
             if event is not h11.NEED_DATA:
                 raise CallerGoneError("closed")
@@ -209,6 +220,8 @@
         with self._changed:
             if self._is_closed:
                 raise CallerGoneError("closed")
+            if self._pending and self._pending[-1].closes:
+                raise LeavingError
             self._pending.append(pending)
         headers = tuple(
             outcomes.Header(name.decode("latin-1"), value.decode("latin-1"))
@@ -303,6 +316,12 @@
             return False
 
 
+def _check_head(head: h11.Request, limits: deployment.CallerLimits) -> None:
+    size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+    if size > limits.header_bytes:
+        raise BadRequestError(HEADER_TOO_LARGE_STATUS, "the header is too long")
+
+
 def _encode(pending: PendingAnswer, response: codec.RawResponse) -> bytes:
     headers = [
         (header.name.encode("latin-1"), header.value.encode("latin-1"))
--- a/src/goldcresthall/callers/ordered_front.py
+++ b/src/goldcresthall/callers/ordered_front.py
@@ -121,6 +121,8 @@
             logging.info("bad request, step decode, status %d: %s", error.status, error)
             connection.reject(error)
             connection.await_answers()
+        except connections.LeavingError:
+            connection.await_answers()
         except connections.CallerGoneError:
             logging.debug("caller gone")
         finally:
--- /dev/null
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_store.py
@@ -0,0 +1,129 @@
+"""A stand-in for the platform's store: keyed topics with conditional appends."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import json
+import struct
+import threading
+
+from goldcresthall_stand_ins import web
+
+LENGTH = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
+MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """A record of a keyed topic; an empty value drops the key."""
+
+    key: str
+    value: bytes
+
+    def encode(self) -> bytes:
+        """Return the record as it is read."""
+        name = self.key.encode()
+        content = bytes([len(name)]) + name + self.value
+        return LENGTH.pack(len(content)) + content
+
+
+class StoreStandIn(web.StandIn):
+    """Keeps all records in memory.
+
+    Attributes
+    ----------
+    is_down
+        Whether all calls are answered with 503 and do nothing.
+    """
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0, threads: int = 64) -> None:
+        super().__init__(host, port, threads)
+        self._changed = threading.Condition()
+        self._topics: dict[str, list[StoredRecord]] = {}
+        self.is_down = False
+        self.calls = 0
+
+    def put(self, topic: str, key: str, document: object | None) -> None:
+        """Write a record as the operator or a server does; none drops the key."""
+        value = b"" if document is None else json.dumps(document).encode()
+        self.put_raw(topic, key, value)
+
+    def put_raw(self, topic: str, key: str, value: bytes) -> None:
+        """Write a record of any bytes."""
+        with self._changed:
+            self._topics.setdefault(topic, []).append(StoredRecord(key, value))
+            self._changed.notify_all()
+
+    def read(self, topic: str, key: str) -> bytes:
+        """Return the newest value of a key; empty if there is none."""
+        with self._changed:
+            values = [record.value for record in self._topics.get(topic, []) if record.key == key]
+        return values[-1] if values else b""
+
+    def answer(self, exchange: web.Exchange) -> web.Reply:
+        """Answer one call."""
+        self.calls += 1
+        if self.is_down:
+            return web.Reply(503, b"")
+        topic = exchange.query.get("topic", "")
+        if exchange.path == "/api/log-append":
+            return self._append(topic, exchange)
+        if exchange.path == "/api/log-read":
+            return self._read(topic, exchange)
+        if exchange.path == "/api/log-newest":
+            return self._list_newest(topic)
+        return web.Reply(404, b"")
+
+    def _append(self, topic: str, exchange: web.Exchange) -> web.Reply:
+        with self._changed:
+            records = self._topics.setdefault(topic, [])
+            expected = exchange.query.get("at")
+            if expected is not None and int(expected) != len(records):
+                return _reply_json(412, {"end_offset": len(records)})
+            offset = len(records)
+            records.extend(_decode(exchange.body))
+            self._changed.notify_all()
+            return _reply_json(200, {"offset": offset, "end_offset": len(records)})
+
+    def _read(self, topic: str, exchange: web.Exchange) -> web.Reply:
+        first = int(exchange.query.get("from", "0"))
+        wait_s = int(exchange.query.get("wait_ms", "0")) / MS_PER_S
+        with self._changed:
+            records = self._topics.setdefault(topic, [])
+            self._changed.wait_for(lambda: len(records) > first, wait_s)
+            data = b"".join(record.encode() for record in records[first:])
+            return web.Reply(200, OFFSETS.pack(len(records), 0) + data)
+
+    def _list_newest(self, topic: str) -> web.Reply:
+        with self._changed:
+            records = self._topics.setdefault(topic, [])
+            newest = {record.key: (offset, record) for offset, record in enumerate(records)}
+            items = [
+                {
+                    "key": record.key,
+                    "value": base64.b64encode(record.value).decode(),
+                    "offset": offset,
+                }
+                for offset, record in newest.values()
+                if record.value
+            ]
+            end = len(records)
+            return _reply_json(200, {"items": items, "has_more": False, "end_offset": end})
+
+
+def _decode(body: bytes) -> list[StoredRecord]:
+    records = []
+    position = 0
+    while position < len(body):
+        (length,) = LENGTH.unpack_from(body, position)
+        content = body[position + LENGTH.size : position + LENGTH.size + length]
+        size = content[0]
+        records.append(StoredRecord(content[1 : 1 + size].decode(), content[1 + size :]))
+        position += LENGTH.size + length
+    return records
+
+
+def _reply_json(status: int, document: object) -> web.Reply:
+    return web.Reply(status, json.dumps(document).encode(), (("Content-Type", "application/json"),))
--- /dev/null
+++ b/tests/callers/test_connections.py
@@ -0,0 +1,133 @@
+"""Tests of a caller's connection over a real socket."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.callers import codec
+from goldcresthall.callers import connections
+from goldcresthall.core import deployment
+from goldcresthall.core import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+LIMITS = deployment.CallerLimits(header_bytes=1_024, body_bytes=100)
+REQUEST = b"GET /page/%d HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+
+@pytest.fixture
+def pair() -> Iterator[tuple[socket.socket, connections.CallerConnection]]:
+    """Yield a caller's socket and the connection that serves it."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        caller = socket.create_connection(listener.getsockname(), timeout=5)
+        accepted, _ = listener.accept()
+    connection = connections.CallerConnection(accepted)
+    yield caller, connection
+    connection.abandon()
+    caller.close()
+
+
+def respond(body: bytes) -> codec.RawResponse:
+    return codec.RawResponse(200, (outcomes.Header("X-Server", "one"),), body)
+
+
+def read_until(caller: socket.socket, end: bytes) -> bytes:
+    data = b""
+    while end not in data:
+        received = caller.recv(4_096)
+        assert received, data
+        data += received
+    return data
+
+
+def test_answers_come_in_the_order_of_the_requests(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    caller.sendall(REQUEST % 1 + REQUEST % 2)
+    first = connection.receive(LIMITS)
+    second = connection.receive(LIMITS)
+    assert [first.request.target, second.request.target] == ["/page/1", "/page/2"]
+    connection.answer(second.pending, respond(b"second"))
+    connection.answer(first.pending, respond(b"first"))
+    data = read_until(caller, b"second")
+    assert data.index(b"first") < data.index(b"second")
+    assert b"close" not in data
+
+
+def test_a_leaving_instance_closes_with_the_last_answer_that_is_due(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    caller.sendall(REQUEST % 1 + REQUEST % 2)
+    first = connection.receive(LIMITS)
+    second = connection.receive(LIMITS)
+    connection.mark_leaving()
+    connection.answer(first.pending, respond(b"first"))
+    connection.answer(second.pending, respond(b"second"))
+    data = read_until(caller, b"second")
+    before, after = data.split(b"first")
+    assert b"close" not in before
+    assert b"Connection: close" in after
+
+
+def test_a_request_behind_a_closing_answer_is_not_taken(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    caller.sendall(REQUEST % 1)
+    connection.mark_leaving()
+    connection.receive(LIMITS)
+    caller.sendall(REQUEST % 2)
+    with pytest.raises(connections.LeavingError):
+        connection.receive(LIMITS)
+
+
+def test_a_caller_that_leaves_cancels_its_request(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    caller.sendall(REQUEST % 1)
+    received = connection.receive(LIMITS)
+    interrupted = threading.Event()
+    with received.pending.cancelled.interrupting(interrupted.set):
+        caller.close()
+        with pytest.raises(connections.CallerGoneError):
+            connection.receive(LIMITS)
+        connection.abandon()
+        assert interrupted.is_set()
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"GET /\x00 HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 4_096 + b"\r\n\r\n", 431),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200\r\n\r\n" + b"x" * 200, 413),
+    ],
+)
+def test_bad_requests_are_rejected_with_their_status(
+    pair: tuple[socket.socket, connections.CallerConnection], sent: bytes, status: int
+) -> None:
+    caller, connection = pair
+    caller.sendall(sent)
+    with pytest.raises(connections.BadRequestError) as raised:
+        connection.receive(LIMITS)
+    assert raised.value.status == status
+    connection.reject(raised.value)
+    assert f"HTTP/1.1 {status}".encode() in read_until(caller, b"\r\n\r\n")
+
+
+def test_a_chunked_body_is_read_whole(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    caller.sendall(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    assert connection.receive(LIMITS).request.body == b"abcde"
