--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -185,7 +185,7 @@
         self, plan: Plan, patience: repeats.Patience, serial: int, *, is_busy: bool = False
     ) -> bool:
         """Wait for the key's owner to change or to have room; return whether to look again."""
-        if not isinstance(plan.target, targets.KeyTarget):
+        if not is_busy and not isinstance(plan.target, targets.KeyTarget):
             return False
         remaining_s = patience.find_remaining_s(self._clock.read_s())
         if remaining_s <= 0:
--- a/src/goldcresthall/gateway/targets.py
+++ b/src/goldcresthall/gateway/targets.py
@@ -20,6 +20,7 @@
 
 NO_SERVER_RETRY_S = 0.5
 NO_OWNER_RETRY_S = 0.5
+BUSY_RETRY_S = 0.5
 DRAIN_FRACTION = 0.25
 QUEUED_PER_SLOT = 5
 
@@ -116,9 +117,10 @@
         self.drain_s = drain_s
         self._counted = counted
 
-    def find_limit(self, server: deployment.RegisteredServer) -> int:
-        """Return the requests that this instance may have at the owner of a key."""
-        return max(1, math.ceil(QUEUED_PER_SLOT * server.slots / self._counted.live_instances))
+    def has_room(self, server: deployment.RegisteredServer) -> bool:
+        """Return whether a server has less than this instance's part of its queue."""
+        limit = math.ceil(QUEUED_PER_SLOT * server.slots / self._counted.live_instances)
+        return self.estimates.find(server).outstanding < max(1, limit)
 
     def find(
         self, target: Target, tried: frozenset[str], generator: random.Random
@@ -169,9 +171,8 @@
         return _refuse_ownerless(target, f"{owned.owner.name} is gone")
     if _drains_for_long(listed, finder):
         return _refuse_ownerless(target, f"{owned.owner.name} is draining")
-    known = finder.estimates.find(listed.server)
-    if known.outstanding >= finder.find_limit(listed.server):
-        return _refuse_busy(target, listed.server)
+    if not finder.has_room(listed.server):
+        return _refuse_busy(target, f"{listed.server.name} has")
     return listed.server
 
 
@@ -182,13 +183,13 @@
     return finder.directory.read_s() - since_s > DRAIN_FRACTION * finder.drain_s
 
 
-def _refuse_busy(target: KeyTarget, server: deployment.RegisteredServer) -> NotNow:
+def _refuse_busy(target: Target, subject: str) -> NotNow:
     refused = outcomes.Refused(
         outcomes.RefusalReason.QUEUE_FULL,
         outcomes.Step.ADMIT,
         target.service,
-        f"{server.name} has as much as it may get from here",
-        retry_after_s=NO_OWNER_RETRY_S,
+        f"{subject} as much as may be sent from here",
+        retry_after_s=BUSY_RETRY_S,
     )
     return NotNow(refused, is_busy=True)
 
