--- a/src/goldcresthall/gateway/targets.py
+++ b/src/goldcresthall/gateway/targets.py
@@ -146,9 +146,12 @@
         for listed in finder.directory.servers.by_service.get(target.service, ())
         if listed.draining_since_s is None and listed.server.name not in tried
     ]
-    chosen = selection.choose(candidates, finder.estimates, finder.failure_domain, now_s, generator)
+    with_room = [listed for listed in candidates if finder.has_room(listed.server)]
+    chosen = selection.choose(with_room, finder.estimates, finder.failure_domain, now_s, generator)
     if chosen is not None:
         return chosen
+    if candidates:
+        return _refuse_busy(target, f"{len(candidates)} servers have")
     return NotNow(
         outcomes.Refused(
             outcomes.RefusalReason.NO_SERVER_AVAILABLE,
