--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -50,6 +50,11 @@
     reported_at_s: float = 0.0
     shunned_until_s: float = 0.0
 
+    def find_load(self, now_s: float) -> float:
+        """Return the requests at the server; what it told of others' counts by its age."""
+        freshness = max(0.0, 1.0 - (now_s - self.reported_at_s) / LOAD_LIFETIME_S)
+        return self.outstanding + self.reported_load * freshness
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimeSample:
--- a/src/goldcresthall/gateway/selection.py
+++ b/src/goldcresthall/gateway/selection.py
@@ -4,13 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from goldcresthall.gateway import estimates
-
 if TYPE_CHECKING:
     import random
 
     from goldcresthall.core import deployment
     from goldcresthall.gateway import directory
+    from goldcresthall.gateway import estimates
 
 FAR_PENALTY = 1.15
 WARMUP_PENALTY = 2.0
@@ -51,9 +50,7 @@
     """Return the seconds after which a server should answer, with penalties."""
     server = listed.server
     known = seen.find(server)
-    age_s = now_s - known.reported_at_s
-    freshness = max(0.0, 1.0 - age_s / estimates.LOAD_LIFETIME_S)
-    load = known.outstanding + known.reported_load * freshness
+    load = known.find_load(now_s)
     waiting = max(0.0, load + 1.0 - server.slots) / server.slots
     crowding = 0.25 * load / server.slots
     score_s = known.service_s * (1.0 + waiting + crowding)
--- a/src/goldcresthall/gateway/targets.py
+++ b/src/goldcresthall/gateway/targets.py
@@ -23,6 +23,7 @@
 BUSY_RETRY_S = 0.5
 DRAIN_FRACTION = 0.25
 QUEUED_PER_SLOT = 5
+FULL_PER_SLOT = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,9 +119,11 @@
         self._counted = counted
 
     def has_room(self, server: deployment.RegisteredServer) -> bool:
-        """Return whether a server has less than this instance's part of its queue."""
+        """Return whether a server takes more from here and its queue is not nearly full."""
         limit = math.ceil(QUEUED_PER_SLOT * server.slots / self._counted.live_instances)
-        return self.estimates.find(server).outstanding < max(1, limit)
+        known = self.estimates.find(server)
+        load = known.find_load(self.directory.read_s())
+        return known.outstanding < max(1, limit) and load < FULL_PER_SLOT * server.slots
 
     def find(
         self, target: Target, tried: frozenset[str], generator: random.Random
