--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,109 @@
+"""A directory, owners and estimates on a clock that tests set."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from goldcresthall.core import deployment
+from goldcresthall.core import identity
+from goldcresthall.gateway import directory
+from goldcresthall.gateway import estimates
+from goldcresthall.gateway import targets
+from goldcresthall.kernel import kernel
+from goldcresthall.kernel import names
+from goldcresthall.ranges import owners
+from goldcresthall.ranges import reports
+from tests.fakes import clock
+
+
+class FourInstances(reports.Reports):
+    """A deployment of four instances."""
+
+    @property
+    def live_instances(self) -> int:
+        """Return four."""
+        return 4
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What the gateway looks things up in."""
+
+    clock: clock.ManualClock
+    directory: directory.Directory
+    owners: owners.Owners
+    estimates: estimates.Estimates
+    finder: targets.ServerFinder
+
+
+def create_server(
+    name: str, service: str = "agenda", *, draining: bool = False, started_ms: int = 1
+) -> deployment.RegisteredServer:
+    """Return a registered server."""
+    return deployment.RegisteredServer(
+        life=deployment.ServerLife(name, started_ms),
+        service=service,
+        address=identity.Address("127.0.0.1", 9_000),
+        failure_domain="near",
+        slots=4,
+        draining=draining,
+        warmup_left_s=0.0,
+    )
+
+
+def create_route(name: str, prefix: str, *parts: deployment.TrafficPart) -> deployment.HostRoute:
+    """Return a route of one host."""
+    return deployment.HostRoute(
+        name=name,
+        host="a.example",
+        path_prefix=prefix,
+        idempotent=True,
+        timeout_s=1.0,
+        target_latency_s=0.3,
+        priority=1,
+        max_attempts=2,
+        parts=parts or (deployment.TrafficPart("agenda", 1.0),),
+    )
+
+
+def create_configuration(version: int) -> deployment.Configuration:
+    """Return a configuration with a service by key and one without."""
+    services = tuple(
+        deployment.ServiceSpec(
+            name=name, health_path="/health", connection_limit=40, keyed=name == "ledger"
+        )
+        for name in ("ledger", "agenda")
+    )
+    return deployment.Configuration(
+        version=version, routes=(create_route("agenda", "/agenda/"),), services=services
+    )
+
+
+@pytest.fixture
+def surroundings() -> Surroundings:
+    """Return a directory, owners and estimates without any server."""
+    built = kernel.Kernel()
+    manual = clock.ManualClock()
+    built.register(names.CLOCK, manual)
+    known = directory.Directory(built)
+    owned = owners.Owners(built)
+    seen = estimates.Estimates(built)
+    for found in (known, owned, seen):
+        found.start()
+    finder = targets.ServerFinder(
+        known=known,
+        owned=owned,
+        seen=seen,
+        failure_domain="near",
+        drain_s=2.0,
+        counted=FourInstances(),
+    )
+    return Surroundings(manual, known, owned, seen, finder)
--- /dev/null
+++ b/tests/gateway/test_routes.py
@@ -0,0 +1,36 @@
+"""Tests of matching by host and prefix, and of weighted splits."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+from goldcresthall.core import deployment
+from goldcresthall.gateway import routes
+from tests.gateway import conftest
+
+
+def test_the_longest_prefix_of_the_host_wins() -> None:
+    table = routes.RouteTable(
+        (conftest.create_route("short", "/a/"), conftest.create_route("long", "/a/b/"))
+    )
+    found = [table.match("A.example:8080", path) for path in ("/a/b/c", "/a/c", "/b/")]
+    assert [route.name if route else "" for route in found] == ["long", "short", ""]
+    assert table.match("b.example", "/a/") is None
+
+
+def test_a_split_keeps_its_weights_over_any_stretch() -> None:
+    parts = (deployment.TrafficPart("one", 90), deployment.TrafficPart("two", 10))
+    rotations = routes.SplitRotations(random.Random(1))
+    route = conftest.create_route("split", "/a/", *parts)
+    taken = [rotations.take(route) for _ in range(200)]
+    for begin in range(0, 200, 20):
+        assert 1 <= collections.Counter(taken[begin : begin + 20])["two"] <= 3
+
+
+def test_a_changed_split_starts_anew() -> None:
+    rotations = routes.SplitRotations(random.Random(1))
+    both = (deployment.TrafficPart("one", 50), deployment.TrafficPart("two", 50))
+    rotations.take(conftest.create_route("split", "/a/", *both))
+    moved = conftest.create_route("split", "/a/", deployment.TrafficPart("two", 1))
+    assert {rotations.take(moved) for _ in range(5)} == {"two"}
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,58 @@
+"""Tests of the settings file that the platform places."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.platform import exceptions
+from goldcresthall.platform import settings
+
+if TYPE_CHECKING:
+    import pathlib
+
+WHOLE = """
+node_name = "edge-1"
+zone = "near"
+ip = "10.1.0.15"
+port_range = [7620, 7635]
+heartbeat_s = 0.87
+unknown_field = [1, 2]
+bounds = ["max_hold_s=10", "budget_slack=64", "truthful=true"]
+[listen]
+http = "10.1.0.15:8641"
+readiness = "10.1.0.15:8640"
+admin = "10.1.0.15:8649"
+[limits]
+memory_mb = 300
+[platform]
+address = "10.200.1.7:8642"
+"""
+
+
+def test_the_whole_file_is_read(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(WHOLE)
+    found = settings.read_settings(str(path))
+    assert str(found.listen.callers) == "10.1.0.15:8641"
+    assert str(found.listen.peers) == "10.1.0.15:7620"
+    assert str(found.store) == "10.200.1.7:8642"
+    assert found.retries.slack == 64
+
+
+def test_all_faults_are_told_at_once(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text('node_name = 3\nheartbeat_s = -1\n[platform]\naddress = "nowhere"\n')
+    with pytest.raises(exceptions.InvalidSettingsError) as raised:
+        settings.read_settings(str(path))
+    told = str(raised.value)
+    for field in ("node_name", "zone", "heartbeat_s", "platform.address", "listen.http"):
+        assert field in told
+
+
+def test_what_is_no_toml_is_a_typed_error(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_bytes(b"\xff\x00 = ")
+    with pytest.raises(exceptions.InvalidSettingsError):
+        settings.read_settings(str(path))
