Find out that a crowded server resets a connection before an order is sent on it

A new connection for work that must not be repeated is now given 5 ms to be reset. Also a stray answer before the true one is skipped, as was meant: test_exchange failed before.

--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -20,6 +20,8 @@
     from goldcresthall.kernel import cancellation
 
 CONNECT_TIMEOUT_S = 0.3
+ACCEPTANCE_S = 0.005
+MS_PER_S = 1_000
 RECEIVE_BYTES = 65_536
 HEADER_LIMIT_BYTES = 65_536
 BODY_LIMIT_BYTES = 64 * 1_048_576
@@ -85,6 +87,7 @@
         self._socket = connected
         self._leftover = b""
         self._is_reusable = False
+        self._may_continue = False
         self._keep_s = LONGEST_IDLE_S
         self.idle_since_s = 0.0
 
@@ -105,6 +108,18 @@
             raise ConnectFailedError(outcomes.Step.CONNECT, detail) from error
         return cls(connected)
 
+    def await_acceptance(self) -> None:
+        """Give a crowded server time to reset the connection before anything is sent.
+
+        Raises
+        ------
+        ConnectFailedError
+            If the server resets or closes it.
+        """
+        if self._is_readable(ACCEPTANCE_S):
+            self.close()
+            raise ConnectFailedError(outcomes.Step.CONNECT, "reset or closed at once")
+
     @property
     def is_reusable(self) -> bool:
         """Whether another exchange may follow on it now."""
@@ -133,8 +148,9 @@
             answer = self._receive(request, ends_at_s)
             echoed = answer.find(id_header)
             if echoed is None or echoed == expected:
+                self._is_reusable = self._may_continue and not self._leftover
                 return answer
-            if not self._is_reusable:
+            if not self._may_continue:
                 break
         raise TruncatedError(outcomes.Step.RECEIVE, "answers of other requests only")
 
@@ -174,7 +190,7 @@
         except h11.RemoteProtocolError as error:
             raise TruncatedError(outcomes.Step.RECEIVE, str(error)) from error
         self._leftover, at_end = parser.trailing_data
-        self._is_reusable = parser.their_state is h11.DONE and not at_end
+        self._may_continue = parser.their_state is h11.DONE and not at_end
         self._note_keep_alive(answer)
         return answer
 
@@ -213,18 +229,16 @@
         parser.receive_data(data)
 
     def _note_keep_alive(self, answer: RawAnswer) -> None:
-        if self._leftover:
-            self._is_reusable = False
         self.idle_since_s = time.monotonic()
         for item in (answer.find("keep-alive") or "").split(","):
             name, _, value = item.strip().partition("=")
             if name == "timeout" and value.isdigit():
                 self._keep_s = min(LONGEST_IDLE_S, int(value) * IDLE_FRACTION)
 
-    def _is_readable(self) -> bool:
+    def _is_readable(self, timeout_s: float = 0.0) -> bool:
         poll = select.poll()
         poll.register(self._socket, select.POLLIN)
-        return bool(poll.poll(0))
+        return bool(poll.poll(timeout_s * MS_PER_S))
 
 
 class ConnectionPool:
@@ -263,6 +277,8 @@
         used = None if fresh else self._take(address)
         if used is None:
             used = Connection.open(address, min(CONNECT_TIMEOUT_S, timeout_s))
+            if fresh:
+                used.await_acceptance()
         remaining_s = timeout_s - (time.monotonic() - began_at_s)
         try:
             with cancelled.interrupting(used.interrupt):
--- /dev/null
+++ b/tests/backend/test_exchange.py
@@ -0,0 +1,235 @@
+"""Tests of one exchange with a server that misbehaves, over real sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.backend import exchange
+from goldcresthall.core import identity
+from goldcresthall.core import outcomes
+from goldcresthall.kernel import cancellation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+ID_HEADER = "x-id"
+REQUEST = exchange.RawRequest(
+    "GET", "/", (outcomes.Header("Host", "a"), outcomes.Header("X-Id", "mine")), b""
+)
+RESET = struct.pack("ii", 1, 0)
+
+
+class ScriptedServer:
+    """Runs a script on each connection that it accepts."""
+
+    def __init__(self, script: Callable[[socket.socket], None]) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._script = script
+        self.accepted = 0
+        threading.Thread(target=self._run, daemon=True).start()
+
+    @property
+    def address(self) -> identity.Address:
+        """Where it listens."""
+        return identity.Address(*self._listener.getsockname())
+
+    def stop(self) -> None:
+        """Accept no more."""
+        self._listener.close()
+
+    def _run(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                self.accepted += 1
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            self._script(connection)
+
+
+@pytest.fixture
+def servers() -> Iterator[list[ScriptedServer]]:
+    """Yield a list of servers that are stopped at the end."""
+    started: list[ScriptedServer] = []
+    yield started
+    for server in started:
+        server.stop()
+
+
+def create_answer(request_id: str, body: bytes, extra: bytes = b"") -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nX-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body + extra
+
+
+def run(
+    servers: list[ScriptedServer],
+    script: Callable[[socket.socket], None],
+    *,
+    fresh: bool = False,
+    timeout_s: float = 5.0,
+) -> exchange.RawAnswer:
+    server = ScriptedServer(script)
+    servers.append(server)
+    return exchange.ConnectionPool().exchange(
+        server.address,
+        REQUEST,
+        ID_HEADER,
+        timeout_s,
+        cancellation.Cancellation(),
+        keep=1,
+        fresh=fresh,
+    )
+
+
+def test_an_answer_of_another_request_is_skipped(servers: list[ScriptedServer]) -> None:
+    def script(connection: socket.socket) -> None:
+        connection.recv(4_096)
+        connection.sendall(create_answer("other", b"stray") + create_answer("mine", b"true"))
+
+    assert run(servers, script).body == b"true"
+
+
+def test_an_answer_that_breaks_off_is_no_answer(servers: list[ScriptedServer]) -> None:
+    def script(connection: socket.socket) -> None:
+        connection.recv(4_096)
+        connection.sendall(create_answer("mine", b"whole")[:-2])
+
+    with pytest.raises(exchange.TruncatedError):
+        run(servers, script)
+
+
+def test_an_answer_without_length_ends_with_its_connection(
+    servers: list[ScriptedServer],
+) -> None:
+    def script(connection: socket.socket) -> None:
+        connection.recv(4_096)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nall of it")
+
+    assert run(servers, script).body == b"all of it"
+
+
+def test_an_answer_without_length_that_is_reset_is_no_answer(
+    servers: list[ScriptedServer],
+) -> None:
+    def script(connection: socket.socket) -> None:
+        connection.recv(4_096)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\npart")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+    with pytest.raises(exchange.ExchangeError):
+        run(servers, script)
+
+
+def test_bytes_that_are_no_http_are_no_answer(servers: list[ScriptedServer]) -> None:
+    def script(connection: socket.socket) -> None:
+        connection.recv(4_096)
+        connection.sendall(b"\x00\xff garbage \r\n\r\n")
+        connection.recv(4_096)
+
+    with pytest.raises(exchange.TruncatedError):
+        run(servers, script)
+
+
+def test_a_connection_that_is_reset_at_once_carried_nothing(
+    servers: list[ScriptedServer],
+) -> None:
+    def script(connection: socket.socket) -> None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+    with pytest.raises(exchange.ConnectFailedError):
+        run(servers, script, fresh=True)
+
+
+def test_a_connection_with_surplus_bytes_is_not_used_again(
+    servers: list[ScriptedServer],
+) -> None:
+    def script(connection: socket.socket) -> None:
+        while connection.recv(4_096):
+            connection.sendall(create_answer("mine", b"true", b"surplus"))
+
+    server = ScriptedServer(script)
+    servers.append(server)
+    pool = exchange.ConnectionPool()
+    for _ in range(2):
+        answer = pool.exchange(
+            server.address,
+            REQUEST,
+            ID_HEADER,
+            5.0,
+            cancellation.Cancellation(),
+            keep=1,
+            fresh=False,
+        )
+        assert answer.body == b"true"
+    assert server.accepted == 2
+    pool.close()
+
+
+def test_a_good_connection_is_used_again(servers: list[ScriptedServer]) -> None:
+    def script(connection: socket.socket) -> None:
+        while connection.recv(4_096):
+            connection.sendall(create_answer("mine", b"true"))
+
+    server = ScriptedServer(script)
+    servers.append(server)
+    pool = exchange.ConnectionPool()
+    for _ in range(3):
+        pool.exchange(
+            server.address,
+            REQUEST,
+            ID_HEADER,
+            5.0,
+            cancellation.Cancellation(),
+            keep=1,
+            fresh=False,
+        )
+    assert server.accepted == 1
+    pool.close()
+
+
+def test_cancellation_ends_the_wait_and_closes_the_connection(
+    servers: list[ScriptedServer],
+) -> None:
+    received = threading.Event()
+    closed = threading.Event()
+
+    def script(connection: socket.socket) -> None:
+        connection.recv(4_096)
+        received.set()
+        if not connection.recv(4_096):
+            closed.set()
+
+    server = ScriptedServer(script)
+    servers.append(server)
+    cancelled = cancellation.Cancellation()
+
+    def cancel() -> None:
+        received.wait()
+        cancelled.cancel()
+
+    threading.Thread(target=cancel, daemon=True).start()
+    with pytest.raises(exchange.ExchangeError):
+        exchange.ConnectionPool().exchange(
+            server.address, REQUEST, ID_HEADER, 30.0, cancelled, keep=1, fresh=False
+        )
+    assert closed.wait(10)
+
+
+def test_a_silent_server_is_given_up_at_the_timeout(servers: list[ScriptedServer]) -> None:
+    done = threading.Event()
+
+    def script(connection: socket.socket) -> None:
+        done.wait(10)
+
+    with pytest.raises(exchange.TimedOutError):
+        run(servers, script, timeout_s=0.05)
+    done.set()
