Go on following the lessor while leaving, relay the servers' list with reports

Ruled out: the lessor (its log shows the release and the next moves). It now only hands the tenure over. The scenario of the leaving instance fails without the change (503) and passes with it.

--- a/src/goldcresthall/application/deployment_runner.py
+++ b/src/goldcresthall/application/deployment_runner.py
@@ -56,7 +56,7 @@
     front.mark_leaving()
     serving = instance.kernel.find(names.GATEWAY, gateway.Gateway)
     serving.mark_leaving(instance.settings.grace_s - LAST_ANSWER_MARGIN_S)
-    handing_over = threading.Thread(target=following.stop, name="hand-over", daemon=True)
+    handing_over = threading.Thread(target=following.resign, name="hand-over", daemon=True)
     handing_over.start()
     never = tasks.StopSignal()
     never.wait(BALANCER_NOTICE_S)
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import threading
 from typing import TYPE_CHECKING
+from typing import Final
 
 from absl import logging
 
@@ -18,6 +20,8 @@
     from goldcresthall.kernel import kernel
 
 RETURN_TIME_S = 2.6
+FRESH_S = 1.3
+RELAY_FRESH_S = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +54,17 @@
         return listed if listed is not None and listed.server.life == life else None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedServers:
+    """The list of servers as it is passed on; its revision is -1 if it is not fresh."""
+
+    revision: int
+    servers: tuple[deployment.RegisteredServer, ...]
+
+
+NOT_FRESH: Final = RelayedServers(-1, ())
+
+
 class Directory(service.Service):
     """What the platform says of the deployment, as last read here.
 
@@ -67,6 +82,9 @@
         self._servers = ServerList({}, {})
         self._lapsed: set[str] = set()
         self._returned_at_s = 0.0
+        self._revision = 0
+        self._read_at_s = -math.inf
+        self._relayed_at_s = -math.inf
 
     def start(self) -> None:
         """Find the clock."""
@@ -155,8 +173,43 @@
                     logging.info("server %s gone, step discover", name)
                     by_name.pop(name, None)
                 self._lapsed.clear()
-            if by_name != self._servers.by_name:
-                self._servers = _create_list(by_name)
+            self._read_at_s = now_s
+            self._replace(by_name)
+
+    def relay(self) -> RelayedServers:
+        """Return the list for instances that do not read the store themselves."""
+        with self._lock:
+            if self._clock.read_s() - self._read_at_s > FRESH_S:
+                return NOT_FRESH
+            listed = tuple(item.server for item in self._servers.by_name.values())
+            return RelayedServers(self._revision, listed)
+
+    @property
+    def is_relayed(self) -> bool:
+        """Whether another instance passes its list on, so that none needs to be read."""
+        return self._clock.read_s() - self._relayed_at_s < RELAY_FRESH_S
+
+    def end_relay(self) -> None:
+        """Note that the list must be read here again."""
+        self._relayed_at_s = -math.inf
+
+    def adopt_relayed(self, present: tuple[deployment.RegisteredServer, ...] | None) -> None:
+        """Adopt another instance's list; none says that it is unchanged."""
+        now_s = self._clock.read_s()
+        with self._lock:
+            self._relayed_at_s = now_s
+            if present is None:
+                return
+            self._lapsed.clear()
+            known = self._servers.by_name
+            self._replace(
+                {server.name: _merge(known.get(server.name), server, now_s) for server in present}
+            )
+
+    def _replace(self, by_name: dict[str, Listed]) -> None:
+        if by_name != self._servers.by_name:
+            self._servers = _create_list(by_name)
+            self._revision += 1
 
     def adopt_all(self, present: tuple[deployment.RegisteredServer, ...]) -> None:
         """Adopt the whole list; entries not in it are gone."""
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -24,6 +24,7 @@
 FIRST_RETRY_S = 0.1
 RETRY_S = 0.4
 SERVERS_INTERVAL_S = 0.9
+RELAY_CHECK_S = 0.15
 
 
 class EntryDecoder(abc.ABC):
@@ -95,6 +96,9 @@
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.servers_topic)
         failures = 0
         while not stop_signal.is_set:
+            if self._directory.is_relayed:
+                stop_signal.wait(RELAY_CHECK_S)
+                continue
             followed = follower.follow(0.0)
             if isinstance(followed, client.StoreFailed):
                 failures += 1
@@ -113,16 +117,17 @@
         """Read the configuration at once when another instance has a later version."""
         while not stop_signal.is_set:
             if self._directory.await_version(CATCH_UP_CHECK_S):
-                self._reread_configuration()
-                stop_signal.wait(FIRST_RETRY_S)
+                done = self._reread_configuration()
+                stop_signal.wait(FIRST_RETRY_S if done else RETRY_S)
 
-    def _reread_configuration(self) -> None:
+    def _reread_configuration(self) -> bool:
         """Read the configuration apart from the long poll, whose answer may be lost."""
         outcome = self._store.read_newest(self._decoder.configuration_topic)
         if isinstance(outcome, client.StoreFailed):
-            _log_failure("configuration", 1, outcome)
-            return
+            logging.debug("configuration not read, step %s: %s", outcome.step, outcome.detail)
+            return False
         self._adopt_configuration(outcome.records)
+        return True
 
     def _adopt_configuration(self, records: tuple[client.KeyedRecord, ...]) -> None:
         for record in records:
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -30,6 +30,7 @@
 
 REPORT_WAIT_S = 0.5
 REPORT_TIMEOUT_S = 0.9
+NEWS_CHECK_S = 0.15
 OWN_REPORT_S = 0.2
 SILENT_AFTER_S = 0.8
 ALONE_AFTER_S = 4.0
@@ -84,6 +85,8 @@
         self._reporters: dict[str, _Reporter] = {}
         self._heard_at_s = -ALONE_AFTER_S
         self._followed_since_s = 0.0
+        self._known_servers = reports.NO_REVISION
+        self._is_leaving = False
         self._storeless_since_s: float | None = None
         self._task = tasks.Task("election", self._run)
         self._own_task = tasks.Task("lessor-settling", self._settle_repeatedly)
@@ -123,9 +126,13 @@
         self._own_task.start()
 
     def stop(self) -> None:
-        """End the tenure, if there is one, and stop following."""
+        """Stop following."""
         self._task.request_stop()
         self._own_task.request_stop()
+
+    def resign(self) -> None:
+        """Hand the tenure over, if there is one, and follow others until the end."""
+        self._is_leaving = True
         current = self._lessor
         if current is not None:
             current.hand_over()
@@ -144,7 +151,8 @@
         peer = reports.Peer(report.reporter.incarnation.name, report.reporter.address)
         with self._lock:
             self._reporters[peer.name] = _Reporter(peer, now_s)
-        view = self._await_news(report.known)
+        view = self._await_news(current, report)
+        relayed = self._relay(current)
         own = reports.Peer(self._own.incarnation.name, self._own.address)
         return reports.Reply(
             is_lessor=not current.is_over,
@@ -152,6 +160,8 @@
             peers=(own, *self._list_reporters()),
             view=view,
             configuration=self._directory.latest_version,
+            servers_revision=relayed.revision,
+            servers=None if relayed.revision == report.known_servers else relayed.servers,
         )
 
     def describe_presence(self) -> reports.Presence:
@@ -170,7 +180,13 @@
         logging.info("term %d stands down for term %d", current.term, term)
         return current.step_down(PEER_TIMEOUT_S / 2)
 
-    def _await_news(self, known: owners.OwnersView) -> owners.OwnersView | None:
+    def _relay(self, current: lessor.Lessor) -> directory.RelayedServers:
+        return self._directory.relay() if current.has_store else directory.NOT_FRESH
+
+    def _await_news(
+        self, current: lessor.Lessor, report: reports.Report
+    ) -> owners.OwnersView | None:
+        known = report.known
         ends_at_s = self._clock.read_s() + REPORT_WAIT_S
         while True:
             serial = self._owners.serial
@@ -178,9 +194,9 @@
             if (view.term, view.revision) != (known.term, known.revision):
                 return view
             remaining_s = ends_at_s - self._clock.read_s()
-            if remaining_s <= 0:
+            if remaining_s <= 0 or self._relay(current).revision != report.known_servers:
                 return None
-            self._owners.wait_beyond(serial, remaining_s)
+            self._owners.wait_beyond(serial, min(remaining_s, NEWS_CHECK_S))
 
     def _list_reporters(self) -> tuple[reports.Peer, ...]:
         latest_s = self._clock.read_s() - REPORTER_LIFETIME_S
@@ -235,6 +251,7 @@
         self._followed = found
         self._followed_since_s = self._clock.read_s()
         self._storeless_since_s = None
+        self._known_servers = reports.NO_REVISION
         channel: reports.PeerChannel | None = None
         try:
             while not stop_signal.is_set:
@@ -277,6 +294,7 @@
             counts=self._owners.take_counts(),
             samples=self._estimates.take_samples(),
             configuration=self._directory.latest_version,
+            known_servers=self._known_servers,
         )
 
     def _note_reply(self, reply: reports.Reply) -> _Step:
@@ -288,6 +306,11 @@
         self._directory.note_version(reply.configuration)
         if reply.view is not None:
             self._owners.adopt(reply.view)
+        self._known_servers = reply.servers_revision
+        if reply.servers_revision == reports.NO_REVISION:
+            self._directory.end_relay()
+        else:
+            self._directory.adopt_relayed(reply.servers)
         return _Step.TAKE_OVER if self._is_storeless(reply) else _Step.REPORT_ON
 
     def _is_storeless(self, reply: reports.Reply) -> bool:
@@ -350,6 +373,9 @@
 
     def _take_over(self, stored: key_ranges.StoredTable, stop_signal: tasks.StopSignal) -> None:
         """Become the lessor, unless another instance is faster, and serve as such."""
+        if self._is_leaving:
+            stop_signal.wait(RETRY_S)
+            return
         latest = self._read_table()
         if latest is None or latest.table.lessor != stored.table.lessor or stop_signal.is_set:
             return
--- a/src/goldcresthall/ranges/peer_channel.py
+++ b/src/goldcresthall/ranges/peer_channel.py
@@ -109,6 +109,7 @@
             for sample in report.samples
         ],
         configuration=report.configuration,
+        known_servers=report.known_servers,
     )
 
 
@@ -132,6 +133,7 @@
             for item in received.times
         ),
         configuration=received.configuration,
+        known_servers=received.known_servers,
     )
 
 
@@ -145,6 +147,8 @@
         ],
         view=None if reply.view is None else _encode_view(reply.view),
         configuration=reply.configuration,
+        servers_revision=reply.servers_revision,
+        servers=None if reply.servers is None else [_encode_server(item) for item in reply.servers],
     )
 
 
@@ -158,6 +162,38 @@
         ),
         view=None if received.view is None else _decode_view(received.view),
         configuration=received.configuration,
+        servers_revision=received.servers_revision,
+        servers=(
+            None
+            if received.servers is None
+            else tuple(_decode_server(row) for row in received.servers)
+        ),
+    )
+
+
+def _encode_server(server: deployment.RegisteredServer) -> ttypes.ServerRow:
+    return ttypes.ServerRow(
+        server.name,
+        server.life.started_ms,
+        server.service,
+        server.address.host,
+        server.address.port,
+        server.failure_domain,
+        server.slots,
+        server.draining,
+        int(server.warmup_left_s * MS_PER_S),
+    )
+
+
+def _decode_server(row: ttypes.ServerRow) -> deployment.RegisteredServer:
+    return deployment.RegisteredServer(
+        life=deployment.ServerLife(row.name, row.started_ms),
+        service=row.service_name,
+        address=identity.Address(row.host, row.port),
+        failure_domain=row.failure_domain,
+        slots=row.slots,
+        draining=row.draining,
+        warmup_left_s=row.warmup_left_ms / MS_PER_S,
     )
 
 
--- a/src/goldcresthall/ranges/planner.py
+++ b/src/goldcresthall/ranges/planner.py
@@ -20,6 +20,7 @@
 LEAST_HOT_LOAD = 0.35
 IDLE_FACTOR = 0.3
 LEAST_MEAN_LOAD = 0.03
+LEAST_MOVE = 0.15
 FIT_FACTOR = 1.3
 SPLIT_FACTOR = 1.2
 MOST_PIECES = 64
@@ -165,7 +166,7 @@
     excess = (loads.find(hot) - mean) * loads.find_capacity(hot)
     room = (mean - loads.find(cool)) * loads.find_capacity(cool)
     amount = min(excess, room)
-    if amount <= 0:
+    if amount <= LEAST_MOVE * mean * loads.find_capacity(hot):
         return None
     best: Placement | None = None
     best_error = math.inf
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -4,13 +4,17 @@
 
 import abc
 import dataclasses
+from typing import Final
 
+from goldcresthall.core import deployment
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import service
 from goldcresthall.ranges import owners
 
+NO_REVISION: Final = -1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peer:
@@ -30,6 +34,8 @@
         View that it has; only the term and the revision matter.
     configuration
         Version of the configuration that is in force there.
+    known_servers
+        Revision of the list of servers that the reporter has from this lessor.
     """
 
     reporter: key_ranges.Lessor
@@ -37,6 +43,7 @@
     counts: tuple[owners.CountedKeys, ...]
     samples: tuple[estimates.TimeSample, ...]
     configuration: int
+    known_servers: int = NO_REVISION
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,6 +60,10 @@
         The owners; none if the reporter knows the latest view.
     configuration
         Highest version of the configuration that any instance has in force.
+    servers_revision
+        Revision of the lessor's list of servers; `NO_REVISION` if it is not fresh.
+    servers
+        The list; none if the reporter has this revision.
     """
 
     is_lessor: bool
@@ -60,6 +71,8 @@
     peers: tuple[Peer, ...]
     view: owners.OwnersView | None
     configuration: int
+    servers_revision: int = NO_REVISION
+    servers: tuple[deployment.RegisteredServer, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/features/deployment.feature
+++ b/tests/features/deployment.feature
@@ -54,3 +54,10 @@
     Then every order that was read has a whole answer
     And it has ended by itself
     And all keys of ledger have one holder within 5 s
+
+  Scenario: An instance that leaves still learns of moves
+    Given a deployment of 2 instances, 3 servers of ledger by key and 2 servers of agenda
+    And all keys of ledger have one holder
+    When an instance that is not the lessor is asked to end
+    And a server of ledger drains
+    Then requests to the leaving instance for all keys of ledger are answered
--- a/tests/features/test_deployment.py
+++ b/tests/features/test_deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from typing import TYPE_CHECKING
 
 import pytest
@@ -157,3 +158,25 @@
 @then("it has ended by itself")
 def _(orders: deployment_system.OrderSeries) -> None:
     assert orders.return_code == 0
+
+
+@when("an instance that is not the lessor is asked to end", target_fixture="leaving")
+def _(running: deployment_system.RunningDeployment) -> deployment_system.InstanceProcess:
+    lessor = running.find_lessor()
+    leaving = next(item for item in running.instances if item is not lessor)
+    leaving.process.send_signal(signal.SIGTERM)
+    return leaving
+
+
+@then("requests to the leaving instance for all keys of ledger are answered")
+def _(
+    running: deployment_system.RunningDeployment,
+    draining: deployment_server.DeploymentServer,
+    leaving: deployment_system.InstanceProcess,
+) -> None:
+    running.await_held(within_s=5.0, without=draining)
+    for key in deployment_system.SAMPLED_KEYS:
+        connection = running.connect(leaving)
+        answer = deployment_system.send_on(connection, "GET", "/ledger/part", key)
+        connection.close()
+        assert answer.status == 200
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -65,3 +65,29 @@
     known.adopt_all((first,))
     known.adopt_changes((conftest.create_server("one", started_ms=2),), frozenset())
     assert known.servers.find(first.life) is None
+
+
+def test_a_relayed_list_takes_the_place_of_the_own_one(surroundings: Surroundings) -> None:
+    known = surroundings.directory
+    known.adopt_all((conftest.create_server("one"), conftest.create_server("two")))
+    known.adopt_relayed((conftest.create_server("two"), conftest.create_server("three")))
+    assert set(known.servers.by_name) == {"two", "three"}
+    assert known.is_relayed
+    surroundings.clock.advance(directory.RELAY_FRESH_S + 0.1)
+    assert not known.is_relayed
+
+
+def test_a_list_that_was_not_read_lately_is_not_passed_on(surroundings: Surroundings) -> None:
+    known = surroundings.directory
+    known.adopt_all((conftest.create_server("one"),))
+    assert [server.name for server in known.relay().servers] == ["one"]
+    surroundings.clock.advance(directory.FRESH_S + 0.1)
+    assert known.relay() == directory.NOT_FRESH
+
+
+def test_the_end_of_the_relay_is_heeded_at_once(surroundings: Surroundings) -> None:
+    known = surroundings.directory
+    known.adopt_relayed((conftest.create_server("one"),))
+    known.end_relay()
+    assert not known.is_relayed
+    assert set(known.servers.by_name) == {"one"}
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -37,6 +37,19 @@
   7: required list<KeyCounts> counts
   8: required list<ServerTimes> times
   9: required i64 configuration
+  10: required i64 known_servers
+}
+
+struct ServerRow {
+  1: required string name
+  2: required i64 started_ms
+  3: required string service_name
+  4: required string host
+  5: required i32 port
+  6: required string failure_domain
+  7: required i32 slots
+  8: required bool draining
+  9: required i32 warmup_left_ms
 }
 
 struct PeerRow {
@@ -51,6 +64,8 @@
   3: required list<PeerRow> peers
   4: optional OwnershipView view
   5: required i64 configuration
+  6: required i64 servers_revision
+  7: optional list<ServerRow> servers
 }
 
 struct Presence {
