Take no request behind one in progress on a leaving instance

Ruled out: the last deadline (the request never reached a server). The new test fails without the change.

--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -220,7 +220,8 @@
         with self._changed:
             if self._is_closed:
                 raise CallerGoneError("closed")
-            if self._pending and self._pending[-1].closes:
+            # Behind an answer that may not come before the end, it would be lost too.
+            if self._pending and (self._is_leaving or self._pending[-1].closes):
                 raise LeavingError
             self._pending.append(pending)
         headers = tuple(
--- a/src/goldcresthall/console/commands/settings.py
+++ b/src/goldcresthall/console/commands/settings.py
@@ -5,6 +5,7 @@
 import click
 
 from goldcresthall.console import files
+from goldcresthall.console import options
 
 
 @click.group()
@@ -14,7 +15,11 @@
 
 @settings.command()
 @click.argument("settings_file", type=click.Path(dir_okay=False))
-def check(settings_file: str) -> None:
+@options.deployment_option
+def check(settings_file: str, deployment: bool) -> None:
     """Check SETTINGS_FILE and list every fault with its path."""
-    checked = files.read_settings(settings_file)
-    click.echo(f"{settings_file}: settings of {checked.name} are valid")
+    if deployment:
+        name = files.read_deployment_settings(settings_file).name
+    else:
+        name = files.read_settings(settings_file).name
+    click.echo(f"{settings_file}: settings of {name} are valid")
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -88,6 +88,20 @@
         connection.receive(LIMITS)
 
 
+def test_a_leaving_instance_takes_no_request_behind_one_in_progress(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    caller.sendall(REQUEST % 1)
+    first = connection.receive(LIMITS)
+    connection.mark_leaving()
+    caller.sendall(REQUEST % 2)
+    with pytest.raises(connections.LeavingError):
+        connection.receive(LIMITS)
+    connection.answer(first.pending, respond(b"first"))
+    assert b"Connection: close" in read_until(caller, b"first")
+
+
 def test_a_caller_that_leaves_cancels_its_request(
     pair: tuple[socket.socket, connections.CallerConnection],
 ) -> None:
--- a/tests/console/test_settings.py
+++ b/tests/console/test_settings.py
@@ -48,3 +48,13 @@
     assert result.exit_code == exceptions.EXIT_INVALID
     for expected in ("$.platform.log.host", "$.platform.log.port", "$.leases.renew_interval_ms"):
         assert expected in result.output
+
+
+def test_the_platforms_settings_are_checked(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text('node_name = "edge-1"\n')
+    result = testing.CliRunner().invoke(
+        application.main, ["settings", "check", "--deployment", str(path)]
+    )
+    assert result.exit_code == 3
+    assert "zone" in result.output
