Split the lessor and the election by job

mover.py decides on owners, transitions.py changes holdings, duties.py holds what a lessor works with, inquiries.py asks peers; no change of what is done.

--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -17,7 +17,9 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
+from goldcresthall.ranges import duties
 from goldcresthall.ranges import grants
+from goldcresthall.ranges import inquiries
 from goldcresthall.ranges import lessor
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
@@ -38,10 +40,8 @@
 STORELESS_AFTER_S = 0.5
 RETRY_S = 0.15
 JITTER_S = 0.3
-PEERS_ASKED = 3
-PEER_TIMEOUT_S = 0.3
-HEARD_LATELY_S = 1.0
 SETTLE_INTERVAL_S = 0.3
+STAND_DOWN_S = 0.15
 REPORTER_LIFETIME_S = 2.0
 UNKNOWN_INSTANCES = 8
 
@@ -80,7 +80,6 @@
         self._generator = random.Random()  # noqa: S311
         self._lock = threading.Lock()
         self._lessor: lessor.Lessor | None = None
-        self._followed: key_ranges.Lessor | None = None
         self._peers: tuple[reports.Peer, ...] = ()
         self._reporters: dict[str, _Reporter] = {}
         self._heard_at_s = -ALONE_AFTER_S
@@ -178,7 +177,7 @@
         if current.term >= term:
             return False
         logging.info("term %d stands down for term %d", current.term, term)
-        return current.step_down(PEER_TIMEOUT_S / 2)
+        return current.step_down(STAND_DOWN_S)
 
     def _relay(self, current: lessor.Lessor) -> directory.RelayedServers:
         return self._directory.relay() if current.has_store else directory.NOT_FRESH
@@ -212,7 +211,7 @@
             if self._directory.configuration is None or not self._directory.servers.by_name:
                 stop_signal.wait(RETRY_S)
                 continue
-            stored = self._read_table()
+            stored = tables.read(self._store)
             if stored is None:
                 stop_signal.wait(RETRY_S)
                 continue
@@ -224,20 +223,6 @@
             elif self._follow(found, stop_signal):
                 self._take_over(stored, stop_signal)
 
-    def _read_table(self) -> key_ranges.StoredTable | None:
-        outcome = self._store.read_newest(tables.TOPIC)
-        if isinstance(outcome, client.StoreFailed):
-            return None
-        record = tables.find_latest(outcome.records)
-        if record is None:
-            return key_ranges.StoredTable(outcome.end_offset - 1, key_ranges.OwnershipTable())
-        try:
-            stored = tables.decode(record)
-        except tables.UnreadableTableError as error:
-            logging.warning("ownership table unreadable, step decode: %s", error)
-            return None
-        return key_ranges.StoredTable(outcome.end_offset - 1, stored.table)
-
     def _adopt_stored(self, stored: key_ranges.StoredTable) -> None:
         """Adopt the owners of a stored table if this is later than what is known."""
         owned = tuple(
@@ -248,7 +233,6 @@
 
     def _follow(self, found: key_ranges.Lessor, stop_signal: tasks.StopSignal) -> bool:
         """Report to a lessor until it is lost; return whether to take over."""
-        self._followed = found
         self._followed_since_s = self._clock.read_s()
         self._storeless_since_s = None
         self._known_servers = reports.NO_REVISION
@@ -277,7 +261,7 @@
 
     def _find_step(self, found: key_ranges.Lessor, error: reports.UnreachableError) -> _Step:
         """Return what follows from a report that had no answer."""
-        if self._is_lost(error):
+        if self._is_lost(found, error):
             self._log_loss(found, error)
             return _Step.TAKE_OVER
         if self._find_silence_s() > REREAD_AFTER_S and self._has_changed(found):
@@ -323,41 +307,21 @@
             self._storeless_since_s = now_s
         return now_s - self._storeless_since_s >= STORELESS_AFTER_S
 
-    def _is_lost(self, error: reports.UnreachableError) -> bool:
+    def _is_lost(self, found: key_ranges.Lessor, error: reports.UnreachableError) -> bool:
         if error.is_refused:
             return True
         silent_s = self._find_silence_s()
         if silent_s < SILENT_AFTER_S:
             return False
-        return silent_s >= ALONE_AFTER_S or self._is_silent_to_peers()
-
-    def _is_silent_to_peers(self) -> bool:
-        """Return whether peers can be reached and the lessor does not answer them either."""
-        own = self._own.incarnation.name
-        followed = self._followed
+        if silent_s >= ALONE_AFTER_S:
+            return True
         others = [
-            peer
-            for peer in self._peers
-            if peer.name != own and followed is not None and peer.address != followed.address
+            peer for peer in self._peers if peer.address not in {self._own.address, found.address}
         ]
-        if not others:
-            return True
-        answered = False
-        for peer in self._generator.sample(others, min(PEERS_ASKED, len(others))):
-            try:
-                channel = self._dialer.dial(peer.address, PEER_TIMEOUT_S)
-                presence = channel.ask_presence()
-                channel.close()
-            except reports.UnreachableError as error:
-                answered = answered or error.is_refused
-                continue
-            answered = True
-            if presence.heard_lessor_s < HEARD_LATELY_S:
-                return False
-        return answered
+        return inquiries.is_silent_to_all(self._dialer, others, self._generator)
 
     def _has_changed(self, found: key_ranges.Lessor) -> bool:
-        stored = self._read_table()
+        stored = tables.read(self._store)
         if stored is None:
             return True
         self._adopt_stored(stored)
@@ -376,7 +340,7 @@
         if self._is_leaving:
             stop_signal.wait(RETRY_S)
             return
-        latest = self._read_table()
+        latest = tables.read(self._store)
         if latest is None or latest.table.lessor != stored.table.lessor or stop_signal.is_set:
             return
         expected = latest.offset + 1
@@ -386,8 +350,8 @@
             logging.info("no take-over, step write: %s", outcome)
             return
         taken = key_ranges.StoredTable(outcome.offset, table)
-        duties = lessor.Duties(self._store, self._channel, self._directory, self._clock)
-        current = lessor.Lessor(duties, self._own, taken, self._longest_hold_s)
+        owned = duties.Duties(self._store, self._channel, self._directory, self._clock)
+        current = lessor.Lessor(owned, self._own, taken, self._longest_hold_s)
         logging.info(
             "lessor from term %d, ranges %d, predecessors %d",
             outcome.offset,
@@ -428,16 +392,9 @@
             current = self._lessor
             if current is None or current.is_over or not current.awaits_predecessors:
                 continue
-            if all(self._has_ended(item, current.term) for item in current.predecessors):
+            if all(
+                inquiries.has_ended(self._dialer, item, current.term)
+                for item in current.predecessors
+            ):
                 logging.info("term %d: all earlier lessors have ended", current.term)
                 current.settle_predecessors()
-
-    def _has_ended(self, earlier: key_ranges.Lessor, term: int) -> bool:
-        try:
-            channel = self._dialer.dial(earlier.address, PEER_TIMEOUT_S)
-            presence = channel.ask_presence()
-            has_ended = presence.incarnation != earlier.incarnation or channel.stand_down(term)
-            channel.close()
-        except reports.UnreachableError:
-            return False
-        return has_ended
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -4,48 +4,30 @@
 
 import dataclasses
 import functools
-import math
 from typing import TYPE_CHECKING
 
 from absl import logging
 
 from goldcresthall.core import key_ranges
-from goldcresthall.gateway import directory
-from goldcresthall.kernel import clock
-from goldcresthall.kernel import tasks
-from goldcresthall.ranges import avoidance
 from goldcresthall.ranges import book
-from goldcresthall.ranges import grants
-from goldcresthall.ranges import heat
-from goldcresthall.ranges import holdings
 from goldcresthall.ranges import keepers
-from goldcresthall.ranges import planner
+from goldcresthall.ranges import mover
 from goldcresthall.ranges import tables
+from goldcresthall.ranges import transitions
 from goldcresthall.store import client
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
+    from goldcresthall.kernel import tasks
+    from goldcresthall.ranges import duties
+    from goldcresthall.ranges import heat
 
 HOLD_S = 3.0
 AUTHORITY_S = 6.0
 TICK_S = 0.1
-BALANCE_INTERVAL_S = 0.4
 CONFIRM_INTERVAL_S = 1.0
 CONFIRM_RETRY_S = 0.3
-LOST_AFTER_S = 1.0
 STORE_LOST_AFTER_S = 1.2
-ANNOUNCE_S = 0.02
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Duties:
-    """What a lessor needs to do its work."""
-
-    store: client.StoreClient
-    channel: grants.GrantChannel
-    directory: directory.Directory
-    clock: clock.Clock
-    start_task: tasks.TaskStarter = tasks.start
 
 
 class Lessor:
@@ -60,31 +42,29 @@
 
     def __init__(
         self,
-        duties: Duties,
+        owned: duties.Duties,
         own: key_ranges.Lessor,
         taken_over: key_ranges.StoredTable,
         longest_hold_s: float,
     ) -> None:
-        self._duties = duties
+        self._duties = owned
         self._own = own
         self._table = taken_over
-        self._heat = heat.ServiceHeat()
-        self._avoided = avoidance.AvoidedServers()
         self._is_over = False
-        now_s = duties.clock.read_s()
+        now_s = owned.clock.read_s()
         has_predecessors = bool(taken_over.table.predecessors)
         self._others_end_at_s = now_s + (AUTHORITY_S if has_predecessors else 0.0)
         self._confirmed_at_s = now_s
         self._asked_at_s = now_s
         self._failing_since_s: float | None = None
-        self._balanced_at_s = now_s
         self._book = book.HoldingBook(min(HOLD_S, longest_hold_s), taken_over.offset)
         self._book.extend_authority(now_s + AUTHORITY_S)
         for assigned in taken_over.table.assignments:
-            self._book.add(_resume(assigned))
+            self._book.add(transitions.resume(assigned))
         self._keepers = keepers.Keepers(
-            duties.channel, duties.directory, duties.clock, self._book, duties.start_task
+            owned.channel, owned.directory, owned.clock, self._book, owned.start_task
         )
+        self._mover = mover.Mover(owned, self._book, self._keepers)
 
     @property
     def term(self) -> int:
@@ -115,7 +95,7 @@
     @property
     def heat(self) -> heat.ServiceHeat:
         """Heat and speeds that are reported to it."""
-        return self._heat
+        return self._mover.heat
 
     @property
     def book(self) -> book.HoldingBook:
@@ -153,7 +133,7 @@
         """Do what is due now."""
         self._confirm()
         self._keepers.adopt(self._list_owners())
-        self._plan()
+        self._mover.plan(mover.Situation(self.has_store, self._others_end_at_s))
         self._record()
 
     def _confirm(self) -> None:
@@ -213,207 +193,12 @@
         held = self._book.snapshot().holdings.values()
         return frozenset(item.owner for item in held if item.owner is not None)
 
-    def _plan(self) -> None:
-        configuration = self._duties.directory.configuration
-        if configuration is None or not self._duties.directory.servers.by_name:
-            return
-        now_s = self._duties.clock.read_s()
-        is_balancing = now_s - self._balanced_at_s >= BALANCE_INTERVAL_S and self.has_store
-        if is_balancing:
-            self._balanced_at_s = now_s
-        for name in configuration.keyed_services:
-            self._cover(name)
-            self._drop_lost(name, now_s)
-            self._place(name, now_s, is_balancing=is_balancing)
-
-    def _cover(self, service: str) -> None:
-        """Add free holdings for keys that no holding covers."""
-        held = [
-            item.keys for item in self._book.snapshot().holdings.values() if item.service == service
-        ]
-        first = key_ranges.FIRST_KEY
-        for keys in sorted(held):
-            if keys.first > first:
-                self._add_free(service, key_ranges.KeyRange(first, keys.first - 1))
-            first = max(first, keys.last + 1)
-        if first <= key_ranges.LAST_KEY:
-            self._add_free(service, key_ranges.KeyRange(first, key_ranges.LAST_KEY))
-
-    def _add_free(self, service: str, keys: key_ranges.KeyRange) -> None:
-        self._book.add(holdings.Holding(service=service, keys=keys, owner=None))
-
-    def _drop_lost(self, service: str, now_s: float) -> None:
-        """Let go of owners that are gone, leave or fail to answer."""
-        for holding_id, item in self._book.snapshot().holdings.items():
-            if item.service == service and item.owner is not None:
-                self._review(holding_id, item, item.owner, now_s)
-
-    def _review(
-        self,
-        holding_id: int,
-        item: holdings.Holding,
-        owner: deployment.ServerLife,
-        now_s: float,
-    ) -> None:
-        latest = self._duties.directory.servers.by_name.get(owner.name)
-        if latest is not None and latest.server.life != owner:
-            self._free(holding_id, item, f"{owner} is over")
-        elif item.phase is holdings.Phase.EXPIRING:
-            if now_s >= item.find_expiry_s(self._book.hold_s, self._others_end_at_s):
-                self._free(holding_id, item, "the grant ran out")
-        elif _is_failing(item, now_s) or self._is_unknown(owner, latest):
-            self._expire(holding_id, item)
-        elif latest is None or latest.draining_since_s is not None:
-            self._release(holding_id, item, None)
-        elif item.unanswered and item.failing_since_s is None:
-            self._book.update(holding_id, _demand_fence)
-
-    def _is_unknown(self, owner: deployment.ServerLife, latest: directory.Listed | None) -> bool:
-        return latest is None and self._keepers.find_server(owner) is None
-
-    def _free(self, holding_id: int, item: holdings.Holding, reason: str) -> None:
-        def change(present: holdings.Holding) -> holdings.Holding | None:
-            if present.in_flight or present.phase is holdings.Phase.FREE:
-                return None
-            return dataclasses.replace(
-                present,
-                owner=None,
-                phase=holdings.Phase.FREE,
-                ready=False,
-                handover="",
-                target=None,
-                unanswered=False,
-                needs_fence=False,
-                failing_since_s=None,
-            )
-
-        if self._book.update(holding_id, change):
-            logging.info("range %s of %s is free: %s", item.keys, item.service, reason)
-
-    def _expire(self, holding_id: int, item: holdings.Holding) -> None:
-        def change(present: holdings.Holding) -> holdings.Holding | None:
-            if present.in_flight or not present.is_granted:
-                return None
-            return dataclasses.replace(present, phase=holdings.Phase.EXPIRING, ready=False)
-
-        if self._book.update(holding_id, change):
-            if item.owner is not None:
-                self._avoided.note_failure(item.owner, self._duties.clock.read_s())
-            logging.info(
-                "range %s of %s: no renewal for %s any more, grants fail since %.2f s",
-                item.keys,
-                item.service,
-                item.owner,
-                self._duties.clock.read_s() - (item.failing_since_s or 0.0),
-            )
-
-    def _release(
-        self, holding_id: int, item: holdings.Holding, target: deployment.ServerLife | None
-    ) -> None:
-        """Take a range back from its owner; its fence is raised first if need be."""
-        if item.unanswered:
-            self._book.update(holding_id, _demand_fence)
-            return
-
-        def change(present: holdings.Holding) -> holdings.Holding | None:
-            if not present.is_movable:
-                return None
-            return dataclasses.replace(
-                present, phase=holdings.Phase.RELEASING, ready=False, target=target
-            )
-
-        if not self.has_store or not self._book.update(holding_id, change):
-            return
-        order = grants.ReleaseOrder(holding_id=holding_id, keys=item.keys, fence=item.fence)
-        self._duties.start_task("release", lambda stop: self._run_release(item, order, stop))
-
-    def _run_release(
-        self, item: holdings.Holding, order: grants.ReleaseOrder, stop_signal: tasks.StopSignal
-    ) -> None:
-        # Time for the instances to learn that they must not send to the owner any more.
-        stop_signal.wait(ANNOUNCE_S)
-        server = self._keepers.find_server(item.owner) if item.owner is not None else None
-        if server is None:
-            outcome: grants.OrderOutcome = grants.OrderNotSent("no address is known")
-        else:
-            outcome = self._duties.channel.release(server, order)
-        changed = self._book.update(order.holding_id, functools.partial(_conclude_release, outcome))
-        logging.info(
-            "range %s of %s, release by %s: %s, changed %s",
-            item.keys,
-            item.service,
-            item.owner,
-            outcome,
-            changed,
-        )
-
-    def _place(self, service: str, now_s: float, *, is_balancing: bool) -> None:
-        candidates = self._list_candidates(service, now_s)
-        if not candidates:
-            return
-        held = tuple(
-            item for item in self._book.snapshot().holdings.values() if item.service == service
-        )
-        heat_map = self._heat.create_map(service, now_s)
-        loads = planner.Loads(candidates, held, heat_map)
-        lives = {candidate.life for candidate in candidates}
-        free = tuple(
-            item for item in held if item.phase is holdings.Phase.FREE and item.target not in lives
-        )
-        for placed in planner.place_free(free, loads, heat_map, len(candidates)):
-            self._aim(placed)
-        if is_balancing:
-            for move in planner.plan_moves(held, loads, heat_map):
-                self._start_move(move, heat_map.measure(move.keys))
-
-    def _list_candidates(self, service: str, now_s: float) -> tuple[planner.Candidate, ...]:
-        listed = [
-            found.server
-            for found in self._duties.directory.servers.by_service.get(service, ())
-            if found.draining_since_s is None
-        ]
-        failing = {
-            item.owner
-            for item in self._book.snapshot().holdings.values()
-            if item.failing_since_s is not None
-        }
-        usable = [
-            server
-            for server in listed
-            if server.life not in failing and not self._avoided.has(server.life, now_s)
-        ] or listed
-        times_s = self._heat.speeds.find_times_s(tuple(server.life for server in usable), now_s)
-        return tuple(
-            planner.Candidate(server.life, server.slots / max(0.001, times_s[server.life]))
-            for server in usable
-        )
-
-    def _aim(self, placed: planner.Placement) -> None:
-        part_id = self._book.cut(placed.service, placed.keys)
-        if part_id is not None:
-            self._book.update(
-                part_id, lambda present: dataclasses.replace(present, target=placed.target)
-            )
-
-    def _start_move(self, move: planner.Placement, rate: float) -> None:
-        part_id = self._book.cut(move.service, move.keys)
-        if part_id is None:
-            return
-        item = self._book.snapshot().holdings[part_id]
-        logging.info(
-            "range %s of %s moves from %s to %s, %.1f requests/s",
-            move.keys,
-            move.service,
-            item.owner,
-            move.target,
-            rate,
-        )
-        self._release(part_id, item, move.target)
-
     def _record(self) -> None:
         """Write new owners and fences to the store, then have them granted."""
         held = self._book.snapshot().holdings
-        decided = tuple(holding_id for holding_id, item in held.items() if _is_decided(item))
+        decided = tuple(
+            holding_id for holding_id, item in held.items() if transitions.is_decided(item)
+        )
         if not decided or self._is_over or self._failing_since_s is not None:
             return
         began_at_s = self._duties.clock.read_s()
@@ -424,7 +209,7 @@
             self._table = key_ranges.StoredTable(outcome.offset, table)
             self._note_confirmed(began_at_s)
             for holding_id in decided:
-                self._book.update(holding_id, functools.partial(_assign, outcome.offset))
+                self._book.update(holding_id, functools.partial(transitions.assign, outcome.offset))
             return
         logging.warning("table not written, step write: %s", outcome)
         if isinstance(outcome, client.Overtaken):
@@ -436,7 +221,7 @@
         fence = self._table.offset + 1
         assignments = []
         for holding_id, item in sorted(self._book.snapshot().holdings.items()):
-            changed = _assign(fence, item) if holding_id in decided else item
+            changed = transitions.assign(fence, item) if holding_id in decided else item
             if changed is not None and changed.owner is not None:
                 assignments.append(
                     key_ranges.RangeAssignment(
@@ -458,72 +243,12 @@
         by_keys = {(item.service, item.keys): item for item in stored.table.assignments}
         for holding_id, item in self._book.snapshot().holdings.items():
             assigned = by_keys.get((item.service, item.keys))
-            if assigned is not None and _is_decided(item) and assigned.fence == stored.offset:
+            if (
+                assigned is not None
+                and transitions.is_decided(item)
+                and assigned.fence == stored.offset
+            ):
                 self._book.update(
                     holding_id,
-                    functools.partial(_assign_to, assigned.owner, stored.offset),
+                    functools.partial(transitions.assign_to, assigned.owner, stored.offset),
                 )
-
-
-def _resume(assigned: key_ranges.RangeAssignment) -> holdings.Holding:
-    return holdings.Holding(
-        service=assigned.service,
-        keys=assigned.keys,
-        owner=assigned.owner,
-        fence=assigned.fence,
-        phase=holdings.Phase.GRANTING,
-        ready=True,
-    )
-
-
-def _is_failing(item: holdings.Holding, now_s: float) -> bool:
-    return item.failing_since_s is not None and now_s - item.failing_since_s >= LOST_AFTER_S
-
-
-def _is_decided(item: holdings.Holding) -> bool:
-    if item.phase is holdings.Phase.FREE:
-        return item.target is not None
-    return item.needs_fence and item.is_granted and not item.in_flight
-
-
-def _demand_fence(present: holdings.Holding) -> holdings.Holding | None:
-    return dataclasses.replace(present, needs_fence=True) if present.is_granted else None
-
-
-def _assign(fence: int, present: holdings.Holding) -> holdings.Holding | None:
-    """Return a holding under a new fence, at its target if nobody holds it."""
-    owner = present.target if present.phase is holdings.Phase.FREE else present.owner
-    return None if owner is None else _assign_to(owner, fence, present)
-
-
-def _assign_to(
-    owner: deployment.ServerLife, fence: int, present: holdings.Holding
-) -> holdings.Holding:
-    return dataclasses.replace(
-        present,
-        owner=owner,
-        fence=fence,
-        phase=holdings.Phase.GRANTING,
-        target=None,
-        unanswered=False,
-        needs_fence=False,
-        failing_since_s=None,
-        due_at_s=-math.inf,
-        reached_at_s=present.reached_at_s if owner == present.owner else -math.inf,
-    )
-
-
-def _conclude_release(
-    outcome: grants.OrderOutcome, present: holdings.Holding
-) -> holdings.Holding | None:
-    if present.phase is not holdings.Phase.RELEASING:
-        return None
-    if isinstance(outcome, grants.Released):
-        return dataclasses.replace(
-            present,
-            owner=None,
-            phase=holdings.Phase.FREE,
-            handover=outcome.handover,
-            reached_at_s=-math.inf,
-        )
-    return dataclasses.replace(present, phase=holdings.Phase.EXPIRING, target=None)
--- a/src/goldcresthall/ranges/tables.py
+++ b/src/goldcresthall/ranges/tables.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
 from typing import Final
 
+from absl import logging
+
 from goldcresthall.core import key_ranges
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
-
-if TYPE_CHECKING:
-    from goldcresthall.store import client
+from goldcresthall.store import client
 
 TOPIC: Final = "keyed.goldcresthall-ownership"
 KEY: Final = "table"
@@ -69,3 +68,19 @@
         predecessors=tuple(item for item in earlier if item.address != own.address),
         assignments=tuple(dataclasses.replace(item, fence=fence) for item in latest.assignments),
     )
+
+
+def read(store: client.StoreClient) -> key_ranges.StoredTable | None:
+    """Return the table and the last offset of its topic; none if it cannot be read."""
+    outcome = store.read_newest(TOPIC)
+    if isinstance(outcome, client.StoreFailed):
+        return None
+    record = find_latest(outcome.records)
+    if record is None:
+        return key_ranges.StoredTable(outcome.end_offset - 1, key_ranges.OwnershipTable())
+    try:
+        stored = decode(record)
+    except UnreadableTableError as error:
+        logging.warning("ownership table unreadable, step decode: %s", error)
+        return None
+    return key_ranges.StoredTable(outcome.end_offset - 1, stored.table)
--- a/tests/fakes/range_world.py
+++ b/tests/fakes/range_world.py
@@ -12,6 +12,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
+from goldcresthall.ranges import duties
 from goldcresthall.ranges import grants
 from goldcresthall.ranges import lessor
 from goldcresthall.ranges import owners
@@ -155,11 +156,11 @@
         written = self.store.write(tables.TOPIC, tables.KEY, tables.encode(table), read.end_offset)
         if not isinstance(written, client.Written):
             return
-        duties = lessor.Duties(
+        owned = duties.Duties(
             self.store, self.channel, self._world.directory, self._world.clock, self._start_task
         )
         stored = key_ranges.StoredTable(written.offset, table)
-        self.current = lessor.Lessor(duties, self.own, stored, LONGEST_HOLD_S)
+        self.current = lessor.Lessor(owned, self.own, stored, LONGEST_HOLD_S)
 
     def step(self) -> None:
         """Do what the lessor's task and its keepers would do now."""
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -10,7 +10,9 @@
 
 from goldcresthall.ranges import holdings
 from goldcresthall.ranges import lessor
+from goldcresthall.ranges import mover
 from goldcresthall.ranges import tables
+from goldcresthall.ranges import transitions
 from tests.fakes import range_world
 
 if TYPE_CHECKING:
@@ -110,15 +112,15 @@
 def test_without_higher_fences_a_late_grant_makes_a_second_holder(
     world: range_world.RangeWorld, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    original = lessor.Lessor._release
+    original = mover.Mover._release
 
     def release(self: Any, holding_id: int, item: holdings.Holding, target: Any) -> None:
         original(self, holding_id, dataclasses.replace(item, unanswered=False), target)
 
     movable = property(lambda self: self.phase is holdings.Phase.HELD and not self.in_flight)
     monkeypatch.setattr(holdings.Holding, "is_movable", movable)
-    monkeypatch.setattr(lessor, "_demand_fence", lambda present: None)
-    monkeypatch.setattr(lessor.Lessor, "_release", release)
+    monkeypatch.setattr(transitions, "demand_fence", lambda present: None)
+    monkeypatch.setattr(mover.Mover, "_release", release)
     with pytest.raises(AssertionError, match="is held by"):
         drain_after_a_late_grant(world)
 
