--- a/tests/features/deployment_system.py
+++ b/tests/features/deployment_system.py
@@ -139,6 +139,7 @@
         method: str,
         path: str,
         status: int,
+        *,
         within_s: float,
         key: int | None = None,
     ) -> None:
