Encode an answer when it is its turn, so that the last one closes a leaving connection

Ruled out: requests read behind one in progress, which are not taken since. The new test fails without the change.

--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -14,11 +14,11 @@
 import h11
 
 from goldcresthall.backend import exchange
+from goldcresthall.callers import codec
 from goldcresthall.core import outcomes
 from goldcresthall.kernel import cancellation
 
 if TYPE_CHECKING:
-    from goldcresthall.callers import codec
     from goldcresthall.core import deployment
 
 RECEIVE_BYTES = 65_536
@@ -73,7 +73,7 @@
         self.parser = parser
         self.cancelled = cancellation.Cancellation()
         self.closes = False
-        self.data: bytes | None = None
+        self.response: codec.RawResponse | None = None
 
 
 class CallerConnection:
@@ -140,11 +140,7 @@
     def answer(self, pending: PendingAnswer, response: codec.RawResponse) -> None:
         """Hand in an answer; it is sent once all before it are."""
         with self._changed:
-            # Another request may follow the last answer of an instance that leaves
-            # before the connection is closed, and would be cut off later.
-            is_last = bool(self._pending) and self._pending[-1] is pending
-            pending.closes = pending.closes or (self._is_leaving and is_last)
-            pending.data = _encode(pending, response)
+            pending.response = response
             self._send_ready()
             self._changed.notify_all()
 
@@ -152,8 +148,7 @@
         """Answer a malformed request after all others and close the connection."""
         pending = PendingAnswer(h11.Connection(h11.SERVER))
         pending.closes = True
-        head = f"HTTP/1.1 {error.status} Rejected\r\nContent-Length: 0\r\n"
-        pending.data = (head + "Connection: close\r\n\r\n").encode()
+        pending.response = codec.RawResponse(error.status, (), b"")
         with self._changed:
             self._pending.append(pending)
             self._send_ready()
@@ -285,9 +280,15 @@
             self._send(data or b"")
 
     def _send_ready(self) -> None:
-        while self._pending and self._pending[0].data is not None and not self._is_closed:
-            pending = self._pending.popleft()
-            self._send(pending.data or b"")
+        while self._pending and not self._is_closed:
+            pending = self._pending[0]
+            if pending.response is None:
+                return
+            self._pending.popleft()
+            # A request that follows the last answer of an instance that leaves would
+            # be cut off later, so this answer closes the connection.
+            pending.closes = pending.closes or (self._is_leaving and not self._pending)
+            self._send(_encode(pending, pending.response))
             if pending.closes:
                 self._is_closed = True
                 with contextlib.suppress(OSError):
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -88,6 +88,21 @@
         connection.receive(LIMITS)
 
 
+def test_an_answer_that_was_ready_before_the_instance_left_closes_as_the_last(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    caller.sendall(REQUEST % 1 + REQUEST % 2)
+    first = connection.receive(LIMITS)
+    second = connection.receive(LIMITS)
+    connection.answer(second.pending, respond(b"second"))
+    connection.mark_leaving()
+    connection.answer(first.pending, respond(b"first"))
+    before, after = read_until(caller, b"second").split(b"first")
+    assert b"close" not in before
+    assert b"Connection: close" in after
+
+
 def test_a_leaving_instance_takes_no_request_behind_one_in_progress(
     pair: tuple[socket.socket, connections.CallerConnection],
 ) -> None:
