Put h11 into the built file

Cause of 2 failures of 392 in both whole runs of the check (test_binary, twice each in two clones): the one file was built without the new library. Ruled out: load, since both runs failed alike and the import error stands in the output.

--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -13,6 +13,7 @@
     "absl-py",
     "cheroot",
     "click",
+    "h11",
     "jaraco.functools",
     "more-itertools",
     "prometheus_client",
