Tell instances only what changed in owners, servers and peers

What is left of a server's slow start counted as a change, so that the whole list went out each second.

Ruled out: the servers (others' work at them went on), the store.

Replies now carry changes against the revision that the reporter has from this lessor. Machines with a weak link or processor leave a take-over to others for 0.6 s. Views are gathered for 30 ms.

--- a/src/goldcresthall/core/deployment_settings.py
+++ b/src/goldcresthall/core/deployment_settings.py
@@ -6,6 +6,9 @@
 
 from goldcresthall.core import identity
 
+LESSOR_CORES = 0.6
+LESSOR_LINK_MBPS = 50.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DeploymentListen:
@@ -23,6 +26,30 @@
     admin: identity.Address | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MachineLimits:
+    """What the machine of an instance has.
+
+    Attributes
+    ----------
+    cores
+        Cores, counted by the share of each that may be used.
+    link_mbps
+        Megabits per second of the machine's own link.
+    memory_mb
+        Memory in megabytes beyond which the process is killed.
+    """
+
+    cores: float = 1.0
+    link_mbps: float = 1_000.0
+    memory_mb: int = 300
+
+    @property
+    def is_strong(self) -> bool:
+        """Whether the machine can carry the lessor's traffic with all instances."""
+        return self.cores >= LESSOR_CORES and self.link_mbps >= LESSOR_LINK_MBPS
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RetryLimits:
     """How many repeats all instances together may send to a service.
@@ -56,8 +83,6 @@
         Time after which a draining server may get no new work.
     grace_s
         Time from the signal to end until the process is killed.
-    memory_mb
-        Memory in megabytes beyond which the process is killed.
     """
 
     name: str
@@ -68,5 +93,5 @@
     longest_hold_s: float
     drain_s: float
     grace_s: float
-    memory_mb: int
     retries: RetryLimits = RetryLimits()
+    machine: MachineLimits = MachineLimits()
--- a/src/goldcresthall/core/key_ranges.py
+++ b/src/goldcresthall/core/key_ranges.py
@@ -83,6 +83,14 @@
     table: OwnershipTable
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RangeStart:
+    """Names a range among those of all services by its first key."""
+
+    service: str
+    first: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RangeOwner:
     """Where requests for a range go.
@@ -97,3 +105,8 @@
     keys: KeyRange
     owner: deployment.ServerLife
     ready: bool
+
+    @property
+    def start(self) -> RangeStart:
+        """What the range is named by."""
+        return RangeStart(self.service, self.keys.first)
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -228,6 +228,8 @@
             server.draining,
         )
         return Listed(server, now_s, now_s if server.draining else None)
+    # What is left of the slow start falls with each entry; the first one tells its end.
+    server = dataclasses.replace(server, slow_for_s=known.server.slow_for_s)
     if known.server == server:
         return known
     if not server.draining:
--- a/src/goldcresthall/platform/settings.py
+++ b/src/goldcresthall/platform/settings.py
@@ -16,7 +16,6 @@
     from collections.abc import Callable
 
 DEFAULT_HEARTBEAT_S = 1.0
-DEFAULT_MEMORY_MB = 300
 
 
 def read_settings(path: str) -> deployment_settings.DeploymentSettings:
@@ -91,16 +90,34 @@
         longest_hold_s=bound("max_hold_s", 10.0),
         drain_s=bound("drain_s", 2.0),
         grace_s=bound("grace_s", 6.0),
-        memory_mb=reader.read(
-            "limits.",
-            lambda: fields.read_count(limits, "memory_mb", DEFAULT_MEMORY_MB),
-            DEFAULT_MEMORY_MB,
-        ),
         retries=deployment_settings.RetryLimits(
             ratio=bound("retry_budget_ratio", defaults.ratio),
             window_s=bound("budget_window_s", defaults.window_s),
             slack=bound("budget_slack", defaults.slack),
         ),
+        machine=_decode_machine(limits, reader),
+    )
+
+
+def _decode_machine(
+    limits: dict[str, Any], reader: _FaultCollector
+) -> deployment_settings.MachineLimits:
+    defaults = deployment_settings.MachineLimits()
+
+    def limit(name: str, default: float) -> float:
+        return float(
+            reader.read("limits.", lambda: fields.read_number(limits, name, default), default)
+        )
+
+    return deployment_settings.MachineLimits(
+        # `cpu_share` is the usable part of each core, not of the machine.
+        cores=limit("cores", 1.0) * limit("cpu_share", defaults.cores),
+        link_mbps=limit("link_mbps", defaults.link_mbps),
+        memory_mb=reader.read(
+            "limits.",
+            lambda: fields.read_count(limits, "memory_mb", defaults.memory_mb),
+            defaults.memory_mb,
+        ),
     )
 
 
--- a/src/goldcresthall/ranges/answering.py
+++ b/src/goldcresthall/ranges/answering.py
@@ -6,10 +6,13 @@
 import threading
 from typing import TYPE_CHECKING
 
+from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
+from goldcresthall.ranges import histories
 from goldcresthall.ranges import reports
 
 if TYPE_CHECKING:
+    from goldcresthall.core import deployment
     from goldcresthall.core import key_ranges
     from goldcresthall.kernel import clock
     from goldcresthall.ranges import lessor
@@ -42,37 +45,36 @@
         self._owners = owned
         self._lock = threading.Lock()
         self._reporters: dict[str, _Reporter] = {}
+        self._peers = reports.PeerList()
+        self._owner_history = histories.RowHistory(_find_start)
+        self._server_history = histories.RowHistory(_find_name)
 
     def answer(self, current: lessor.Lessor, report: reports.Report) -> reports.Reply:
         """Take a report and answer it, once there is news or after a while."""
         self._take(current, report)
-        view = self._await_news(current, report)
+        self._await_news(current, report)
         relayed = self._relay(current)
-        own = reports.Peer(self._own.incarnation.name, self._own.address)
+        peers = self.update_peers()
         return reports.Reply(
             is_lessor=not current.is_over,
             has_store=current.has_store,
-            peers=(own, *self.list_reporters()),
-            view=view,
             configuration=self._directory.latest_version,
-            servers_revision=relayed.revision,
-            servers=None if relayed.revision == report.known_servers else relayed.servers,
+            peers=peers if peers.revision != report.known_peers else None,
+            owners=self._find_owner_changes(current, report),
+            has_fresh_servers=relayed.revision != row_changes.NO_REVISION,
+            servers=self._find_server_changes(relayed, report),
         )
 
-    def list_reporters(self) -> tuple[reports.Peer, ...]:
-        """Return the instances that reported lately."""
-        latest_s = self._clock.read_s() - REPORTER_LIFETIME_S
-        with self._lock:
-            return tuple(
-                reporter.peer
-                for reporter in self._reporters.values()
-                if reporter.heard_at_s >= latest_s
-            )
+    @property
+    def reporter_count(self) -> int:
+        """Number of instances that reported lately."""
+        return max(0, len(self._peers.peers) - 1)
 
-    def forget_reporters(self) -> None:
-        """Begin a tenure without any."""
+    def begin_tenure(self) -> None:
+        """Begin a tenure without reporters and without earlier views."""
         with self._lock:
             self._reporters.clear()
+            self._owner_history = histories.RowHistory(_find_start)
 
     def _take(self, current: lessor.Lessor, report: reports.Report) -> None:
         now_s = self._clock.read_s()
@@ -83,20 +85,68 @@
         with self._lock:
             self._reporters[peer.name] = _Reporter(peer, now_s)
 
+    def update_peers(self) -> reports.PeerList:
+        """Return the instances that reported lately, under a new revision if they changed."""
+        own = reports.Peer(self._own.incarnation.name, self._own.address)
+        latest_s = self._clock.read_s() - REPORTER_LIFETIME_S
+        with self._lock:
+            present = sorted(
+                (item.peer for item in self._reporters.values() if item.heard_at_s >= latest_s),
+                key=_find_peer_name,
+            )
+            peers = (own, *present)
+            if peers != self._peers.peers:
+                self._peers = reports.PeerList(self._peers.revision + 1, peers)
+            return self._peers
+
+    def _find_owner_changes(
+        self, current: lessor.Lessor, report: reports.Report
+    ) -> reports.OwnerChanges | None:
+        view = self._owners.view
+        if view.term != current.term or _knows(report, view):
+            return None
+        base = row_changes.NO_REVISION
+        if report.known_term == view.term:
+            base = report.known_revision
+        changes = self._owner_history.find_changes(view.revision, view.owners, base)
+        return reports.OwnerChanges(view.term, changes)
+
+    def _find_server_changes(
+        self, relayed: directory.RelayedServers, report: reports.Report
+    ) -> reports.ServerChanges | None:
+        if relayed.revision in {row_changes.NO_REVISION, report.known_servers}:
+            return None
+        return self._server_history.find_changes(
+            relayed.revision, relayed.servers, report.known_servers
+        )
+
     def _relay(self, current: lessor.Lessor) -> directory.RelayedServers:
         return self._directory.relay() if current.has_store else directory.NOT_FRESH
 
-    def _await_news(
-        self, current: lessor.Lessor, report: reports.Report
-    ) -> owners.OwnersView | None:
-        known = report.known
+    def _await_news(self, current: lessor.Lessor, report: reports.Report) -> None:
         ends_at_s = self._clock.read_s() + REPORT_WAIT_S
         while True:
             serial = self._owners.serial
             view = self._owners.view
-            if (view.term, view.revision) != (known.term, known.revision):
-                return view
             remaining_s = ends_at_s - self._clock.read_s()
-            if remaining_s <= 0 or self._relay(current).revision != report.known_servers:
-                return None
+            if remaining_s <= 0 or (view.term == current.term and not _knows(report, view)):
+                return
+            if self._relay(current).revision != report.known_servers:
+                return
             self._owners.wait_beyond(serial, min(remaining_s, NEWS_CHECK_S))
+
+
+def _knows(report: reports.Report, view: owners.OwnersView) -> bool:
+    return (report.known_term, report.known_revision) == (view.term, view.revision)
+
+
+def _find_start(owned: key_ranges.RangeOwner) -> key_ranges.RangeStart:
+    return owned.start
+
+
+def _find_name(server: deployment.RegisteredServer) -> str:
+    return server.name
+
+
+def _find_peer_name(peer: reports.Peer) -> str:
+    return peer.name
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -18,6 +18,7 @@
 from goldcresthall.kernel import tasks
 from goldcresthall.ranges import answering
 from goldcresthall.ranges import duties
+from goldcresthall.ranges import following
 from goldcresthall.ranges import grants
 from goldcresthall.ranges import inquiries
 from goldcresthall.ranges import lessor
@@ -32,12 +33,14 @@
 
 REPORT_TIMEOUT_S = 0.9
 OWN_REPORT_S = 0.2
+PUBLISH_PAUSE_S = 0.03
 SILENT_AFTER_S = 0.8
 ALONE_AFTER_S = 4.0
 REREAD_AFTER_S = 1.0
 STORELESS_AFTER_S = 0.5
 RETRY_S = 0.15
 JITTER_S = 0.3
+WEAK_DELAY_S = 0.6
 SETTLE_INTERVAL_S = 0.3
 STAND_DOWN_S = 0.15
 GRANTS_END_S = 2.0
@@ -69,6 +72,7 @@
         self._kernel = owner
         self._own = key_ranges.Lessor(incarnation, instance_settings.listen.peers)
         self._longest_hold_s = instance_settings.longest_hold_s
+        self._delay_s = 0.0 if instance_settings.machine.is_strong else WEAK_DELAY_S
         self._generator = random.Random()  # noqa: S311
         self._lock = threading.Lock()
         self._lessor: lessor.Lessor | None = None
@@ -76,7 +80,6 @@
         self._stood_down_below = -1
         self._heard_at_s = -ALONE_AFTER_S
         self._followed_since_s = 0.0
-        self._known_servers = reports.NO_REVISION
         self._is_leaving = False
         self._storeless_since_s: float | None = None
         self._task = tasks.Task("election", self._run)
@@ -96,7 +99,7 @@
     def live_instances(self) -> int:
         """Number of instances that report to the lessor, this one included."""
         if self._lessor is not None:
-            return 1 + len(self._answering.list_reporters())
+            return 1 + self._answering.reporter_count
         return max(1, len(self._peers)) if self._peers else UNKNOWN_INSTANCES
 
     @property
@@ -133,9 +136,7 @@
         """Answer an instance's report, once there is news or after a while."""
         current = self._lessor
         if current is None or current.is_over:
-            return reports.Reply(
-                is_lessor=False, has_store=True, peers=(), view=None, configuration=0
-            )
+            return reports.Reply(is_lessor=False, has_store=True, configuration=0)
         return self._answering.answer(current, report)
 
     def describe_presence(self) -> reports.Presence:
@@ -169,7 +170,8 @@
             self._adopt_stored(stored)
             found = stored.table.lessor
             if found is None or found.address == self._own.address:
-                stop_signal.wait(self._generator.uniform(0, JITTER_S) if found is None else 0.0)
+                if found is None:
+                    stop_signal.wait(self._draw_delay_s())
                 self._take_over(stored, stop_signal)
             elif self._follow(found, stop_signal):
                 self._take_over(stored, stop_signal)
@@ -186,20 +188,20 @@
         """Report to a lessor until it is lost; return whether to take over."""
         self._followed_since_s = self._clock.read_s()
         self._storeless_since_s = None
-        self._known_servers = reports.NO_REVISION
+        followed = following.Following(self._own, self._owners, self._directory, self._estimates)
         channel: reports.PeerChannel | None = None
         try:
             while not stop_signal.is_set:
                 try:
                     channel = channel or self._dialer.dial(found.address, REPORT_TIMEOUT_S)
-                    reply = channel.report(self._create_report())
+                    reply = channel.report(followed.create_report())
                 except reports.UnreachableError as error:
                     channel = None
                     step = self._find_step(found, error)
                 else:
-                    step = self._note_reply(reply)
+                    step = self._note_reply(followed, reply)
                 if step is _Step.TAKE_OVER:
-                    stop_signal.wait(self._generator.uniform(0, JITTER_S))
+                    stop_signal.wait(self._draw_delay_s())
                     return not self._has_changed(found)
                 if step is not _Step.REPORT_ON:
                     stop_signal.wait(RETRY_S)
@@ -210,6 +212,10 @@
                 channel.close()
         return False
 
+    def _draw_delay_s(self) -> float:
+        """Return how long to leave a take-over to others; machines with much room go first."""
+        return self._delay_s + self._generator.uniform(0, JITTER_S)
+
     def _find_step(self, found: key_ranges.Lessor, error: reports.UnreachableError) -> _Step:
         """Return what follows from a report that had no answer."""
         if self._is_lost(found, error):
@@ -222,30 +228,13 @@
     def _find_silence_s(self) -> float:
         return self._clock.read_s() - max(self._heard_at_s, self._followed_since_s)
 
-    def _create_report(self) -> reports.Report:
-        return reports.Report(
-            reporter=self._own,
-            known=self._owners.view,
-            counts=self._owners.take_counts(),
-            samples=self._estimates.take_samples(),
-            configuration=self._directory.latest_version,
-            known_servers=self._known_servers,
-        )
-
-    def _note_reply(self, reply: reports.Reply) -> _Step:
+    def _note_reply(self, followed: following.Following, reply: reports.Reply) -> _Step:
         """Adopt a reply and return what follows from it."""
         if not reply.is_lessor:
             return _Step.LOOK_AGAIN
         self._heard_at_s = self._clock.read_s()
-        self._peers = reply.peers
-        self._directory.note_version(reply.configuration)
-        if reply.view is not None:
-            self._owners.adopt(reply.view)
-        self._known_servers = reply.servers_revision
-        if reply.servers_revision == reports.NO_REVISION:
-            self._directory.end_relay()
-        else:
-            self._directory.adopt_relayed(reply.servers)
+        followed.adopt(reply)
+        self._peers = followed.peers or self._peers
         return _Step.TAKE_OVER if self._is_storeless(reply) else _Step.REPORT_ON
 
     def _is_storeless(self, reply: reports.Reply) -> bool:
@@ -316,7 +305,7 @@
         self._serve(current, stop_signal)
 
     def _serve(self, current: lessor.Lessor, stop_signal: tasks.StopSignal) -> None:
-        self._answering.forget_reporters()
+        self._answering.begin_tenure()
         publishing = tasks.Task("lessor-view", lambda stop: self._publish(current, stop))
         publishing.start()
         try:
@@ -328,7 +317,10 @@
                 self._lessor = None
 
     def _publish(self, current: lessor.Lessor, stop_signal: tasks.StopSignal) -> None:
-        """Keep this instance's own view and its own counts up to date."""
+        """Keep this instance's own view and its own counts up to date.
+
+        The pause gathers changes, each of which goes to all instances.
+        """
         reported_at_s = self._clock.read_s()
         while not stop_signal.is_set:
             current.book.wait_for_change(self._owners.view.revision, OWN_REPORT_S)
@@ -336,8 +328,10 @@
             now_s = self._clock.read_s()
             if now_s - reported_at_s >= OWN_REPORT_S:
                 reported_at_s = now_s
+                self._answering.update_peers()
                 current.heat.add(self._owners.take_counts(), now_s)
                 current.heat.speeds.add(self._estimates.take_samples(), now_s)
+            stop_signal.wait(PUBLISH_PAUSE_S)
 
     def _settle_repeatedly(self, stop_signal: tasks.StopSignal) -> None:
         """Find out whether earlier lessors have ended, so that nobody waits for them."""
--- /dev/null
+++ b/src/goldcresthall/ranges/histories.py
@@ -0,0 +1,67 @@
+"""Earlier revisions of a list, to tell others only what changed since theirs."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+from goldcresthall.core import row_changes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+KEPT_REVISIONS = 64
+
+Row = TypeVar("Row")
+Key = TypeVar("Key")
+
+
+class RowHistory(Generic[Row, Key]):
+    """The latest revisions of a list of rows; changes are worked out once for all who ask."""
+
+    def __init__(self, find_key: Callable[[Row], Key]) -> None:
+        self._find_key = find_key
+        self._lock = threading.Lock()
+        self._states: dict[int, tuple[Row, ...]] = {}
+        self._latest = row_changes.NO_REVISION
+        self._changes: dict[int, row_changes.RowChanges[Row, Key]] = {}
+
+    def find_changes(
+        self, revision: int, rows: tuple[Row, ...], base: int
+    ) -> row_changes.RowChanges[Row, Key]:
+        """Return what changed from a base to a revision, whose rows are given.
+
+        The whole list is returned if the base is not known any more.
+        """
+        with self._lock:
+            self._note(revision, rows)
+            if revision != self._latest:
+                return self._compare(revision, rows, base)
+            found = self._changes.get(base)
+            if found is None:
+                found = self._compare(revision, rows, base)
+                self._changes[base] = found
+            return found
+
+    def _note(self, revision: int, rows: tuple[Row, ...]) -> None:
+        if revision <= self._latest:
+            return
+        self._latest = revision
+        self._states[revision] = rows
+        self._changes = {}
+        while len(self._states) > KEPT_REVISIONS:
+            del self._states[min(self._states)]
+
+    def _compare(
+        self, revision: int, rows: tuple[Row, ...], base: int
+    ) -> row_changes.RowChanges[Row, Key]:
+        earlier = self._states.get(base)
+        if earlier is None:
+            return row_changes.RowChanges(revision, row_changes.NO_REVISION, (), rows)
+        before = frozenset(earlier)
+        after = frozenset(rows)
+        removed = tuple(self._find_key(row) for row in earlier if row not in after)
+        added = tuple(row for row in rows if row not in before)
+        return row_changes.RowChanges(revision, base, removed, added)
--- a/src/goldcresthall/ranges/peer_server.py
+++ b/src/goldcresthall/ranges/peer_server.py
@@ -19,7 +19,7 @@
 from goldcresthall.peers import meters
 from goldcresthall.peers import transport
 from goldcresthall.ranges import election
-from goldcresthall.ranges import peer_channel
+from goldcresthall.ranges import report_encoding
 
 if TYPE_CHECKING:
     from goldcresthall.core import identity
@@ -38,8 +38,8 @@
 
     def report(self, report: ttypes.Report) -> ttypes.ReportReply:
         """Answer a report."""
-        reply = self._election.answer_report(peer_channel.decode_report(report))
-        return peer_channel.encode_reply(reply)
+        reply = self._election.answer_report(report_encoding.decode_report(report))
+        return report_encoding.encode_reply(reply)
 
     def ask_presence(self) -> ttypes.Presence:
         """Say who this instance is."""
--- /dev/null
+++ b/src/goldcresthall/ranges/report_encoding.py
@@ -0,0 +1,194 @@
+"""Reports to the lessor and its replies as thrift carries them."""
+
+from __future__ import annotations
+
+from goldcresthall.core import deployment
+from goldcresthall.core import identity
+from goldcresthall.core import key_ranges
+from goldcresthall.core import row_changes
+from goldcresthall.gateway import estimates
+from goldcresthall.generated.lessor import ttypes
+from goldcresthall.ranges import owners
+from goldcresthall.ranges import reports
+
+MS_PER_S = 1_000
+US_PER_S = 1_000_000
+
+
+def encode_report(report: reports.Report) -> ttypes.Report:
+    """Return a report as it is sent."""
+    return ttypes.Report(
+        name=report.reporter.incarnation.name,
+        incarnation=report.reporter.incarnation.token,
+        host=report.reporter.address.host,
+        port=report.reporter.address.port,
+        known_term=report.known_term,
+        known_revision=report.known_revision,
+        counts=[ttypes.KeyCounts(item.service, list(item.keys)) for item in report.counts],
+        times=[
+            ttypes.ServerTimes(
+                sample.server.name,
+                sample.server.started_ms,
+                sample.count,
+                int(sample.total_s * US_PER_S),
+            )
+            for sample in report.samples
+        ],
+        configuration=report.configuration,
+        known_servers=report.known_servers,
+        known_peers=report.known_peers,
+    )
+
+
+def decode_report(received: ttypes.Report) -> reports.Report:
+    """Return the report that was received."""
+    return reports.Report(
+        reporter=key_ranges.Lessor(
+            identity.Incarnation(received.name, received.incarnation),
+            identity.Address(received.host, received.port),
+        ),
+        known_term=received.known_term,
+        known_revision=received.known_revision,
+        counts=tuple(
+            owners.CountedKeys(item.service_name, tuple(item.keys)) for item in received.counts
+        ),
+        samples=tuple(
+            estimates.TimeSample(
+                deployment.ServerLife(item.server, item.started_ms),
+                item.count,
+                item.total_us / US_PER_S,
+            )
+            for item in received.times
+        ),
+        configuration=received.configuration,
+        known_servers=received.known_servers,
+        known_peers=received.known_peers,
+    )
+
+
+def encode_reply(reply: reports.Reply) -> ttypes.ReportReply:
+    """Return a reply as it is sent."""
+    return ttypes.ReportReply(
+        is_lessor=reply.is_lessor,
+        has_store=reply.has_store,
+        peers=None if reply.peers is None else _encode_peers(reply.peers),
+        owners=None if reply.owners is None else _encode_owners(reply.owners),
+        configuration=reply.configuration,
+        has_fresh_servers=reply.has_fresh_servers,
+        servers=None if reply.servers is None else _encode_servers(reply.servers),
+    )
+
+
+def decode_reply(received: ttypes.ReportReply) -> reports.Reply:
+    """Return the reply that was received."""
+    return reports.Reply(
+        is_lessor=received.is_lessor,
+        has_store=received.has_store,
+        peers=None if received.peers is None else _decode_peers(received.peers),
+        owners=None if received.owners is None else _decode_owners(received.owners),
+        configuration=received.configuration,
+        has_fresh_servers=received.has_fresh_servers,
+        servers=None if received.servers is None else _decode_servers(received.servers),
+    )
+
+
+def _encode_peers(listed: reports.PeerList) -> ttypes.PeerList:
+    return ttypes.PeerList(
+        listed.revision,
+        [ttypes.PeerRow(peer.name, peer.address.host, peer.address.port) for peer in listed.peers],
+    )
+
+
+def _decode_peers(received: ttypes.PeerList) -> reports.PeerList:
+    return reports.PeerList(
+        received.revision,
+        tuple(
+            reports.Peer(row.name, identity.Address(row.host, row.port)) for row in received.rows
+        ),
+    )
+
+
+def _encode_servers(changes: reports.ServerChanges) -> ttypes.ServerChanges:
+    return ttypes.ServerChanges(
+        revision=changes.revision,
+        base_revision=changes.base,
+        removed=list(changes.removed),
+        added=[_encode_server(server) for server in changes.added],
+    )
+
+
+def _decode_servers(received: ttypes.ServerChanges) -> reports.ServerChanges:
+    return row_changes.RowChanges(
+        revision=received.revision,
+        base=received.base_revision,
+        removed=tuple(received.removed),
+        added=tuple(_decode_server(row) for row in received.added),
+    )
+
+
+def _encode_server(server: deployment.RegisteredServer) -> ttypes.ServerRow:
+    return ttypes.ServerRow(
+        server.name,
+        server.life.started_ms,
+        server.service,
+        server.address.host,
+        server.address.port,
+        server.failure_domain,
+        server.slots,
+        server.draining,
+        int(server.slow_for_s * MS_PER_S),
+    )
+
+
+def _decode_server(row: ttypes.ServerRow) -> deployment.RegisteredServer:
+    return deployment.RegisteredServer(
+        life=deployment.ServerLife(row.name, row.started_ms),
+        service=row.service_name,
+        address=identity.Address(row.host, row.port),
+        failure_domain=row.failure_domain,
+        slots=row.slots,
+        draining=row.draining,
+        slow_for_s=row.slow_for_ms / MS_PER_S,
+    )
+
+
+def _encode_owners(changes: reports.OwnerChanges) -> ttypes.OwnershipChanges:
+    return ttypes.OwnershipChanges(
+        term=changes.term,
+        revision=changes.ranges.revision,
+        base_revision=changes.ranges.base,
+        removed=[ttypes.RangeStart(start.service, start.first) for start in changes.ranges.removed],
+        added=[_encode_range(owned) for owned in changes.ranges.added],
+    )
+
+
+def _decode_owners(received: ttypes.OwnershipChanges) -> reports.OwnerChanges:
+    changes = row_changes.RowChanges(
+        revision=received.revision,
+        base=received.base_revision,
+        removed=tuple(
+            key_ranges.RangeStart(start.service_name, start.first_key) for start in received.removed
+        ),
+        added=tuple(_decode_range(row) for row in received.added),
+    )
+    return reports.OwnerChanges(received.term, changes)
+
+
+def _encode_range(owned: key_ranges.RangeOwner) -> ttypes.RangeRow:
+    return ttypes.RangeRow(
+        owned.service,
+        owned.keys.first,
+        owned.keys.last,
+        owned.owner.name,
+        owned.owner.started_ms,
+        owned.ready,
+    )
+
+
+def _decode_range(row: ttypes.RangeRow) -> key_ranges.RangeOwner:
+    return key_ranges.RangeOwner(
+        row.service_name,
+        key_ranges.KeyRange(row.first_key, row.last_key),
+        deployment.ServerLife(row.server, row.started_ms),
+        row.ready,
+    )
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -4,16 +4,17 @@
 
 import abc
 import dataclasses
-from typing import Final
 
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
+from goldcresthall.core import row_changes
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import service
 from goldcresthall.ranges import owners
 
-NO_REVISION: Final = -1
+ServerChanges = row_changes.RowChanges[deployment.RegisteredServer, str]
+RangeChanges = row_changes.RowChanges[key_ranges.RangeOwner, key_ranges.RangeStart]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,26 +25,44 @@
     address: identity.Address
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerList:
+    """The instances that report to a lessor, which is the first of them."""
+
+    revision: int = row_changes.NO_REVISION
+    peers: tuple[Peer, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerChanges:
+    """What changed in the owners that a lessor of some term shows."""
+
+    term: int
+    ranges: RangeChanges
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Report:
     """What an instance tells the lessor.
 
     Attributes
     ----------
-    known
-        View that it has; only the term and the revision matter.
+    known_term, known_revision
+        The view of the owners that the reporter has from this lessor.
     configuration
         Version of the configuration that is in force there.
-    known_servers
-        Revision of the list of servers that the reporter has from this lessor.
+    known_servers, known_peers
+        Revisions of the lists that the reporter has from this lessor.
     """
 
     reporter: key_ranges.Lessor
-    known: owners.OwnersView
+    known_term: int
+    known_revision: int
     counts: tuple[owners.CountedKeys, ...]
     samples: tuple[estimates.TimeSample, ...]
     configuration: int
-    known_servers: int = NO_REVISION
+    known_servers: int = row_changes.NO_REVISION
+    known_peers: int = row_changes.NO_REVISION
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,23 +75,25 @@
         Whether the instance asked is the lessor at all.
     has_store
         Whether it reaches the store, without which it can change nothing.
-    view
-        The owners; none if the reporter knows the latest view.
+    peers
+        The instances that report; none if the reporter knows them.
+    owners
+        What changed in the owners; none if the reporter knows the latest view.
     configuration
         Highest version of the configuration that any instance has in force.
-    servers_revision
-        Revision of the lessor's list of servers; `NO_REVISION` if it is not fresh.
+    has_fresh_servers
+        Whether the lessor's list of servers is fresh.
     servers
-        The list; none if the reporter has this revision.
+        What changed in the list; none if the reporter has it, or it is not fresh.
     """
 
     is_lessor: bool
     has_store: bool
-    peers: tuple[Peer, ...]
-    view: owners.OwnersView | None
     configuration: int
-    servers_revision: int = NO_REVISION
-    servers: tuple[deployment.RegisteredServer, ...] | None = None
+    peers: PeerList | None = None
+    owners: OwnerChanges | None = None
+    has_fresh_servers: bool = False
+    servers: ServerChanges | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -44,7 +44,6 @@
         longest_hold_s=10.0,
         drain_s=2.0,
         grace_s=6.0,
-        memory_mb=300,
     )
     created = election.Election.from_config(owner, identity.Incarnation("one", "life"), settings)
     created.start()
--- /dev/null
+++ b/tests/ranges/test_histories.py
@@ -0,0 +1,52 @@
+"""Tests of lists that are passed on as changes against an earlier revision."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies
+
+from goldcresthall.core import deployment
+from goldcresthall.core import key_ranges
+from goldcresthall.core import row_changes
+from goldcresthall.ranges import histories
+
+ROWS = strategies.lists(strategies.integers(0, 30), unique=True).map(tuple)
+
+
+def find_key(row: int) -> int:
+    return row
+
+
+@given(strategies.lists(ROWS, min_size=1, max_size=80), strategies.data())
+def test_changes_turn_any_earlier_revision_into_the_latest(
+    states: list[tuple[int, ...]], data: strategies.DataObject
+) -> None:
+    history = histories.RowHistory(find_key)
+    for revision, rows in enumerate(states):
+        history.find_changes(revision, rows, row_changes.NO_REVISION)
+    base = data.draw(strategies.integers(-1, len(states) - 1))
+    changes = history.find_changes(len(states) - 1, states[-1], base)
+    known = states[base] if base >= 0 else ()
+    assert set(row_changes.apply_changes(known, changes, find_key)) == set(states[-1])
+
+
+def test_a_reader_far_behind_gets_the_whole_list() -> None:
+    history = histories.RowHistory(find_key)
+    for revision in range(histories.KEPT_REVISIONS + 2):
+        history.find_changes(revision, (revision,), row_changes.NO_REVISION)
+    assert history.find_changes(revision, (revision,), 0).is_whole
+    assert not history.find_changes(revision, (revision,), revision - 1).is_whole
+
+
+def test_a_row_that_changed_replaces_the_one_of_its_key() -> None:
+    def create(last: int) -> key_ranges.RangeOwner:
+        life = deployment.ServerLife("one", 1)
+        return key_ranges.RangeOwner("ledger", key_ranges.KeyRange(0, last), life, ready=True)
+
+    def find_start(owned: key_ranges.RangeOwner) -> key_ranges.RangeStart:
+        return owned.start
+
+    history = histories.RowHistory(find_start)
+    history.find_changes(0, (create(9),), row_changes.NO_REVISION)
+    changes = history.find_changes(1, (create(4),), 0)
+    assert row_changes.apply_changes((create(9),), changes, find_start) == (create(4),)
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -9,10 +9,18 @@
   6: required bool ready
 }
 
-struct OwnershipView {
+struct RangeStart {
+  1: required string service_name
+  2: required i32 first_key
+}
+
+/* Against the view of base_revision; the whole view if that is -1. */
+struct OwnershipChanges {
   1: required i64 term
   2: required i64 revision
-  3: required list<RangeRow> rows
+  3: required i64 base_revision
+  4: required list<RangeStart> removed
+  5: required list<RangeRow> added
 }
 
 struct KeyCounts {
@@ -38,6 +46,7 @@
   8: required list<ServerTimes> times
   9: required i64 configuration
   10: required i64 known_servers
+  11: required i64 known_peers
 }
 
 struct ServerRow {
@@ -52,20 +61,33 @@
   9: required i32 slow_for_ms
 }
 
+/* Against the list of base_revision; the whole list if that is -1. */
+struct ServerChanges {
+  1: required i64 revision
+  2: required i64 base_revision
+  3: required list<string> removed
+  4: required list<ServerRow> added
+}
+
 struct PeerRow {
   1: required string name
   2: required string host
   3: required i32 port
 }
 
+struct PeerList {
+  1: required i64 revision
+  2: required list<PeerRow> rows
+}
+
 struct ReportReply {
   1: required bool is_lessor
   2: required bool has_store
-  3: required list<PeerRow> peers
-  4: optional OwnershipView view
+  3: optional PeerList peers
+  4: optional OwnershipChanges owners
   5: required i64 configuration
-  6: required i64 servers_revision
-  7: optional list<ServerRow> servers
+  6: required bool has_fresh_servers
+  7: optional ServerChanges servers
 }
 
 struct Presence {
