Divide keys once the servers came, and take a hot spot to several servers at once

A release that could not be sent to a crowded server let its range lapse for 3 s.

Ruled out: speed of the grants (first ones answered within 0.1 s).

A round takes as many moves as a quarter of the servers, several from one server. A release that was not sent leaves the range with its owner, unless that leaves.

--- a/src/goldcresthall/ranges/mover.py
+++ b/src/goldcresthall/ranges/mover.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from goldcresthall.core import key_ranges
+from goldcresthall.ranges import arrivals
 from goldcresthall.ranges import avoidance
 from goldcresthall.ranges import grants
 from goldcresthall.ranges import heat
@@ -25,7 +26,7 @@
     from goldcresthall.ranges import keepers
 
 BALANCE_INTERVAL_S = 0.4
-ANNOUNCE_S = 0.02
+ANNOUNCE_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +59,7 @@
         self._keepers = kept
         self._heat = heat.ServiceHeat()
         self._avoided = avoidance.AvoidedServers()
+        self._arrivals = arrivals.ServerArrivals()
         self._balanced_at_s = owned.clock.read_s()
         self._has_store = True
 
@@ -195,9 +197,12 @@
         held = tuple(
             item for item in self._book.snapshot().holdings.values() if item.service == service
         )
+        lives = frozenset(candidate.life for candidate in candidates)
+        was_divided = any(item.fence for item in held)
+        if not was_divided and not self._arrivals.have_settled(service, lives, now_s):
+            return
         heat_map = self._heat.create_map(service, now_s)
         loads = planner.Loads(candidates, held, heat_map)
-        lives = {candidate.life for candidate in candidates}
         free = tuple(
             item for item in held if item.phase is holdings.Phase.FREE and item.target not in lives
         )
--- a/src/goldcresthall/ranges/planner.py
+++ b/src/goldcresthall/ranges/planner.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from goldcresthall.ranges import heat
 
-MOST_MOVES = 4
+LEAST_MOVES = 4
+SERVERS_PER_MOVE = 4
 LEAST_RATE = 2.0
 HOT_FACTOR = 1.3
 HOT_MARGIN = 0.1
@@ -84,9 +85,15 @@
             self._rate, key=lambda life: ((self._rate[life] + rate) / self._capacity[life], life)
         )
 
-    def list_hottest(self) -> list[deployment.ServerLife]:
-        """Return all servers, the one with the most load first."""
-        return sorted(self._rate, key=lambda life: (-self.find(life), life))
+    @property
+    def server_count(self) -> int:
+        """Number of servers that may get ranges."""
+        return len(self._capacity)
+
+    def find_hottest(self, without: set[deployment.ServerLife]) -> deployment.ServerLife | None:
+        """Return the server with the most load but for some, or none."""
+        lives = [life for life in self._rate if life not in without]
+        return max(lives, key=lambda life: (self.find(life), life), default=None)
 
     def add(self, life: deployment.ServerLife, rate: float) -> None:
         """Plan for so many more requests per second at a server."""
@@ -131,22 +138,44 @@
     held: tuple[holdings.Holding, ...], loads: Loads, heat_map: heat.HeatMap
 ) -> tuple[Placement, ...]:
     """Return moves from crowded servers to idle ones; few, and only where it matters."""
-    moves: list[Placement] = []
     if heat_map.sums[-1] < LEAST_RATE:
         return ()
-    for hot in loads.list_hottest():
+    moves: list[Placement] = []
+    stuck: set[deployment.ServerLife] = set()
+    most = max(LEAST_MOVES, loads.server_count // SERVERS_PER_MOVE)
+    while len(moves) < most:
+        hot = loads.find_hottest(stuck)
         cool = loads.find_coolest()
-        if len(moves) >= MOST_MOVES or not _is_worth_moving(hot, cool, loads):
+        if hot is None or not _is_worth_moving(hot, cool, loads):
             break
         move = _find_move(hot, cool, held, loads, heat_map)
-        if move is not None:
-            rate = heat_map.measure(move.keys)
-            loads.add(hot, -rate)
-            loads.add(cool, rate)
-            moves.append(move)
+        if move is None:
+            stuck.add(hot)
+            continue
+        rate = heat_map.measure(move.keys)
+        loads.add(hot, -rate)
+        loads.add(cool, rate)
+        moves.append(move)
+        held = _take_out(held, move)
     return tuple(moves)
 
 
+def _take_out(held: tuple[holdings.Holding, ...], move: Placement) -> tuple[holdings.Holding, ...]:
+    """Return the holdings without a part that is to move."""
+    rest: list[holdings.Holding] = []
+    for item in held:
+        if item.service != move.service or not item.keys.contains(move.keys.first):
+            rest.append(item)
+            continue
+        if item.keys.first < move.keys.first:
+            below = key_ranges.KeyRange(item.keys.first, move.keys.first - 1)
+            rest.append(dataclasses.replace(item, keys=below))
+        if move.keys.last < item.keys.last:
+            above = key_ranges.KeyRange(move.keys.last + 1, item.keys.last)
+            rest.append(dataclasses.replace(item, keys=above))
+    return tuple(rest)
+
+
 def _is_worth_moving(hot: deployment.ServerLife, cool: deployment.ServerLife, loads: Loads) -> bool:
     mean = loads.mean
     load = loads.find(hot)
--- a/src/goldcresthall/ranges/transitions.py
+++ b/src/goldcresthall/ranges/transitions.py
@@ -75,6 +75,9 @@
     """Return what a release made of a holding; without an answer its grant must run out."""
     if present.phase is not holdings.Phase.RELEASING:
         return None
+    if isinstance(outcome, grants.OrderNotSent) and present.target is not None:
+        # The owner was not told and does not leave, so it holds the range as before.
+        return dataclasses.replace(present, phase=holdings.Phase.HELD, ready=True, target=None)
     if isinstance(outcome, grants.Released):
         return dataclasses.replace(
             present,
