Prefer servers of the own failure domain while they have room

Four near servers and two far ones are drawn now; a far one is chosen when the near ones would take twice as long. The test fails with the old draw.

--- a/src/goldcresthall/gateway/selection.py
+++ b/src/goldcresthall/gateway/selection.py
@@ -11,11 +11,12 @@
     from goldcresthall.gateway import directory
     from goldcresthall.gateway import estimates
 
-FAR_PENALTY = 1.15
+FAR_PENALTY = 2.0
 WARMUP_PENALTY = 2.0
 FAILURE_PENALTY = 6.0
 JITTER = 0.15
-DRAWN = 4
+DRAWN_NEAR = 4
+DRAWN_FAR = 2
 
 
 def choose(
@@ -27,7 +28,8 @@
 ) -> deployment.RegisteredServer | None:
     """Return the server that should answer soonest among some drawn at random.
 
-    Servers that just failed to answer are left out while there are others.
+    Servers that just failed to answer are left out while there are others. Those in
+    other failure domains take what is too much for the near ones.
     """
     usable = [
         listed.server for listed in candidates if seen.find(listed.server).shunned_until_s <= now_s
@@ -35,7 +37,10 @@
     usable = usable or [listed.server for listed in candidates]
     if not usable:
         return None
-    drawn = generator.sample(usable, DRAWN) if len(usable) > DRAWN else usable
+    near = [server for server in usable if server.failure_domain == failure_domain]
+    far = [server for server in usable if server.failure_domain != failure_domain]
+    drawn_far = DRAWN_FAR if near else DRAWN_NEAR
+    drawn = _draw(near, DRAWN_NEAR, generator) + _draw(far, drawn_far, generator)
     by_name = {listed.server.name: listed for listed in candidates}
     return min(
         drawn,
@@ -44,6 +49,12 @@
     )
 
 
+def _draw(
+    servers: list[deployment.RegisteredServer], most: int, generator: random.Random
+) -> list[deployment.RegisteredServer]:
+    return generator.sample(servers, most) if len(servers) > most else servers
+
+
 def find_score_s(
     listed: directory.Listed, seen: estimates.Estimates, failure_domain: str, now_s: float
 ) -> float:
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -45,14 +45,19 @@
 
 
 def create_server(
-    name: str, service: str = "agenda", *, draining: bool = False, started_ms: int = 1
+    name: str,
+    service: str = "agenda",
+    *,
+    draining: bool = False,
+    started_ms: int = 1,
+    failure_domain: str = "near",
 ) -> deployment.RegisteredServer:
     """Return a registered server."""
     return deployment.RegisteredServer(
         life=deployment.ServerLife(name, started_ms),
         service=service,
         address=identity.Address("127.0.0.1", 9_000),
-        failure_domain="near",
+        failure_domain=failure_domain,
         slots=4,
         draining=draining,
         slow_for_s=0.0,
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -99,6 +99,22 @@
     assert find(surroundings, POOL, frozenset({"up"})) == "down"
 
 
+def test_servers_of_other_failure_domains_get_what_is_too_much_for_the_near_ones(
+    surroundings: Surroundings,
+) -> None:
+    near = tuple(conftest.create_server(f"near-{number}") for number in range(3))
+    far = tuple(
+        conftest.create_server(f"far-{number}", failure_domain="far") for number in range(9)
+    )
+    surroundings.directory.adopt_all((*near, *far))
+    chosen = [find(surroundings, POOL) for _ in range(200)]
+    assert {name.partition("-")[0] for name in chosen} == {"near"}
+    for server in near:
+        for _ in range(5):
+            surroundings.estimates.begin(server)
+    assert {find(surroundings, POOL).partition("-")[0] for _ in range(50)} == {"far"}
+
+
 def test_only_the_owner_of_a_key_is_found(surroundings: Surroundings) -> None:
     assert find(surroundings, KEY) == "no_owner"
     surroundings.directory.adopt_all((conftest.create_server("owner", "ledger"),))
