Add a fault soak of real processes behind proxies

Instances run as processes; a seed draws faults that overlap: kills, pauses, ends with restart, hang-ups, ways to the store and to servers delayed, reset, silenced or cut one way, the store down or slow, servers that crash, drain and are replaced, configurations. It checks at each grant that no other server holds the keys, that orders run once at most, that a refusal was not run, that answers are the caller's own, and that all is whole again afterwards.

--- a/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
@@ -11,6 +11,8 @@
 from goldcresthall_stand_ins import web
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from goldcresthall_stand_ins import deployment_store
 
 SERVERS_TOPIC = "keyed.servers"
@@ -39,6 +41,8 @@
     ----------
     work_s
         Seconds that each request takes.
+    on_grant
+        Called with the server and the keys after each grant that it took.
     """
 
     def __init__(
@@ -49,6 +53,7 @@
         *,
         keyed: bool,
         work_s: float = 0.0,
+        on_grant: Callable[[DeploymentServer, range], None] | None = None,
     ) -> None:
         super().__init__("127.0.0.1", 0, threads=24)
         self._store = store
@@ -56,6 +61,7 @@
         self._service = service
         self._keyed = keyed
         self._work_s = work_s
+        self._on_grant = on_grant
         self._lock = threading.Lock()
         self._holds: dict[int, _Hold] = {}
         self._highest: dict[int, int] = {}
@@ -67,11 +73,11 @@
         """Name under which it registers."""
         return self._name
 
-    def register(self, state: str = "ready") -> None:
-        """Write its entry into the store."""
+    def register(self, state: str = "ready", *, port: int | None = None) -> None:
+        """Write its entry into the store, with another port if it is reached by that."""
         entry = {
             "service": self._service,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{port or self.port}",
             "zone": "domain-a",
             "version": "v1",
             "slots": 4,
@@ -92,6 +98,12 @@
             hold = self._holds.get(key)
             return hold is not None and hold.until_s > time.monotonic()
 
+    def holds_any(self, keys: range) -> bool:
+        """Return whether it holds some of the keys now."""
+        now_s = time.monotonic()
+        with self._lock:
+            return any(key in keys and hold.until_s > now_s for key, hold in self._holds.items())
+
     def answer(self, exchange: web.Exchange) -> web.Reply:
         """Answer an order or a request."""
         expected = exchange.headers.get("goldcresthall-target-instance")
@@ -112,6 +124,8 @@
             hold = _Hold(fence, time.monotonic() + float(order["hold_s"]))
             self._holds.update(dict.fromkeys(keys, hold))
             self._highest.update(dict.fromkeys(keys, fence))
+        if self._on_grant is not None:
+            self._on_grant(self, keys)
         return web.Reply(200, b"")
 
     def _release(self, order: dict[str, int | float]) -> web.Reply:
--- a/stand_ins/src/goldcresthall_stand_ins/deployment_store.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_store.py
@@ -7,6 +7,7 @@
 import json
 import struct
 import threading
+import time
 
 from goldcresthall_stand_ins import web
 
@@ -36,6 +37,8 @@
     ----------
     is_down
         Whether all calls are answered with 503 and do nothing.
+    delay_s
+        Seconds by which each answer is late.
     """
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0, threads: int = 64) -> None:
@@ -43,6 +46,7 @@
         self._changed = threading.Condition()
         self._topics: dict[str, list[StoredRecord]] = {}
         self.is_down = False
+        self.delay_s = 0.0
         self.calls = 0
 
     def put(self, topic: str, key: str, document: object | None) -> None:
@@ -67,6 +71,8 @@
         self.calls += 1
         if self.is_down:
             return web.Reply(503, b"")
+        if self.delay_s:
+            time.sleep(self.delay_s)
         topic = exchange.query.get("topic", "")
         if exchange.path == "/api/log-append":
             return self._append(topic, exchange)
--- a/tests/features/deployment_system.py
+++ b/tests/features/deployment_system.py
@@ -107,11 +107,11 @@
         """Write the next version of the configuration."""
         self._version += 3
         routes = [
-            _create_route("ledger", "/ledger/", "ledger", "safe"),
-            _create_route("agenda", "/agenda/", "agenda", "unsafe"),
-            *(_create_route(f"extra{path}", path, "agenda", "unsafe") for path in extra_paths),
+            create_route("ledger", "/ledger/", "ledger", "safe"),
+            create_route("agenda", "/agenda/", "agenda", "unsafe"),
+            *(create_route(f"extra{path}", path, "agenda", "unsafe") for path in extra_paths),
         ]
-        services = [_create_service("ledger", sharded=True), _create_service("agenda")]
+        services = [create_service("ledger", sharded=True), create_service("agenda")]
         document = {
             "version": f"{self._version:08x}",
             "routes": routes,
@@ -306,7 +306,8 @@
     return Answer(request_id, response.status, body, closes)
 
 
-def _create_route(name: str, prefix: str, service: str, kind: str) -> dict[str, object]:
+def create_route(name: str, prefix: str, service: str, kind: str) -> dict[str, object]:
+    """Return a route as the operator writes it."""
     return {
         "name": name,
         "host": HOST,
@@ -320,7 +321,8 @@
     }
 
 
-def _create_service(name: str, *, sharded: bool = False) -> dict[str, object]:
+def create_service(name: str, *, sharded: bool = False) -> dict[str, object]:
+    """Return a service as the operator writes it."""
     service: dict[str, object] = {"name": name, "health_check": "/healthz", "max_conns": 100}
     if sharded:
         service["sharded"] = True
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,42 @@
+"""``python -m tests.soak``: plays seeds by hand and prints what broke."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import tempfile
+
+import click
+
+from tests.soak import play
+from tests.soak import world
+
+
+@click.command()
+@click.option("--first", default=1, show_default=True, help="First seed.")
+@click.option("--count", default=1, show_default=True, help="Number of seeds.")
+@click.option("--seconds", default=15.0, show_default=True, help="Length of the faults.")
+@click.option("--instances", default=3, show_default=True, help="Router processes.")
+@click.option("--keep", type=click.Path(path_type=pathlib.Path), help="Folder for logs.")
+def main(first: int, count: int, seconds: float, instances: int, keep: pathlib.Path | None) -> None:
+    """Play seeds; exit with 1 if one broke a promise."""
+    failed = False
+    for seed in range(first, first + count):
+        folder = pathlib.Path(tempfile.mkdtemp()) if keep is None else keep / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        outcome = play.play(seed, seconds, folder, world.Size(instances=instances))
+        click.echo(
+            f"seed {seed}: {len(outcome.faults)} faults, statuses {dict(outcome.statuses)},"
+            f" {len(outcome.violations)} violations"
+        )
+        for violation in outcome.violations:
+            failed = True
+            click.echo(f"  {violation.at_s:.3f} {violation.promise}: {violation.detail}")
+        if outcome.violations:
+            click.echo(f"  logs in {folder}")
+            for fault in outcome.faults:
+                click.echo(f"  {fault}")
+    sys.exit(1 if failed else 0)
+
+
+main()
