Hold the configuration's long poll for 15 s

A poll whose answer is lost is no longer what an instance depends on: reports carry the version in force elsewhere, and the configuration is read again at once.

--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -19,7 +19,7 @@
     from goldcresthall.core import deployment
     from goldcresthall.kernel import kernel
 
-CONFIGURATION_WAIT_S = 5.0
+CONFIGURATION_WAIT_S = 15.0
 CATCH_UP_CHECK_S = 5.0
 FIRST_RETRY_S = 0.1
 RETRY_S = 0.4
