Send less to a server that just shed or reset

A shed or a reset now counts as a load report of a full server, which fades as all reports do: the owner gets nothing from here for 0.75 s, and requests wait or are refused as not run. The test fails without it.

--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -20,6 +20,7 @@
 TIME_WEIGHT = 0.15
 FAILURE_WEIGHT = 0.25
 LOAD_LIFETIME_S = 1.5
+CROWDED_PER_SLOT = 8.0
 SHUN_S = 1.0
 FIRST_SERVER_ERROR = 500
 
@@ -154,6 +155,9 @@
         learned = dataclasses.replace(known, failure_rate=rate)
         if _is_unreachable(attempt):
             learned = dataclasses.replace(learned, shunned_until_s=now_s + SHUN_S)
+        if _is_crowded(attempt):
+            crowded = CROWDED_PER_SLOT * server.slots
+            learned = dataclasses.replace(learned, reported_load=crowded, reported_at_s=now_s)
         if not isinstance(attempt, attempts.AttemptAnswered):
             return learned
         load = attempt.signals.load
@@ -185,6 +189,16 @@
     return True
 
 
+def _is_crowded(attempt: attempts.Attempt) -> bool:
+    """Return whether a server shed the request, or reset it as crowded ones may."""
+    if isinstance(attempt, attempts.AttemptNotRun):
+        return attempt.reason is outcomes.RefusalReason.SERVER_SHED
+    return (
+        isinstance(attempt, attempts.AttemptUnknown)
+        and attempt.reason is outcomes.UnknownReason.CONNECTION_LOST
+    )
+
+
 def _is_unreachable(attempt: attempts.Attempt) -> bool:
     if isinstance(attempt, attempts.AttemptNotRun):
         return attempt.reason in {
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -5,6 +5,8 @@
 import random
 from typing import TYPE_CHECKING
 
+import pytest
+
 from goldcresthall.core import attempts
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
@@ -85,6 +87,30 @@
     assert find(surroundings, POOL) == "one"
 
 
+@pytest.mark.parametrize(
+    "crowded",
+    [
+        attempts.AttemptNotRun(
+            outcomes.RefusalReason.SERVER_SHED, outcomes.Step.EXECUTE, "status 503"
+        ),
+        attempts.AttemptUnknown(
+            outcomes.UnknownReason.CONNECTION_LOST, outcomes.Step.RECEIVE, "reset by peer"
+        ),
+    ],
+)
+def test_a_server_that_shed_or_reset_gets_nothing_for_a_while(
+    surroundings: Surroundings, crowded: attempts.Attempt
+) -> None:
+    server = conftest.create_server("owner", "ledger")
+    surroundings.directory.adopt_all((server,))
+    give_keys(surroundings, "owner")
+    surroundings.estimates.begin(server)
+    surroundings.estimates.finish(server, crowded, 0.01)
+    assert find(surroundings, KEY) == "queue_full"
+    surroundings.clock.advance(0.8)
+    assert find(surroundings, KEY) == "owner"
+
+
 def test_a_server_that_refused_a_connection_is_left_out_while_there_are_others(
     surroundings: Surroundings,
 ) -> None:
