Call a store that is away less and less often

Pauses now grow from 0.1 and 0.4 s to 1.4 s, below the time in which a configuration must be in force.

--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -23,6 +23,8 @@
 CATCH_UP_CHECK_S = 5.0
 FIRST_RETRY_S = 0.1
 RETRY_S = 0.4
+RETRY_GROWTH = 1.5
+LONGEST_RETRY_S = 1.4
 SERVERS_INTERVAL_S = 0.9
 RELAY_CHECK_S = 0.15
 
@@ -84,7 +86,7 @@
             if isinstance(followed, client.StoreFailed):
                 failures += 1
                 _log_failure("configuration", failures, followed)
-                stop_signal.wait(FIRST_RETRY_S if failures == 1 else RETRY_S)
+                stop_signal.wait(find_retry_pause_s(failures))
                 continue
             _log_return("configuration", failures)
             failures = 0
@@ -103,7 +105,7 @@
             if isinstance(followed, client.StoreFailed):
                 failures += 1
                 _log_failure("servers", failures, followed)
-                stop_signal.wait(FIRST_RETRY_S if failures == 1 else RETRY_S)
+                stop_signal.wait(find_retry_pause_s(failures))
                 continue
             if failures:
                 self._directory.note_store_returned()
@@ -115,10 +117,11 @@
 
     def _catch_up(self, stop_signal: tasks.StopSignal) -> None:
         """Read the configuration at once when another instance has a later version."""
+        failures = 0
         while not stop_signal.is_set:
             if self._directory.await_version(CATCH_UP_CHECK_S):
-                done = self._reread_configuration()
-                stop_signal.wait(FIRST_RETRY_S if done else RETRY_S)
+                failures = 0 if self._reread_configuration() else failures + 1
+                stop_signal.wait(find_retry_pause_s(failures))
 
     def _reread_configuration(self) -> bool:
         """Read the configuration apart from the long poll, whose answer may be lost."""
@@ -146,6 +149,13 @@
         self._directory.adopt_changes(present, absent)
 
 
+def find_retry_pause_s(failures: int) -> float:
+    """Return the seconds to wait before a call is repeated after so many failures in a row."""
+    if failures <= 1:
+        return FIRST_RETRY_S
+    return min(LONGEST_RETRY_S, RETRY_S * RETRY_GROWTH ** (failures - 2))
+
+
 def _log_failure(name: str, failures: int, failed: client.StoreFailed) -> None:
     if failures == 1:
         logging.warning("store lost for %s, step %s: %s", name, failed.step, failed.detail)
