Move a key that crowds its owner alone to the server with most room

Ruled out: heat not counted (the table of tries by key), ranges that could not be moved (no grant was unanswered).

A key that takes 0.4 of its owner's capacity goes alone to the server with most room if that has 1.3 times as much; else the keys beside it go. The tests fail with the old planner.

--- a/src/goldcresthall/ranges/heat.py
+++ b/src/goldcresthall/ranges/heat.py
@@ -69,6 +69,15 @@
         below = self.sums[high] - self.sums[low]
         return min(keys.last, keys.first + int(max(0.0, amount - below) / max(self.base, 1e-9)))
 
+    def find_hottest(self, keys: key_ranges.KeyRange) -> int:
+        """Return the key of a range that is asked for most."""
+        low = bisect.bisect_left(self.keys, keys.first)
+        high = bisect.bisect_right(self.keys, keys.last)
+        if low == high:
+            return keys.first
+        hottest = max(range(low, high), key=lambda index: self.sums[index + 1] - self.sums[index])
+        return self.keys[hottest]
+
     def _refine(self, keys: key_ranges.KeyRange, low: int, index: int, amount: float) -> int:
         """Return a key before the one at `index` if cold keys alone make up the amount."""
         before = self.sums[index] - self.sums[low]
--- a/src/goldcresthall/ranges/planner.py
+++ b/src/goldcresthall/ranges/planner.py
@@ -24,6 +24,9 @@
 LEAST_MOVE = 0.15
 FIT_FACTOR = 1.3
 SPLIT_FACTOR = 1.2
+LONE_KEY_LOAD = 0.8
+LONE_KEY_SHARE = 0.4
+LONE_KEY_GAIN = 1.3
 MOST_PIECES = 64
 
 
@@ -90,6 +93,14 @@
         """Number of servers that may get ranges."""
         return len(self._capacity)
 
+    def find_spare(self, life: deployment.ServerLife) -> float:
+        """Return the requests per second that a server could run besides what it has."""
+        return self._capacity[life] - self._rate[life]
+
+    def find_roomiest(self) -> deployment.ServerLife:
+        """Return the server that could run the most besides what it has."""
+        return max(self._rate, key=lambda life: (self.find_spare(life), life))
+
     def find_hottest(self, without: set[deployment.ServerLife]) -> deployment.ServerLife | None:
         """Return the server with the most load but for some, or none."""
         lives = [life for life in self._rate if life not in without]
@@ -148,13 +159,14 @@
         cool = loads.find_coolest()
         if hot is None or not _is_worth_moving(hot, cool, loads):
             break
-        move = _find_move(hot, cool, held, loads, heat_map)
+        move = _find_lone_key(hot, held, loads, heat_map)
+        move = move or _find_move(hot, cool, held, loads, heat_map)
         if move is None:
             stuck.add(hot)
             continue
         rate = heat_map.measure(move.keys)
         loads.add(hot, -rate)
-        loads.add(cool, rate)
+        loads.add(move.target, rate)
         moves.append(move)
         held = _take_out(held, move)
     return tuple(moves)
@@ -184,6 +196,29 @@
     return is_crowded or is_wasted
 
 
+def _find_lone_key(
+    hot: deployment.ServerLife,
+    held: tuple[holdings.Holding, ...],
+    loads: Loads,
+    heat_map: heat.HeatMap,
+) -> Placement | None:
+    """Return the move of a key that crowds its owner alone to where it is run sooner."""
+    if loads.find(hot) < LONE_KEY_LOAD:
+        return None
+    roomiest = loads.find_roomiest()
+    for item in held:
+        if item.owner != hot or not item.is_movable:
+            continue
+        key = heat_map.find_hottest(item.keys)
+        part = key_ranges.KeyRange(key, key)
+        rate = heat_map.measure(part)
+        has_most = rate > LONE_KEY_SHARE * loads.find_capacity(hot)
+        present_room = loads.find_spare(hot) + rate
+        if has_most and loads.find_spare(roomiest) > LONE_KEY_GAIN * present_room:
+            return Placement(item.service, part, roomiest)
+    return None
+
+
 def _find_move(
     hot: deployment.ServerLife,
     cool: deployment.ServerLife,
@@ -227,9 +262,11 @@
         return [keys]
     last = heat_map.find_prefix(keys, amount)
     first = heat_map.find_prefix(keys, total - amount) + 1
-    parts = []
-    if last < keys.last:
-        parts.append(key_ranges.KeyRange(keys.first, last))
-    if keys.first < first <= keys.last:
-        parts.append(key_ranges.KeyRange(first, keys.last))
+    # The last key of a prefix may be so hot that only the ones before it can go.
+    ends = (last, last - 1)
+    starts = (first, first + 1)
+    parts = [key_ranges.KeyRange(keys.first, end) for end in ends if keys.first <= end < keys.last]
+    parts += [
+        key_ranges.KeyRange(start, keys.last) for start in starts if keys.first < start <= keys.last
+    ]
     return parts or [keys]
--- /dev/null
+++ b/tests/ranges/test_planner.py
@@ -0,0 +1,70 @@
+"""Tests of moves away from a server that a single key crowds."""
+
+from __future__ import annotations
+
+import pytest
+
+from goldcresthall.core import deployment
+from goldcresthall.core import key_ranges
+from goldcresthall.ranges import heat
+from goldcresthall.ranges import holdings
+from goldcresthall.ranges import planner
+
+SERVICE = "ledger"
+HOT_KEY = 500
+SLOW = deployment.ServerLife("slow", 1)
+FAST = deployment.ServerLife("fast", 1)
+OTHERS = tuple(deployment.ServerLife(f"other-{number}", 1) for number in range(6))
+
+
+def create_held() -> tuple[holdings.Holding, ...]:
+    """Return holdings of 1,000 keys each, the first of the slow server."""
+    return tuple(
+        holdings.Holding(
+            service=SERVICE,
+            keys=key_ranges.KeyRange(1_000 * index, 1_000 * index + 999),
+            owner=owner,
+            phase=holdings.Phase.HELD,
+            ready=True,
+        )
+        for index, owner in enumerate((SLOW, FAST, *OTHERS))
+    )
+
+
+def create_map(hot_rate: float) -> heat.HeatMap:
+    """Return heat of one request per second at each hundredth key, and of one hot key."""
+    keys = tuple(sorted({*range(50, 8_000, 100), HOT_KEY}))
+    sums = [0.0]
+    for key in keys:
+        sums.append(sums[-1] + (hot_rate if key == HOT_KEY else 0.2))
+    return heat.HeatMap(keys, tuple(sums), 1e-5)
+
+
+def plan(hot_rate: float, fast_capacity: float) -> tuple[planner.Placement, ...]:
+    """Return the moves for servers that run 10 requests per second but for the fast one."""
+    candidates = (
+        planner.Candidate(SLOW, 10.0),
+        planner.Candidate(FAST, fast_capacity),
+        *(planner.Candidate(life, 10.0) for life in OTHERS),
+    )
+    held = create_held()
+    heat_map = create_map(hot_rate)
+    return planner.plan_moves(held, planner.Loads(candidates, held, heat_map), heat_map)
+
+
+def test_a_key_that_crowds_its_owner_goes_alone_to_the_server_with_most_room() -> None:
+    moves = plan(hot_rate=18.0, fast_capacity=30.0)
+    assert moves[0] == planner.Placement(SERVICE, key_ranges.KeyRange(HOT_KEY, HOT_KEY), FAST)
+
+
+def test_where_no_server_is_faster_the_other_keys_go_and_the_hot_one_stays() -> None:
+    moves = plan(hot_rate=40.0, fast_capacity=11.0)
+    assert moves
+    assert not any(move.keys.contains(HOT_KEY) for move in moves)
+    moved = sum(move.keys.size for move in moves if move.keys.last < 1_000)
+    assert moved > 400
+
+
+@pytest.mark.parametrize("hot_rate", [0.0, 1.0])
+def test_even_load_moves_nothing(hot_rate: float) -> None:
+    assert plan(hot_rate, fast_capacity=10.0) == ()
