--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import collections
 import contextlib
 import dataclasses
 import select
 import socket
-import threading
 import time
 from typing import TYPE_CHECKING
 
@@ -17,7 +15,6 @@
 
 if TYPE_CHECKING:
     from goldcresthall.core import identity
-    from goldcresthall.kernel import cancellation
 
 CONNECT_TIMEOUT_S = 0.3
 ACCEPTANCE_S = 0.005
@@ -123,9 +120,12 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another exchange may follow on it now."""
-        if not self._is_reusable or time.monotonic() - self.idle_since_s > self._keep_s:
-            return False
-        return not self._is_readable()
+        return self._is_reusable and not self.has_expired and not self._is_readable()
+
+    @property
+    def has_expired(self) -> bool:
+        """Whether it was idle for so long that the server may close it."""
+        return time.monotonic() - self.idle_since_s > self._keep_s
 
     def exchange(self, request: RawRequest, id_header: str, timeout_s: float) -> RawAnswer:
         """Send a request and return its whole answer; answers of others are skipped.
@@ -241,85 +241,6 @@
         return bool(poll.poll(timeout_s * MS_PER_S))
 
 
-class ConnectionPool:
-    """Idle connections by address, the latest used first."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._idle: dict[identity.Address, collections.deque[Connection]] = {}
-
-    def exchange(
-        self,
-        address: identity.Address,
-        request: RawRequest,
-        id_header: str,
-        timeout_s: float,
-        cancelled: cancellation.Cancellation,
-        *,
-        keep: int,
-        fresh: bool,
-    ) -> RawAnswer:
-        """Send a request to an address and return its whole answer.
-
-        Parameters
-        ----------
-        keep
-            Idle connections to keep open to the address.
-        fresh
-            Whether the request must not risk a connection that was idle.
-
-        Raises
-        ------
-        ExchangeError
-            If there is no whole answer.
-        """
-        began_at_s = time.monotonic()
-        used = None if fresh else self._take(address)
-        if used is None:
-            used = Connection.open(address, min(CONNECT_TIMEOUT_S, timeout_s))
-            if fresh:
-                used.await_acceptance()
-        remaining_s = timeout_s - (time.monotonic() - began_at_s)
-        try:
-            with cancelled.interrupting(used.interrupt):
-                answer = used.exchange(request, id_header, remaining_s)
-        except BaseException:
-            used.close()
-            raise
-        self._give_back(address, used, keep)
-        return answer
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        with self._lock:
-            idle = [used for pool in self._idle.values() for used in pool]
-            self._idle.clear()
-        for used in idle:
-            used.close()
-
-    def _take(self, address: identity.Address) -> Connection | None:
-        while True:
-            with self._lock:
-                pool = self._idle.get(address)
-                if not pool:
-                    return None
-                used = pool.pop()
-            if used.is_reusable:
-                return used
-            used.close()
-
-    def _give_back(self, address: identity.Address, used: Connection, keep: int) -> None:
-        if not used.is_reusable:
-            used.close()
-            return
-        with self._lock:
-            pool = self._idle.setdefault(address, collections.deque())
-            pool.append(used)
-            surplus = [pool.popleft() for _ in range(max(0, len(pool) - keep))]
-        for old in surplus:
-            old.close()
-
-
 def _create_head(request: RawRequest) -> h11.Request:
     headers = [
         (header.name.encode("latin-1"), header.value.encode("latin-1"))
--- /dev/null
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -0,0 +1,113 @@
+"""Idle connections to backend servers, and exchanges over them."""
+
+from __future__ import annotations
+
+import collections
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from goldcresthall.backend import exchange
+
+if TYPE_CHECKING:
+    from goldcresthall.core import identity
+    from goldcresthall.kernel import cancellation
+
+SWEEP_S = 5.0
+
+
+class ExchangePool:
+    """Idle connections by address, the latest used first."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._idle: dict[identity.Address, collections.deque[exchange.Connection]] = {}
+        self._swept_at_s = time.monotonic()
+
+    def send(
+        self,
+        address: identity.Address,
+        request: exchange.RawRequest,
+        id_header: str,
+        timeout_s: float,
+        cancelled: cancellation.Cancellation,
+        *,
+        keep: int,
+        fresh: bool,
+    ) -> exchange.RawAnswer:
+        """Send a request to an address and return its whole answer.
+
+        Parameters
+        ----------
+        keep
+            Idle connections to keep open to the address.
+        fresh
+            Whether the request must not risk a connection that was idle.
+
+        Raises
+        ------
+        ExchangeError
+            If there is no whole answer.
+        """
+        began_at_s = time.monotonic()
+        used = None if fresh else self._take(address)
+        if used is None:
+            used = exchange.Connection.open(address, min(exchange.CONNECT_TIMEOUT_S, timeout_s))
+            if fresh:
+                used.await_acceptance()
+        remaining_s = timeout_s - (time.monotonic() - began_at_s)
+        try:
+            with cancelled.interrupting(used.interrupt):
+                answer = used.exchange(request, id_header, remaining_s)
+        except BaseException:
+            used.close()
+            raise
+        self._give_back(address, used, keep)
+        return answer
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            idle = [used for pool in self._idle.values() for used in pool]
+            self._idle.clear()
+        for used in idle:
+            used.close()
+
+    def _take(self, address: identity.Address) -> exchange.Connection | None:
+        while True:
+            with self._lock:
+                pool = self._idle.get(address)
+                if not pool:
+                    return None
+                used = pool.pop()
+            if used.is_reusable:
+                return used
+            used.close()
+
+    def _give_back(self, address: identity.Address, used: exchange.Connection, keep: int) -> None:
+        if not used.is_reusable:
+            used.close()
+            return
+        with self._lock:
+            pool = self._idle.setdefault(address, collections.deque())
+            pool.append(used)
+            surplus = [pool.popleft() for _ in range(max(0, len(pool) - keep))]
+            surplus += self._take_expired()
+        for old in surplus:
+            old.close()
+
+    def _take_expired(self) -> list[exchange.Connection]:
+        """Take out, now and then, what addresses left behind that are not used any more."""
+        now_s = time.monotonic()
+        if now_s - self._swept_at_s < SWEEP_S:
+            return []
+        self._swept_at_s = now_s
+        expired = []
+        for address, pool in list(self._idle.items()):
+            expired += [used for used in pool if used.has_expired]
+            kept = collections.deque(used for used in pool if not used.has_expired)
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+        return expired
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -48,6 +48,11 @@
     by_name: dict[str, Listed]
     by_service: dict[str, tuple[Listed, ...]]
 
+    @property
+    def lives(self) -> frozenset[deployment.ServerLife]:
+        """The lives of all servers."""
+        return frozenset(listed.server.life for listed in self.by_name.values())
+
     def find(self, life: deployment.ServerLife) -> Listed | None:
         """Return a server if the given life of it is the latest."""
         listed = self.by_name.get(life.name)
--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from goldcresthall.backend import exchange
+from goldcresthall.backend import exchange_pool
 from goldcresthall.core import outcomes
 from goldcresthall.kernel import cancellation
 from goldcresthall.platform import names
@@ -25,7 +26,7 @@
     """Sends grants and releases over connections of their own."""
 
     def __init__(self) -> None:
-        self._pool = exchange.ConnectionPool()
+        self._pool = exchange_pool.ExchangePool()
 
     def start(self) -> None:
         """Do nothing; connections are opened when needed."""
@@ -87,7 +88,7 @@
         body = work_client.encode_order(document)
         request = exchange.RawRequest("POST", path, headers, body)
         try:
-            return self._pool.exchange(
+            return self._pool.send(
                 server.address,
                 request,
                 names.REQUEST_ID,
--- a/src/goldcresthall/platform/work_client.py
+++ b/src/goldcresthall/platform/work_client.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from goldcresthall.backend import exchange
+from goldcresthall.backend import exchange_pool
 from goldcresthall.backend import responses
 from goldcresthall.backend import work
 from goldcresthall.core import attempts
@@ -36,7 +37,7 @@
     """Sends work to backend servers in the platform's form."""
 
     def __init__(self) -> None:
-        self._pool = exchange.ConnectionPool()
+        self._pool = exchange_pool.ExchangePool()
 
     def start(self) -> None:
         """Do nothing; connections are opened when needed."""
@@ -51,7 +52,7 @@
         """Send one request to one server; cancellation drops the server's work."""
         request = _encode(dispatch)
         try:
-            answer = self._pool.exchange(
+            answer = self._pool.send(
                 dispatch.server.address,
                 request,
                 names.REQUEST_ID,
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -329,6 +329,7 @@
             if now_s - reported_at_s >= OWN_REPORT_S:
                 reported_at_s = now_s
                 self._answering.update_peers()
+                self._estimates.retain(self._directory.servers.lives)
                 current.heat.add(self._owners.take_counts(), now_s)
                 current.heat.speeds.add(self._estimates.take_samples(), now_s)
             stop_signal.wait(PUBLISH_PAUSE_S)
--- a/src/goldcresthall/ranges/following.py
+++ b/src/goldcresthall/ranges/following.py
@@ -41,6 +41,7 @@
 
     def create_report(self) -> reports.Report:
         """Return a report with what was counted since the last one."""
+        self._estimates.retain(self._directory.servers.lives)
         return reports.Report(
             reporter=self._reporter,
             known_term=self._view.term,
--- a/tests/backend/test_exchange.py
+++ b/tests/backend/test_exchange.py
@@ -11,6 +11,7 @@
 import pytest
 
 from goldcresthall.backend import exchange
+from goldcresthall.backend import exchange_pool
 from goldcresthall.core import identity
 from goldcresthall.core import outcomes
 from goldcresthall.kernel import cancellation
@@ -79,7 +80,7 @@
 ) -> exchange.RawAnswer:
     server = ScriptedServer(script)
     servers.append(server)
-    return exchange.ConnectionPool().exchange(
+    return exchange_pool.ExchangePool().send(
         server.address,
         REQUEST,
         ID_HEADER,
@@ -158,9 +159,9 @@
 
     server = ScriptedServer(script)
     servers.append(server)
-    pool = exchange.ConnectionPool()
+    pool = exchange_pool.ExchangePool()
     for _ in range(2):
-        answer = pool.exchange(
+        answer = pool.send(
             server.address,
             REQUEST,
             ID_HEADER,
@@ -181,9 +182,9 @@
 
     server = ScriptedServer(script)
     servers.append(server)
-    pool = exchange.ConnectionPool()
+    pool = exchange_pool.ExchangePool()
     for _ in range(3):
-        pool.exchange(
+        pool.send(
             server.address,
             REQUEST,
             ID_HEADER,
@@ -196,6 +197,32 @@
     pool.close()
 
 
+def test_idle_connections_to_addresses_that_are_not_used_any_more_are_closed(
+    servers: list[ScriptedServer], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    closed = threading.Event()
+
+    def answer(connection: socket.socket) -> None:
+        while connection.recv(4_096):
+            connection.sendall(create_answer("mine", b"true"))
+        closed.set()
+
+    gone, used = ScriptedServer(answer), ScriptedServer(answer)
+    servers.extend((gone, used))
+    pool = exchange_pool.ExchangePool()
+
+    def send(server: ScriptedServer) -> None:
+        never = cancellation.Cancellation()
+        pool.send(server.address, REQUEST, ID_HEADER, 5.0, never, keep=1, fresh=False)
+
+    send(gone)
+    monkeypatch.setattr(exchange_pool, "SWEEP_S", 0.0)
+    pool._idle[gone.address][0]._keep_s = -1.0
+    send(used)
+    assert closed.wait(10)
+    assert set(pool._idle) == {used.address}
+
+
 def test_cancellation_ends_the_wait_and_closes_the_connection(
     servers: list[ScriptedServer],
 ) -> None:
@@ -218,7 +245,7 @@
 
     threading.Thread(target=cancel, daemon=True).start()
     with pytest.raises(exchange.ExchangeError):
-        exchange.ConnectionPool().exchange(
+        exchange_pool.ExchangePool().send(
             server.address, REQUEST, ID_HEADER, 30.0, cancelled, keep=1, fresh=False
         )
     assert closed.wait(10)
--- a/tests/ranges/test_following.py
+++ b/tests/ranges/test_following.py
@@ -121,3 +121,16 @@
     reply = exchange.report()
     assert reply.owners is not None
     assert reply.owners.ranges.base == row_changes.NO_REVISION
+
+
+def test_a_report_forgets_what_was_seen_of_servers_that_are_gone(exchange: Exchange) -> None:
+    exchange.report()
+    listed = next(iter(exchange.follower.directory.servers.by_name.values())).server
+    exchange.follower.estimates.begin(listed)
+    exchange.follower.estimates.finish_cancelled(listed)
+    exchange.report()
+    assert exchange.follower.estimates._known
+    exchange.world.unlist_server(listed.life)
+    exchange.report()
+    exchange.report()
+    assert exchange.follower.estimates._known == {}
