Split the replica and the observations by job

The outcome of a commit, the interface of the replica and the replica that follows the log have a module each, and so has the running observation of one server. Tests of replication, peers, ownership and routing pass.

--- a/src/goldcresthall/admin/views.py
+++ b/src/goldcresthall/admin/views.py
@@ -9,7 +9,7 @@
 from goldcresthall.admin import messages
 from goldcresthall.ownership import lookup
 from goldcresthall.ownership import placement
-from goldcresthall.replication import replica
+from goldcresthall.replication import commits
 
 if TYPE_CHECKING:
     from goldcresthall.core import identity
@@ -121,28 +121,28 @@
 
 
 @functools.singledispatch
-def create_publish_result(outcome: replica.CommitOutcome) -> messages.PublishResult:
+def create_publish_result(outcome: commits.CommitOutcome) -> messages.PublishResult:
     """Return what became of a publication, by the type of its commit's outcome."""
     raise NotImplementedError(type(outcome).__name__)
 
 
 @create_publish_result.register
-def _(outcome: replica.CommitAccepted) -> messages.PublishResult:
+def _(outcome: commits.CommitAccepted) -> messages.PublishResult:
     return messages.PublishResult("accepted", outcome.offset, "")
 
 
 @create_publish_result.register
-def _(outcome: replica.CommitRejected) -> messages.PublishResult:
+def _(outcome: commits.CommitRejected) -> messages.PublishResult:
     return messages.PublishResult("rejected", -1, f"{outcome.reason.value}: {outcome.detail}")
 
 
 @create_publish_result.register
-def _(outcome: replica.CommitFailed) -> messages.PublishResult:
+def _(outcome: commits.CommitFailed) -> messages.PublishResult:
     return messages.PublishResult("failed", -1, outcome.detail)
 
 
 @create_publish_result.register
-def _(outcome: replica.CommitUnknown) -> messages.PublishResult:
+def _(outcome: commits.CommitUnknown) -> messages.PublishResult:
     return messages.PublishResult("unknown", -1, outcome.detail)
 
 
--- a/src/goldcresthall/application/factory.py
+++ b/src/goldcresthall/application/factory.py
@@ -27,7 +27,7 @@
 from goldcresthall.peers import server
 from goldcresthall.presets import publisher
 from goldcresthall.presets import uptake
-from goldcresthall.replication import replica
+from goldcresthall.replication import log_replica
 from goldcresthall.replication import snapshot_writer
 from goldcresthall.replication import writer
 from goldcresthall.routing import admission
@@ -74,7 +74,9 @@
 def _register_replication(
     built: kernel.Kernel, incarnation: identity.Incarnation, instance_settings: settings.Settings
 ) -> None:
-    built.register(names.REPLICA, replica.LogReplica.from_config(built, instance_settings.platform))
+    built.register(
+        names.REPLICA, log_replica.LogReplica.from_config(built, instance_settings.platform)
+    )
     built.register(
         names.PEER_SERVER, server.PeerServer.from_config(built, incarnation, instance_settings)
     )
--- a/src/goldcresthall/intents/service.py
+++ b/src/goldcresthall/intents/service.py
@@ -18,6 +18,7 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.replication import commits
 from goldcresthall.replication import replica
 from goldcresthall.replication import state as replicated
 
@@ -158,7 +159,7 @@
     @functools.singledispatchmethod
     def _follow_up(
         self,
-        committed: replica.CommitOutcome,
+        committed: commits.CommitOutcome,
         record: intents.IntentRecorded,
         attempt: Callable[[], outcomes.Outcome],
     ) -> outcomes.Outcome | None:
@@ -168,7 +169,7 @@
     @_follow_up.register
     def _(
         self,
-        committed: replica.CommitAccepted,
+        committed: commits.CommitAccepted,
         record: intents.IntentRecorded,
         attempt: Callable[[], outcomes.Outcome],
     ) -> outcomes.Outcome | None:
@@ -179,7 +180,7 @@
     @_follow_up.register
     def _(
         self,
-        committed: replica.CommitRejected,
+        committed: commits.CommitRejected,
         record: intents.IntentRecorded,
         attempt: Callable[[], outcomes.Outcome],
     ) -> outcomes.Outcome | None:
@@ -188,7 +189,7 @@
     @_follow_up.register
     def _(
         self,
-        committed: replica.CommitFailed,
+        committed: commits.CommitFailed,
         record: intents.IntentRecorded,
         attempt: Callable[[], outcomes.Outcome],
     ) -> outcomes.Outcome | None:
@@ -197,7 +198,7 @@
     @_follow_up.register
     def _(
         self,
-        committed: replica.CommitUnknown,
+        committed: commits.CommitUnknown,
         record: intents.IntentRecorded,
         attempt: Callable[[], outcomes.Outcome],
     ) -> outcomes.Outcome | None:
--- a/src/goldcresthall/ownership/appointments.py
+++ b/src/goldcresthall/ownership/appointments.py
@@ -11,6 +11,7 @@
 from goldcresthall.core import records
 
 if TYPE_CHECKING:
+    from goldcresthall.replication import commits
     from goldcresthall.replication import replica
     from goldcresthall.replication import state as replicated
 
@@ -38,7 +39,7 @@
 
 def appoint(
     wish: Appointment, state: replicated.State, log_replica: replica.Replica
-) -> replica.CommitOutcome:
+) -> commits.CommitOutcome:
     """Hand an appointment derived from a state to the log and wait for its fate."""
     choice = records.LessorChoice(wish.server, wish.lessor, wish.server_incarnation)
     record = records.LessorsAppointed(
--- a/src/goldcresthall/ownership/candidate_role.py
+++ b/src/goldcresthall/ownership/candidate_role.py
@@ -12,7 +12,7 @@
 from goldcresthall.ownership import candidates
 from goldcresthall.ownership import grant_tables
 from goldcresthall.ownership import ground
-from goldcresthall.replication import replica
+from goldcresthall.replication import commits
 
 if TYPE_CHECKING:
     from goldcresthall.ownership import lookup
@@ -181,6 +181,6 @@
             reason=reason if known is None else f"{reason}: {known.lessor}",
         )
         outcome_of_wish = appointments.appoint(wish, base.state, self._shared.replica)
-        if isinstance(outcome_of_wish, replica.CommitAccepted):
+        if isinstance(outcome_of_wish, commits.CommitAccepted):
             self._shared.counters.takeovers.labels(reason).inc()
             logging.info("took over %s", self._shared.server_name)
--- a/src/goldcresthall/ownership/handover.py
+++ b/src/goldcresthall/ownership/handover.py
@@ -8,7 +8,7 @@
 from goldcresthall.ownership import appointments
 from goldcresthall.ownership import candidates
 from goldcresthall.ownership import ground
-from goldcresthall.replication import replica
+from goldcresthall.replication import commits
 
 if TYPE_CHECKING:
     from goldcresthall.ownership import lookup
@@ -39,7 +39,7 @@
         reason=REASON,
     )
     outcome = appointments.appoint(wish, base.state, shared.replica)
-    if not isinstance(outcome, replica.CommitAccepted):
+    if not isinstance(outcome, commits.CommitAccepted):
         return False
     shared.counters.handovers.inc()
     return True
--- a/src/goldcresthall/ownership/lessor_role.py
+++ b/src/goldcresthall/ownership/lessor_role.py
@@ -17,7 +17,7 @@
 from goldcresthall.ownership import move_handoff
 from goldcresthall.ownership import placement
 from goldcresthall.ownership import revocation
-from goldcresthall.replication import replica
+from goldcresthall.replication import commits
 
 if TYPE_CHECKING:
     from goldcresthall.kernel import kernel
@@ -215,7 +215,7 @@
         self._view = dataclasses.replace(view, renewals_in_a_row=0)
         outcome = self._shared.replica.commit(record, self._timing.renew_interval_s)
         logging.info("server %s returned: %s", name, outcome)
-        if isinstance(outcome, replica.CommitAccepted):
+        if isinstance(outcome, commits.CommitAccepted):
             self._shared.counters.returned_servers.inc()
 
     def _advance_moves(
--- a/src/goldcresthall/ownership/move_handoff.py
+++ b/src/goldcresthall/ownership/move_handoff.py
@@ -13,6 +13,7 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.ownership import counters
+from goldcresthall.replication import commits
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
@@ -77,7 +78,7 @@
         self._handed = handed
         outcome = self._replica.commit(record, timeout_s)
         logging.info("move from %s (%s): %s", server, record.reason, outcome)
-        if isinstance(outcome, replica.CommitUnknown):
+        if isinstance(outcome, commits.CommitUnknown):
             self._counters.held_moves.inc()
         else:
             self._conclude(handed, outcome)
@@ -94,9 +95,9 @@
         if self._clock.read_s() - handed.waits_from_s > CANCEL_AFTER_S:
             self._cancel(handed)
 
-    def _conclude(self, handed: HandedMove, outcome: replica.CommitOutcome | None) -> None:
+    def _conclude(self, handed: HandedMove, outcome: commits.CommitOutcome | None) -> None:
         self._handed = None
-        if isinstance(outcome, replica.CommitAccepted):
+        if isinstance(outcome, commits.CommitAccepted):
             self._counters.moves.labels(handed.kind).inc(len(handed.record.moves))
             self._counters.lost_servers.inc(int(handed.is_first_loss))
 
--- a/src/goldcresthall/ownership/proposer.py
+++ b/src/goldcresthall/ownership/proposer.py
@@ -16,6 +16,7 @@
 from goldcresthall.ownership import lookup
 from goldcresthall.ownership import placement
 from goldcresthall.ownership import rendezvous
+from goldcresthall.replication import commits
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
@@ -103,7 +104,7 @@
         )
         outcome = self._replica.commit(record, COMMIT_TIMEOUT_S)
         logging.info("first owners of %s: %s", policy.name, outcome)
-        if isinstance(outcome, replica.CommitAccepted):
+        if isinstance(outcome, commits.CommitAccepted):
             self._counters.moves.labels(REASON).inc(len(moves))
 
 
--- a/src/goldcresthall/peers/follower.py
+++ b/src/goldcresthall/peers/follower.py
@@ -21,8 +21,8 @@
 from goldcresthall.peers import meters
 from goldcresthall.peers import neighbors
 from goldcresthall.peers import server
+from goldcresthall.replication import log_replica
 from goldcresthall.replication import meters as replication_meters
-from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
     from goldcresthall.core import settings
@@ -80,7 +80,7 @@
     def start(self) -> None:
         """Begin to follow peers."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
-        self._replica = self._kernel.find(names.REPLICA, replica.LogReplica)
+        self._replica = self._kernel.find(names.REPLICA, log_replica.LogReplica)
         self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
         self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
         self._uptake = self._kernel.find(names.PEER_SERVER, server.PeerServer).uptake
--- a/src/goldcresthall/peers/handler.py
+++ b/src/goldcresthall/peers/handler.py
@@ -16,7 +16,7 @@
     from goldcresthall.ownership import heat
     from goldcresthall.peers import meters
     from goldcresthall.peers import uptake
-    from goldcresthall.replication import replica
+    from goldcresthall.replication import log_replica
 
 MS_PER_S = 1_000
 NO_PRESET_OFFSET = -1
@@ -33,7 +33,7 @@
         *,
         incarnation: identity.Incarnation,
         failure_domain: str,
-        log_replica: replica.LogReplica,
+        log_replica: log_replica.LogReplica,
         listed: instance_list.InstanceList,
         monotonic_clock: clock.Clock,
         cursor: uptake.UptakeCursor,
--- a/src/goldcresthall/peers/server.py
+++ b/src/goldcresthall/peers/server.py
@@ -22,8 +22,8 @@
 from goldcresthall.peers import meters
 from goldcresthall.peers import transport
 from goldcresthall.peers import uptake
+from goldcresthall.replication import log_replica
 from goldcresthall.replication import meters as replication_meters
-from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
     from goldcresthall.core import identity
@@ -70,7 +70,7 @@
 
     def start(self) -> None:
         """Listen and begin to accept connections."""
-        self._replica = self._kernel.find(names.REPLICA, replica.LogReplica)
+        self._replica = self._kernel.find(names.REPLICA, log_replica.LogReplica)
         self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._heat = self._kernel.find(names.HEAT, heat.HeatCounter)
--- a/src/goldcresthall/presets/publisher.py
+++ b/src/goldcresthall/presets/publisher.py
@@ -8,6 +8,7 @@
 from goldcresthall.core import records
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.replication import commits
 from goldcresthall.replication import replica
 
 if TYPE_CHECKING:
@@ -42,7 +43,7 @@
         reason: str,
         base: int | None,
         record_id: str = "",
-    ) -> replica.CommitOutcome:
+    ) -> commits.CommitOutcome:
         """Append a preset and wait until replay decided on it.
 
         Parameters
@@ -62,7 +63,7 @@
         )
         return self._replica.commit(record, COMMIT_TIMEOUT_S)
 
-    def find_outcome(self, record_id: str) -> replica.CommitOutcome:
+    def find_outcome(self, record_id: str) -> commits.CommitOutcome:
         """Return what became of a publication, unknown if it was not seen here."""
         found = self._replica.find_outcome(record_id)
-        return found or replica.CommitUnknown("no such record was seen here")
+        return found or commits.CommitUnknown("no such record was seen here")
--- a/src/goldcresthall/replication/snapshot_writer.py
+++ b/src/goldcresthall/replication/snapshot_writer.py
@@ -16,8 +16,9 @@
 from goldcresthall.kernel import tasks
 from goldcresthall.log_service import instance_list
 from goldcresthall.ownership import rendezvous
+from goldcresthall.replication import commits
+from goldcresthall.replication import log_replica
 from goldcresthall.replication import meters
-from goldcresthall.replication import replica
 from goldcresthall.replication import state_encoding
 
 if TYPE_CHECKING:
@@ -63,7 +64,7 @@
     def start(self) -> None:
         """Begin to watch whether a snapshot is due."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
-        self._replica = self._kernel.find(names.REPLICA, replica.LogReplica)
+        self._replica = self._kernel.find(names.REPLICA, log_replica.LogReplica)
         self._list = self._kernel.find(names.INSTANCE_LIST, instance_list.InstanceList)
         self._seen_at_s = self._clock.read_s()
         registry = meters.find_registry(self._kernel)
@@ -93,14 +94,14 @@
             if reason and not stop_signal.is_set:
                 self.write(reason)
 
-    def write(self, reason: str) -> replica.CommitOutcome:
+    def write(self, reason: str) -> commits.CommitOutcome:
         """Write a snapshot of the present state."""
         encoded = state_encoding.encode_state(self._replica.state)
         chunks = create_chunks(encoded, str(self._incarnation), reason)
         outcome = self._replica.commit_all(chunks, COMMIT_TIMEOUT_S)
         self._written.labels(type(outcome).__name__).inc()
         self._written_bytes.inc(sum(len(piece) for piece in encoded.pieces))
-        if isinstance(outcome, replica.CommitAccepted):
+        if isinstance(outcome, commits.CommitAccepted):
             self._is_after_outage = False
         logging.info("snapshot at offset %d: %s; %s", encoded.next_offset, outcome, reason)
         return outcome
--- a/src/goldcresthall/routing/choice.py
+++ b/src/goldcresthall/routing/choice.py
@@ -8,6 +8,7 @@
     import random
 
     from goldcresthall.routing import observations
+    from goldcresthall.routing import server_tracks
     from goldcresthall.routing import targets
 
 CHOICES = 2
@@ -40,11 +41,11 @@
     return first if find_score_s(first_seen) <= find_score_s(second_seen) else second
 
 
-def find_score_s(observation: observations.ServerObservation) -> float:
+def find_score_s(observation: server_tracks.ServerObservation) -> float:
     """Return the expected wait at a server in seconds; own observations weigh in full."""
     load = observation.outstanding + 1 + observation.foreign_load
     return observation.latency_s * load
 
 
-def _takes_part(seen: observations.ServerObservation, generator: random.Random) -> bool:
+def _takes_part(seen: server_tracks.ServerObservation, generator: random.Random) -> bool:
     return seen.weight >= 1 or generator.random() < seen.weight
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -24,6 +24,7 @@
 from goldcresthall.routing import plans
 from goldcresthall.routing import queues
 from goldcresthall.routing import retries
+from goldcresthall.routing import server_tracks
 from goldcresthall.routing import targets
 
 if TYPE_CHECKING:
@@ -188,7 +189,7 @@
         self,
         plan: plans.Plan,
         permit: queues.Permit,
-        trial: observations.Trial,
+        trial: server_tracks.Trial,
         attempt: attempts.Attempt,
     ) -> None:
         self._observations.finish(trial, plan.target.policy, attempt)
--- a/tests/fakes/lease_world.py
+++ b/tests/fakes/lease_world.py
@@ -31,6 +31,7 @@
 from goldcresthall.ownership import surroundings
 from goldcresthall.ownership import wakeup
 from goldcresthall.peers import messages
+from goldcresthall.replication import commits
 from goldcresthall.replication import replay
 from goldcresthall.replication import replica
 from goldcresthall.replication import state as replicated
@@ -204,8 +205,8 @@
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
         self._state = replicated.State.create_empty()
-        self._freshness = replica.Freshness(float("-inf"))
-        self._outcomes: dict[str, replica.CommitOutcome] = {}
+        self._freshness = commits.Freshness(float("-inf"))
+        self._outcomes: dict[str, commits.CommitOutcome] = {}
         self._open: OpenRead | None = None
 
     @property
@@ -214,7 +215,7 @@
         return self._state
 
     @property
-    def freshness(self) -> replica.Freshness:
+    def freshness(self) -> commits.Freshness:
         """How recent the state is."""
         return self._freshness
 
@@ -236,14 +237,14 @@
         )
         return self._freshness.read_began_at_s > began_after_s
 
-    def commit(self, record: records.Record, timeout_s: float) -> replica.CommitOutcome:
+    def commit(self, record: records.Record, timeout_s: float) -> commits.CommitOutcome:
         """Hand a record to the world's log and wait until it is read back."""
         self._instance.world.outbox.append((self._instance.name, record))
         self._instance.world.pause(timeout_s, lambda: record.record_id in self._outcomes)
-        unknown = replica.CommitUnknown("not read back in time")
+        unknown = commits.CommitUnknown("not read back in time")
         return self._outcomes.get(record.record_id, unknown)
 
-    def find_outcome(self, record_id: str) -> replica.CommitOutcome | None:
+    def find_outcome(self, record_id: str) -> commits.CommitOutcome | None:
         """Return what replay decided on a record."""
         return self._outcomes.get(record_id)
 
@@ -258,7 +259,7 @@
         before = self._state
         for entry in self._instance.world.log[self._state.next_offset : self._open.end_offset]:
             self._replay(entry)
-        self._freshness = replica.Freshness(self._open.began_at_s)
+        self._freshness = commits.Freshness(self._open.began_at_s)
         self._open = None
         if self._state.servers is not before.servers:
             for woken in self._instance.wakeups:
@@ -270,9 +271,9 @@
         self._state = replayed.state
         if replayed.record is None:
             return
-        outcome: replica.CommitOutcome = replica.CommitAccepted(offset)
+        outcome: commits.CommitOutcome = commits.CommitAccepted(offset)
         if isinstance(replayed.decision, replay.Rejected):
-            outcome = replica.CommitRejected(replayed.decision.reason, replayed.decision.detail)
+            outcome = commits.CommitRejected(replayed.decision.reason, replayed.decision.detail)
         self._outcomes.setdefault(replayed.record.record_id, outcome)
 
 
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -5,6 +5,7 @@
 import threading
 from typing import TYPE_CHECKING
 
+from goldcresthall.replication import commits
 from goldcresthall.replication import replica
 from goldcresthall.replication import state as replicated
 
@@ -29,9 +30,9 @@
         return self._state
 
     @property
-    def freshness(self) -> replica.Freshness:
+    def freshness(self) -> commits.Freshness:
         """Never fresh."""
-        return replica.Freshness(float("-inf"))
+        return commits.Freshness(float("-inf"))
 
     def start(self) -> None:
         """Do nothing."""
@@ -55,10 +56,10 @@
         """Return that no fresh read came."""
         return False
 
-    def commit(self, record: records.Record, timeout_s: float) -> replica.CommitOutcome:
+    def commit(self, record: records.Record, timeout_s: float) -> commits.CommitOutcome:
         """Refuse; these tests decide nothing."""
-        return replica.CommitFailed("not offered here")
+        return commits.CommitFailed("not offered here")
 
-    def find_outcome(self, record_id: str) -> replica.CommitOutcome | None:
+    def find_outcome(self, record_id: str) -> commits.CommitOutcome | None:
         """Return none."""
         return None
--- a/tests/fakes/stepped_replica.py
+++ b/tests/fakes/stepped_replica.py
@@ -8,6 +8,7 @@
 
 from goldcresthall.encoding import log_entries
 from goldcresthall.log_service import log_client
+from goldcresthall.replication import commits
 from goldcresthall.replication import replay
 from goldcresthall.replication import replica
 from goldcresthall.replication import state as replicated
@@ -37,7 +38,7 @@
         self._log = log
         self._clock = clock
         self._state = replicated.State.create_empty()
-        self._outcomes: dict[str, replica.CommitOutcome] = {}
+        self._outcomes: dict[str, commits.CommitOutcome] = {}
         self.fate = AppendFate.DONE
         self.delayed: list[records.Record] = []
         self.before_append: Callable[[], None] = lambda: None
@@ -48,9 +49,9 @@
         return self._state
 
     @property
-    def freshness(self) -> replica.Freshness:
+    def freshness(self) -> commits.Freshness:
         """Always fresh."""
-        return replica.Freshness(self._clock.read_s())
+        return commits.Freshness(self._clock.read_s())
 
     def start(self) -> None:
         """Do nothing."""
@@ -85,21 +86,21 @@
         """Return at once."""
         return True
 
-    def find_outcome(self, record_id: str) -> replica.CommitOutcome | None:
+    def find_outcome(self, record_id: str) -> commits.CommitOutcome | None:
         """Return what replay decided on a record."""
         return self._outcomes.get(record_id)
 
-    def commit(self, record: records.Record, timeout_s: float) -> replica.CommitOutcome:
+    def commit(self, record: records.Record, timeout_s: float) -> commits.CommitOutcome:
         """Append a record as the present fate has it."""
         self.before_append()
         if self.fate is AppendFate.REFUSED:
-            return replica.CommitFailed("refused")
+            return commits.CommitFailed("refused")
         if self.fate is AppendFate.DELAYED:
             self.delayed.append(record)
-            return replica.CommitUnknown("delayed")
+            return commits.CommitUnknown("delayed")
         self._log.append((log_entries.encode_record(record),))
         if self.fate is AppendFate.ANSWER_LOST:
-            return replica.CommitUnknown("answer lost")
+            return commits.CommitUnknown("answer lost")
         self.catch_up()
         return self._outcomes[record.record_id]
 
@@ -138,7 +139,7 @@
         self._kept_back.clear()
 
 
-def _describe(decision: replay.Decision, offset: int) -> replica.CommitOutcome:
+def _describe(decision: replay.Decision, offset: int) -> commits.CommitOutcome:
     if isinstance(decision, replay.Accepted):
-        return replica.CommitAccepted(offset)
-    return replica.CommitRejected(decision.reason, decision.detail)
+        return commits.CommitAccepted(offset)
+    return commits.CommitRejected(decision.reason, decision.detail)
--- a/tests/peers/test_greeting.py
+++ b/tests/peers/test_greeting.py
@@ -19,7 +19,7 @@
 from goldcresthall.peers import exceptions
 from goldcresthall.peers import meters
 from goldcresthall.peers import server
-from goldcresthall.replication import replica
+from goldcresthall.replication import log_replica
 from tests.fakes import instances
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
     )
     built = kernel.Kernel()
     built.register(names.CLOCK, clock.MonotonicClock())
-    silent = replica.LogReplica.from_config(built, instance_settings.platform)
+    silent = log_replica.LogReplica.from_config(built, instance_settings.platform)
     silent.start = lambda: None  # type: ignore[method-assign]
     silent.stop = lambda: None  # type: ignore[method-assign]
     built.register(names.REPLICA, silent)
--- a/tests/replication/conftest.py
+++ b/tests/replication/conftest.py
@@ -12,7 +12,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
-from goldcresthall.replication import replica
+from goldcresthall.replication import log_replica
 from goldcresthall.replication import writer
 from tests.fakes import log
 
@@ -33,7 +33,7 @@
     built.register(names.METRICS, metrics.Metrics())
     built.register(names.LOG_CLIENT, client)
     built.register(names.LOG_WRITER, writer.LogWriter.from_config(built, PLATFORM))
-    built.register(names.REPLICA, replica.LogReplica.from_config(built, PLATFORM))
+    built.register(names.REPLICA, log_replica.LogReplica.from_config(built, PLATFORM))
     return built
 
 
--- a/tests/replication/test_replica.py
+++ b/tests/replication/test_log_replica.py
@@ -13,9 +13,10 @@
 from goldcresthall.encoding import log_entries
 from goldcresthall.kernel import names
 from goldcresthall.observability import metrics
+from goldcresthall.replication import commits
 from goldcresthall.replication import conditions
+from goldcresthall.replication import log_replica
 from goldcresthall.replication import recent
-from goldcresthall.replication import replica
 from goldcresthall.replication import state_encoding
 from goldcresthall.replication import writer
 
@@ -38,8 +39,8 @@
     )
 
 
-def find_replica(running: kernel.Kernel) -> replica.LogReplica:
-    return running.find(names.REPLICA, replica.LogReplica)
+def find_replica(running: kernel.Kernel) -> log_replica.LogReplica:
+    return running.find(names.REPLICA, log_replica.LogReplica)
 
 
 def await_condition(running: kernel.Kernel, kind: conditions.ConditionKind) -> conditions.Condition:
@@ -92,7 +93,7 @@
     running = start_replica()
     memory_log.lost_answers = 1
     outcome = find_replica(running).commit(publish(0), GIVE_UP_S)
-    assert outcome == replica.CommitAccepted(0)
+    assert outcome == commits.CommitAccepted(0)
     assert 'goldcresthall_log_appends_total{outcome="AppendUnknown"} 1.0' in render(running)
 
 
@@ -102,9 +103,9 @@
     running = start_replica()
     memory_log.is_down = True
     record = publish(0)
-    assert isinstance(find_replica(running).commit(record, GIVE_UP_S), replica.CommitFailed)
+    assert isinstance(find_replica(running).commit(record, GIVE_UP_S), commits.CommitFailed)
     memory_log.is_down = False
-    assert find_replica(running).commit(publish(0), GIVE_UP_S) == replica.CommitAccepted(0)
+    assert find_replica(running).commit(publish(0), GIVE_UP_S) == commits.CommitAccepted(0)
 
 
 def test_record_not_handed_over_in_time_is_never_appended(
@@ -113,7 +114,7 @@
     running = start_replica()
     outcomes: list[object] = []
     running.find(names.LOG_WRITER, writer.LogWriter).submit(publish(0), outcomes.append, 0.0)
-    assert find_replica(running).commit(publish(0), GIVE_UP_S) == replica.CommitAccepted(0)
+    assert find_replica(running).commit(publish(0), GIVE_UP_S) == commits.CommitAccepted(0)
     assert len(outcomes) == 1
     assert len(memory_log.entries) == 1
     assert 'records_not_appended_total{reason="timeout"} 1.0' in render(running)
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -11,6 +11,7 @@
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
 from goldcresthall.routing import observations
+from goldcresthall.routing import server_tracks
 from tests.fakes import backends
 from tests.routing import conftest
 
@@ -44,7 +45,7 @@
 
 def warm_up(bench: conftest.RouterBench) -> None:
     bench.handle()
-    bench.clock.advance(observations.SLOW_START_S)
+    bench.clock.advance(server_tracks.SLOW_START_S)
 
 
 def test_slow_server_gets_little_work(bench: conftest.RouterBench) -> None:
@@ -68,7 +69,7 @@
     loads = []
     for _ in range(3):
         loads.append(bench.observations.observe("program-1").foreign_load)
-        bench.clock.advance(observations.LOAD_AGE_SCALE_S)
+        bench.clock.advance(server_tracks.LOAD_AGE_SCALE_S)
     assert loads[0] == pytest.approx(8.0)
     assert loads[0] > 2 * loads[1] > 4 * loads[2] > 0
 
@@ -100,15 +101,15 @@
     sent = send_many(bench)
     assert sent["program-1"] == observations.FAILURES_TO_EJECT
     assert bench.observations.count_ejected() == 1
-    bench.clock.advance(observations.FIRST_EJECTION_S)
+    bench.clock.advance(server_tracks.FIRST_EJECTION_S)
     assert send_many(bench, 50)["program-1"] == 1
-    bench.clock.advance(observations.FIRST_EJECTION_S)
+    bench.clock.advance(server_tracks.FIRST_EJECTION_S)
     assert send_many(bench, 50)["program-1"] == 0
     failing.clear()
-    bench.clock.advance(observations.FIRST_EJECTION_S)
+    bench.clock.advance(server_tracks.FIRST_EJECTION_S)
     returned = send_many(bench)["program-1"]
     assert 0 < returned < REQUESTS / 8
-    bench.clock.advance(observations.SLOW_START_S)
+    bench.clock.advance(server_tracks.SLOW_START_S)
     assert send_many(bench)["program-1"] > REQUESTS / 8
 
 
@@ -121,7 +122,7 @@
     for _ in range(observations.FAILURES_TO_EJECT):
         trial = bench.observations.begin("program-1", preset.RequestClass.SHORT)
         bench.observations.finish(trial, policy, backends.TIMED_OUT)
-    bench.clock.advance(observations.FIRST_EJECTION_S)
+    bench.clock.advance(server_tracks.FIRST_EJECTION_S)
     bench.observations.begin("program-1", preset.RequestClass.LONG)
     assert send_many(bench)["program-1"] == 0
 
