Believe a server's own word on its load when it sheds

A refusal that tells the server's load now counts as that load; only a shed or a reset without it counts as a full server.

--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import threading
 from typing import TYPE_CHECKING
 
@@ -155,19 +156,13 @@
         learned = dataclasses.replace(known, failure_rate=rate)
         if _is_unreachable(attempt):
             learned = dataclasses.replace(learned, shunned_until_s=now_s + SHUN_S)
-        if _is_crowded(attempt):
-            crowded = CROWDED_PER_SLOT * server.slots
-            learned = dataclasses.replace(learned, reported_load=crowded, reported_at_s=now_s)
-        if not isinstance(attempt, attempts.AttemptAnswered):
-            return learned
-        load = attempt.signals.load
-        waiting = 0.0
+        load = _find_load(attempt, server)
         if load is not None:
-            waiting = max(0.0, load - server.slots)
             others = max(0.0, load - known.outstanding - 1)
             learned = dataclasses.replace(learned, reported_load=others, reported_at_s=now_s)
         if failed:
             return learned
+        waiting = max(0.0, (load or 0.0) - server.slots)
         return self._learn_time(server, learned, duration_s / (1.0 + waiting / server.slots))
 
     def _learn_time(
@@ -189,14 +184,30 @@
     return True
 
 
-def _is_crowded(attempt: attempts.Attempt) -> bool:
-    """Return whether a server shed the request, or reset it as crowded ones may."""
-    if isinstance(attempt, attempts.AttemptNotRun):
-        return attempt.reason is outcomes.RefusalReason.SERVER_SHED
-    return (
-        isinstance(attempt, attempts.AttemptUnknown)
-        and attempt.reason is outcomes.UnknownReason.CONNECTION_LOST
-    )
+@functools.singledispatch
+def _find_load(attempt: attempts.Attempt, server: deployment.RegisteredServer) -> float | None:
+    """Return the requests at a server as far as the end of a try tells, or none."""
+    raise NotImplementedError(type(attempt).__name__)
+
+
+@_find_load.register
+def _(attempt: attempts.AttemptAnswered, server: deployment.RegisteredServer) -> float | None:
+    return attempt.signals.load
+
+
+@_find_load.register
+def _(attempt: attempts.AttemptNotRun, server: deployment.RegisteredServer) -> float | None:
+    if attempt.signals.load is not None:
+        return attempt.signals.load
+    is_shed = attempt.reason is outcomes.RefusalReason.SERVER_SHED
+    return CROWDED_PER_SLOT * server.slots if is_shed else None
+
+
+@_find_load.register
+def _(attempt: attempts.AttemptUnknown, server: deployment.RegisteredServer) -> float | None:
+    # Servers that are full may reset a connection instead of refusing the request.
+    is_reset = attempt.reason is outcomes.UnknownReason.CONNECTION_LOST
+    return CROWDED_PER_SLOT * server.slots if is_reset else None
 
 
 def _is_unreachable(attempt: attempts.Attempt) -> bool:
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -111,6 +111,23 @@
     assert find(surroundings, KEY) == "owner"
 
 
+def test_a_server_that_shed_with_room_by_its_own_word_gets_more(
+    surroundings: Surroundings,
+) -> None:
+    server = conftest.create_server("owner", "ledger")
+    surroundings.directory.adopt_all((server,))
+    give_keys(surroundings, "owner")
+    shed = attempts.AttemptNotRun(
+        outcomes.RefusalReason.SERVER_SHED,
+        outcomes.Step.EXECUTE,
+        "status 503",
+        signals=attempts.ServerSignals(load=2.0),
+    )
+    surroundings.estimates.begin(server)
+    surroundings.estimates.finish(server, shed, 0.01)
+    assert find(surroundings, KEY) == "owner"
+
+
 def test_a_server_that_refused_a_connection_is_left_out_while_there_are_others(
     surroundings: Surroundings,
 ) -> None:
