--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,17 +10,19 @@
 from tests.soak import play
 
 LENGTH_S = 10.0
+SEEDS = (1, 2)
+# Each with `seed`, `seconds` and `cause`.
 REGRESSIONS = json.loads((pathlib.Path(__file__).parent / "regressions.json").read_text())
+CASES = (
+    *(pytest.param(seed, LENGTH_S, id=f"seed {seed}") for seed in SEEDS),
+    *(pytest.param(case["seed"], case["seconds"], id=case["cause"]) for case in REGRESSIONS),
+)
 
 
-@pytest.mark.parametrize("seed", [1, 2])
-def test_promises_hold_under_random_faults(seed: int, tmp_path: pathlib.Path) -> None:
-    outcome = play.play(seed, LENGTH_S, tmp_path)
+@pytest.mark.parametrize(("seed", "seconds"), CASES)
+def test_promises_hold_under_random_faults(
+    seed: int, seconds: float, tmp_path: pathlib.Path
+) -> None:
+    outcome = play.play(seed, seconds, tmp_path)
     assert outcome.violations == ()
     assert outcome.answered > 0
-
-
-@pytest.mark.parametrize("case", REGRESSIONS, ids=lambda case: case["cause"])
-def test_seeds_that_failed_once(case: dict[str, object], tmp_path: pathlib.Path) -> None:
-    outcome = play.play(int(str(case["seed"])), float(str(case["seconds"])), tmp_path)
-    assert outcome.violations == ()
