Close all idle connections of a leaving instance, not only those before a busy one

The pass over the open connections stopped at the first with an answer due, so idle ones behind it stayed open for up to 2.8 s more and took requests that could not end in time.

The new test was seen failing (timed out: neither idle connection was closed) and passes.

--- a/src/goldcresthall/callers/ordered_front.py
+++ b/src/goldcresthall/callers/ordered_front.py
@@ -83,7 +83,9 @@
         while True:
             with self._lock:
                 remaining = tuple(self._open)
-            if all(connection.close_idle() for connection in remaining):
+            # All are asked: an idle one left open would take a request too late to finish.
+            closed = [connection.close_idle() for connection in remaining]
+            if all(closed):
                 return True
             if self._clock.read_s() >= ends_at_s:
                 logging.warning("%d connections cut at the end", len(remaining))
--- /dev/null
+++ b/tests/callers/test_ordered_front.py
@@ -0,0 +1,81 @@
+"""Tests of how the front end of a deployment ends its connections."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.callers import connections
+from goldcresthall.callers import ordered_front
+from goldcresthall.core import deployment
+from goldcresthall.core import deployment_settings
+from goldcresthall.core import identity
+from goldcresthall.kernel import kernel
+from goldcresthall.kernel import tasks
+from goldcresthall.platform import caller_codec
+from tests.fakes import clock
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@pytest.fixture
+def front() -> ordered_front.OrderedFront:
+    """Return a front end that is not started."""
+    address = identity.Address("127.0.0.1", 0)
+    settings = deployment_settings.DeploymentSettings(
+        name="one",
+        failure_domain="near",
+        listen=deployment_settings.DeploymentListen(
+            callers=address, readiness=address, peers=address
+        ),
+        store=address,
+        heartbeat_s=1.0,
+        longest_hold_s=10.0,
+        drain_s=2.0,
+        grace_s=6.0,
+    )
+    created = ordered_front.OrderedFront(
+        kernel.Kernel(), settings, caller_codec.PlatformCallerCodec()
+    )
+    created._clock = clock.ManualClock()
+    return created
+
+
+@pytest.fixture
+def pairs() -> Iterator[list[tuple[socket.socket, connections.CallerConnection]]]:
+    """Yield three connections, each with its caller's end."""
+    created = []
+    for _ in range(3):
+        ours, callers = _connect()
+        created.append((callers, connections.CallerConnection(ours)))
+    yield created
+    for callers, connection in created:
+        callers.close()
+        connection.abandon()
+
+
+def _connect() -> tuple[socket.socket, socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        callers = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    return ours, callers
+
+
+def test_idle_connections_are_closed_beside_a_busy_one(
+    front: ordered_front.OrderedFront,
+    pairs: list[tuple[socket.socket, connections.CallerConnection]],
+) -> None:
+    callers, busy = pairs[0]
+    callers.sendall(REQUEST)
+    busy.receive(deployment.CallerLimits())
+    front._open = {connection: None for _, connection in pairs}  # type: ignore[assignment]
+    assert not front.finish(tasks.StopSignal(), 0.0)
+    for idle_callers, _ in pairs[1:]:
+        idle_callers.settimeout(5.0)
+        assert idle_callers.recv(1) == b""
+    assert not busy.is_idle
