Count a server of the soak once when two faults take it

A server that two overlapping faults took was recorded twice as gone, so its runs were counted twice and an order that ran once would have been reported as run twice: a false violation, never a missed one.

The test was seen failing (the server listed twice) and passes; tests/soak 3 passed, formatter, linter and types clean. No source of the product changed.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -203,13 +203,19 @@
         server.register(port=started.proxy.port)
 
     def remove_server(self, item: SoakServer) -> None:
-        """End a server at once; its entry stays until it is taken out."""
+        """End a server at once; its entry stays until it is taken out.
+
+        Raises
+        ------
+        ValueError
+            If another fault has taken the server already.
+        """
+        self.seen.remove_server(item.server)
         with self._lock:
             for listed in (self.keyed, self.plain):
                 if item in listed:
                     listed.remove(item)
             self._gone.append(item)
-        self.seen.remove_server(item.server)
         item.proxy.stop()
         item.server.stop()
 
