End a stalled request behind a pending response without spinning

The incomplete request now closes the connection after the pending responses. The exceptions of the area have a module of their own.

--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -15,6 +15,7 @@
 
 from goldcresthall.backend import exchange
 from goldcresthall.callers import codec
+from goldcresthall.callers import exceptions
 from goldcresthall.core import outcomes
 from goldcresthall.kernel import cancellation
 
@@ -35,22 +36,6 @@
 STATUS_HEADER_TOO_LARGE = 431
 
 
-class CallerDisconnectedError(Exception):
-    """The caller closed the connection, or the connection timed out."""
-
-
-class ConnectionDrainingError(Exception):
-    """The connection closes after the pending responses; the request was not accepted."""
-
-
-class BadRequestError(Exception):
-    """The caller sent a malformed or oversized request; `status` is the response's."""
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReceivedRequest:
     """A request that was read completely.
@@ -135,7 +120,7 @@
         try:
             return self._read_request(parser, limits)
         except h11.RemoteProtocolError as error:
-            raise BadRequestError(
+            raise exceptions.BadRequestError(
                 error.error_status_hint or STATUS_BAD_REQUEST, str(error)
             ) from error
 
@@ -146,7 +131,7 @@
             self._send_ready()
             self._changed.notify_all()
 
-    def reject(self, error: BadRequestError) -> None:
+    def reject(self, error: exceptions.BadRequestError) -> None:
         """Respond to a malformed request after all earlier ones, and close the connection."""
         pending = PendingResponse(h11.Connection(h11.SERVER))
         pending.closes = True
@@ -163,7 +148,7 @@
                     break
             try:
                 self._wait_readable(MAX_POLL_S, only_hangup=True)
-            except CallerDisconnectedError:
+            except exceptions.CallerDisconnectedError:
                 return
         self._discard_input()
 
@@ -195,7 +180,7 @@
                 chunks.append(bytes(event.data))
                 remaining_bytes -= len(chunks[-1])
                 if remaining_bytes < 0:
-                    raise BadRequestError(STATUS_TOO_LARGE, "the body is too large")
+                    raise exceptions.BadRequestError(STATUS_TOO_LARGE, "the body is too large")
             elif isinstance(event, h11.EndOfMessage):
                 return self._finish_request(parser, head, b"".join(chunks))
 
@@ -207,7 +192,7 @@
                 _check_head(event, limits)
                 return event
             if event is not h11.NEED_DATA:
-                raise CallerDisconnectedError("closed")
+                raise exceptions.CallerDisconnectedError("closed")
             if parser.trailing_data[0] and ends_at_s is None:
                 ends_at_s = time.monotonic() + limits.header_timeout_s
             parser.receive_data(self._receive_bytes(ends_at_s, limits))
@@ -220,11 +205,11 @@
         pending.closes = self._is_draining or parser.their_state is h11.MUST_CLOSE
         with self._changed:
             if self._is_closed:
-                raise CallerDisconnectedError("closed")
+                raise exceptions.CallerDisconnectedError("closed")
             # The response ahead of this request may not be sent before the instance stops;
             # this request would then be lost as well.
             if self._pending and (self._is_draining or self._pending[-1].closes):
-                raise ConnectionDrainingError
+                raise exceptions.ConnectionDrainingError
             self._pending.append(pending)
         headers = tuple(
             outcomes.Header(name.decode("latin-1"), value.decode("latin-1"))
@@ -241,10 +226,9 @@
             limit_s = ends_at_s if ends_at_s is not None else idle_ends_at_s
             remaining_s = limit_s - time.monotonic()
             if remaining_s <= 0:
-                if self._pending:
-                    idle_ends_at_s = time.monotonic() + limits.idle_timeout_s
-                    continue
-                raise CallerDisconnectedError("timed out")
+                self._check_pending(is_incomplete=ends_at_s is not None)
+                idle_ends_at_s = time.monotonic() + limits.idle_timeout_s
+                continue
             if not self._wait_readable(min(remaining_s, MAX_POLL_S)):
                 continue
             try:
@@ -252,11 +236,23 @@
             except BlockingIOError:
                 continue
             except OSError as error:
-                raise CallerDisconnectedError(str(error)) from error
+                raise exceptions.CallerDisconnectedError(str(error)) from error
             if not data:
-                raise CallerDisconnectedError("closed")
+                raise exceptions.CallerDisconnectedError("closed")
             return data
 
+    def _check_pending(self, *, is_incomplete: bool) -> None:
+        """End the connection at a timeout, unless it only waits for pending responses.
+
+        An incomplete request that timed out closes the connection after those responses.
+        """
+        with self._lock:
+            if not self._pending:
+                raise exceptions.CallerDisconnectedError("timed out")
+            if is_incomplete:
+                self._pending[-1].closes = True
+                raise exceptions.ConnectionDrainingError
+
     def _wait_readable(self, timeout_s: float, *, only_hangup: bool = False) -> bool:
         poll = select.poll()
         try:
@@ -264,9 +260,9 @@
             poll.register(self._socket, wanted)
             events = poll.poll(timeout_s * MS_PER_S)
         except (OSError, ValueError) as error:
-            raise CallerDisconnectedError(str(error)) from error
+            raise exceptions.CallerDisconnectedError(str(error)) from error
         if events and only_hangup:
-            raise CallerDisconnectedError("closed")
+            raise exceptions.CallerDisconnectedError("closed")
         return bool(events)
 
     def _discard_input(self) -> None:
@@ -276,7 +272,7 @@
             try:
                 if self._wait_readable(DISCARD_TIMEOUT_S) and not self._socket.recv(RECEIVE_BYTES):
                     return
-            except (OSError, CallerDisconnectedError):
+            except (OSError, exceptions.CallerDisconnectedError):
                 return
 
     def _send_continue(self, parser: h11.Connection) -> None:
@@ -328,7 +324,7 @@
 def _check_head(head: h11.Request, limits: deployment.CallerLimits) -> None:
     size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
     if size > limits.header_bytes:
-        raise BadRequestError(STATUS_HEADER_TOO_LARGE, "the header is too large")
+        raise exceptions.BadRequestError(STATUS_HEADER_TOO_LARGE, "the header is too large")
 
 
 def _encode(pending: PendingResponse, response: codec.RawResponse) -> bytes:
--- a/src/goldcresthall/callers/pipelined_frontend.py
+++ b/src/goldcresthall/callers/pipelined_frontend.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from goldcresthall.callers import connections
+from goldcresthall.callers import exceptions
 from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
 from goldcresthall.gateway import directory
@@ -126,13 +127,13 @@
                 if not received.has_more:
                     connection.await_responses()
                     return
-        except connections.BadRequestError as error:
+        except exceptions.BadRequestError as error:
             logging.info("request rejected, step decode, status %d: %s", error.status, error)
             connection.reject(error)
             connection.await_responses()
-        except connections.ConnectionDrainingError:
+        except exceptions.ConnectionDrainingError:
             connection.await_responses()
-        except connections.CallerDisconnectedError:
+        except exceptions.CallerDisconnectedError:
             logging.debug("caller disconnected")
         finally:
             connection.abandon()
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import dataclasses
 import socket
 import threading
+import time
 from typing import TYPE_CHECKING
 
 import pytest
 
 from goldcresthall.callers import codec
 from goldcresthall.callers import connections
+from goldcresthall.callers import exceptions
 from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
 
@@ -84,7 +87,7 @@
     connection.start_draining()
     connection.receive(LIMITS)
     caller.sendall(REQUEST % 2)
-    with pytest.raises(connections.ConnectionDrainingError):
+    with pytest.raises(exceptions.ConnectionDrainingError):
         connection.receive(LIMITS)
 
 
@@ -111,7 +114,7 @@
     first = connection.receive(LIMITS)
     connection.start_draining()
     caller.sendall(REQUEST % 2)
-    with pytest.raises(connections.ConnectionDrainingError):
+    with pytest.raises(exceptions.ConnectionDrainingError):
         connection.receive(LIMITS)
     connection.respond(first.pending, create_response(b"first"))
     assert b"Connection: close" in read_until(caller, b"first")
@@ -126,7 +129,7 @@
     interrupted = threading.Event()
     with received.pending.cancelled.call_on_cancel(interrupted.set):
         caller.close()
-        with pytest.raises(connections.CallerDisconnectedError):
+        with pytest.raises(exceptions.CallerDisconnectedError):
             connection.receive(LIMITS)
         connection.abandon()
         assert interrupted.is_set()
@@ -146,7 +149,7 @@
 ) -> None:
     caller, connection = pair
     caller.sendall(sent)
-    with pytest.raises(connections.BadRequestError) as raised:
+    with pytest.raises(exceptions.BadRequestError) as raised:
         connection.receive(LIMITS)
     assert raised.value.status == status
     connection.reject(raised.value)
@@ -160,3 +163,30 @@
     head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
     caller.sendall(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
     assert connection.receive(LIMITS).request.body == b"abcde"
+
+
+def test_stalled_request_behind_a_pending_one_closes_without_using_the_processor(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    """The header deadline once passed while an earlier response was pending, and the task spun."""
+    caller, connection = pair
+    limits = dataclasses.replace(LIMITS, header_timeout_s=0.05)
+    caller.sendall(REQUEST % 1 + b"GET /page/2 HTTP/1.1\r\n")
+    first = connection.receive(limits)
+    reads: list[object] = []
+
+    def receive_second() -> None:
+        try:
+            connection.receive(limits)
+        except exceptions.ConnectionDrainingError as error:
+            reads.append(error)
+        reads.append(time.thread_time())
+
+    reader = threading.Thread(target=receive_second)
+    reader.start()
+    reader.join(timeout=5)
+    assert [type(read) for read in reads] == [exceptions.ConnectionDrainingError, float]
+    assert isinstance(reads[1], float)
+    assert reads[1] < 0.5
+    connection.respond(first.pending, create_response(b"first"))
+    assert b"Connection: close" in read_until(caller, b"first")
