Start a recovered server with the initial backoff again

Cause: the length of a backoff was never reset, so that a server which failed once an hour was excluded for 40 s each time. A server without a failure for 20 s after its backoff counts as recovered. The test failed first.

--- a/src/goldcresthall/ranges/server_backoff.py
+++ b/src/goldcresthall/ranges/server_backoff.py
@@ -11,6 +11,7 @@
 INITIAL_BACKOFF_S = 5.0
 MAX_BACKOFF_S = 40.0
 BACKOFF_FACTOR = 2.0
+RECOVERY_S = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,7 +21,10 @@
 
 
 class ServerBackoff:
-    """Excludes failing servers from placement; each further failure doubles the backoff."""
+    """Excludes failing servers from placement; each further failure doubles the backoff.
+
+    A server without a failure for `RECOVERY_S` after its backoff counts as recovered.
+    """
 
     def __init__(self) -> None:
         self._backoffs: dict[deployment.ServerIncarnation, _Backoff] = {}
@@ -31,7 +35,7 @@
         Several ranges of one server usually fail together.
         """
         backoff = self._backoffs.get(incarnation)
-        if backoff is None:
+        if backoff is None or now_s >= backoff.until_s + RECOVERY_S:
             self._backoffs[incarnation] = _Backoff(now_s + INITIAL_BACKOFF_S, INITIAL_BACKOFF_S)
         elif now_s >= backoff.until_s:
             length_s = min(MAX_BACKOFF_S, backoff.length_s * BACKOFF_FACTOR)
