Admit waiters behind one without a usable server, and say when to retry after a wait

Cause: ServiceQueue._admit_waiters returned at the first waiter for which no permit was found, so that one whose servers were ejected held up all others. A wait that timed out was refused without retry_after_s; it now carries the expected completion. Admission._instances was never used. Both tests failed first.

--- a/src/goldcresthall/routing/admission.py
+++ b/src/goldcresthall/routing/admission.py
@@ -69,7 +69,6 @@
         self._threads = thread_quotas.ThreadQuotas(thread_count)
         self._lock = threading.Lock()
         self._queues: dict[str, queues.ServiceQueue] = {}
-        self._instances: tuple[str, ...] = ()
         self._task = tasks.Task("admission", self._run)
 
     @classmethod
@@ -127,6 +126,7 @@
             outcomes.Step.ADMIT,
             request.target.policy.name,
             "no server had a free slot before the deadline",
+            retry_after_s=queue.find_completion_s(spec),
         )
 
     def release(self, permit: queues.Permit, attempt: attempts.Attempt, duration_s: float) -> None:
--- a/src/goldcresthall/routing/queues.py
+++ b/src/goldcresthall/routing/queues.py
@@ -154,6 +154,11 @@
         server_names = tuple(candidate.server.name for candidate in spec.eligible)
         return max(0.0, spec.remaining_s - self._observed.find_min_average_s(server_names))
 
+    def find_completion_s(self, spec: AttemptSpec) -> float:
+        """Return the expected seconds until an attempt would complete behind all waiters."""
+        with self._lock:
+            return self._estimate_completion_s(spec, len(self._waiters))
+
     def cancel(self, waiter: Waiter) -> Permit | CandidatesChanged | None:
         """Remove a waiter; return its result if it got one before it was removed."""
         with self._lock:
@@ -248,17 +253,21 @@
         waiting among equals, so that a hot key does not delay other keys.
         """
         limiter = self._find_limiter(server)
-        while self._waiters:
+        without_permit: set[Waiter] = set()
+        while True:
             admissible = [
                 waiter
                 for waiter in self._waiters
-                if server in waiter.server_names and limiter.has_capacity(waiter.spec.request_class)
+                if waiter not in without_permit
+                and server in waiter.server_names
+                and limiter.has_capacity(waiter.spec.request_class)
             ]
             if not admissible:
                 return
             waiter = min(admissible, key=lambda item: self._outstanding_by_key[item.spec.key])
             permit = self._find_permit(waiter.spec)
             if not isinstance(permit, Permit):
-                return
+                without_permit.add(waiter)
+                continue
             self._waiters.remove(waiter)
             waiter.finish(permit)
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import threading
 import time
@@ -15,6 +16,7 @@
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
+from goldcresthall.routing import admission
 from goldcresthall.routing import concurrency_limiters
 from goldcresthall.routing import queues
 from goldcresthall.routing import targets
@@ -376,3 +378,45 @@
 
 TestAdmissionMachine = AdmissionMachine.TestCase
 TestAdmissionMachine.settings = hypothesis.settings(max_examples=60, stateful_step_count=40)
+
+
+def test_waiter_without_a_usable_server_does_not_hold_up_those_behind_it(
+    harness: conftest.RouterHarness,
+) -> None:
+    policy = conftest.create_policy(2)
+    queue = create_queue(harness, policy)
+    owned_spec = create_spec(policy, "owned")
+    permits = take_permits(queue, owned_spec, 4)
+    second = tuple(targets.CandidateServer(server, None) for server in policy.servers[1:])
+    take_permits(queue, dataclasses.replace(create_spec(policy, "other"), servers=second), 4)
+    ejected = policy.servers[0].name
+    for _ in range(5):
+        in_flight = harness.observations.start_attempt(ejected, LONG)
+        harness.observations.finish_attempt(in_flight, policy, backends.CONNECTION_LOST)
+    assert ejected in harness.observations.list_blocked()
+    without_server = enqueue(queue, create_spec(policy))
+    owned = enqueue(queue, owned_spec)
+    release(queue, permits[0])
+    assert without_server.result is None
+    assert isinstance(owned.result, queues.Permit)
+
+
+def test_wait_that_timed_out_says_when_to_retry(harness: conftest.RouterHarness) -> None:
+    policy = conftest.create_policy(1)
+    harness.publish(policy)
+    target = targets.PoolTarget.from_config(policy)
+    servers = tuple(targets.CandidateServer(server, None) for server in policy.servers)
+    request = admission.AdmissionRequest(
+        target=target,
+        request_class=SHORT,
+        servers=servers,
+        tried=frozenset(),
+        remaining_s=REMAINING_S,
+    )
+    results = [harness.admission.admit(request)]
+    while isinstance(results[-1], queues.Permit):
+        results.append(harness.admission.admit(request))
+    refused = results[-1]
+    assert isinstance(refused, outcomes.Refused)
+    assert refused.reason is outcomes.RefusalReason.DEADLINE_EXPIRED
+    assert refused.retry_after_s
