--- a/src/goldcresthall/replication/log_replica.py
+++ b/src/goldcresthall/replication/log_replica.py
@@ -186,6 +186,7 @@
             self._states.append(state)
             self._expiry_reason = ""
             self._changed.notify_all()
+        self._metrics.show_next_offset(state.next_offset)
         self._metrics.count_installed(source)
         logging.info("installed state at offset %d from a %s", state.next_offset, source)
         return True
--- a/src/goldcresthall/replication/replica_metrics.py
+++ b/src/goldcresthall/replication/replica_metrics.py
@@ -133,6 +133,7 @@
         """Count one replayed entry by the decision on it."""
         if replayed.malformed is not None:
             self.count_malformed(replayed.malformed)
+        self.show_next_offset(replayed.state.next_offset)
         if replayed.record is None:
             return
         type_name = log_entries.find_type_name(replayed.record)
@@ -140,7 +141,10 @@
             self._rejected.labels(type_name, replayed.decision.reason.value).inc()
         else:
             self._accepted.labels(type_name).inc()
-        self._next_offset.set(replayed.state.next_offset)
+
+    def show_next_offset(self, offset: int) -> None:
+        """Set the gauge of the first offset not yet replayed."""
+        self._next_offset.set(offset)
 
     def count_malformed(self, reason: exceptions.MalformedReason) -> None:
         """Count an entry that cannot be decoded to a record."""
--- a/tests/replication/test_log_replica.py
+++ b/tests/replication/test_log_replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from typing import TYPE_CHECKING
 
@@ -89,6 +90,18 @@
     assert rejected in text
 
 
+def test_next_offset_is_shown_after_a_malformed_entry_and_an_installed_state(
+    memory_log: log.InMemoryLog, start_replica: Callable[[], kernel.Kernel]
+) -> None:
+    memory_log.append((b"[1]",))
+    running = start_replica()
+    state = find_replica(running).wait_for_newer(0, TEST_TIMEOUT_S)
+    running.stop()
+    assert "goldcresthall_replica_next_offset 1.0" in render(running)
+    find_replica(running).install(dataclasses.replace(state, next_offset=9), "peer")
+    assert "goldcresthall_replica_next_offset 9.0" in render(running)
+
+
 def test_commit_with_lost_append_response_is_resolved_by_record_id(
     memory_log: log.InMemoryLog, start_replica: Callable[[], kernel.Kernel]
 ) -> None:
--- a/tests/replication/test_replay_machine.py
+++ b/tests/replication/test_replay_machine.py
@@ -127,7 +127,16 @@
         text = "".join(encoded.pieces)
         pieces = tuple(text[start : start + length] for start in range(0, len(text), length))
         resized = dataclasses.replace(encoded, pieces=pieces)
-        return snapshot_writer.create_chunks(resized, f"router-{author}", "test")
+        chunks = snapshot_writer.create_chunks(resized, f"router-{author}", "test")
+        # Random ids would make the compressed length of a state, and so the drawn lengths,
+        # differ between runs of the same steps.
+        snapshot_id = self.create_record_id()
+        return tuple(
+            dataclasses.replace(
+                chunk, record_id=self.create_record_id(), snapshot_id=snapshot_id
+            )
+            for chunk in chunks
+        )
 
     @stateful.rule(author=replicas, length=strategies.sampled_from([150, 400, 100_000]))
     def write_snapshot(self, author: int, length: int) -> None:
