Let a request join a server's queue only if it can meet its latency target there

Cause: with two slots a server, nine instances each sent two requests to the owner of a hot key, so that 18 waited at 0.14 s each against a target of 0.5 s: all were late, at 8 in target a second. Ruled out: refusals by the server (87 of 2,061 arrivals). A request now joins a queue only if the expected response time is within what is left to its target; late ones take free slots only, and the wait for capacity ends at the target.

--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -61,6 +61,11 @@
         freshness = max(0.0, 1.0 - (now_s - self.reported_at_s) / REPORTED_LOAD_DECAY_S)
         return self.outstanding + self.reported_load * freshness
 
+    def find_response_time_s(self, load: float, slots: int) -> float:
+        """Return the expected response time in seconds of a request that joins `load` others."""
+        queued = max(0.0, load + 1.0 - slots)
+        return self.service_time_s * (1.0 + queued / slots)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LatencySample:
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -47,12 +47,15 @@
     ----------
     deadline_s
         Clock reading in seconds by which the caller must have a response.
+    target_at_s
+        Clock reading in seconds of the route's latency target for the request.
     """
 
     route: deployment.HostRoute
     target: server_finder.Target
     configuration: int
     deadline_s: float
+    target_at_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,22 +162,26 @@
         if request.deadline_s is not None:
             latest_s = min(latest_s, request.deadline_s)
         deadline_s = min(latest_s, self._drain_deadline_s)
-        return RoutingPlan(route, target, configuration.version, deadline_s)
+        target_at_s = request.received_at_s + route.target_latency_s
+        return RoutingPlan(route, target, configuration.version, deadline_s, target_at_s)
 
     def _send_with_retries(
         self, request: requests.Request, plan: RoutingPlan, cancelled: cancellation.Cancellation
     ) -> RequestProgress:
         self._budgets.find(plan.target.service).add_request(self._clock.read_s())
         server_finder.count_request(plan.target, self._owners)
-        wait_budget = retry_policy.OwnerWaitBudget(
-            self._clock.read_s(), self._find_remaining_s(plan)
+        wait_budget = retry_policy.WaitBudget(
+            self._clock.read_s(), self._find_remaining_s(plan), plan.route.target_latency_s
         )
         progress = RequestProgress()
         while not cancelled.is_cancelled:
             if self._find_remaining_s(plan) < MIN_ATTEMPT_S:
                 return progress
             serial = self._owners.serial
-            selected = self._server_finder.find(plan.target, progress.tried, self._generator)
+            target_in_s = plan.target_at_s - self._clock.read_s()
+            selected = self._server_finder.find(
+                plan.target, progress.tried, self._generator, target_in_s
+            )
             if isinstance(selected, server_finder.Unavailable):
                 if not self._wait_for_server(plan, wait_budget, serial, is_busy=selected.is_busy):
                     return _apply_refusal(progress, selected.refused)
@@ -188,7 +195,7 @@
     def _wait_for_server(
         self,
         plan: RoutingPlan,
-        wait_budget: retry_policy.OwnerWaitBudget,
+        wait_budget: retry_policy.WaitBudget,
         serial: int,
         *,
         is_busy: bool = False,
@@ -196,7 +203,11 @@
         """Wait for a new owner or for capacity; return `False` if waiting is useless or over."""
         if not is_busy and not isinstance(plan.target, server_finder.KeyTarget):
             return False
-        remaining_s = wait_budget.find_remaining_s(self._clock.read_s())
+        now_s = self._clock.read_s()
+        if is_busy:
+            remaining_s = wait_budget.find_busy_remaining_s(now_s)
+        else:
+            remaining_s = wait_budget.find_remaining_s(now_s)
         if remaining_s <= 0:
             return False
         if is_busy:
@@ -234,7 +245,7 @@
         plan: RoutingPlan,
         progress: RequestProgress,
         attempt: attempts.Attempt,
-        wait_budget: retry_policy.OwnerWaitBudget,
+        wait_budget: retry_policy.WaitBudget,
         serial: int,
     ) -> bool:
         is_keyed = isinstance(plan.target, server_finder.KeyTarget)
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -118,36 +118,66 @@
         self.drain_s = drain_s
         self._instance_counter = instance_counter
 
-    def has_capacity(self, server: deployment.RegisteredServer) -> bool:
+    def has_capacity(self, server: deployment.RegisteredServer, target_in_s: float) -> bool:
         """Return whether a server has capacity for another request from this instance.
 
         This instance's share of the server's queue must not be used up, and the server's
-        total load must be below its limit.
+        total load must be below its limit. A request takes a place in the server's queue only
+        if it can still meet its latency target from there: a longer queue would make all
+        requests behind it late without a higher throughput.
+
+        Parameters
+        ----------
+        target_in_s
+            Seconds until the request's latency target; negative once it has passed.
         """
         limit = math.ceil(
             MAX_OUTSTANDING_PER_SLOT * server.slots / self._instance_counter.live_instances
         )
         estimate = self.estimates.find(server)
         load = estimate.find_load(self.directory.read_s())
-        return estimate.outstanding < max(1, limit) and load < MAX_LOAD_PER_SLOT * server.slots
+        if estimate.outstanding >= max(1, limit):
+            return False
+        if load < server.slots:
+            return True
+        response_time_s = estimate.find_response_time_s(load, server.slots)
+        return load < MAX_LOAD_PER_SLOT * server.slots and response_time_s <= target_in_s
 
     def find(
-        self, target: Target, tried: frozenset[str], generator: random.Random
+        self,
+        target: Target,
+        tried: frozenset[str],
+        generator: random.Random,
+        target_in_s: float = math.inf,
     ) -> deployment.RegisteredServer | Unavailable:
-        """Return the server for the next attempt, or why none is usable."""
-        return _find_server(target, self, tried, generator)
+        """Return the server for the next attempt, or why none is usable.
+
+        Parameters
+        ----------
+        target_in_s
+            Seconds until the request's latency target; negative once it has passed.
+        """
+        return _find_server(target, self, tried, generator, target_in_s)
 
 
 @functools.singledispatch
 def _find_server(
-    target: Target, finder: ServerFinder, tried: frozenset[str], generator: random.Random
+    target: Target,
+    finder: ServerFinder,
+    tried: frozenset[str],
+    generator: random.Random,
+    target_in_s: float,
 ) -> deployment.RegisteredServer | Unavailable:
     raise NotImplementedError(type(target).__name__)
 
 
 @_find_server.register
 def _(
-    target: PoolTarget, finder: ServerFinder, tried: frozenset[str], generator: random.Random
+    target: PoolTarget,
+    finder: ServerFinder,
+    tried: frozenset[str],
+    generator: random.Random,
+    target_in_s: float,
 ) -> deployment.RegisteredServer | Unavailable:
     now_s = finder.directory.read_s()
     candidates = [
@@ -155,7 +185,9 @@
         for entry in finder.directory.servers.by_service.get(target.service, ())
         if entry.draining_since_s is None and entry.server.name not in tried
     ]
-    with_capacity = [entry for entry in candidates if finder.has_capacity(entry.server)]
+    with_capacity = [
+        entry for entry in candidates if finder.has_capacity(entry.server, target_in_s)
+    ]
     chosen = selection.select_server(
         with_capacity, finder.estimates, finder.failure_domain, now_s, generator
     )
@@ -175,7 +207,11 @@
 
 @_find_server.register
 def _(
-    target: KeyTarget, finder: ServerFinder, tried: frozenset[str], generator: random.Random
+    target: KeyTarget,
+    finder: ServerFinder,
+    tried: frozenset[str],
+    generator: random.Random,
+    target_in_s: float,
 ) -> deployment.RegisteredServer | Unavailable:
     range_owner = finder.owners.find(target.service, target.key)
     if range_owner is None or not range_owner.ready:
@@ -185,7 +221,7 @@
         return _refuse_no_owner(target, f"{range_owner.owner.name} is not registered")
     if _exceeds_drain_time(entry, finder):
         return _refuse_no_owner(target, f"{range_owner.owner.name} is draining")
-    if not finder.has_capacity(entry.server):
+    if not finder.has_capacity(entry.server, target_in_s):
         return _refuse_busy(target, f"{entry.server.name} is")
     return entry.server
 
--- a/tests/features/test_one_owner.py
+++ b/tests/features/test_one_owner.py
@@ -105,7 +105,7 @@
     deadline_s = time.monotonic() + seconds
     exchanges = []
     while time.monotonic() < deadline_s:
-        exchanges.append(system.send("GET", f"/{service}/items/{key}", len(exchanges) % len(system.fleet.routers)))
+        exchanges.append(send_in_turn(system, f"/{service}/items/{key}", len(exchanges)))
         time.sleep(POLL_INTERVAL_S)
     system.fleet.inject_platform_faults(platform.PlatformFaults())
     return exchanges
@@ -142,3 +142,8 @@
         system.signal_router(lessor, signal.SIGSTOP)
     else:
         system.signal_router(lessor, signal.SIGKILL)
+
+
+def send_in_turn(system: systems.SystemHarness, path: str, number: int) -> systems.Exchange:
+    """Send the request with this number to one instance after the other."""
+    return system.send("GET", path, number % len(system.fleet.routers))
--- a/tests/gateway/test_server_finder.py
+++ b/tests/gateway/test_server_finder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -27,9 +28,10 @@
     gateway_fixture: GatewayFixture,
     target: server_finder.Target,
     tried: frozenset[str] = frozenset(),
+    target_in_s: float = math.inf,
 ) -> str:
     """Return the name of the server found, or the reason of the refusal."""
-    selected = gateway_fixture.finder.find(target, tried, GENERATOR)
+    selected = gateway_fixture.finder.find(target, tried, GENERATOR, target_in_s)
     if isinstance(selected, server_finder.Unavailable):
         return selected.refused.reason.value
     return selected.name
@@ -189,3 +191,29 @@
     assert find(gateway_fixture, KEY) == "owner"
     gateway_fixture.clock.advance(0.6)
     assert find(gateway_fixture, KEY) == "no_owner"
+
+
+@pytest.mark.parametrize("target", [POOL, KEY])
+def test_request_joins_a_queue_only_if_it_can_meet_its_latency_target(
+    gateway_fixture: GatewayFixture, target: server_finder.Target
+) -> None:
+    """A hot key once filled its owner's queue until all responses were late."""
+    server = conftest.create_server("one", target.service)
+    gateway_fixture.directory.apply_full_list((server,))
+    assign_keys(gateway_fixture, "one")
+    gateway_fixture.estimates.start_attempt(server)
+    gateway_fixture.estimates.finish_attempt(server, create_answered_attempt(9.0), 0.4)
+    estimate = gateway_fixture.estimates.find(server)
+    response_time_s = estimate.find_response_time_s(8.0, server.slots)
+    assert response_time_s > 2 * estimate.service_time_s
+    assert find(gateway_fixture, target, target_in_s=response_time_s + 0.01) == "one"
+    assert find(gateway_fixture, target, target_in_s=response_time_s - 0.01) == "queue_full"
+
+
+def test_late_request_takes_a_free_slot(gateway_fixture: GatewayFixture) -> None:
+    server = conftest.create_server("one")
+    gateway_fixture.directory.apply_full_list((server,))
+    for _ in range(server.slots):
+        assert find(gateway_fixture, POOL, target_in_s=-1.0) == "one"
+        gateway_fixture.estimates.start_attempt(server)
+    assert find(gateway_fixture, POOL, target_in_s=-1.0) == "queue_full"
--- a/tests/replication/test_replay_machine.py
+++ b/tests/replication/test_replay_machine.py
@@ -132,9 +132,7 @@
         # differ between runs of the same steps.
         snapshot_id = self.create_record_id()
         return tuple(
-            dataclasses.replace(
-                chunk, record_id=self.create_record_id(), snapshot_id=snapshot_id
-            )
+            dataclasses.replace(chunk, record_id=self.create_record_id(), snapshot_id=snapshot_id)
             for chunk in chunks
         )
 
