Free the keys of a server whose address went to another service at once

Such an address is given out only after its server has ended, so the keys are free once a server of another service is registered there and has rejected the grant itself. A stale entry alone, without that rejection, moves nothing (second test). Ruled out: a refused connection as the proof; a cut may refuse too.

--- a/src/goldcresthall/ranges/lease_table.py
+++ b/src/goldcresthall/ranges/lease_table.py
@@ -252,6 +252,7 @@
         latest_arrival_at_s=now_s,
         due_at_s=now_s + RENEW_INTERVAL_S,
         failing_since_s=None,
+        rejected=False,
         handover="",
     )
 
@@ -290,11 +291,11 @@
     outcome: grants.CommandRejected, lease: range_leases.RangeLease, now_s: float
 ) -> range_leases.RangeLease:
     logging.warning("grant of %s was rejected by %s: %s", lease.keys, lease.owner, outcome.detail)
-    return _record_failure(lease, now_s)
+    return dataclasses.replace(_record_failure(lease, now_s), rejected=True)
 
 
 def _record_failure(lease: range_leases.RangeLease, now_s: float) -> range_leases.RangeLease:
     since_s = now_s if lease.failing_since_s is None else lease.failing_since_s
     return dataclasses.replace(
-        lease, due_at_s=now_s + GRANT_RETRY_INTERVAL_S, failing_since_s=since_s
+        lease, due_at_s=now_s + GRANT_RETRY_INTERVAL_S, failing_since_s=since_s, rejected=False
     )
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -130,6 +130,8 @@
         )
         if latest is not None and latest.server.incarnation != lease.owner:
             self._free(lease_id, lease, f"{lease.owner} has restarted")
+        elif self._is_replaced(lease):
+            self._free_replaced(lease_id, lease, now_s)
         elif now_s >= lease.find_expiry_s(self._leases.lease_s, predecessors_end_s):
             self._free(lease_id, lease, "the lease expired")
 
@@ -143,6 +145,8 @@
         latest = self._context.directory.servers.by_name.get(owner.name)
         if latest is not None and latest.server.incarnation != owner:
             self._free(lease_id, lease, f"{owner} has restarted")
+        elif self._is_replaced(lease):
+            self._free_replaced(lease_id, lease, now_s)
         elif transitions.is_failing(lease, now_s) or self._has_no_address(owner, latest):
             self._expire(lease_id, lease, owner)
         elif latest is None or latest.draining_since_s is not None:
@@ -150,6 +154,27 @@
         elif lease.unanswered and lease.failing_since_s is None:
             self._leases.update(lease_id, transitions.demand_fence)
 
+    def _free_replaced(self, lease_id: int, lease: range_leases.RangeLease, now_s: float) -> None:
+        if lease.owner is not None:
+            # Its entry may still be listed, and must not get the range again.
+            self._backoff.record_failure(lease.owner, now_s)
+        self._free(lease_id, lease, f"another server has the address of {lease.owner}")
+
+    def _is_replaced(self, lease: range_leases.RangeLease) -> bool:
+        """Return whether a server of another service has taken over the owner's address.
+
+        The platform reuses an address only after its server has ended, so that the owner holds
+        nothing any more. The server there must have rejected a grant itself: an entry alone may
+        be left from an earlier server.
+        """
+        if not lease.rejected or lease.owner is None:
+            return False
+        known = self._renewers.find_server(lease.owner)
+        return known is not None and any(
+            entry.server.address == known.address and entry.server.service != lease.service
+            for entry in self._context.directory.servers.by_name.values()
+        )
+
     def _has_no_address(
         self, owner: deployment.ServerIncarnation, latest: directory.DirectoryEntry | None
     ) -> bool:
--- a/src/goldcresthall/ranges/transitions.py
+++ b/src/goldcresthall/ranges/transitions.py
@@ -67,6 +67,7 @@
         unanswered=False,
         needs_higher_fence=False,
         failing_since_s=None,
+        rejected=False,
         due_at_s=-math.inf,
         latest_arrival_at_s=lease.latest_arrival_at_s if owner == lease.owner else -math.inf,
     )
@@ -112,6 +113,7 @@
         unanswered=False,
         needs_higher_fence=False,
         failing_since_s=None,
+        rejected=False,
     )
 
 
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -75,6 +75,7 @@
         self.incarnation = incarnation
         self._fences = fences
         self.is_up = True
+        self.is_replaced = False
         self.leases: dict[int, HeldLease] = {}
         self.highest_fences: dict[int, int] = {}
 
@@ -144,6 +145,8 @@
     ) -> grants.CommandOutcome:
         """Execute a grant, or queue it for later execution."""
         range_server = self._find(server)
+        if self._simulation.is_replaced(server.incarnation):
+            return grants.CommandRejected("status 400")
         if range_server is None:
             return grants.CommandNotSent("refused")
         now_s = self._simulation.clock.read_s()
@@ -281,7 +284,7 @@
         registered = deployment.RegisteredServer(
             incarnation=incarnation,
             service=SERVICE,
-            address=identity.Address("127.0.0.1", 9000),
+            address=identity.Address(incarnation.name, 9000),
             failure_domain="domain",
             slots=4,
             draining=draining,
@@ -290,6 +293,21 @@
         self.last_registered[incarnation] = registered
         self.directory.apply_changes((registered,), frozenset())
 
+    def is_replaced(self, incarnation: deployment.ServerIncarnation) -> bool:
+        """Return whether a server of another service answers at a server's address."""
+        return self.servers[incarnation].is_replaced
+
+    def replace_server(self, incarnation: deployment.ServerIncarnation) -> None:
+        """End a server; a new server of another service gets its address."""
+        self.servers[incarnation].is_up = False
+        self.servers[incarnation].is_replaced = True
+        replacement = dataclasses.replace(
+            self.last_registered[incarnation],
+            incarnation=deployment.ServerIncarnation(f"other-{incarnation.name}", 1),
+            service="other",
+        )
+        self.directory.apply_changes((replacement,), frozenset())
+
     def deregister_server(self, incarnation: deployment.ServerIncarnation) -> None:
         """Remove a server from the directory."""
         self.directory.apply_changes((), frozenset({incarnation.name}))
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -246,3 +246,27 @@
     assert read_table(simulation).predecessors == ()
     simulation.advance(1.0)
     assert simulation.count_held() == len(range_simulation.SAMPLED_KEYS)
+
+
+def test_keys_of_a_server_whose_address_went_to_another_service_move_at_once(
+    simulation: range_simulation.RangeSimulation,
+) -> None:
+    """Requests were once sent to the new server for three seconds, until the lease expired."""
+    replaced = next(iter(simulation.servers))
+    simulation.replace_server(replaced)
+    simulation.advance(1.5)
+    assert simulation.count_held() == len(range_simulation.SAMPLED_KEYS)
+    assert replaced not in {assignment.owner for assignment in read_table(simulation).assignments}
+
+
+def test_stale_entry_at_the_address_of_a_live_server_does_not_move_its_keys(
+    simulation: range_simulation.RangeSimulation,
+) -> None:
+    owner = next(iter(simulation.servers))
+    simulation.replace_server(owner)
+    simulation.servers[owner].is_up = True
+    simulation.servers[owner].is_replaced = False
+    simulation.instances[0].channel.unreachable.add(owner.name)
+    simulation.advance(1.5)
+    assert simulation.count_held() == len(range_simulation.SAMPLED_KEYS)
+    assert owner in {assignment.owner for assignment in read_table(simulation).assignments}
