--- /dev/null
+++ b/src/goldcresthall/ranges/grant_outcomes.py
@@ -0,0 +1,83 @@
+"""Effects of a grant's outcome on the lease."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+
+from absl import logging
+
+from goldcresthall.ranges import grants
+from goldcresthall.ranges import range_leases
+
+RENEW_INTERVAL_S = 1.0
+GRANT_RETRY_INTERVAL_S = 0.15
+
+
+@functools.singledispatch
+def apply_outcome(
+    outcome: grants.CommandOutcome, lease: range_leases.RangeLease, now_s: float
+) -> range_leases.RangeLease:
+    """Return a lease after a grant or renewal under its fencing token ended at `now_s`."""
+    raise NotImplementedError(type(outcome).__name__)
+
+
+@apply_outcome.register
+def _(
+    outcome: grants.Granted, lease: range_leases.RangeLease, now_s: float
+) -> range_leases.RangeLease:
+    is_granting = lease.phase is range_leases.LeasePhase.GRANTING
+    return dataclasses.replace(
+        lease,
+        phase=range_leases.LeasePhase.HELD if is_granting else lease.phase,
+        ready=lease.ready or is_granting,
+        latest_arrival_at_s=now_s,
+        due_at_s=now_s + RENEW_INTERVAL_S,
+        failing_since_s=None,
+        rejected=False,
+        handover="",
+    )
+
+
+@apply_outcome.register
+def _(
+    outcome: grants.StaleFence, lease: range_leases.RangeLease, now_s: float
+) -> range_leases.RangeLease:
+    logging.warning(
+        "server rejected grant of %s as stale: %s has seen a fencing token above %d",
+        lease.keys,
+        lease.owner,
+        lease.fence,
+    )
+    return dataclasses.replace(lease, needs_higher_fence=True)
+
+
+@apply_outcome.register
+def _(
+    outcome: grants.CommandUnanswered, lease: range_leases.RangeLease, now_s: float
+) -> range_leases.RangeLease:
+    logging.info("no response to grant of %s from %s: %s", lease.keys, lease.owner, outcome.detail)
+    failing = dataclasses.replace(lease, unanswered=True, latest_arrival_at_s=now_s)
+    return _record_failure(failing, now_s)
+
+
+@apply_outcome.register
+def _(
+    outcome: grants.CommandNotSent, lease: range_leases.RangeLease, now_s: float
+) -> range_leases.RangeLease:
+    return _record_failure(lease, now_s)
+
+
+@apply_outcome.register
+def _(
+    outcome: grants.CommandRejected, lease: range_leases.RangeLease, now_s: float
+) -> range_leases.RangeLease:
+    logging.warning("grant of %s was rejected by %s: %s", lease.keys, lease.owner, outcome.detail)
+    return dataclasses.replace(_record_failure(lease, now_s), rejected=True)
+
+
+def _record_failure(lease: range_leases.RangeLease, now_s: float) -> range_leases.RangeLease:
+    since_s = now_s if lease.failing_since_s is None else lease.failing_since_s
+    return dataclasses.replace(
+        lease, due_at_s=now_s + GRANT_RETRY_INTERVAL_S, failing_since_s=since_s, rejected=False
+    )
