Wake waiting reports on a change instead of polling for one

Cause: each of the reports that wait at the lessor (194 of them at 195 instances) looked seven times a second for a change, and each look built the list of all servers anew. The lessor's own task now announces a change of the owners or servers; the list is built once a revision.

--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -94,7 +94,7 @@
         self._servers = ServerList({}, {})
         self._expired_names: set[str] = set()
         self._store_recovered_at_s = 0.0
-        self._revision = 0
+        self._relayed = RelayedServers(0, ())
         self._read_at_s = -math.inf
         self._relayed_at_s = -math.inf
 
@@ -207,8 +207,7 @@
         with self._lock:
             if self._clock.read_s() - self._read_at_s > MAX_RELAY_SOURCE_AGE_S:
                 return STALE_SERVERS
-            servers = tuple(entry.server for entry in self._servers.by_name.values())
-            return RelayedServers(self._revision, servers)
+            return self._relayed
 
     @property
     def is_relayed(self) -> bool:
@@ -238,7 +237,8 @@
     def _replace(self, by_name: dict[str, DirectoryEntry]) -> None:
         if by_name != self._servers.by_name:
             self._servers = _create_server_list(by_name)
-            self._revision += 1
+            servers = tuple(entry.server for entry in by_name.values())
+            self._relayed = RelayedServers(self._relayed.revision + 1, servers)
 
     def apply_full_list(self, present: tuple[deployment.RegisteredServer, ...]) -> None:
         """Apply a complete list; servers that are not in it are removed."""
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -33,6 +33,7 @@
 
 REPORT_TIMEOUT_S = 0.9
 OWN_REPORT_INTERVAL_S = 0.2
+ANNOUNCEMENT_INTERVAL_S = 0.1
 PUBLISH_PAUSE_S = 0.03
 ASK_PEERS_AFTER_S = 0.8
 UNCONFIRMED_TAKEOVER_AFTER_S = 4.0
@@ -324,8 +325,9 @@
         """Apply the term's owners and own statistics; the pause batches views for all instances."""
         reported_at_s = self._clock.read_s()
         while not stop_signal.is_set:
-            own_term.leases.wait_for_change(self._owners.view.revision, OWN_REPORT_INTERVAL_S)
+            own_term.leases.wait_for_change(self._owners.view.revision, ANNOUNCEMENT_INTERVAL_S)
             self._owners.apply(own_term.leases.create_view())
+            self._responder.announce_changes(own_term)
             now_s = self._clock.read_s()
             if now_s - reported_at_s >= OWN_REPORT_INTERVAL_S:
                 reported_at_s = now_s
--- a/src/goldcresthall/ranges/owners.py
+++ b/src/goldcresthall/ranges/owners.py
@@ -79,6 +79,8 @@
 
     def apply(self, view: OwnersView) -> None:
         """Apply a view if it is newer than the current one, by term and revision."""
+        if (view.term, view.revision) <= (self._view.term, self._view.revision):
+            return
         index: dict[str, tuple[list[int], list[key_ranges.RangeOwner]]] = {}
         for range_owner in sorted(view.owners, key=lambda owner: (owner.service, owner.keys)):
             first_keys, range_owners = index.setdefault(range_owner.service, ([], []))
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -19,7 +19,6 @@
     from goldcresthall.ranges import owners
 
 REPORT_WAIT_S = 0.5
-SERVERS_CHECK_INTERVAL_S = 0.15
 REPORTER_TIMEOUT_S = 2.0
 
 
@@ -32,6 +31,9 @@
 class ReportResponder:
     """Replies to reports and tracks the instances that reported recently.
 
+    A change of the owners or of the servers ends the long polls; `announce_changes` wakes them,
+    so that a waiting report costs nothing.
+
     Parameters
     ----------
     own
@@ -41,7 +43,7 @@
     server_directory
         Directory whose servers and configuration version go into the replies.
     owners_service
-        Latest owners; a change of the owners or of the servers ends a long poll.
+        Latest owners.
     """
 
     def __init__(
@@ -56,6 +58,8 @@
         self._directory = server_directory
         self._owners = owners_service
         self._lock = threading.Lock()
+        self._announced = threading.Condition(self._lock)
+        self._latest = (-1, row_changes.NO_REVISION)
         self._reporters: dict[str, _Reporter] = {}
         self._peers = reports.PeerList()
         self._owner_history = revision_history.RevisionHistory(_find_start)
@@ -139,19 +143,23 @@
     def _read_relayed_servers(self, own_term: lessor.LessorTerm) -> directory.RelayedServers:
         return self._directory.relay() if own_term.has_store else directory.STALE_SERVERS
 
+    def announce_changes(self, own_term: lessor.LessorTerm) -> None:
+        """End the long polls if the owners, the servers or the lessor's store changed."""
+        latest = (self._owners.serial, self._read_relayed_servers(own_term).revision)
+        with self._announced:
+            if latest != self._latest:
+                self._latest = latest
+                self._announced.notify_all()
+
     def _wait_for_changes(self, own_term: lessor.LessorTerm, report: reports.Report) -> None:
-        ends_at_s = self._clock.read_s() + REPORT_WAIT_S
-        while True:
-            serial = self._owners.serial
-            view = self._owners.view
-            remaining_s = ends_at_s - self._clock.read_s()
-            if remaining_s <= 0 or (
-                view.term == own_term.term and not _is_up_to_date(report, view)
-            ):
-                return
-            if self._read_relayed_servers(own_term).revision != report.known_servers:
-                return
-            self._owners.wait_for_newer(serial, min(remaining_s, SERVERS_CHECK_INTERVAL_S))
+        with self._announced:
+            self._announced.wait_for(lambda: self._has_changes(own_term, report), REPORT_WAIT_S)
+
+    def _has_changes(self, own_term: lessor.LessorTerm, report: reports.Report) -> bool:
+        view = self._owners.view
+        if view.term == own_term.term and not _is_up_to_date(report, view):
+            return True
+        return self._read_relayed_servers(own_term).revision != report.known_servers
 
 
 def _is_up_to_date(report: reports.Report, view: owners.OwnersView) -> bool:
