Plan placements only when ranges are free or moves are due; split the gateway's progress

Cause: the lessor computed the rates of all keys ten times a second, also when nothing could be placed. The progress of a request has a module of its own; no behaviour changes there.

--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -14,6 +14,7 @@
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import explanations
+from goldcresthall.gateway import request_progress
 from goldcresthall.gateway import retry_budgets
 from goldcresthall.gateway import retry_policy
 from goldcresthall.gateway import route_table
@@ -25,7 +26,6 @@
 from goldcresthall.observability import metrics
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
-from goldcresthall.routing import attempt_outcomes
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment_settings
@@ -58,24 +58,6 @@
     target_at_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestProgress:
-    """The attempts made for a request so far.
-
-    Attributes
-    ----------
-    sent
-        Number of attempts that may have reached a server.
-    attempt_descriptions
-        One text for each attempt: the server and the result.
-    """
-
-    sent: int = 0
-    tried: frozenset[str] = frozenset()
-    outcome: outcomes.Outcome | None = None
-    attempt_descriptions: tuple[str, ...] = ()
-
-
 class Gateway(service.Service):
     """Chooses a server for each request, sends it, retries it and reports the outcome."""
 
@@ -167,13 +149,13 @@
 
     def _send_with_retries(
         self, request: requests.Request, plan: RoutingPlan, cancelled: cancellation.Cancellation
-    ) -> RequestProgress:
+    ) -> request_progress.RequestProgress:
         self._budgets.find(plan.target.service).add_request(self._clock.read_s())
         server_finder.count_request(plan.target, self._owners)
         wait_budget = retry_policy.WaitBudget(
             self._clock.read_s(), self._find_remaining_s(plan), plan.route.target_latency_s
         )
-        progress = RequestProgress()
+        progress = request_progress.RequestProgress()
         while not cancelled.is_cancelled:
             if self._find_remaining_s(plan) < MIN_ATTEMPT_S:
                 return progress
@@ -184,13 +166,13 @@
             )
             if isinstance(selected, server_finder.Unavailable):
                 if not self._wait_for_server(plan, wait_budget, serial, is_busy=selected.is_busy):
-                    return _apply_refusal(progress, selected.refused)
+                    return request_progress.apply_refusal(progress, selected.refused)
                 continue
             attempt = self._send_once(request, plan, selected, cancelled)
-            progress = _record_attempt(progress, selected.name, attempt)
+            progress = request_progress.record_attempt(progress, selected.name, attempt)
             if not self._prepare_retry(plan, progress, attempt, wait_budget, serial):
                 return progress
-        return _apply_cancellation(progress)
+        return request_progress.apply_cancellation(progress)
 
     def _wait_for_server(
         self,
@@ -243,7 +225,7 @@
     def _prepare_retry(
         self,
         plan: RoutingPlan,
-        progress: RequestProgress,
+        progress: request_progress.RequestProgress,
         attempt: attempts.Attempt,
         wait_budget: retry_policy.WaitBudget,
         serial: int,
@@ -316,40 +298,6 @@
         )
 
 
-def _record_attempt(
-    progress: RequestProgress, server: str, attempt: attempts.Attempt
-) -> RequestProgress:
-    tries = len(progress.attempt_descriptions) + 1
-    latest = attempt_outcomes.create_outcome(attempt, server, tries)
-    return RequestProgress(
-        sent=progress.sent + retry_policy.was_sent(attempt),
-        tried=progress.tried | {server},
-        outcome=attempt_outcomes.combine_outcomes(progress.outcome, latest),
-        attempt_descriptions=(
-            *progress.attempt_descriptions,
-            f"{server} {explanations.describe_attempt(attempt)}",
-        ),
-    )
-
-
-def _apply_refusal(progress: RequestProgress, refused: outcomes.Refused) -> RequestProgress:
-    outcome = (
-        attempt_outcomes.combine_outcomes(progress.outcome, refused)
-        if progress.outcome
-        else refused
-    )
-    if isinstance(progress.outcome, outcomes.Answered):
-        outcome = progress.outcome
-    return dataclasses.replace(progress, outcome=outcome)
-
-
-def _apply_cancellation(progress: RequestProgress) -> RequestProgress:
-    unknown = outcomes.OutcomeUnknown(
-        outcomes.UnknownReason.CALLER_LEFT, outcomes.Step.RECEIVE, "caller"
-    )
-    return dataclasses.replace(progress, outcome=unknown)
-
-
 def _refuse_expired(plan: RoutingPlan) -> outcomes.Refused:
     return outcomes.Refused(
         outcomes.RefusalReason.DEADLINE_EXPIRED,
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -244,12 +244,15 @@
         )
 
     def _place(self, service: str, now_s: float, *, is_rebalancing: bool) -> None:
-        candidates = self._list_candidates(service, now_s)
-        if not candidates:
-            return
         leases = tuple(
             lease for lease in self._leases.snapshot().leases.values() if lease.service == service
         )
+        has_free = any(lease.phase is range_leases.LeasePhase.FREE for lease in leases)
+        if not has_free and not is_rebalancing:
+            return
+        candidates = self._list_candidates(service, now_s)
+        if not candidates:
+            return
         incarnations = frozenset(candidate.incarnation for candidate in candidates)
         was_assigned = any(lease.fence for lease in leases)
         if not was_assigned and not self._membership.is_stable(service, incarnations, now_s):
