Take a server's response that begins before a long body is sent

Cause: the whole body was sent before anything was read, so that a server which rejects a long request early and reads no further held it until the deadline. Sending now ends with the first bytes of a response, and the connection is closed, since the rest of the body is still due on it. Two tests; the first failed first.

--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -151,12 +151,12 @@
         ends_at_s = time.monotonic() + timeout_s
         self._is_reusable = False
         expected = _find_header(request.headers, id_header)
-        self._send(request, ends_at_s)
+        is_sent = self._send(request, ends_at_s)
         for _ in range(MAX_RESPONSES_READ):
             response = self._receive(request, ends_at_s)
             echoed = response.find(id_header)
             if echoed is None or echoed == expected:
-                self._is_reusable = self._is_persistent and not self._leftover
+                self._is_reusable = is_sent and self._is_persistent and not self._leftover
                 return response
             if not self._is_persistent:
                 break
@@ -171,19 +171,46 @@
         """Close the connection."""
         self._socket.close()
 
-    def _send(self, request: RawRequest, ends_at_s: float) -> None:
+    def _send(self, request: RawRequest, ends_at_s: float) -> bool:
+        """Send a request; return `False` if a response began before it was sent completely.
+
+        A server may respond to a long body before it has read all of it. The rest is then not
+        sent, so the connection cannot be used again.
+        """
         parser = h11.Connection(h11.CLIENT)
         data = parser.send(_create_head(request)) or b""
         if request.body:
             data += parser.send(h11.Data(data=request.body)) or b""
         data += parser.send(h11.EndOfMessage()) or b""
         try:
-            self._socket.settimeout(max(0.001, ends_at_s - time.monotonic()))
-            self._socket.sendall(data)
-        except TimeoutError as error:
-            raise TimedOutError(outcomes.Step.SEND, "timed out") from error
+            self._socket.settimeout(0.0)
+            view = memoryview(data)
+            while view:
+                sent = self._send_some(view)
+                if sent is None:
+                    events = self._wait_writable(ends_at_s)
+                    if events & select.POLLIN:
+                        return False
+                else:
+                    view = view[sent:]
         except OSError as error:
             raise ConnectionLostError(outcomes.Step.SEND, str(error)) from error
+        return True
+
+    def _send_some(self, data: memoryview) -> int | None:
+        try:
+            return self._socket.send(data)
+        except BlockingIOError:
+            return None
+
+    def _wait_writable(self, ends_at_s: float) -> int:
+        """Wait until more can be sent or a response begins; return the events of the poll."""
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN | select.POLLOUT)
+        ready = poll.poll(max(0.0, ends_at_s - time.monotonic()) * MS_PER_S)
+        if not ready:
+            raise TimedOutError(outcomes.Step.SEND, "timed out")
+        return ready[0][1]
 
     def _receive(self, request: RawRequest, ends_at_s: float) -> RawResponse:
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
--- a/tests/backend/test_exchange.py
+++ b/tests/backend/test_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import socket
 import struct
 import threading
@@ -24,6 +25,8 @@
 REQUEST = exchange.RawRequest(
     "GET", "/", (outcomes.Header("Host", "a"), outcomes.Header("X-Id", "mine")), b""
 )
+TEST_TIMEOUT_S = 20.0
+LONG_BODY_BYTES = 32 * 1_048_576
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -260,3 +263,58 @@
     with pytest.raises(exchange.TimedOutError):
         run(servers, script, timeout_s=0.05)
     done.set()
+
+
+def test_response_before_the_end_of_a_long_body_is_taken_and_the_connection_closed(
+    servers: list[ScriptedServer],
+) -> None:
+    """The whole body was once sent first, until the deadline if the server did not read it."""
+    answered = threading.Event()
+
+    def respond_early(connection: socket.socket) -> None:
+        connection.recv(1_024)
+        connection.sendall(create_response("mine", b"early"))
+        answered.wait(TEST_TIMEOUT_S)
+
+    server = ScriptedServer(respond_early)
+    servers.append(server)
+    pool = exchange_pool.ExchangePool()
+    upload = dataclasses.replace(REQUEST, method="POST", body=b"x" * LONG_BODY_BYTES)
+    response = pool.send(
+        server.address,
+        upload,
+        ID_HEADER,
+        TEST_TIMEOUT_S,
+        cancellation.Cancellation(),
+        max_idle=1,
+        new_connection=False,
+    )
+    answered.set()
+    assert response.body == b"early"
+    assert not pool._idle
+
+
+def test_body_that_the_server_does_not_read_ends_at_the_deadline(
+    servers: list[ScriptedServer],
+) -> None:
+    answered = threading.Event()
+    server = ScriptedServer(lambda connection: wait_silently(answered))
+    servers.append(server)
+    upload = dataclasses.replace(REQUEST, method="POST", body=b"x" * LONG_BODY_BYTES)
+    with pytest.raises(exchange.TimedOutError) as raised:
+        exchange_pool.ExchangePool().send(
+            server.address,
+            upload,
+            ID_HEADER,
+            0.05,
+            cancellation.Cancellation(),
+            max_idle=1,
+            new_connection=False,
+        )
+    answered.set()
+    assert raised.value.step is outcomes.Step.SEND
+
+
+def wait_silently(ended: threading.Event) -> None:
+    """Read nothing until the test ends."""
+    ended.wait(TEST_TIMEOUT_S)
