Let few instances poll the configuration while the lessor relays news

Cause: each of 195 instances held a long poll of its own on the configuration and each answer or end of one is a priced call. While the lessor relays, the four instances with the lowest ranks in its list poll; a newer version ends the long polls of the reports, and the others read it then. An instance without a relay polls for itself.

--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -12,6 +12,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.ranges import reports
 from goldcresthall.store import client
 from goldcresthall.store import topics
 
@@ -27,6 +28,7 @@
 MAX_BACKOFF_S = 1.4
 SERVERS_POLL_INTERVAL_S = 0.9
 RELAY_CHECK_INTERVAL_S = 0.15
+CONFIGURATION_READERS = 4  # spares for a reader whose long poll gets no response
 
 
 class EntryDecoder(abc.ABC):
@@ -55,7 +57,8 @@
 class Watchers(service.Service):
     """Watches the configuration by long polling and polls the servers at an interval.
 
-    It also reads the configuration when another instance reports a newer version.
+    It also reads the configuration when another instance reports a newer version. While the
+    lessor relays what is new, only a few instances poll, and the others wait for such reports.
     """
 
     def __init__(self, service_kernel: kernel.Kernel, decoder: EntryDecoder) -> None:
@@ -70,6 +73,7 @@
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._store = self._kernel.find(names.STORE, client.StoreClient)
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
+        self._instances = self._kernel.find(names.REPORTS, reports.InstanceCounter)
         self._configuration_task.start()
         self._servers_task.start()
         self._catch_up_task.start()
@@ -84,6 +88,9 @@
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.configuration_topic)
         failures = 0
         while not stop_signal.is_set:
+            if self._is_configuration_relayed():
+                stop_signal.wait(RELAY_CHECK_INTERVAL_S)
+                continue
             # After a failure the next read does not wait, so that it detects at once that
             # the store is available again.
             update = follower.poll(0.0 if failures else CONFIGURATION_LONG_POLL_S)
@@ -98,6 +105,14 @@
             if self._directory.configuration is None:
                 stop_signal.wait(BASE_BACKOFF_S)
 
+    def _is_configuration_relayed(self) -> bool:
+        """Return whether other instances read the configuration and the lessor relays news."""
+        return (
+            self._directory.configuration is not None
+            and self._directory.is_relayed
+            and self._instances.rank >= CONFIGURATION_READERS
+        )
+
     def _watch_servers(self, stop_signal: tasks.StopSignal) -> None:
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.servers_topic)
         failures = 0
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -102,6 +102,15 @@
             return 1 + self._responder.reporter_count
         return max(1, len(self._peers)) if self._peers else ASSUMED_INSTANCE_COUNT
 
+    @property
+    def rank(self) -> int:
+        """Position in the lessor's list of instances; 0 for the lessor or if it is not listed."""
+        if self._term is not None:
+            return 0
+        names_in_order = [peer.name for peer in self._peers]
+        own_name = self._own.incarnation.name
+        return names_in_order.index(own_name) if own_name in names_in_order else 0
+
     @property
     def is_lessor(self) -> bool:
         """Whether this instance is the lessor."""
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -31,8 +31,8 @@
 class ReportResponder:
     """Replies to reports and tracks the instances that reported recently.
 
-    A change of the owners or of the servers ends the long polls; `announce_changes` wakes them,
-    so that a waiting report costs nothing.
+    A change of the owners, the servers or the configuration ends the long polls;
+    `announce_changes` wakes them, so that a waiting report costs nothing.
 
     Parameters
     ----------
@@ -59,7 +59,7 @@
         self._owners = owners_service
         self._lock = threading.Lock()
         self._announced = threading.Condition(self._lock)
-        self._latest = (-1, row_changes.NO_REVISION)
+        self._latest = (-1, row_changes.NO_REVISION, 0)
         self._reporters: dict[str, _Reporter] = {}
         self._peers = reports.PeerList()
         self._owner_history = revision_history.RevisionHistory(_find_start)
@@ -144,8 +144,12 @@
         return self._directory.relay() if own_term.has_store else directory.STALE_SERVERS
 
     def announce_changes(self, own_term: lessor.LessorTerm) -> None:
-        """End the long polls if the owners, the servers or the lessor's store changed."""
-        latest = (self._owners.serial, self._read_relayed_servers(own_term).revision)
+        """End the long polls if the owners, the servers or the configuration changed."""
+        latest = (
+            self._owners.serial,
+            self._read_relayed_servers(own_term).revision,
+            self._directory.latest_version,
+        )
         with self._announced:
             if latest != self._latest:
                 self._latest = latest
@@ -159,6 +163,8 @@
         view = self._owners.view
         if view.term == own_term.term and not _is_up_to_date(report, view):
             return True
+        if self._directory.latest_version > report.configuration:
+            return True
         return self._read_relayed_servers(own_term).revision != report.known_servers
 
 
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -193,3 +193,11 @@
     @abc.abstractmethod
     def live_instances(self) -> int:
         """Number of live instances, including this one."""
+
+    @property
+    @abc.abstractmethod
+    def rank(self) -> int:
+        """Position of this instance among the live ones; 0 for the lessor or if unknown.
+
+        Tasks that a few instances do for all go to those with the lowest ranks.
+        """
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -26,6 +26,11 @@
         """Return four."""
         return 4
 
+    @property
+    def rank(self) -> int:
+        """Return the lowest rank."""
+        return 0
+
     def start(self) -> None:
         """Do nothing."""
 
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -1,9 +1,24 @@
-"""Tests of the delays between retries of calls to the store."""
+"""Tests of the tasks that read the configuration, and of the delays between their retries."""
 
 from __future__ import annotations
 
+import threading
+
+import pytest
+
+from goldcresthall.core import deployment
+from goldcresthall.gateway import directory
 from goldcresthall.gateway import watchers
+from goldcresthall.kernel import kernel
+from goldcresthall.kernel import names
+from goldcresthall.ranges import reports
+from goldcresthall.store import client
+from tests.fakes import clock
+from tests.gateway import conftest
 
+CONFIGURATION_TOPIC = "configuration"
+SERVERS_TOPIC = "servers"
+TEST_TIMEOUT_S = 20.0
 CONFIGURATION_BOUND_S = 2.0
 
 
@@ -21,3 +36,119 @@
         calls += 1
         elapsed_s += watchers.find_retry_delay_s(calls)
     assert calls < 12
+
+
+class Decoder(watchers.EntryDecoder):
+    """Takes the offset of a record as the version of the configuration."""
+
+    configuration_topic = CONFIGURATION_TOPIC
+    servers_topic = SERVERS_TOPIC
+
+    def decode_configuration(self, record: client.KeyedRecord) -> deployment.Configuration:
+        """Return a configuration."""
+        return conftest.create_configuration(record.offset)
+
+    def decode_server(self, record: client.KeyedRecord) -> deployment.RegisteredServer | None:
+        """Return no server."""
+        return None
+
+
+class CountingStore(client.StoreClient):
+    """A store with one configuration, which counts the reads of it."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.newest_reads = 0
+        self.polls = threading.Semaphore(0)
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def read_newest(self, topic: str) -> client.Records | client.StoreFailed:
+        """Return the newest configuration."""
+        if topic == SERVERS_TOPIC:
+            return client.Records((), 0)
+        self.newest_reads += 1
+        record = client.KeyedRecord("config", b"", self.version)
+        return client.Records((record,), self.version + 1)
+
+    def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
+        """Return no change."""
+        if topic == CONFIGURATION_TOPIC:
+            self.polls.release()
+        return client.Records((), from_offset)
+
+    def write(self, topic: str, key: str, value: bytes, expected_end: int) -> client.WriteOutcome:
+        """Fail."""
+        return client.StoreFailed("connect", "down")
+
+
+class RankedInstance(conftest.FourInstances):
+    """An instance with a given rank."""
+
+    def __init__(self, rank: int) -> None:
+        self._rank = rank
+
+    @property
+    def rank(self) -> int:
+        """Return the rank."""
+        return self._rank
+
+
+class WatchedDirectory:
+    """A directory with its watchers over a store; the lessor's relay is renewed by hand."""
+
+    def __init__(self, rank: int) -> None:
+        service_kernel = kernel.Kernel()
+        self.clock = clock.ManualClock()
+        self.store = CountingStore()
+        instances: reports.InstanceCounter = RankedInstance(rank)
+        service_kernel.register(names.CLOCK, self.clock)
+        service_kernel.register(names.STORE, self.store)
+        service_kernel.register(names.REPORTS, instances)
+        self.directory = directory.Directory(service_kernel)
+        service_kernel.register(names.DIRECTORY, self.directory)
+        self.watchers = watchers.Watchers(service_kernel, Decoder())
+        self.directory.start()
+        self.directory.apply_configuration(conftest.create_configuration(0))
+        self.directory.apply_relayed(())
+
+    def run(self) -> None:
+        """Start the watchers."""
+        self.watchers.start()
+
+
+@pytest.mark.parametrize(("rank", "polls"), [(0, True), (3, True), (4, False), (190, False)])
+def test_few_instances_poll_the_configuration_while_the_lessor_relays(
+    rank: int, polls: bool
+) -> None:
+    """Each of 195 instances once held a long poll of its own, at a price for each call."""
+    watched = WatchedDirectory(rank)
+    assert watched.watchers is not None
+    watched.run()
+    assert watched.store.polls.acquire(timeout=TEST_TIMEOUT_S if polls else 0.5) is polls
+    watched.watchers.stop()
+
+
+def test_instance_that_does_not_poll_reads_a_version_that_others_report() -> None:
+    watched = WatchedDirectory(rank=9)
+    watched.run()
+    watched.store.version = 7
+    watched.directory.observe_version(7)
+    for _ in range(2_000):
+        if watched.directory.configuration == conftest.create_configuration(7):
+            break
+        threading.Event().wait(0.01)
+    watched.watchers.stop()
+    assert watched.directory.configuration == conftest.create_configuration(7)
+
+
+def test_instance_polls_again_once_the_relay_ends() -> None:
+    watched = WatchedDirectory(rank=9)
+    watched.run()
+    watched.directory.end_relay()
+    assert watched.store.polls.acquire(timeout=TEST_TIMEOUT_S)
+    watched.watchers.stop()
--- a/tests/ranges/test_report_responder.py
+++ b/tests/ranges/test_report_responder.py
@@ -125,3 +125,11 @@
 def test_unchanged_list_of_servers_is_not_built_again(waiting: Lessor) -> None:
     relayed = waiting.simulation.directory.relay()
     assert waiting.simulation.directory.relay() is relayed
+
+
+def test_newer_configuration_ends_a_long_poll(waiting: Lessor) -> None:
+    thread, replies = start_report(waiting)
+    waiting.simulation.directory.observe_version(9)
+    waiting.publish()
+    thread.join(WAIT_S)
+    assert replies[0].configuration == 9
