--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -170,11 +170,13 @@
         return own_term.step_down(STEP_DOWN_TIMEOUT_S)
 
     def _run(self, stop_signal: tasks.StopSignal) -> None:
+        known: key_ranges.StoredTable | None = None
         while not stop_signal.is_set:
             if self._directory.configuration is None or not self._directory.servers.by_name:
                 stop_signal.wait(RETRY_INTERVAL_S)
                 continue
-            stored = ownership_tables.read(self._store)
+            stored = known or ownership_tables.read(self._store)
+            known = None
             if stored is None:
                 stop_signal.wait(RETRY_INTERVAL_S)
                 continue
@@ -183,9 +185,9 @@
             if lessor is None or lessor.address == self._own.address:
                 if lessor is None:
                     stop_signal.wait(self._draw_takeover_delay_s())
-                self._take_over(stored, stop_signal)
+                known = self._take_over(stored, stop_signal)
             elif self._follow(lessor, stop_signal):
-                self._take_over(stored, stop_signal)
+                known = self._take_over(stored, stop_signal)
 
     def _apply_stored(self, stored: key_ranges.StoredTable) -> None:
         assigned = tuple(
@@ -285,14 +287,21 @@
             error,
         )
 
-    def _take_over(self, stored: key_ranges.StoredTable, stop_signal: tasks.StopSignal) -> None:
-        """Write a takeover record and run the term, unless another instance takes over first."""
+    def _take_over(
+        self, stored: key_ranges.StoredTable, stop_signal: tasks.StopSignal
+    ) -> key_ranges.StoredTable | None:
+        """Write a takeover record and run the term, unless another instance takes over first.
+
+        Returns that instance's table, so that it need not be read again.
+        """
         if self._has_resigned:
             stop_signal.wait(RETRY_INTERVAL_S)
-            return
+            return None
         latest = ownership_tables.read(self._store)
-        if latest is None or latest.table.lessor != stored.table.lessor or stop_signal.is_set:
-            return
+        if latest is None or stop_signal.is_set:
+            return None
+        if latest.table.lessor != stored.table.lessor:
+            return latest
         expected = latest.offset + 1
         table = ownership_tables.take_over(latest.table, self._own, expected)
         outcome = self._store.write(
@@ -300,7 +309,7 @@
         )
         if not isinstance(outcome, client.Written):
             logging.info("takeover failed, step write: %s", outcome)
-            return
+            return None
         acquired_table = key_ranges.StoredTable(outcome.offset, table)
         context = lessor_context.LessorContext(
             self._store, self._channel, self._directory, self._clock
@@ -314,9 +323,10 @@
         )
         with self._lock:
             if own_term.term < self._min_term:
-                return
+                return None
             self._term = own_term
         self._serve(own_term, stop_signal)
+        return None
 
     def _serve(self, own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
         self._responder.begin_term()
