Keep a leaving lessor's renewals until the store can record its handover

The term now goes on until the store answers or the process ends, and the handover is tried again each 0.3 s. Ruled out: the lessor's authority of 6 s, which had not ended. The test failed first.

--- a/src/goldcresthall/application/deployment_runner.py
+++ b/src/goldcresthall/application/deployment_runner.py
@@ -56,9 +56,11 @@
     caller_frontend.start_draining()
     gateway_service = instance.kernel.find(names.GATEWAY, gateway.Gateway)
     gateway_service.start_draining(instance.settings.grace_s - LAST_RESPONSE_MARGIN_S)
-    handover = threading.Thread(target=election_service.resign, name="hand-over", daemon=True)
-    handover.start()
     unset_signal = tasks.StopSignal()
+    handover = threading.Thread(
+        target=election_service.resign, args=(unset_signal,), name="hand-over", daemon=True
+    )
+    handover.start()
     unset_signal.wait(UNREADY_DETECTION_S)
     caller_frontend.stop_accepting()
     caller_frontend.close_when_idle(
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -45,6 +45,7 @@
 PREDECESSOR_QUERY_INTERVAL_S = 0.3
 STEP_DOWN_TIMEOUT_S = 0.15
 STOP_TIMEOUT_S = 2.0
+RETRY_HANDOVER_INTERVAL_S = 0.3
 ASSUMED_INSTANCE_COUNT = 8
 
 
@@ -136,12 +137,16 @@
         self._task.request_stop()
         self._predecessor_task.request_stop()
 
-    def resign(self) -> None:
-        """Hand over its term, if any, and do not become lessor again before the process ends."""
+    def resign(self, stop_signal: tasks.StopSignal) -> None:
+        """Hand over its term, if any, and do not become lessor again before the process ends.
+
+        While the store is unreachable the term goes on, and the handover is tried again.
+        """
         self._has_resigned = True
         own_term = self._term
-        if own_term is not None:
-            own_term.hand_over()
+        while own_term is not None and not own_term.is_over and not own_term.hand_over():
+            logging.info("term %d not handed over: store unreachable, step resign", own_term.term)
+            stop_signal.wait(RETRY_HANDOVER_INTERVAL_S)
 
     def answer_report(self, report: reports.Report) -> reports.Reply:
         """Reply to a report; as the lessor, on a change or at the end of the long poll."""
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -131,13 +131,21 @@
         self._renewers.stop()
         return self._leases.close(timeout_s)
 
-    def hand_over(self) -> None:
+    def hand_over(self) -> bool:
         """End the term and record that in the store, so that a successor need not wait.
 
         Records nothing if a grant is still in flight.
+
+        Returns
+        -------
+        bool
+            `False` if the store is unreachable. The term goes on then, because no successor
+            could take over and the leases would expire.
         """
+        if not self._reaches_store():
+            return False
         if not self.step_down(timeout_s=1.0):
-            return
+            return True
         table = self._create_table(())
         table = dataclasses.replace(table, lessor=None)
         outcome = self._context.store.write(
@@ -147,6 +155,13 @@
             self._table.offset + 1,
         )
         logging.info("lessor of term %d handed over, outcome of the write: %s", self.term, outcome)
+        return True
+
+    def _reaches_store(self) -> bool:
+        outcome = self._context.store.read_changes(
+            ownership_tables.TOPIC, self._table.offset + 1, 0.0
+        )
+        return not isinstance(outcome, client.StoreFailed)
 
     def run(self, stop_signal: tasks.StopSignal) -> None:
         """Run the lessor's steps until the term ends."""
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -248,6 +248,23 @@
     assert simulation.count_held() == len(range_simulation.SAMPLED_KEYS)
 
 
+def test_leaving_lessor_renews_until_the_store_can_record_its_handover(
+    simulation: range_simulation.RangeSimulation,
+) -> None:
+    """A lessor that stepped down in an outage of the store once left all keys without a holder."""
+    first, second = simulation.instances
+    assert first.own_term is not None
+    first.store.is_down = True
+    simulation.advance(1.0)
+    assert not first.own_term.hand_over()
+    simulation.advance(3.5)
+    assert simulation.count_held() == len(range_simulation.SAMPLED_KEYS)
+    first.store.is_down = False
+    assert first.own_term.hand_over()
+    second.take_over()
+    assert read_table(simulation).predecessors == ()
+
+
 def test_keys_of_a_server_whose_address_went_to_another_service_move_at_once(
     simulation: range_simulation.RangeSimulation,
 ) -> None:
