--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -45,6 +45,10 @@
     """No connection was made; no byte of the request was sent."""
 
 
+class ConnectionRejectedError(ConnectFailedError):
+    """The server accepted the connection and reset it, as an overloaded server does."""
+
+
 class TimedOutError(ExchangeError):
     """The complete response was not received in time."""
 
@@ -118,12 +122,12 @@
 
         Raises
         ------
-        ConnectFailedError
+        ConnectionRejectedError
             If the server resets or closes the connection.
         """
         if self._is_readable(EARLY_RESET_WAIT_S):
             self.close()
-            raise ConnectFailedError(outcomes.Step.CONNECT, "reset or closed after connecting")
+            raise ConnectionRejectedError(outcomes.Step.CONNECT, "reset or closed after connecting")
 
     @property
     def is_reusable(self) -> bool:
--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -54,8 +54,7 @@
         used = None if new_connection else self._acquire(address)
         if used is None:
             used = exchange.Connection.open(address, min(exchange.CONNECT_TIMEOUT_S, timeout_s))
-            if new_connection:
-                used.check_early_reset()
+            used.check_early_reset()
         remaining_s = timeout_s - (time.monotonic() - began_at_s)
         try:
             with cancelled.call_on_cancel(used.interrupt):
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -132,6 +132,11 @@
     return attempts.AttemptNotRun(outcomes.RefusalReason.CONNECT_FAILED, error.step, str(error))
 
 
+@_describe_failure.register
+def _(error: exchange.ConnectionRejectedError) -> attempts.Attempt:
+    return attempts.AttemptNotRun(outcomes.RefusalReason.SERVER_SHED, error.step, str(error))
+
+
 @_describe_failure.register
 def _(error: exchange.TimedOutError) -> attempts.Attempt:
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TIMEOUT, error.step, str(error))
--- a/tests/backend/test_exchange.py
+++ b/tests/backend/test_exchange.py
@@ -143,14 +143,18 @@
         run(servers, script)
 
 
-def test_reset_before_sending_counts_as_failed_connect(
-    servers: list[ScriptedServer],
+@pytest.mark.parametrize("new_connection", [True, False])
+def test_reset_before_sending_counts_as_rejected_connection(
+    servers: list[ScriptedServer], monkeypatch: pytest.MonkeyPatch, *, new_connection: bool
 ) -> None:
+    """An idempotent request was once sent at once, so that its outcome was unknown."""
+
     def script(connection: socket.socket) -> None:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
-    with pytest.raises(exchange.ConnectFailedError):
-        run(servers, script, new_connection=True)
+    monkeypatch.setattr(exchange, "EARLY_RESET_WAIT_S", 5.0)
+    with pytest.raises(exchange.ConnectionRejectedError):
+        run(servers, script, new_connection=new_connection)
 
 
 def test_connection_with_surplus_bytes_is_not_reused(
