--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -3,19 +3,22 @@
 from __future__ import annotations
 
 import threading
+from typing import TYPE_CHECKING
 
 import pytest
 
-from goldcresthall.core import deployment
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import watchers
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
-from goldcresthall.ranges import reports
 from goldcresthall.store import client
 from tests.fakes import clock
 from tests.gateway import conftest
 
+if TYPE_CHECKING:
+    from goldcresthall.core import deployment
+    from goldcresthall.ranges import reports
+
 CONFIGURATION_TOPIC = "configuration"
 SERVERS_TOPIC = "servers"
 TEST_TIMEOUT_S = 20.0
