Let only as many requests wait for capacity as can still meet their targets

This instance's share of what the servers can process until the target now bounds how many wait, and none waits longer than the time from which a response would be late. The test of the finder failed first.

--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -19,6 +19,7 @@
 from goldcresthall.gateway import retry_policy
 from goldcresthall.gateway import route_table
 from goldcresthall.gateway import server_finder
+from goldcresthall.gateway import waiting
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
@@ -73,6 +74,7 @@
         self._generator = generator
         self._budgets = retry_budgets.RetryWindowBudgets(instance_settings.retries)
         self._round_robins = route_table.WeightedRoundRobins(generator)
+        self._waiting_places = waiting.WaitingPlaces()
         self._drain_deadline_s = math.inf
 
     @classmethod
@@ -152,9 +154,17 @@
     ) -> request_progress.RequestProgress:
         self._budgets.find(plan.target.service).add_request(self._clock.read_s())
         server_finder.count_request(plan.target, self._owners)
-        wait_budget = retry_policy.WaitBudget(
-            self._clock.read_s(), self._find_remaining_s(plan), plan.route.target_latency_s
-        )
+        with self._waiting_places.create_place() as place:
+            return self._run_attempts(request, plan, cancelled, place)
+
+    def _run_attempts(
+        self,
+        request: requests.Request,
+        plan: RoutingPlan,
+        cancelled: cancellation.Cancellation,
+        place: waiting.WaitingPlace,
+    ) -> request_progress.RequestProgress:
+        wait_budget = retry_policy.WaitBudget(self._clock.read_s(), self._find_remaining_s(plan))
         progress = request_progress.RequestProgress()
         while not cancelled.is_cancelled:
             if self._find_remaining_s(plan) < MIN_ATTEMPT_S:
@@ -165,41 +175,40 @@
                 plan.target, progress.tried, self._generator, target_in_s
             )
             if isinstance(selected, server_finder.Unavailable):
-                if not self._wait_for_server(plan, wait_budget, serial, is_busy=selected.is_busy):
+                if selected.wait is not None:
+                    has_waited = self._wait_for_capacity(plan, selected.wait, place)
+                else:
+                    has_waited = self._wait_for_owner(plan, wait_budget, serial)
+                if not has_waited:
                     return request_progress.apply_refusal(progress, selected.refused)
                 continue
+            place.leave()
             attempt = self._send_once(request, plan, selected, cancelled)
             progress = request_progress.record_attempt(progress, selected.name, attempt)
             if not self._prepare_retry(plan, progress, attempt, wait_budget, serial):
                 return progress
         return request_progress.apply_cancellation(progress)
 
-    def _wait_for_server(
-        self,
-        plan: RoutingPlan,
-        wait_budget: retry_policy.WaitBudget,
-        serial: int,
-        *,
-        is_busy: bool = False,
+    def _wait_for_capacity(
+        self, plan: RoutingPlan, wait: waiting.CapacityWait, place: waiting.WaitingPlace
     ) -> bool:
-        """Wait for a new owner or for capacity; return `False` if waiting is useless or over."""
-        if not is_busy and not isinstance(plan.target, server_finder.KeyTarget):
+        """Wait until an attempt ends; return `False` if the target can no longer be met."""
+        remaining_s = plan.target_at_s - wait.service_time_s - self._clock.read_s()
+        if remaining_s <= 0 or not place.enter(wait):
             return False
-        now_s = self._clock.read_s()
-        if is_busy:
-            remaining_s = wait_budget.find_busy_remaining_s(now_s)
-        else:
-            remaining_s = wait_budget.find_remaining_s(now_s)
+        self._estimates.await_attempt_end(min(remaining_s, retry_policy.OWNER_RECHECK_INTERVAL_S))
+        return True
+
+    def _wait_for_owner(
+        self, plan: RoutingPlan, wait_budget: retry_policy.WaitBudget, serial: int
+    ) -> bool:
+        """Wait for a newer view of the owners; return `False` if waiting is useless or over."""
+        if not isinstance(plan.target, server_finder.KeyTarget):
+            return False
+        remaining_s = wait_budget.find_remaining_s(self._clock.read_s())
         if remaining_s <= 0:
             return False
-        if is_busy:
-            self._estimates.await_attempt_end(
-                min(remaining_s, retry_policy.OWNER_RECHECK_INTERVAL_S)
-            )
-        else:
-            self._owners.wait_for_newer(
-                serial, min(remaining_s, retry_policy.OWNER_RECHECK_INTERVAL_S)
-            )
+        self._owners.wait_for_newer(serial, min(remaining_s, retry_policy.OWNER_RECHECK_INTERVAL_S))
         return True
 
     def _send_once(
@@ -242,7 +251,7 @@
                 self._metrics.count_retry_denied(reason)
                 return False
         self._metrics.count_retry(reason)
-        return not is_keyed or self._wait_for_server(plan, wait_budget, serial)
+        return not is_keyed or self._wait_for_owner(plan, wait_budget, serial)
 
     def _create_dispatch(
         self, request: requests.Request, plan: RoutingPlan, server: deployment.RegisteredServer
--- a/src/goldcresthall/gateway/retry_policy.py
+++ b/src/goldcresthall/gateway/retry_policy.py
@@ -16,7 +16,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitBudget:
-    """Limit on the time that a request waits for a usable owner of its key or for capacity.
+    """Limit on the time that a request waits for a usable owner of its key.
 
     Attributes
     ----------
@@ -24,27 +24,15 @@
         Clock reading in seconds at which the budget starts.
     available_s
         Seconds from then until attempts must end.
-    target_latency_s
-        Latency target of the request's route in seconds.
     """
 
     began_at_s: float
     available_s: float
-    target_latency_s: float
 
     def find_remaining_s(self, now_s: float) -> float:
         """Return the seconds left to wait; negative once the limit has passed."""
         return self.began_at_s + MAX_WAIT_FRACTION * self.available_s - now_s
 
-    def find_busy_remaining_s(self, now_s: float) -> float:
-        """Return the seconds left to wait for capacity; negative once the limit has passed.
-
-        Under overload a request that waits past its latency target takes capacity from those
-        that can meet theirs, so it is refused instead and told when to retry.
-        """
-        until_target_s = self.began_at_s + self.target_latency_s - now_s
-        return min(until_target_s, self.find_remaining_s(now_s))
-
 
 @functools.singledispatch
 def find_retry_reason(attempt: attempts.Attempt, *, idempotent: bool) -> retries.RetryReason | None:
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -15,6 +15,7 @@
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import selection
+from goldcresthall.gateway import waiting
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
 
@@ -24,6 +25,7 @@
 MAX_OWNER_DRAIN_FRACTION = 0.25
 MAX_OUTSTANDING_PER_SLOT = 5
 MAX_LOAD_PER_SLOT = 4
+MAX_CAPACITY_WAIT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,12 +52,12 @@
 
     Attributes
     ----------
-    is_busy
-        Whether candidates exist, but all are at their limit of requests.
+    wait
+        How a request may wait if candidates exist, but all are at their limit of requests.
     """
 
     refused: outcomes.Refused
-    is_busy: bool = False
+    wait: waiting.CapacityWait | None = None
 
 
 def create_target(
@@ -143,6 +145,21 @@
         response_time_s = estimate.find_response_time_s(load, server.slots)
         return load < MAX_LOAD_PER_SLOT * server.slots and response_time_s <= target_in_s
 
+    def create_wait(
+        self, queue: str, servers: tuple[deployment.RegisteredServer, ...], target_in_s: float
+    ) -> waiting.CapacityWait:
+        """Return how a request may wait for capacity at busy servers.
+
+        This instance's share of what the servers can process until the target bounds the
+        number of requests that wait. More would be held and then refused, or answered late.
+        """
+        times_s = [self.estimates.find(server).service_time_s for server in servers]
+        service_time_s = sum(times_s) / len(times_s)
+        usable_s = max(0.0, min(target_in_s, MAX_CAPACITY_WAIT_S) - service_time_s)
+        slots = sum(server.slots for server in servers)
+        share = slots / max(1, self._instance_counter.live_instances)
+        return waiting.CapacityWait(queue, round(share * usable_s / service_time_s), service_time_s)
+
     def find(
         self,
         target: Target,
@@ -194,7 +211,9 @@
     if chosen is not None:
         return chosen
     if candidates:
-        return _refuse_busy(target, f"{len(candidates)} servers are")
+        servers = tuple(entry.server for entry in candidates)
+        wait = finder.create_wait(target.service, servers, target_in_s)
+        return _refuse_busy(target, f"{len(candidates)} servers are", wait)
     return Unavailable(
         outcomes.Refused(
             outcomes.RefusalReason.NO_SERVER_AVAILABLE,
@@ -222,7 +241,8 @@
     if _exceeds_drain_time(entry, finder):
         return _refuse_no_owner(target, f"{range_owner.owner.name} is draining")
     if not finder.has_capacity(entry.server, target_in_s):
-        return _refuse_busy(target, f"{entry.server.name} is")
+        wait = finder.create_wait(entry.server.name, (entry.server,), target_in_s)
+        return _refuse_busy(target, f"{entry.server.name} is", wait)
     return entry.server
 
 
@@ -233,7 +253,7 @@
     return finder.directory.read_s() - since_s > MAX_OWNER_DRAIN_FRACTION * finder.drain_s
 
 
-def _refuse_busy(target: Target, subject: str) -> Unavailable:
+def _refuse_busy(target: Target, subject: str, wait: waiting.CapacityWait) -> Unavailable:
     refused = outcomes.Refused(
         outcomes.RefusalReason.QUEUE_FULL,
         outcomes.Step.ADMIT,
@@ -241,7 +261,7 @@
         f"{subject} at the limit of requests",
         retry_after_s=BUSY_RETRY_AFTER_S,
     )
-    return Unavailable(refused, is_busy=True)
+    return Unavailable(refused, wait)
 
 
 def _refuse_no_owner(target: KeyTarget, detail: str) -> Unavailable:
--- a/tests/gateway/test_server_finder.py
+++ b/tests/gateway/test_server_finder.py
@@ -217,3 +217,21 @@
         assert find(gateway_fixture, POOL, target_in_s=-1.0) == "one"
         gateway_fixture.estimates.start_attempt(server)
     assert find(gateway_fixture, POOL, target_in_s=-1.0) == "queue_full"
+
+
+@pytest.mark.parametrize(("target_in_s", "max_requests"), [(0.1, 0), (0.3, 2), (0.5, 4)])
+def test_no_more_requests_wait_than_can_meet_their_targets(
+    gateway_fixture: GatewayFixture, target_in_s: float, max_requests: int
+) -> None:
+    """Requests for a key beyond its server's rate were all held until their target passed."""
+    server = conftest.create_server("owner", "ledger")
+    gateway_fixture.directory.apply_full_list((server,))
+    assign_keys(gateway_fixture, "owner")
+    gateway_fixture.estimates._service_average_s["ledger"] = 0.1
+    shed = attempts.AttemptNotRun(outcomes.RefusalReason.SERVER_SHED, outcomes.Step.EXECUTE, "")
+    gateway_fixture.estimates.start_attempt(server)
+    gateway_fixture.estimates.finish_attempt(server, shed, 0.01)
+    unavailable = gateway_fixture.finder.find(KEY, frozenset(), GENERATOR, target_in_s)
+    assert isinstance(unavailable, server_finder.Unavailable)
+    assert unavailable.wait is not None
+    assert unavailable.wait.max_requests == max_requests
