Relay the configuration with the lessor's replies

The lessor now relays the stored document, compressed, to each reporter that holds an older one; an instance reads a version itself only if the relay does not bring it within 0.4 s. A machine below the lessor's requirements waits 0.4 s after its start for a lessor before it reads configuration and servers, and follows a lessor before it has either. Reports of earlier releases get no document.

--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -91,7 +91,8 @@
     )
     service_kernel.register(names.DIRECTORY, directory.Directory(service_kernel))
     service_kernel.register(
-        names.WATCHERS, watchers.Watchers(service_kernel, decoder.PlatformDecoder())
+        names.WATCHERS,
+        watchers.Watchers.from_config(service_kernel, decoder.PlatformDecoder(), instance_settings),
     )
 
 
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 import threading
+import zlib
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -76,6 +77,35 @@
 STALE_SERVERS: Final = RelayedServers(-1, ())
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationDocument:
+    """A configuration as it is stored, for relay to other instances.
+
+    Attributes
+    ----------
+    content
+        The stored document, compressed by zlib.
+    """
+
+    version: int
+    content: bytes
+
+    @classmethod
+    def compress(cls, version: int, stored: bytes) -> ConfigurationDocument:
+        """Create a document from the stored bytes."""
+        return cls(version, zlib.compress(stored))
+
+    def decompress(self) -> bytes:
+        """Return the stored bytes.
+
+        Raises
+        ------
+        zlib.error
+            If the content is damaged.
+        """
+        return zlib.decompress(self.content)
+
+
 class Directory(service.Service):
     """The deployment's configuration and servers, as last read from the store.
 
@@ -90,6 +120,8 @@
         self._newer_version_seen = threading.Condition(self._lock)
         self._latest_version = 0
         self._configuration: deployment.Configuration | None = None
+        self._document: ConfigurationDocument | None = None
+        self._received: ConfigurationDocument | None = None
         self._route_table = route_table.RouteTable(())
         self._servers = ServerList({}, {})
         self._expired_names: set[str] = set()
@@ -114,6 +146,11 @@
         """The configuration in force; `None` until the first one is read."""
         return self._configuration
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether a configuration and servers are known."""
+        return self._configuration is not None and bool(self._servers.by_name)
+
     @property
     def latest_version(self) -> int:
         """Highest configuration version known to be in force at any instance."""
@@ -135,11 +172,36 @@
             Whether one has; `False` after `timeout_s` seconds.
         """
         with self._newer_version_seen:
-            return self._newer_version_seen.wait_for(self._is_behind, timeout_s)
+            return self._newer_version_seen.wait_for(lambda: self.is_behind, timeout_s)
 
-    def _is_behind(self) -> bool:
+    @property
+    def is_behind(self) -> bool:
+        """Whether another instance has a newer configuration."""
         in_force = self._configuration
-        return in_force is not None and in_force.version < self._latest_version
+        return (0 if in_force is None else in_force.version) < self._latest_version
+
+    @property
+    def document(self) -> ConfigurationDocument | None:
+        """The configuration in force as it is stored; `None` until one is read."""
+        return self._document
+
+    @property
+    def held_version(self) -> int:
+        """Version of the latest configuration that is in force or was relayed; 0 for none."""
+        with self._lock:
+            in_force = 0 if self._configuration is None else self._configuration.version
+            return max(in_force, 0 if self._received is None else self._received.version)
+
+    def receive_document(self, document: ConfigurationDocument) -> None:
+        """Keep a relayed configuration until it is put in force, and report its version."""
+        with self._newer_version_seen:
+            self._received = document
+        self.observe_version(document.version)
+
+    @property
+    def received_document(self) -> ConfigurationDocument | None:
+        """The latest configuration that was relayed; `None` if there is none."""
+        return self._received
 
     @property
     def route_table(self) -> route_table.RouteTable:
@@ -151,14 +213,23 @@
         """The registered servers, and those kept after their entries expired in an outage."""
         return self._servers
 
-    def apply_configuration(self, configuration: deployment.Configuration) -> bool:
-        """Put a configuration in force if it is newer; return whether it was."""
+    def apply_configuration(
+        self, configuration: deployment.Configuration, document: ConfigurationDocument | None = None
+    ) -> bool:
+        """Put a configuration in force if it is newer; return whether it was.
+
+        Parameters
+        ----------
+        document
+            The configuration as it is stored, for relay to other instances.
+        """
         with self._lock:
             in_force = self._configuration
             if in_force is not None and configuration.version <= in_force.version:
                 return False
             self._route_table = route_table.RouteTable(configuration.routes)
             self._configuration = configuration
+            self._document = document
             self._latest_version = max(self._latest_version, configuration.version)
         logging.info(
             "configuration %08x in force, routes %d, services %d",
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import zlib
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
+    from goldcresthall.core import deployment_settings
     from goldcresthall.kernel import kernel
 
 CONFIGURATION_LONG_POLL_S = 15.0
@@ -28,7 +30,10 @@
 MAX_BACKOFF_S = 1.4
 SERVERS_POLL_INTERVAL_S = 0.9
 RELAY_CHECK_INTERVAL_S = 0.15
+FIRST_RELAY_CHECK_INTERVAL_S = 0.04
 CONFIGURATION_READERS = 4  # spares for a reader whose long poll gets no response
+RELAY_GRACE_S = 0.4  # a relayed version is read from the store only if its document fails to come
+FIRST_RELAY_WAIT_S = 0.4
 
 
 class EntryDecoder(abc.ABC):
@@ -36,18 +41,19 @@
 
     Attributes
     ----------
-    configuration_topic
-        Topic that holds the configuration.
+    configuration_topic, configuration_key
+        Topic that holds the configuration, and the key of its record.
     servers_topic
         Topic that holds the servers' entries, keyed by server name.
     """
 
     configuration_topic: str
+    configuration_key: str
     servers_topic: str
 
     @abc.abstractmethod
-    def decode_configuration(self, record: client.KeyedRecord) -> deployment.Configuration | None:
-        """Return the configuration in a record, or `None` if it has no valid one."""
+    def decode_configuration(self, stored: bytes) -> deployment.Configuration | None:
+        """Return the configuration in a stored document, or `None` if it is not valid."""
 
     @abc.abstractmethod
     def decode_server(self, record: client.KeyedRecord) -> deployment.RegisteredServer | None:
@@ -57,17 +63,46 @@
 class Watchers(service.Service):
     """Watches the configuration by long polling and polls the servers at an interval.
 
-    It also reads the configuration when another instance reports a newer version. While the
-    lessor relays what is new, only a few instances poll, and the others wait for such reports.
+    While the lessor relays both, only the lessor reads the servers and a few instances poll the
+    configuration. An instance reads a version that it knows to be in force elsewhere itself if
+    the relay does not bring it.
+
+    Parameters
+    ----------
+    decoder
+        Decoder of the platform's records.
+    first_relay_wait_s
+        Seconds after the start in which the lessor may relay both before they are read.
     """
 
-    def __init__(self, service_kernel: kernel.Kernel, decoder: EntryDecoder) -> None:
+    def __init__(
+        self,
+        service_kernel: kernel.Kernel,
+        decoder: EntryDecoder,
+        first_relay_wait_s: float = 0.0,
+    ) -> None:
         self._kernel = service_kernel
         self._decoder = decoder
+        self._first_relay_wait_s = first_relay_wait_s
         self._configuration_task = tasks.Task("configuration", self._watch_configuration)
         self._servers_task = tasks.Task("servers", self._watch_servers)
         self._catch_up_task = tasks.Task("configuration-catch-up", self._catch_up)
 
+    @classmethod
+    def from_config(
+        cls,
+        service_kernel: kernel.Kernel,
+        decoder: EntryDecoder,
+        settings: deployment_settings.DeploymentSettings,
+    ) -> Watchers:
+        """Return the watchers of an instance.
+
+        A machine that meets the lessor's requirements reads the store at once, because the others
+        wait for the lessor.
+        """
+        is_candidate = settings.machine.meets_lessor_requirements
+        return cls(service_kernel, decoder, 0.0 if is_candidate else FIRST_RELAY_WAIT_S)
+
     def start(self) -> None:
         """Start the tasks."""
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
@@ -87,6 +122,7 @@
     def _watch_configuration(self, stop_signal: tasks.StopSignal) -> None:
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.configuration_topic)
         failures = 0
+        self._await_first_relay(stop_signal)
         while not stop_signal.is_set:
             if self._is_configuration_relayed():
                 stop_signal.wait(RELAY_CHECK_INTERVAL_S)
@@ -105,6 +141,12 @@
             if self._directory.configuration is None:
                 stop_signal.wait(BASE_BACKOFF_S)
 
+    def _await_first_relay(self, stop_signal: tasks.StopSignal) -> None:
+        ends_at_s = self._clock.read_s() + self._first_relay_wait_s
+        while self._clock.read_s() < ends_at_s and not self._directory.is_relayed:
+            if stop_signal.wait(FIRST_RELAY_CHECK_INTERVAL_S):
+                return
+
     def _is_configuration_relayed(self) -> bool:
         """Return whether other instances read the configuration and the lessor relays news."""
         return (
@@ -116,6 +158,7 @@
     def _watch_servers(self, stop_signal: tasks.StopSignal) -> None:
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.servers_topic)
         failures = 0
+        self._await_first_relay(stop_signal)
         while not stop_signal.is_set:
             if self._directory.is_relayed:
                 stop_signal.wait(RELAY_CHECK_INTERVAL_S)
@@ -135,12 +178,32 @@
             stop_signal.wait(SERVERS_POLL_INTERVAL_S)
 
     def _catch_up(self, stop_signal: tasks.StopSignal) -> None:
-        """Read the configuration immediately when another instance has a newer version."""
+        """Put a relayed configuration in force, or read one that is in force elsewhere."""
         failures = 0
         while not stop_signal.is_set:
-            if self._directory.await_newer_version(VERSION_CHECK_INTERVAL_S):
-                failures = 0 if self._reread_configuration() else failures + 1
-                stop_signal.wait(find_retry_delay_s(failures))
+            if not self._directory.await_newer_version(VERSION_CHECK_INTERVAL_S):
+                continue
+            if self._apply_received():
+                failures = 0
+                continue
+            if self._is_configuration_relayed():
+                stop_signal.wait(RELAY_GRACE_S)
+                if self._apply_received() or not self._directory.is_behind:
+                    continue
+            failures = 0 if self._reread_configuration() else failures + 1
+            stop_signal.wait(find_retry_delay_s(failures))
+
+    def _apply_received(self) -> bool:
+        """Put the configuration that the lessor relayed last in force; return whether it was."""
+        document = self._directory.received_document
+        if document is None:
+            return False
+        try:
+            stored = document.decompress()
+        except zlib.error as error:
+            logging.warning("relayed configuration ignored, step decompress: %s", error)
+            return False
+        return self._apply_document(stored)
 
     def _reread_configuration(self) -> bool:
         """Read the configuration directly; a long poll's response may have been lost.
@@ -159,9 +222,15 @@
 
     def _apply_configuration(self, records: tuple[client.KeyedRecord, ...]) -> None:
         for record in records:
-            configuration = self._decoder.decode_configuration(record)
-            if configuration is not None:
-                self._directory.apply_configuration(configuration)
+            if record.key == self._decoder.configuration_key and record.value is not None:
+                self._apply_document(record.value)
+
+    def _apply_document(self, stored: bytes) -> bool:
+        configuration = self._decoder.decode_configuration(stored)
+        if configuration is None:
+            return False
+        document = directory.ConfigurationDocument.compress(configuration.version, stored)
+        return self._directory.apply_configuration(configuration, document)
 
     def _apply_servers(self, update: topics.TopicUpdate) -> None:
         latest = {record.key: record for record in update.changed}
--- a/src/goldcresthall/platform/decoder.py
+++ b/src/goldcresthall/platform/decoder.py
@@ -22,14 +22,13 @@
     """Decodes records that hold the operator's configuration or a server's entry."""
 
     configuration_topic = names.CONFIGURATION_TOPIC
+    configuration_key = names.CONFIGURATION_KEY
     servers_topic = names.SERVERS_TOPIC
 
-    def decode_configuration(self, record: client.KeyedRecord) -> deployment.Configuration | None:
-        """Return the configuration in a record, or `None` if it has no valid one."""
-        if record.key != names.CONFIGURATION_KEY or record.value is None:
-            return None
+    def decode_configuration(self, stored: bytes) -> deployment.Configuration | None:
+        """Return the configuration in a stored document, or `None` if it is not valid."""
         try:
-            return entries.decode_configuration(record.value)
+            return entries.decode_configuration(stored)
         except exceptions.MalformedEntryError as error:
             logging.warning("malformed configuration ignored, step decode: %s", error)
             return None
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -46,6 +46,8 @@
 STEP_DOWN_TIMEOUT_S = 0.15
 STOP_TIMEOUT_S = 2.0
 RETRY_HANDOVER_INTERVAL_S = 0.3
+DIRECTORY_CHECK_INTERVAL_S = 0.05
+DIRECTORY_TIMEOUT_S = 2.0
 ASSUMED_INSTANCE_COUNT = 8
 
 
@@ -177,9 +179,6 @@
     def _run(self, stop_signal: tasks.StopSignal) -> None:
         known: key_ranges.StoredTable | None = None
         while not stop_signal.is_set:
-            if self._directory.configuration is None or not self._directory.servers.by_name:
-                stop_signal.wait(RETRY_INTERVAL_S)
-                continue
             stored = known or ownership_tables.read(self._store)
             known = None
             if stored is None:
@@ -302,6 +301,8 @@
         if self._has_resigned:
             stop_signal.wait(RETRY_INTERVAL_S)
             return None
+        if not self._await_directory(stop_signal):
+            return None
         latest = ownership_tables.read(self._store)
         if latest is None or stop_signal.is_set:
             return None
@@ -333,6 +334,20 @@
         self._serve(own_term, stop_signal)
         return None
 
+    def _await_directory(self, stop_signal: tasks.StopSignal) -> bool:
+        """Wait for the configuration and the servers, without which a lessor cannot plan.
+
+        Returns
+        -------
+        bool
+            Whether both are known; `False` if the wait lasted `DIRECTORY_TIMEOUT_S`.
+        """
+        ends_at_s = self._clock.read_s() + DIRECTORY_TIMEOUT_S
+        while not self._directory.is_complete:
+            if self._clock.read_s() >= ends_at_s or stop_signal.wait(DIRECTORY_CHECK_INTERVAL_S):
+                return False
+        return True
+
     def _serve(self, own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
         self._responder.begin_term()
         publishing = tasks.Task("lessor-view", lambda stop: self._publish(own_term, stop))
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -65,12 +65,15 @@
             configuration=self._directory.latest_version,
             known_servers=self._servers_revision,
             known_peers=self._peers.revision,
+            held_configuration=self._directory.held_version,
         )
 
     def apply_reply(self, reply: reports.Reply) -> None:
         """Apply the changes of a reply."""
         if reply.peers is not None:
             self._peers = reply.peers
+        if reply.document is not None:
+            self._directory.receive_document(reply.document)
         self._directory.observe_version(reply.configuration)
         if reply.owners is not None:
             self._apply_owners(reply.owners)
--- a/src/goldcresthall/ranges/report_encoding.py
+++ b/src/goldcresthall/ranges/report_encoding.py
@@ -6,6 +6,7 @@
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.core import row_changes
+from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.generated.lessor import ttypes
 from goldcresthall.ranges import owners
@@ -37,6 +38,7 @@
         configuration=report.configuration,
         known_servers=report.known_servers,
         known_peers=report.known_peers,
+        held_configuration=report.held_configuration,
     )
 
 
@@ -63,6 +65,12 @@
         configuration=received.configuration,
         known_servers=received.known_servers,
         known_peers=received.known_peers,
+        # An instance of an earlier release reads each version from the store itself.
+        held_configuration=(
+            received.configuration
+            if received.held_configuration is None
+            else received.held_configuration
+        ),
     )
 
 
@@ -76,6 +84,7 @@
         configuration=reply.configuration,
         has_fresh_servers=reply.has_fresh_servers,
         servers=None if reply.servers is None else _encode_servers(reply.servers),
+        document=None if reply.document is None else _encode_document(reply.document),
     )
 
 
@@ -89,9 +98,18 @@
         configuration=received.configuration,
         has_fresh_servers=received.has_fresh_servers,
         servers=None if received.servers is None else _decode_servers(received.servers),
+        document=None if received.document is None else _decode_document(received.document),
     )
 
 
+def _encode_document(document: directory.ConfigurationDocument) -> ttypes.ConfigurationDocument:
+    return ttypes.ConfigurationDocument(document.version, document.content)
+
+
+def _decode_document(received: ttypes.ConfigurationDocument) -> directory.ConfigurationDocument:
+    return directory.ConfigurationDocument(received.version, received.content)
+
+
 def _encode_peers(peer_list: reports.PeerList) -> ttypes.PeerList:
     return ttypes.PeerList(
         peer_list.revision,
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -59,7 +59,7 @@
         self._owners = owners_service
         self._lock = threading.Lock()
         self._announced = threading.Condition(self._lock)
-        self._latest = (-1, row_changes.NO_REVISION, 0)
+        self._latest = (-1, row_changes.NO_REVISION, 0, 0)
         self._reporters: dict[str, _Reporter] = {}
         self._peers = reports.PeerList()
         self._owner_history = revision_history.RevisionHistory(_find_start)
@@ -79,6 +79,7 @@
             owners=self._find_owner_changes(own_term, report),
             has_fresh_servers=relayed.revision != row_changes.NO_REVISION,
             servers=self._find_server_changes(relayed, report),
+            document=self._find_newer_document(report),
         )
 
     @property
@@ -140,6 +141,14 @@
             relayed.revision, relayed.servers, report.known_servers
         )
 
+    def _find_newer_document(
+        self, report: reports.Report
+    ) -> directory.ConfigurationDocument | None:
+        document = self._directory.document
+        if document is None or document.version <= report.held_configuration:
+            return None
+        return document
+
     def _read_relayed_servers(self, own_term: lessor.LessorTerm) -> directory.RelayedServers:
         return self._directory.relay() if own_term.has_store else directory.STALE_SERVERS
 
@@ -149,6 +158,7 @@
             self._owners.serial,
             self._read_relayed_servers(own_term).revision,
             self._directory.latest_version,
+            self._directory.held_version,
         )
         with self._announced:
             if latest != self._latest:
@@ -165,6 +175,8 @@
             return True
         if self._directory.latest_version > report.configuration:
             return True
+        if self._find_newer_document(report) is not None:
+            return True
         return self._read_relayed_servers(own_term).revision != report.known_servers
 
 
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -13,6 +13,7 @@
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.core import row_changes
+from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import service
 from goldcresthall.ranges import owners
@@ -63,6 +64,8 @@
         Highest version of the configuration that the reporter knows to be in force.
     known_servers, known_peers
         Revisions of the lists that the reporter has from this lessor.
+    held_configuration
+        Version of the configuration that the reporter holds; 0 if it has none.
     """
 
     reporter: key_ranges.LessorIdentity
@@ -73,6 +76,7 @@
     configuration: int
     known_servers: int = row_changes.NO_REVISION
     known_peers: int = row_changes.NO_REVISION
+    held_configuration: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -95,6 +99,8 @@
         Whether the lessor's list of servers is fresh.
     servers
         Changes of that list; `None` if the reporter has the latest list or it is not fresh.
+    document
+        The lessor's configuration; `None` if the reporter holds one that is as recent.
     """
 
     is_lessor: bool
@@ -104,6 +110,7 @@
     owners: OwnerChanges | None = None
     has_fresh_servers: bool = False
     servers: ServerChanges | None = None
+    document: directory.ConfigurationDocument | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -20,6 +20,7 @@
     from goldcresthall.ranges import reports
 
 CONFIGURATION_TOPIC = "configuration"
+CONFIGURATION_KEY = "config"
 SERVERS_TOPIC = "servers"
 TEST_TIMEOUT_S = 20.0
 CONFIGURATION_BOUND_S = 2.0
@@ -42,14 +43,15 @@
 
 
 class Decoder(watchers.EntryDecoder):
-    """Takes the offset of a record as the version of the configuration."""
+    """Takes the document as the version of the configuration."""
 
     configuration_topic = CONFIGURATION_TOPIC
+    configuration_key = CONFIGURATION_KEY
     servers_topic = SERVERS_TOPIC
 
-    def decode_configuration(self, record: client.KeyedRecord) -> deployment.Configuration:
+    def decode_configuration(self, stored: bytes) -> deployment.Configuration:
         """Return a configuration."""
-        return conftest.create_configuration(record.offset)
+        return conftest.create_configuration(int(stored))
 
     def decode_server(self, record: client.KeyedRecord) -> deployment.RegisteredServer | None:
         """Return no server."""
@@ -75,7 +77,8 @@
         if topic == SERVERS_TOPIC:
             return client.Records((), 0)
         self.newest_reads += 1
-        record = client.KeyedRecord("config", b"", self.version)
+        stored = str(self.version).encode()
+        record = client.KeyedRecord(CONFIGURATION_KEY, stored, self.version)
         return client.Records((record,), self.version + 1)
 
     def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
@@ -104,7 +107,7 @@
 class WatchedDirectory:
     """A directory with its watchers over a store; the lessor's relay is renewed by hand."""
 
-    def __init__(self, rank: int) -> None:
+    def __init__(self, rank: int, first_relay_wait_s: float = 0.0) -> None:
         service_kernel = kernel.Kernel()
         self.clock = clock.ManualClock()
         self.store = CountingStore()
@@ -114,15 +117,23 @@
         service_kernel.register(names.REPORTS, instances)
         self.directory = directory.Directory(service_kernel)
         service_kernel.register(names.DIRECTORY, self.directory)
-        self.watchers = watchers.Watchers(service_kernel, Decoder())
+        self.watchers = watchers.Watchers(service_kernel, Decoder(), first_relay_wait_s)
         self.directory.start()
-        self.directory.apply_configuration(conftest.create_configuration(0))
-        self.directory.apply_relayed(())
 
     def run(self) -> None:
-        """Start the watchers."""
+        """Start the watchers while the lessor relays."""
+        self.directory.apply_configuration(conftest.create_configuration(0))
+        self.directory.apply_relayed(())
         self.watchers.start()
 
+    def await_version(self, version: int) -> bool:
+        """Return whether a version comes into force."""
+        for _ in range(2_000):
+            if self.directory.configuration == conftest.create_configuration(version):
+                return True
+            threading.Event().wait(0.01)
+        return False
+
 
 @pytest.mark.parametrize(("rank", "polls"), [(0, True), (3, True), (4, False), (190, False)])
 def test_few_instances_poll_the_configuration_while_the_lessor_relays(
@@ -141,12 +152,41 @@
     watched.run()
     watched.store.version = 7
     watched.directory.observe_version(7)
-    for _ in range(2_000):
-        if watched.directory.configuration == conftest.create_configuration(7):
-            break
-        threading.Event().wait(0.01)
+    assert watched.await_version(7)
+    watched.watchers.stop()
+
+
+def test_relayed_configuration_is_put_in_force_without_reading_the_store() -> None:
+    """Each of 195 instances once read each version; a storm of versions took 4,000 calls."""
+    watched = WatchedDirectory(rank=9)
+    watched.run()
+    watched.directory.receive_document(directory.ConfigurationDocument.compress(7, b"7"))
+    assert watched.await_version(7)
+    watched.watchers.stop()
+    assert not watched.store.newest_reads
+    document = watched.directory.document
+    assert document is not None
+    assert document.decompress() == b"7"
+
+
+def test_version_whose_relayed_document_is_damaged_is_read_from_the_store() -> None:
+    watched = WatchedDirectory(rank=9)
+    watched.run()
+    watched.store.version = 7
+    watched.directory.receive_document(directory.ConfigurationDocument(7, b"damaged"))
+    assert watched.directory.held_version == 7
+    assert watched.await_version(7)
+    watched.watchers.stop()
+
+
+def test_instance_without_a_relay_reads_the_store_after_its_first_wait() -> None:
+    watched = WatchedDirectory(rank=9, first_relay_wait_s=0.4)
+    watched.watchers.start()
+    threading.Event().wait(0.2)
+    assert not watched.store.newest_reads
+    watched.clock.advance(0.5)
+    assert watched.await_version(1)
     watched.watchers.stop()
-    assert watched.directory.configuration == conftest.create_configuration(7)
 
 
 def test_instance_polls_again_once_the_relay_ends() -> None:
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -106,6 +106,36 @@
     assert len(exchange.follower.directory.servers.by_name) == 6
 
 
+def apply_configuration(exchange: Exchange, version: int) -> None:
+    """Put a version in force at the lessor, as its watchers do."""
+    exchange.simulation.directory.apply_configuration(
+        dataclasses.replace(range_simulation.CONFIGURATION, version=version),
+        directory.ConfigurationDocument.compress(version, b"stored"),
+    )
+
+
+def test_configuration_is_relayed_once(exchange: Exchange) -> None:
+    apply_configuration(exchange, 7)
+    reply = exchange.report()
+    assert reply.document is not None
+    assert reply.document.decompress() == b"stored"
+    assert exchange.follower.directory.received_document == reply.document
+    assert exchange.follower.directory.is_behind
+    assert exchange.report().document is None
+    apply_configuration(exchange, 9)
+    assert exchange.report().document is not None
+
+
+def test_report_of_an_earlier_release_gets_no_configuration(exchange: Exchange) -> None:
+    apply_configuration(exchange, 7)
+    sent = report_encoding.encode_report(exchange.state.create_report())
+    sent.configuration, sent.held_configuration = 7, None
+    own_term = exchange.simulation.instances[0].own_term
+    assert own_term is not None
+    reply = exchange.responder.answer(own_term, report_encoding.decode_report(sent))
+    assert reply.document is None
+
+
 def test_follower_has_all_owners_after_each_reply(exchange: Exchange) -> None:
     exchange.report()
     for _ in range(40):
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -47,6 +47,8 @@
   9: required i64 configuration
   10: required i64 known_servers
   11: required i64 known_peers
+  /* Version of the configuration that the reporter holds; not set by earlier releases. */
+  12: optional i64 held_configuration
 }
 
 struct ServerRow {
@@ -80,6 +82,12 @@
   2: required list<PeerRow> rows
 }
 
+/* The operator's configuration as it is stored, compressed by zlib. */
+struct ConfigurationDocument {
+  1: required i64 version
+  2: required binary content
+}
+
 struct ReportReply {
   1: required bool is_lessor
   2: required bool has_store
@@ -88,6 +96,7 @@
   5: required i64 configuration
   6: required bool has_fresh_servers
   7: optional ServerChanges servers
+  8: optional ConfigurationDocument document
 }
 
 struct Presence {
