Name the successor to those who report to a lost lessor

A lessor that is told to step down is now told by whom, and names it in its replies; the relay ends by its age; at the first start of a deployment the weak machines let a strong one become lessor before they read anything.

--- a/src/goldcresthall/core/deployment_settings.py
+++ b/src/goldcresthall/core/deployment_settings.py
@@ -83,6 +83,8 @@
         Time after which a draining server must not get new work.
     grace_s
         Time from the termination signal until the process is killed.
+    is_first_start
+        Whether the whole deployment starts for the first time, so that nothing is served yet.
     """
 
     name: str
@@ -95,3 +97,4 @@
     grace_s: float
     retries: RetryLimits = RetryLimits()
     machine: MachineLimits = MachineLimits()
+    is_first_start: bool = False
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -129,6 +129,7 @@
         self._relayed = RelayedServers(0, ())
         self._read_at_s = -math.inf
         self._relayed_at_s = -math.inf
+        self._is_read_requested = False
 
     def start(self) -> None:
         """Look up the clock."""
@@ -285,9 +286,14 @@
         """Whether another instance relays its list, so that the store need not be read."""
         return self._clock.read_s() - self._relayed_at_s < RELAY_VALIDITY_S
 
-    def end_relay(self) -> None:
-        """Let the list be read from the store again at once."""
-        self._relayed_at_s = -math.inf
+    @property
+    def is_read_requested(self) -> bool:
+        """Whether the store must be read although a lessor may relay soon."""
+        return self._is_read_requested
+
+    def request_read(self) -> None:
+        """Let the store be read at once, because there is no lessor that could relay."""
+        self._is_read_requested = True
 
     def apply_relayed(self, present: tuple[deployment.RegisteredServer, ...] | None) -> None:
         """Replace the list with one relayed by another instance; `None` means unchanged."""
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -34,6 +34,7 @@
 CONFIGURATION_READERS = 4  # spares for a reader whose long poll gets no response
 RELAY_GRACE_S = 0.4  # a relayed version is read from the store only if its document fails to come
 FIRST_RELAY_WAIT_S = 0.4
+FIRST_START_RELAY_WAIT_S = 4.0
 
 
 class EntryDecoder(abc.ABC):
@@ -100,8 +101,10 @@
         A machine that meets the lessor's requirements reads the store at once, because the others
         wait for the lessor.
         """
-        is_candidate = settings.machine.meets_lessor_requirements
-        return cls(service_kernel, decoder, 0.0 if is_candidate else FIRST_RELAY_WAIT_S)
+        if settings.machine.meets_lessor_requirements:
+            return cls(service_kernel, decoder)
+        wait_s = FIRST_START_RELAY_WAIT_S if settings.is_first_start else FIRST_RELAY_WAIT_S
+        return cls(service_kernel, decoder, wait_s)
 
     def start(self) -> None:
         """Start the tasks."""
@@ -143,7 +146,9 @@
 
     def _await_first_relay(self, stop_signal: tasks.StopSignal) -> None:
         ends_at_s = self._clock.read_s() + self._first_relay_wait_s
-        while self._clock.read_s() < ends_at_s and not self._directory.is_relayed:
+        while self._clock.read_s() < ends_at_s:
+            if self._directory.is_relayed or self._directory.is_read_requested:
+                return
             if stop_signal.wait(FIRST_RELAY_CHECK_INTERVAL_S):
                 return
 
--- a/src/goldcresthall/platform/settings.py
+++ b/src/goldcresthall/platform/settings.py
@@ -96,6 +96,7 @@
             slack=bound("budget_slack", defaults.slack),
         ),
         machine=_decode_machine(limits, reader),
+        is_first_start=document.get("bootstrap") is True,
     )
 
 
--- a/src/goldcresthall/ranges/failure_detection.py
+++ b/src/goldcresthall/ranges/failure_detection.py
@@ -44,17 +44,21 @@
 
 
 def has_stopped_granting(
-    dialer: reports.PeerDialer, earlier: key_ranges.LessorIdentity, term: int
+    dialer: reports.PeerDialer,
+    earlier: key_ranges.LessorIdentity,
+    term: int,
+    successor: key_ranges.LessorIdentity,
 ) -> bool:
     """Return whether an earlier lessor has provably stopped granting.
 
     That is the case if another incarnation responds at its address, or if the lessor
-    confirms that it stepped down for `term`.
+    confirms that it stepped down for `term`, the term of `successor`.
     """
     try:
         channel = dialer.dial(earlier.address, PEER_TIMEOUT_S)
         presence = channel.ask_presence()
-        ended = presence.incarnation != earlier.incarnation or channel.request_step_down(term)
+        has_restarted = presence.incarnation != earlier.incarnation
+        ended = has_restarted or channel.request_step_down(term, successor)
         channel.close()
     except reports.UnreachableError:
         return False
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -77,10 +77,9 @@
         self._directory.observe_version(reply.configuration)
         if reply.owners is not None:
             self._apply_owners(reply.owners)
+        # Without fresh servers the relay ends by itself, unless a successor relays before that.
         if reply.has_fresh_servers:
             self._apply_servers(reply.servers)
-        else:
-            self._directory.end_relay()
 
     def _apply_owners(self, changes: reports.OwnerChanges) -> None:
         rows = row_changes.apply_changes(
--- a/src/goldcresthall/ranges/ownership_tables.py
+++ b/src/goldcresthall/ranges/ownership_tables.py
@@ -51,6 +51,11 @@
     return latest
 
 
+def create_unread(lessor: key_ranges.LessorIdentity) -> key_ranges.StoredTable:
+    """Return the place of a table that was not read, of which only the lessor is known."""
+    return key_ranges.StoredTable(-1, key_ranges.OwnershipTable(lessor=lessor))
+
+
 def take_over(
     latest: key_ranges.OwnershipTable, own: key_ranges.LessorIdentity, fence: int
 ) -> key_ranges.OwnershipTable:
--- a/src/goldcresthall/ranges/peer_channel.py
+++ b/src/goldcresthall/ranges/peer_channel.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from goldcresthall.core import key_ranges
+
 MS_PER_S = 1_000
 Result = TypeVar("Result")
 
@@ -63,9 +65,10 @@
             presence.heard_lessor_ms / MS_PER_S,
         )
 
-    def request_step_down(self, term: int) -> bool:
-        """Tell a lessor that `term` has begun; return whether it sends no further grants."""
-        return bool(self._call(lambda: self._client.stand_down(term)))
+    def request_step_down(self, term: int, successor: key_ranges.LessorIdentity) -> bool:
+        """Tell a lessor that a later term has begun; return whether it sends no further grants."""
+        encoded = report_encoding.encode_lessor(successor)
+        return bool(self._call(lambda: self._client.stand_down(term, encoded)))
 
     def close(self) -> None:
         """Close the connection."""
--- a/src/goldcresthall/ranges/peer_server.py
+++ b/src/goldcresthall/ranges/peer_server.py
@@ -50,9 +50,9 @@
             min(MAX_SILENCE_MS, int(presence.lessor_silence_s * MS_PER_S)),
         )
 
-    def stand_down(self, term: int) -> bool:
+    def stand_down(self, term: int, successor: ttypes.LessorAddress | None) -> bool:
         """Step down if `term` is later; return whether this instance sends no further grants."""
-        return self._election.handle_step_down(term)
+        return self._election.handle_step_down(term, report_encoding.decode_lessor(successor))
 
 
 class ReportServer(service.Service):
--- a/src/goldcresthall/ranges/report_encoding.py
+++ b/src/goldcresthall/ranges/report_encoding.py
@@ -85,6 +85,7 @@
         has_fresh_servers=reply.has_fresh_servers,
         servers=None if reply.servers is None else _encode_servers(reply.servers),
         document=None if reply.document is None else _encode_document(reply.document),
+        successor=None if reply.successor is None else encode_lessor(reply.successor),
     )
 
 
@@ -99,6 +100,27 @@
         has_fresh_servers=received.has_fresh_servers,
         servers=None if received.servers is None else _decode_servers(received.servers),
         document=None if received.document is None else _decode_document(received.document),
+        successor=decode_lessor(received.successor),
+    )
+
+
+def encode_lessor(identified: key_ranges.LessorIdentity) -> ttypes.LessorAddress:
+    """Encode a lessor's identity as a Thrift struct."""
+    return ttypes.LessorAddress(
+        identified.incarnation.name,
+        identified.incarnation.token,
+        identified.address.host,
+        identified.address.port,
+    )
+
+
+def decode_lessor(received: ttypes.LessorAddress | None) -> key_ranges.LessorIdentity | None:
+    """Decode a lessor's identity from a Thrift struct; `None` if the sender names none."""
+    if received is None:
+        return None
+    return key_ranges.LessorIdentity(
+        identity.Incarnation(received.name, received.incarnation),
+        identity.Address(received.host, received.port),
     )
 
 
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -101,6 +101,8 @@
         Changes of that list; `None` if the reporter has the latest list or it is not fresh.
     document
         The lessor's configuration; `None` if the reporter holds one that is as recent.
+    successor
+        The lessor that took over from the responding instance; `None` if unknown.
     """
 
     is_lessor: bool
@@ -111,6 +113,7 @@
     has_fresh_servers: bool = False
     servers: ServerChanges | None = None
     document: directory.ConfigurationDocument | None = None
+    successor: key_ranges.LessorIdentity | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,8 +168,13 @@
         """
 
     @abc.abstractmethod
-    def request_step_down(self, term: int) -> bool:
-        """Tell a lessor that `term` has begun; return whether it sends no further grants.
+    def request_step_down(self, term: int, successor: key_ranges.LessorIdentity) -> bool:
+        """Tell a lessor that a later term has begun; return whether it sends no further grants.
+
+        Parameters
+        ----------
+        successor
+            The lessor of the later term, which it names to those that report to it.
 
         Raises
         ------
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -6,6 +6,7 @@
 
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
+from goldcresthall.core import key_ranges
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
@@ -15,6 +16,8 @@
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import ownership_tables
 from goldcresthall.ranges import peer_channel
+from goldcresthall.ranges import report_encoding
+from goldcresthall.ranges import reports
 from tests.fakes import range_simulation
 from tests.fakes import store
 
@@ -76,3 +79,82 @@
     assert election_service.is_lessor
     assert not election_service.handle_step_down(term=0)
     assert election_service.handle_step_down(term=1)
+
+
+def test_reporters_are_told_of_the_successor(election_service: election.Election) -> None:
+    """After a change of lessor each of 195 instances once read the table to find the new one."""
+    take_over(election_service)
+    successor = key_ranges.LessorIdentity(
+        identity.Incarnation("two", "life"), identity.Address("127.0.0.1", 7_002)
+    )
+    assert election_service.handle_step_down(term=1, successor=successor)
+    reporter = key_ranges.LessorIdentity(
+        identity.Incarnation("three", "life"), identity.Address("127.0.0.1", 7_003)
+    )
+    report = reports.Report(
+        reporter=reporter, known_term=0, known_revision=0, counts=(), samples=(), configuration=1
+    )
+    reply = report_encoding.decode_reply(
+        report_encoding.encode_reply(election_service.answer_report(report))
+    )
+    assert not reply.is_lessor
+    assert reply.successor == successor
+
+
+def test_reporter_follows_the_named_successor_without_reading_the_table(
+    election_service: election.Election,
+) -> None:
+    lost = key_ranges.LessorIdentity(
+        identity.Incarnation("two", "life"), identity.Address("127.0.0.1", 7_002)
+    )
+    named = key_ranges.LessorIdentity(
+        identity.Incarnation("three", "life"), identity.Address("127.0.0.1", 7_003)
+    )
+    dialer = NamingDialer(named)
+    election_service._dialer = dialer
+    followed = election_service._follow(lost, tasks.StopSignal())
+    assert followed.successor == named
+    assert dialer.dialed == [lost.address]
+
+
+class NamingDialer(reports.PeerDialer):
+    """Reaches a former lessor that names its successor."""
+
+    def __init__(self, successor: key_ranges.LessorIdentity) -> None:
+        self._successor = successor
+        self.dialed: list[identity.Address] = []
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def dial(self, address: identity.Address, timeout_s: float) -> reports.PeerChannel:
+        """Return a channel to the former lessor."""
+        self.dialed.append(address)
+        return NamingChannel(self._successor)
+
+
+class NamingChannel(reports.PeerChannel):
+    """Replies to reports with the successor."""
+
+    def __init__(self, successor: key_ranges.LessorIdentity) -> None:
+        self._successor = successor
+
+    def report(self, report: reports.Report) -> reports.Reply:
+        """Return the successor."""
+        return reports.Reply(
+            is_lessor=False, has_store=True, configuration=0, successor=self._successor
+        )
+
+    def ask_presence(self) -> reports.Presence:
+        """Return no recent contact."""
+        return reports.Presence(identity.Incarnation("two", "life"), 9.0)
+
+    def request_step_down(self, term: int, successor: key_ranges.LessorIdentity) -> bool:
+        """Confirm."""
+        return True
+
+    def close(self) -> None:
+        """Do nothing."""
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -126,6 +126,15 @@
     assert exchange.report().document is not None
 
 
+def test_lessor_without_fresh_servers_does_not_renew_the_relay(exchange: Exchange) -> None:
+    exchange.report()
+    assert exchange.follower.directory.is_relayed
+    exchange.simulation.clock.advance(directory.MAX_RELAY_SOURCE_AGE_S + 0.1)
+    reply = exchange.report()
+    assert not reply.has_fresh_servers
+    assert not exchange.follower.directory.is_relayed
+
+
 def test_report_of_an_earlier_release_gets_no_configuration(exchange: Exchange) -> None:
     apply_configuration(exchange, 7)
     sent = report_encoding.encode_report(exchange.state.create_report())
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -88,6 +88,13 @@
   2: required binary content
 }
 
+struct LessorAddress {
+  1: required string name
+  2: required string incarnation
+  3: required string host
+  4: required i32 port
+}
+
 struct ReportReply {
   1: required bool is_lessor
   2: required bool has_store
@@ -97,6 +104,8 @@
   6: required bool has_fresh_servers
   7: optional ServerChanges servers
   8: optional ConfigurationDocument document
+  /* The lessor that took over from the responding instance; not set by earlier releases. */
+  9: optional LessorAddress successor
 }
 
 struct Presence {
@@ -108,5 +117,5 @@
 service Lessor {
   ReportReply report(1: Report report)
   Presence ask_presence()
-  bool stand_down(1: i64 term)
+  bool stand_down(1: i64 term, 2: LessorAddress successor)
 }
