Let the lessor publish changes of owners less often the more instances report

The pause is now 0.8 ms for each instance, 0.03 s at least and 0.3 s at most. A release waits until the view without the owner is published, so that the longer pause sends no requests to it.

--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -33,7 +33,10 @@
 
 OWN_REPORT_INTERVAL_S = 0.2
 ANNOUNCEMENT_INTERVAL_S = 0.1
-PUBLISH_PAUSE_S = 0.03
+MIN_PUBLISH_PAUSE_S = 0.03
+MAX_PUBLISH_PAUSE_S = 0.3
+# Each publication makes every instance report again; the pause leaves the lessor half of its time.
+PUBLISH_PAUSE_PER_INSTANCE_S = 0.0008
 ASK_PEERS_AFTER_S = 0.8
 UNCONFIRMED_TAKEOVER_AFTER_S = 4.0
 REREAD_TABLE_AFTER_S = 1.0
@@ -406,12 +409,14 @@
                 self._term = None
 
     def _publish(self, own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
-        """Apply the term's owners and own statistics; the pause batches views for all instances."""
+        """Apply the term's owners and own statistics; a pause batches changes for all instances."""
         reported_at_s = self._clock.read_s()
         while not stop_signal.is_set:
             own_term.leases.wait_for_change(self._owners.view.revision, ANNOUNCEMENT_INTERVAL_S)
-            self._owners.apply(own_term.leases.create_view())
+            view = own_term.leases.create_view()
+            self._owners.apply(view)
             self._responder.announce_changes(own_term)
+            own_term.leases.record_publication(view.revision)
             now_s = self._clock.read_s()
             if now_s - reported_at_s >= OWN_REPORT_INTERVAL_S:
                 reported_at_s = now_s
@@ -419,7 +424,7 @@
                 self._estimates.retain(self._directory.servers.incarnations)
                 own_term.statistics.add(self._owners.take_counts(), now_s)
                 own_term.statistics.service_times.add(self._estimates.take_latency_samples(), now_s)
-            stop_signal.wait(PUBLISH_PAUSE_S)
+            stop_signal.wait(find_publish_pause_s(self._responder.reporter_count))
 
     def _query_predecessors(self, stop_signal: tasks.StopSignal) -> None:
         """Query earlier lessors; ends the wait for them once all have stopped granting."""
@@ -435,3 +440,9 @@
             ):
                 logging.info("term %d: all earlier lessors have stopped granting", own_term.term)
                 own_term.end_predecessor_wait()
+
+
+def find_publish_pause_s(reporters: int) -> float:
+    """Return the seconds between two publications to a number of reporting instances."""
+    wanted_s = PUBLISH_PAUSE_PER_INSTANCE_S * reporters
+    return min(MAX_PUBLISH_PAUSE_S, max(MIN_PUBLISH_PAUSE_S, wanted_s))
--- a/src/goldcresthall/ranges/lease_table.py
+++ b/src/goldcresthall/ranges/lease_table.py
@@ -51,6 +51,7 @@
         self._in_flight = 0
         self._next_id = 1
         self._revision = 0
+        self._published_revision = 0
         self._is_closed = False
         self._authority_ends_at_s = 0.0
 
@@ -95,6 +96,22 @@
         with self._lock:
             self._changed.wait_for(lambda: self._revision != revision, timeout_s)
 
+    @property
+    def revision(self) -> int:
+        """Number of changes of the owners that instances see."""
+        return self._revision
+
+    def record_publication(self, revision: int) -> None:
+        """Record that instances can learn of the owners at a revision."""
+        with self._lock:
+            self._published_revision = max(self._published_revision, revision)
+            self._changed.notify_all()
+
+    def wait_for_publication(self, revision: int, timeout_s: float) -> None:
+        """Wait up to `timeout_s` seconds until a revision of the owners is published."""
+        with self._lock:
+            self._changed.wait_for(lambda: self._published_revision >= revision, timeout_s)
+
     def add(self, added: range_leases.RangeLease) -> int:
         """Add a lease and return its ID."""
         with self._lock:
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -27,6 +27,7 @@
 
 REBALANCE_INTERVAL_S = 0.4
 VIEW_PROPAGATION_S = 0.05
+MAX_PUBLICATION_WAIT_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -226,6 +227,8 @@
     ) -> None:
         # Leaves the instances time to receive the view in which the owner is not ready, so
         # that they stop sending requests to it before the release.
+        if not stop_signal.is_set:
+            self._leases.wait_for_publication(self._leases.revision, MAX_PUBLICATION_WAIT_S)
         stop_signal.wait(VIEW_PROPAGATION_S)
         server = self._renewers.find_server(lease.owner) if lease.owner is not None else None
         if server is None:
--- a/tests/ranges/test_lease_table.py
+++ b/tests/ranges/test_lease_table.py
@@ -96,3 +96,18 @@
     assert table.take_due_grant(FIRST, 1_000.0, 0.0) is None
     table.extend_authority(2_000.0)
     assert table.take_due_grant(FIRST, 1_000.0, 0.0) is not None
+
+
+def test_release_waits_until_the_instances_can_know_that_the_owner_is_not_ready() -> None:
+    """A release before the view was published sent requests to a server without the key."""
+    table = create_table(FIRST)
+    waiting = threading.Thread(target=table.wait_for_publication, args=(table.revision, WAIT_S))
+    waiting.start()
+    while not table._changed._waiters:  # type: ignore[attr-defined]
+        waiting.join(0.001)
+    table.record_publication(table.revision - 1)
+    waiting.join(0.05)
+    assert waiting.is_alive()
+    table.record_publication(table.revision)
+    waiting.join(WAIT_S)
+    assert not waiting.is_alive()
