Examine a few servers of a service for a request instead of all

Cause: each request for a service without keys computed capacity, load and score inputs of all its servers; at 166 servers 1.24 ms of processor time, at a request's 2 ms for all else (own trial). Ruled out: keeping sorted lists, which every attempt would have to update. The chosen servers are a random sample of the same ones. Tests: few are examined; the only one with capacity is found.

--- a/src/goldcresthall/gateway/selection.py
+++ b/src/goldcresthall/gateway/selection.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import dataclasses
+import itertools
 from typing import TYPE_CHECKING
 
+from goldcresthall.gateway import directory
+
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from goldcresthall.core import deployment
-    from goldcresthall.gateway import directory
     from goldcresthall.gateway import estimates
 
 REMOTE_DOMAIN_PENALTY_FACTOR = 2.0
@@ -17,54 +21,82 @@
 SCORE_JITTER_FRACTION = 0.15
 LOCAL_SAMPLE_SIZE = 4
 REMOTE_SAMPLE_SIZE = 2
+EXAMINED_FACTOR = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidates:
+    """The servers of a service, divided by failure domain.
+
+    Attributes
+    ----------
+    entries
+        All servers, in the order of the directory.
+    local
+        Those in the failure domain of this instance.
+    """
+
+    entries: tuple[directory.DirectoryEntry, ...]
+    local: tuple[directory.DirectoryEntry, ...]
+    remote: tuple[directory.DirectoryEntry, ...]
+
+    @classmethod
+    def divide(
+        cls, entries: tuple[directory.DirectoryEntry, ...], failure_domain: str
+    ) -> Candidates:
+        """Divide the servers of a service for an instance in a failure domain."""
+        local = tuple(entry for entry in entries if entry.server.failure_domain == failure_domain)
+        remote = tuple(entry for entry in entries if entry.server.failure_domain != failure_domain)
+        return cls(entries, local, remote)
+
+
+def draw_sample(
+    candidates: Candidates,
+    is_usable: Callable[[directory.DirectoryEntry], bool],
+    generator: random.Random,
+) -> list[directory.DirectoryEntry]:
+    """Return a random sample of the usable servers, with more local ones than remote ones.
+
+    Only as many servers are examined as it takes, because an examination of all servers of a
+    large service costs more than the rest of a request.
+    """
+    local = _draw(candidates.local, LOCAL_SAMPLE_SIZE, is_usable, generator)
+    remote_size = REMOTE_SAMPLE_SIZE if local else LOCAL_SAMPLE_SIZE
+    return local + _draw(candidates.remote, remote_size, is_usable, generator)
+
+
+def _draw(
+    entries: tuple[directory.DirectoryEntry, ...],
+    size: int,
+    is_usable: Callable[[directory.DirectoryEntry], bool],
+    generator: random.Random,
+) -> list[directory.DirectoryEntry]:
+    examined = generator.sample(entries, min(len(entries), EXAMINED_FACTOR * size))
+    drawn = list(itertools.islice(filter(is_usable, examined), size))
+    if len(drawn) == size or len(examined) == len(entries):
+        return drawn
+    usable = [entry for entry in entries if is_usable(entry)]
+    return generator.sample(usable, min(len(usable), size))
 
 
 def select_server(
-    candidates: list[directory.DirectoryEntry],
+    sample: list[directory.DirectoryEntry],
     server_estimates: estimates.Estimates,
     failure_domain: str,
     now_s: float,
     generator: random.Random,
-) -> deployment.RegisteredServer | None:
-    """Return the server with the lowest expected response time in a random sample.
+) -> deployment.RegisteredServer:
+    """Return the server of a sample with the lowest expected response time.
 
-    Servers that were recently unreachable are used only if there are no others. Servers
-    in other failure domains are penalized, so that they get requests mainly when the local
-    ones are overloaded.
-
-    Returns
-    -------
-    RegisteredServer or None
-        `None` if there are no candidates.
+    Servers in other failure domains are penalized, so that they get requests mainly when the
+    local ones are overloaded.
     """
-    usable = [
-        entry.server
-        for entry in candidates
-        if server_estimates.find(entry.server).deprioritized_until_s <= now_s
-    ]
-    usable = usable or [entry.server for entry in candidates]
-    if not usable:
-        return None
-    local = [server for server in usable if server.failure_domain == failure_domain]
-    remote = [server for server in usable if server.failure_domain != failure_domain]
-    remote_sample_size = REMOTE_SAMPLE_SIZE if local else LOCAL_SAMPLE_SIZE
-    sample = _draw_sample(local, LOCAL_SAMPLE_SIZE, generator) + _draw_sample(
-        remote, remote_sample_size, generator
-    )
-    by_name = {entry.server.name: entry for entry in candidates}
-    return min(
+    best = min(
         sample,
-        key=lambda server: find_score_s(
-            by_name[server.name], server_estimates, failure_domain, now_s
-        )
+        key=lambda entry: find_score_s(entry, server_estimates, failure_domain, now_s)
         * generator.uniform(1.0 - SCORE_JITTER_FRACTION, 1.0 + SCORE_JITTER_FRACTION),
     )
-
-
-def _draw_sample(
-    servers: list[deployment.RegisteredServer], max_count: int, generator: random.Random
-) -> list[deployment.RegisteredServer]:
-    return generator.sample(servers, max_count) if len(servers) > max_count else servers
+    return best.server
 
 
 def find_score_s(
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -119,6 +119,7 @@
         self.failure_domain = failure_domain
         self.drain_s = drain_s
         self._instance_counter = instance_counter
+        self._divided: dict[str, selection.Candidates] = {}
 
     def has_capacity(self, server: deployment.RegisteredServer, target_in_s: float) -> bool:
         """Return whether a server has capacity for another request from this instance.
@@ -145,6 +146,15 @@
         response_time_s = estimate.find_response_time_s(load, server.slots)
         return load < MAX_LOAD_PER_SLOT * server.slots and response_time_s <= target_in_s
 
+    def divide(self, service: str) -> selection.Candidates:
+        """Return the servers of a service, divided by failure domain."""
+        entries = self.directory.servers.by_service.get(service, ())
+        divided = self._divided.get(service)
+        if divided is None or divided.entries is not entries:
+            divided = selection.Candidates.divide(entries, self.failure_domain)
+            self._divided[service] = divided
+        return divided
+
     def create_wait(
         self, queue: str, servers: tuple[deployment.RegisteredServer, ...], target_in_s: float
     ) -> waiting.CapacityWait:
@@ -197,19 +207,22 @@
     target_in_s: float,
 ) -> deployment.RegisteredServer | Unavailable:
     now_s = finder.directory.read_s()
-    candidates = [
-        entry
-        for entry in finder.directory.servers.by_service.get(target.service, ())
-        if entry.draining_since_s is None and entry.server.name not in tried
-    ]
-    with_capacity = [
-        entry for entry in candidates if finder.has_capacity(entry.server, target_in_s)
-    ]
-    chosen = selection.select_server(
-        with_capacity, finder.estimates, finder.failure_domain, now_s, generator
-    )
-    if chosen is not None:
-        return chosen
+    divided = finder.divide(target.service)
+
+    def is_usable(entry: directory.DirectoryEntry) -> bool:
+        return _is_candidate(entry, tried) and finder.has_capacity(entry.server, target_in_s)
+
+    def is_preferred(entry: directory.DirectoryEntry) -> bool:
+        estimate = finder.estimates.find(entry.server)
+        return estimate.deprioritized_until_s <= now_s and is_usable(entry)
+
+    sample = selection.draw_sample(divided, is_preferred, generator)
+    sample = sample or selection.draw_sample(divided, is_usable, generator)
+    if sample:
+        return selection.select_server(
+            sample, finder.estimates, finder.failure_domain, now_s, generator
+        )
+    candidates = [entry for entry in divided.entries if _is_candidate(entry, tried)]
     if candidates:
         servers = tuple(entry.server for entry in candidates)
         wait = finder.create_wait(target.service, servers, target_in_s)
@@ -246,6 +259,10 @@
     return entry.server
 
 
+def _is_candidate(entry: directory.DirectoryEntry, tried: frozenset[str]) -> bool:
+    return entry.draining_since_s is None and entry.server.name not in tried
+
+
 def _exceeds_drain_time(entry: directory.DirectoryEntry, finder: ServerFinder) -> bool:
     since_s = entry.draining_since_s
     if since_s is None:
--- a/tests/gateway/test_server_finder.py
+++ b/tests/gateway/test_server_finder.py
@@ -12,6 +12,7 @@
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
 from goldcresthall.core import outcomes
+from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_finder
 from goldcresthall.ranges import owners
 from tests.gateway import conftest
@@ -235,3 +236,33 @@
     assert isinstance(unavailable, server_finder.Unavailable)
     assert unavailable.wait is not None
     assert unavailable.wait.max_requests == max_requests
+
+
+def test_few_servers_of_a_large_service_are_examined_for_a_request(
+    gateway_fixture: GatewayFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All of 166 servers were once examined for each request, at 1.2 ms of processor time."""
+    servers = tuple(
+        conftest.create_server(f"server-{number}", failure_domain=("near", "far")[number % 2])
+        for number in range(160)
+    )
+    gateway_fixture.directory.apply_full_list(servers)
+    examined: list[str] = []
+
+    def has_capacity(server: deployment.RegisteredServer, target_in_s: float) -> bool:
+        examined.append(server.name)
+        return True
+
+    monkeypatch.setattr(gateway_fixture.finder, "has_capacity", has_capacity)
+    chosen = {find(gateway_fixture, POOL) for _ in range(40)}
+    assert len(chosen) > 10
+    assert len(examined) <= 40 * (selection.LOCAL_SAMPLE_SIZE + selection.REMOTE_SAMPLE_SIZE)
+
+
+def test_only_server_with_capacity_is_found_among_many(gateway_fixture: GatewayFixture) -> None:
+    servers = tuple(conftest.create_server(f"server-{number}") for number in range(60))
+    gateway_fixture.directory.apply_full_list(servers)
+    for server in servers[1:]:
+        for _ in range(5):
+            gateway_fixture.estimates.start_attempt(server)
+    assert {find(gateway_fixture, POOL) for _ in range(10)} == {"server-0"}
