Parse a server's response with the parser that sent the request, and log decisions without copies

Each response built its parser's state a second time from the request, and each log line copied the decision and built a JSON encoder.

--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -155,15 +155,17 @@
         ends_at_s = time.monotonic() + timeout_s
         self._is_reusable = False
         expected = _find_header(request.headers, id_header)
-        is_sent = self._send(request, ends_at_s)
+        parser, data = _encode(request)
+        is_sent = self._send(data, ends_at_s)
         for _ in range(MAX_RESPONSES_READ):
-            response = self._receive(request, ends_at_s)
+            response = self._receive(parser, ends_at_s)
             echoed = response.find(id_header)
             if echoed is None or echoed == expected:
                 self._is_reusable = is_sent and self._is_persistent and not self._leftover
                 return response
             if not self._is_persistent:
                 break
+            parser, _ = _encode(request)
         raise TruncatedError(outcomes.Step.RECEIVE, "no response to this request")
 
     def interrupt(self) -> None:
@@ -175,17 +177,12 @@
         """Close the connection."""
         self._socket.close()
 
-    def _send(self, request: RawRequest, ends_at_s: float) -> bool:
+    def _send(self, data: bytes, ends_at_s: float) -> bool:
         """Send a request; return `False` if a response began before it was sent completely.
 
         A server may respond to a long body before it has read all of it. The rest is then not
         sent, so the connection cannot be used again.
         """
-        parser = h11.Connection(h11.CLIENT)
-        data = parser.send(_create_head(request)) or b""
-        if request.body:
-            data += parser.send(h11.Data(data=request.body)) or b""
-        data += parser.send(h11.EndOfMessage()) or b""
         try:
             self._socket.settimeout(0.0)
             view = memoryview(data)
@@ -216,12 +213,8 @@
             raise TimedOutError(outcomes.Step.SEND, "timed out")
         return ready[0][1]
 
-    def _receive(self, request: RawRequest, ends_at_s: float) -> RawResponse:
-        parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
-        parser.send(_create_head(request))
-        if request.body:
-            parser.send(h11.Data(data=request.body))
-        parser.send(h11.EndOfMessage())
+    def _receive(self, parser: h11.Connection, ends_at_s: float) -> RawResponse:
+        """Return the next response; the parser is one that has sent the request."""
         if self._leftover:
             parser.receive_data(self._leftover)
         try:
@@ -282,6 +275,16 @@
         return bool(poll.poll(timeout_s * MS_PER_S))
 
 
+def _encode(request: RawRequest) -> tuple[h11.Connection, bytes]:
+    """Return a parser that expects the response to a request, and the request's bytes."""
+    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
+    data = parser.send(_create_head(request)) or b""
+    if request.body:
+        data += parser.send(h11.Data(data=request.body)) or b""
+    data += parser.send(h11.EndOfMessage()) or b""
+    return parser, data
+
+
 def _create_head(request: RawRequest) -> h11.Request:
     headers = [
         (header.name.encode("latin-1"), header.value.encode("latin-1"))
--- a/src/goldcresthall/observability/decisions.py
+++ b/src/goldcresthall/observability/decisions.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 from typing import TYPE_CHECKING
+from typing import Final
 
 import prometheus_client
 
@@ -59,6 +60,10 @@
     duration_ms: int
 
 
+DECISION_FIELDS: Final = tuple(field.name for field in dataclasses.fields(RequestDecision))
+ENCODER: Final = json.JSONEncoder(separators=(",", ":"))
+
+
 class DecisionLog(service.Service):
     """Writes decisions in batches from its own task; counts those the queue has no room for."""
 
@@ -110,7 +115,7 @@
             count = min(MAX_BATCH_DECISIONS, len(self._queue))
             batch = [self._queue.popleft() for _ in range(count)]
             dropped, self._unreported_drops = self._unreported_drops, 0
-        lines = [self._format(dataclasses.asdict(decision)) for decision in batch]
+        lines = [self._format(_list_fields(decision)) for decision in batch]
         if dropped:
             lines.append(self._format({"event": "decisions_dropped", "count": dropped}))
         if lines:
@@ -122,4 +127,9 @@
         time = dt.datetime.now(dt.UTC).isoformat(timespec="milliseconds")
         non_empty_fields = {name: value for name, value in fields.items() if value not in ("", ())}
         line = {"time": time, "instance": self._instance, **non_empty_fields}
-        return json.dumps(line, separators=(",", ":")) + "\n"
+        return ENCODER.encode(line) + "\n"
+
+
+def _list_fields(decision: RequestDecision) -> dict[str, object]:
+    """Return the fields of a decision by name; all are plain values, so none is copied."""
+    return {name: getattr(decision, name) for name in DECISION_FIELDS}
