--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -237,8 +237,9 @@
                 step = self._report(connection, follower)
                 if step is following.FollowStep.TAKE_OVER:
                     stop_signal.wait(self._draw_takeover_delay_s())
-                    # A lessor that only lost the store may know its successor by now.
-                    step = self._report(connection, follower)
+                    if self._store_lost_since_s is not None:
+                        # A lessor that only lost the store may know its successor by now.
+                        step = self._report(connection, follower)
                     if step is not following.FollowStep.FOLLOW_SUCCESSOR:
                         return following.Followed(takes_over=not self._has_lessor_changed(lessor))
                 if step is following.FollowStep.FOLLOW_SUCCESSOR:
@@ -332,9 +333,9 @@
 
     def _log_loss(self, lessor: key_ranges.LessorIdentity, error: reports.UnreachableError) -> None:
         logging.warning(
-            "lessor %s lost, step report, last reply %.2f s ago: %s",
+            "lessor %s lost, step report, silent for %.2f s: %s",
             lessor.incarnation,
-            self._clock.read_s() - self._last_reply_at_s,
+            self._measure_silence_s(),
             error,
         )
 
