--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -236,10 +236,7 @@
             while not stop_signal.is_set:
                 step = self._report(connection, follower)
                 if step is following.FollowStep.TAKE_OVER:
-                    stop_signal.wait(self._draw_takeover_delay_s())
-                    if self._store_lost_since_s is not None:
-                        # A lessor that only lost the store may know its successor by now.
-                        step = self._report(connection, follower)
+                    step = self._await_takeover(connection, follower, stop_signal)
                     if step is not following.FollowStep.FOLLOW_SUCCESSOR:
                         return following.Followed(takes_over=not self._has_lessor_changed(lessor))
                 if step is following.FollowStep.FOLLOW_SUCCESSOR:
@@ -252,6 +249,18 @@
             connection.close()
         return following.Followed()
 
+    def _await_takeover(
+        self,
+        connection: following.LessorConnection,
+        follower: follower_state.FollowerState,
+        stop_signal: tasks.StopSignal,
+    ) -> following.FollowStep:
+        """Wait for the takeover delay; a lessor that only lost the store may name its successor."""
+        stop_signal.wait(self._draw_takeover_delay_s())
+        if self._store_lost_since_s is None:
+            return following.FollowStep.TAKE_OVER
+        return self._report(connection, follower)
+
     def _report(
         self, connection: following.LessorConnection, follower: follower_state.FollowerState
     ) -> following.FollowStep:
