--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -23,6 +23,7 @@
 from goldcresthall.ranges import lessor_context
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import ownership_tables
+from goldcresthall.ranges import publication
 from goldcresthall.ranges import report_responder
 from goldcresthall.ranges import reports
 from goldcresthall.store import client
@@ -31,12 +32,6 @@
     from goldcresthall.core import deployment_settings
     from goldcresthall.kernel import kernel
 
-OWN_REPORT_INTERVAL_S = 0.2
-ANNOUNCEMENT_INTERVAL_S = 0.1
-MIN_PUBLISH_PAUSE_S = 0.03
-MAX_PUBLISH_PAUSE_S = 0.3
-# Each publication makes every instance report again; the pause leaves the lessor half of its time.
-PUBLISH_PAUSE_PER_INSTANCE_S = 0.0008
 ASK_PEERS_AFTER_S = 0.8
 UNCONFIRMED_TAKEOVER_AFTER_S = 4.0
 REREAD_TABLE_AFTER_S = 1.0
@@ -408,7 +403,10 @@
 
     def _serve(self, own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
         self._responder.begin_term()
-        publishing = tasks.Task("lessor-view", lambda stop: self._publish(own_term, stop))
+        publisher = publication.ViewPublisher(
+            own_term, self._responder, self._owners, self._estimates, self._directory
+        )
+        publishing = tasks.Task("lessor-view", publisher.run)
         publishing.start()
         try:
             own_term.run(stop_signal)
@@ -418,24 +416,6 @@
                 own_term.step_down(STOP_TIMEOUT_S)
                 self._term = None
 
-    def _publish(self, own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
-        """Apply the term's owners and own statistics; a pause batches changes for all instances."""
-        reported_at_s = self._clock.read_s()
-        while not stop_signal.is_set:
-            own_term.leases.wait_for_change(self._owners.view.revision, ANNOUNCEMENT_INTERVAL_S)
-            view = own_term.leases.create_view()
-            self._owners.apply(view)
-            self._responder.announce_changes(own_term)
-            own_term.leases.record_publication(view.revision)
-            now_s = self._clock.read_s()
-            if now_s - reported_at_s >= OWN_REPORT_INTERVAL_S:
-                reported_at_s = now_s
-                self._responder.update_peers()
-                self._estimates.retain(self._directory.servers.incarnations)
-                own_term.statistics.add(self._owners.take_counts(), now_s)
-                own_term.statistics.service_times.add(self._estimates.take_latency_samples(), now_s)
-            stop_signal.wait(find_publish_pause_s(self._responder.reporter_count))
-
     def _query_predecessors(self, stop_signal: tasks.StopSignal) -> None:
         """Query earlier lessors; ends the wait for them once all have stopped granting."""
         while not stop_signal.wait(PREDECESSOR_QUERY_INTERVAL_S):
@@ -450,9 +430,3 @@
             ):
                 logging.info("term %d: all earlier lessors have stopped granting", own_term.term)
                 own_term.end_predecessor_wait()
-
-
-def find_publish_pause_s(reporters: int) -> float:
-    """Return the seconds between two publications to a number of reporting instances."""
-    wanted_s = PUBLISH_PAUSE_PER_INSTANCE_S * reporters
-    return min(MAX_PUBLISH_PAUSE_S, max(MIN_PUBLISH_PAUSE_S, wanted_s))
