Read the table after one named successor, and forget it at a takeover

Found on reading: two former lessors could name each other, so that a follower would ask them in turn without a pause. The test plays two that do.

--- a/src/goldcresthall/core/key_ranges.py
+++ b/src/goldcresthall/core/key_ranges.py
@@ -11,6 +11,7 @@
 FIRST_KEY: Final = 0
 LAST_KEY: Final = 65_535
 KEY_COUNT: Final = LAST_KEY + 1
+UNREAD_OFFSET: Final = -2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -77,11 +78,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredTable:
-    """An ownership table and the offset of its record, which serves as its version."""
+    """An ownership table and the offset of its record, which serves as its version.
+
+    Attributes
+    ----------
+    offset
+        `UNREAD_OFFSET` for a table of which only the lessor is known.
+    """
 
     offset: int
     table: OwnershipTable
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the table was read from the store."""
+        return self.offset != UNREAD_OFFSET
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RangeStart:
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -201,7 +201,8 @@
             followed = self._follow(lessor, stop_signal)
             if followed.takes_over:
                 known = self._take_over(stored, stop_signal)
-            elif followed.successor is not None:
+            elif followed.successor is not None and stored.is_read:
+                # Two instances could name each other, so the table is read after one name.
                 known = ownership_tables.create_unread(followed.successor)
 
     def _create_known_successor(self) -> key_ranges.StoredTable | None:
@@ -383,6 +384,7 @@
             if own_term.term < self._min_term:
                 return None
             self._term = own_term
+            self._successor = None
         self._serve(own_term, stop_signal)
         return None
 
--- a/src/goldcresthall/ranges/ownership_tables.py
+++ b/src/goldcresthall/ranges/ownership_tables.py
@@ -53,7 +53,8 @@
 
 def create_unread(lessor: key_ranges.LessorIdentity) -> key_ranges.StoredTable:
     """Return the place of a table that was not read, of which only the lessor is known."""
-    return key_ranges.StoredTable(-1, key_ranges.OwnershipTable(lessor=lessor))
+    table = key_ranges.OwnershipTable(lessor=lessor)
+    return key_ranges.StoredTable(key_ranges.UNREAD_OFFSET, table)
 
 
 def take_over(
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from goldcresthall.core import deployment_settings
@@ -21,6 +23,9 @@
 from tests.fakes import range_simulation
 from tests.fakes import store
 
+if TYPE_CHECKING:
+    from goldcresthall.store import client
+
 
 @pytest.fixture
 def election_service(monkeypatch: pytest.MonkeyPatch) -> election.Election:
@@ -117,11 +122,39 @@
     assert dialer.dialed == [lost.address]
 
 
+def test_table_is_read_after_one_named_successor(
+    election_service: election.Election, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Two former lessors that name each other must not be asked in turn for ever."""
+    reads: list[int] = []
+    stopped = tasks.StopSignal()
+    first, second = (
+        key_ranges.LessorIdentity(
+            identity.Incarnation(name, "life"), identity.Address("127.0.0.1", port)
+        )
+        for name, port in (("two", 7_002), ("three", 7_003))
+    )
+
+    def read(store: client.StoreClient) -> key_ranges.StoredTable:
+        reads.append(len(dialer.dialed))
+        if len(reads) == 3:
+            stopped.set()
+        return key_ranges.StoredTable(5, key_ranges.OwnershipTable(lessor=first))
+
+    monkeypatch.setattr(ownership_tables, "read", read)
+    dialer = NamingDialer(second)
+    dialer.second_successor = first
+    election_service._dialer = dialer
+    election_service._run(stopped)
+    assert reads == [0, 2, 4]
+
+
 class NamingDialer(reports.PeerDialer):
     """Reaches a former lessor that names its successor."""
 
     def __init__(self, successor: key_ranges.LessorIdentity) -> None:
         self._successor = successor
+        self.second_successor = successor
         self.dialed: list[identity.Address] = []
 
     def start(self) -> None:
@@ -133,7 +166,8 @@
     def dial(self, address: identity.Address, timeout_s: float) -> reports.PeerChannel:
         """Return a channel to the former lessor."""
         self.dialed.append(address)
-        return NamingChannel(self._successor)
+        is_named = address == self._successor.address
+        return NamingChannel(self.second_successor if is_named else self._successor)
 
 
 class NamingChannel(reports.PeerChannel):
