--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -284,7 +284,11 @@
     @property
     def is_relayed(self) -> bool:
         """Whether another instance relays its list, so that the store need not be read."""
-        return self._clock.read_s() - self._relayed_at_s < RELAY_VALIDITY_S
+        return self.find_relay_remaining_s() > 0
+
+    def find_relay_remaining_s(self) -> float:
+        """Return the seconds until the relay ends unless it is renewed; not positive if it has."""
+        return RELAY_VALIDITY_S - (self._clock.read_s() - self._relayed_at_s)
 
     @property
     def is_read_requested(self) -> bool:
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -29,7 +29,7 @@
 BACKOFF_FACTOR = 1.5
 MAX_BACKOFF_S = 1.4
 SERVERS_POLL_INTERVAL_S = 0.9
-RELAY_CHECK_INTERVAL_S = 0.15
+MIN_RELAY_CHECK_S = 0.02
 FIRST_RELAY_CHECK_INTERVAL_S = 0.04
 CONFIGURATION_READERS = 4  # spares for a reader whose long poll gets no response
 RELAY_GRACE_S = 0.4  # a relayed version is read from the store only if its document fails to come
@@ -128,7 +128,7 @@
         self._await_first_relay(stop_signal)
         while not stop_signal.is_set:
             if self._is_configuration_relayed():
-                stop_signal.wait(RELAY_CHECK_INTERVAL_S)
+                self._await_relay_end(stop_signal)
                 continue
             # After a failure the next read does not wait, so that it detects at once that
             # the store is available again.
@@ -152,6 +152,10 @@
             if stop_signal.wait(FIRST_RELAY_CHECK_INTERVAL_S):
                 return
 
+    def _await_relay_end(self, stop_signal: tasks.StopSignal) -> None:
+        """Sleep until the relay would end; by then it has mostly been renewed."""
+        stop_signal.wait(max(MIN_RELAY_CHECK_S, self._directory.find_relay_remaining_s()))
+
     def _is_configuration_relayed(self) -> bool:
         """Return whether other instances read the configuration and the lessor relays news."""
         return (
@@ -166,7 +170,7 @@
         self._await_first_relay(stop_signal)
         while not stop_signal.is_set:
             if self._directory.is_relayed:
-                stop_signal.wait(RELAY_CHECK_INTERVAL_S)
+                self._await_relay_end(stop_signal)
                 continue
             update = follower.poll(0.0)
             if isinstance(update, client.StoreFailed):
