--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -30,6 +30,7 @@
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import peer_channel
 from goldcresthall.ranges import peer_server
+from goldcresthall.store import store_metrics
 
 THREAD_STACK_BYTES = 262_144
 METRICS_PATH = "/metrics"
@@ -82,12 +83,14 @@
     service_kernel: kernel.Kernel, instance_settings: deployment_settings.DeploymentSettings
 ) -> None:
     service_kernel.register(names.CLOCK, clock.MonotonicClock())
-    service_kernel.register(names.METRICS, metrics.Metrics())
+    metrics_service = metrics.Metrics()
+    service_kernel.register(names.METRICS, metrics_service)
     service_kernel.register(
         names.REQUEST_LOG, decisions.DecisionLog.from_config(service_kernel, instance_settings.name)
     )
+    calls = store_metrics.StoreMetrics(metrics_service.registry)
     service_kernel.register(
-        names.STORE, store_client.HttpStoreClient.from_config(instance_settings)
+        names.STORE, store_client.HttpStoreClient.from_config(instance_settings, calls)
     )
     service_kernel.register(names.DIRECTORY, directory.Directory(service_kernel))
     service_kernel.register(
--- a/src/goldcresthall/platform/store_client.py
+++ b/src/goldcresthall/platform/store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import socket
 import struct
 from typing import TYPE_CHECKING
@@ -20,6 +21,7 @@
 if TYPE_CHECKING:
     from goldcresthall.core import deployment_settings
     from goldcresthall.core import identity
+    from goldcresthall.store import store_metrics
 
 CONNECT_TIMEOUT_S = 0.5
 RESPONSE_TIMEOUT_S = 1.0
@@ -48,9 +50,16 @@
 
 
 class HttpStoreClient(client.StoreClient):
-    """Client of the store at one address; it does not retry failed calls."""
+    """Client of the store at one address; it does not retry failed calls.
 
-    def __init__(self, address: identity.Address) -> None:
+    Parameters
+    ----------
+    calls
+        Counts the calls.
+    """
+
+    def __init__(self, address: identity.Address, calls: store_metrics.StoreMetrics) -> None:
+        self._calls = calls
         self._pool = urllib3.HTTPConnectionPool(
             address.host,
             address.port,
@@ -62,10 +71,12 @@
 
     @classmethod
     def from_config(
-        cls, instance_settings: deployment_settings.DeploymentSettings
+        cls,
+        instance_settings: deployment_settings.DeploymentSettings,
+        calls: store_metrics.StoreMetrics,
     ) -> HttpStoreClient:
         """Return a client of the store of a deployment."""
-        return cls(instance_settings.store)
+        return cls(instance_settings.store, calls)
 
     def start(self) -> None:
         """Do nothing; connections are opened when needed."""
@@ -86,7 +97,7 @@
         after = ""
         while True:
             path = f"{names.NEWEST_PATH}?topic={topic}&{PARTITION_PARAMETER}{after}"
-            outcome = self._call("GET", path, b"", 0.0)
+            outcome = self._call(_Call("GET", topic, "read_newest", path))
             if isinstance(outcome, client.StoreFailed):
                 return outcome
             if outcome.status == STATUS_NOT_FOUND:
@@ -105,7 +116,7 @@
         """Return the records from an offset on, waiting up to `wait_s` seconds for the first."""
         wait = f"&wait_ms={int(wait_s * MS_PER_S)}" if wait_s else ""
         path = f"{names.READ_PATH}?topic={topic}&{PARTITION_PARAMETER}&from={from_offset}{wait}"
-        outcome = self._call("GET", path, b"", wait_s)
+        outcome = self._call(_Call("GET", topic, "read_changes", path, wait_s=wait_s))
         if isinstance(outcome, client.StoreFailed):
             return outcome
         if outcome.status == STATUS_GONE:
@@ -124,7 +135,8 @@
         encoded_key = key.encode()
         content = bytes([len(encoded_key)]) + encoded_key + value
         path = f"{names.APPEND_PATH}?topic={topic}&{PARTITION_PARAMETER}&at={expected_end}"
-        outcome = self._call("POST", path, LENGTH_STRUCT.pack(len(content)) + content, 0.0)
+        body = LENGTH_STRUCT.pack(len(content)) + content
+        outcome = self._call(_Call("POST", topic, "write", path, body))
         if isinstance(outcome, client.StoreFailed):
             return outcome
         try:
@@ -140,18 +152,44 @@
             return client.WriteRefused("write", f"status {outcome.status}")
         return client.StoreFailed("write", f"status {outcome.status}")
 
-    def _call(
-        self, method: str, path: str, body: bytes, wait_s: float
-    ) -> urllib3.BaseHTTPResponse | client.StoreFailed:
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S + wait_s)
+    def _call(self, call: _Call) -> urllib3.BaseHTTPResponse | client.StoreFailed:
+        outcome = self._send(call)
+        succeeded = not isinstance(outcome, client.StoreFailed)
+        self._calls.count_call(call.topic, call.operation, succeeded=succeeded)
+        return outcome
+
+    def _send(self, call: _Call) -> urllib3.BaseHTTPResponse | client.StoreFailed:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S + call.wait_s)
         try:
-            return self._pool.request(method, path, body=body or None, timeout=timeout)
+            return self._pool.request(
+                call.method, call.path, body=call.body or None, timeout=timeout
+            )
         except urllib3.exceptions.NewConnectionError as error:
             return client.StoreFailed("connect", str(error))
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return client.StoreFailed("receive", f"{type(error).__name__}: {error}")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Call:
+    """One call to the store.
+
+    Attributes
+    ----------
+    operation
+        Name of the operation for the metrics.
+    wait_s
+        Seconds for which the store may delay the response.
+    """
+
+    method: str
+    topic: str
+    operation: str
+    path: str
+    body: bytes = b""
+    wait_s: float = 0.0
+
+
 class _NewestPage:
     """One page of the newest records."""
 
