--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -5,12 +5,12 @@
 import dataclasses
 import math
 import threading
-import zlib
 from typing import TYPE_CHECKING
 from typing import Final
 
 from absl import logging
 
+from goldcresthall.core import configuration_documents
 from goldcresthall.core import deployment
 from goldcresthall.gateway import route_table
 from goldcresthall.kernel import clock
@@ -77,35 +77,6 @@
 STALE_SERVERS: Final = RelayedServers(-1, ())
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationDocument:
-    """A configuration as it is stored, for relay to other instances.
-
-    Attributes
-    ----------
-    content
-        The stored document, compressed by zlib.
-    """
-
-    version: int
-    content: bytes
-
-    @classmethod
-    def compress(cls, version: int, stored: bytes) -> ConfigurationDocument:
-        """Create a document from the stored bytes."""
-        return cls(version, zlib.compress(stored))
-
-    def decompress(self) -> bytes:
-        """Return the stored bytes.
-
-        Raises
-        ------
-        zlib.error
-            If the content is damaged.
-        """
-        return zlib.decompress(self.content)
-
-
 class Directory(service.Service):
     """The deployment's configuration and servers, as last read from the store.
 
@@ -120,8 +91,8 @@
         self._newer_version_seen = threading.Condition(self._lock)
         self._latest_version = 0
         self._configuration: deployment.Configuration | None = None
-        self._document: ConfigurationDocument | None = None
-        self._received: ConfigurationDocument | None = None
+        self._document: configuration_documents.ConfigurationDocument | None = None
+        self._received: configuration_documents.ConfigurationDocument | None = None
         self._route_table = route_table.RouteTable(())
         self._servers = ServerList({}, {})
         self._expired_names: set[str] = set()
@@ -182,7 +153,7 @@
         return (0 if in_force is None else in_force.version) < self._latest_version
 
     @property
-    def document(self) -> ConfigurationDocument | None:
+    def document(self) -> configuration_documents.ConfigurationDocument | None:
         """The configuration in force as it is stored; `None` until one is read."""
         return self._document
 
@@ -193,14 +164,14 @@
             in_force = 0 if self._configuration is None else self._configuration.version
             return max(in_force, 0 if self._received is None else self._received.version)
 
-    def receive_document(self, document: ConfigurationDocument) -> None:
+    def receive_document(self, document: configuration_documents.ConfigurationDocument) -> None:
         """Keep a relayed configuration until it is put in force, and report its version."""
         with self._newer_version_seen:
             self._received = document
         self.observe_version(document.version)
 
     @property
-    def received_document(self) -> ConfigurationDocument | None:
+    def received_document(self) -> configuration_documents.ConfigurationDocument | None:
         """The latest configuration that was relayed; `None` if there is none."""
         return self._received
 
@@ -215,7 +186,9 @@
         return self._servers
 
     def apply_configuration(
-        self, configuration: deployment.Configuration, document: ConfigurationDocument | None = None
+        self,
+        configuration: deployment.Configuration,
+        document: configuration_documents.ConfigurationDocument | None = None,
     ) -> bool:
         """Put a configuration in force if it is newer; return whether it was.
 
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from goldcresthall.core import configuration_documents
 from goldcresthall.gateway import directory
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
@@ -238,7 +239,9 @@
         configuration = self._decoder.decode_configuration(stored)
         if configuration is None:
             return False
-        document = directory.ConfigurationDocument.compress(configuration.version, stored)
+        document = configuration_documents.ConfigurationDocument.compress(
+            configuration.version, stored
+        )
         return self._directory.apply_configuration(configuration, document)
 
     def _apply_servers(self, update: topics.TopicUpdate) -> None:
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -19,23 +19,22 @@
 from goldcresthall.ranges import follower_state
 from goldcresthall.ranges import following
 from goldcresthall.ranges import grants
-from goldcresthall.ranges import lessor
+from goldcresthall.ranges import lessor_contact
 from goldcresthall.ranges import lessor_context
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import ownership_tables
 from goldcresthall.ranges import publication
 from goldcresthall.ranges import report_responder
 from goldcresthall.ranges import reports
+from goldcresthall.ranges import takeover
 from goldcresthall.store import client
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment_settings
     from goldcresthall.kernel import kernel
+    from goldcresthall.ranges import lessor
 
-ASK_PEERS_AFTER_S = 0.8
-UNCONFIRMED_TAKEOVER_AFTER_S = 4.0
 REREAD_TABLE_AFTER_S = 1.0
-LESSOR_STORE_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.15
 MAX_TAKEOVER_JITTER_S = 0.3
 LOW_CAPACITY_DELAY_S = 0.6
@@ -44,18 +43,11 @@
 STEP_DOWN_TIMEOUT_S = 0.15
 STOP_TIMEOUT_S = 2.0
 RETRY_HANDOVER_INTERVAL_S = 0.3
-DIRECTORY_CHECK_INTERVAL_S = 0.05
-DIRECTORY_TIMEOUT_S = 2.0
 ASSUMED_INSTANCE_COUNT = 8
 
 
 class Election(reports.InstanceCounter):
-    """Reports to the lessor and takes over when there is none.
-
-    An instance without replies from the lessor asks its peers. If one had a recent reply, or no
-    peer is reachable, it waits for a total silence of `UNCONFIRMED_TAKEOVER_AFTER_S`, because the
-    fault may be in its own link. A refused connection counts as a loss of the lessor at once.
-    """
+    """Reports to the lessor and takes over when there is none."""
 
     def __init__(
         self,
@@ -75,12 +67,9 @@
         self._term: lessor.LessorTerm | None = None
         self._peers: tuple[reports.Peer, ...] = ()
         self._min_term = -1
-        self._last_reply_at_s = -UNCONFIRMED_TAKEOVER_AFTER_S
-        self._following_since_s = 0.0
         self._has_resigned = False
         self._successor: key_ranges.LessorIdentity | None = None
         self._named_successor: key_ranges.LessorIdentity | None = None
-        self._store_lost_since_s: float | None = None
         self._task = tasks.Task("election", self._run)
         self._predecessor_task = tasks.Task("predecessor-query", self._query_predecessors)
 
@@ -122,8 +111,16 @@
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
         self._owners = self._kernel.find(names.OWNERS, owners.Owners)
         self._estimates = self._kernel.find(names.ESTIMATES, estimates.Estimates)
-        self._channel = self._kernel.find(names.GRANTS, grants.GrantChannel)
         self._dialer = self._kernel.find(names.PEERS, reports.PeerDialer)
+        self._context = lessor_context.LessorContext(
+            self._store,
+            self._kernel.find(names.GRANTS, grants.GrantChannel),
+            self._directory,
+            self._clock,
+        )
+        self._contact = lessor_contact.LessorContact(
+            self._own.address, self._clock, self._dialer, self._generator
+        )
         self._responder = report_responder.ReportResponder(
             self._own, self._clock, self._directory, self._owners
         )
@@ -159,7 +156,7 @@
         """Return this instance's incarnation and how long ago the lessor last replied to it."""
         if self._term is not None:
             return reports.Presence(self._own.incarnation, 0.0)
-        return reports.Presence(self._own.incarnation, self._clock.read_s() - self._last_reply_at_s)
+        return reports.Presence(self._own.incarnation, self._contact.reply_age_s)
 
     def handle_step_down(
         self, term: int, successor: key_ranges.LessorIdentity | None = None
@@ -212,18 +209,13 @@
         return ownership_tables.create_unread(self._successor)
 
     def _apply_stored(self, stored: key_ranges.StoredTable) -> None:
-        assigned = tuple(
-            key_ranges.RangeOwner(row.service, row.keys, row.owner, ready=True)
-            for row in stored.table.assignments
-        )
-        self._owners.apply(owners.OwnersView(stored.table.term, stored.table.revision, assigned))
+        self._owners.apply(owners.OwnersView.from_table(stored.table))
 
     def _follow(
         self, lessor: key_ranges.LessorIdentity, stop_signal: tasks.StopSignal
     ) -> following.Followed:
         """Report to a lessor until it is lost or replaced."""
-        self._following_since_s = self._clock.read_s()
-        self._store_lost_since_s = None
+        self._contact.begin()
         follower = follower_state.FollowerState(
             self._own, self._owners, self._directory, self._estimates
         )
@@ -253,7 +245,7 @@
     ) -> following.FollowStep:
         """Wait for the takeover delay; a lessor that only lost the store may name its successor."""
         stop_signal.wait(self._draw_takeover_delay_s())
-        if self._store_lost_since_s is None:
+        if not self._contact.is_without_store:
             return following.FollowStep.TAKE_OVER
         return self._report(connection, follower)
 
@@ -273,16 +265,12 @@
     def _on_fail(
         self, lessor: key_ranges.LessorIdentity, error: reports.UnreachableError
     ) -> following.FollowStep:
-        if self._is_lost(lessor, error):
-            self._log_loss(lessor, error)
+        if self._contact.check_loss(lessor, self._peers, error):
             return following.FollowStep.TAKE_OVER
-        if self._measure_silence_s() > REREAD_TABLE_AFTER_S and self._has_lessor_changed(lessor):
+        if self._contact.silence_s > REREAD_TABLE_AFTER_S and self._has_lessor_changed(lessor):
             return following.FollowStep.REREAD_TABLE
         return following.FollowStep.RETRY
 
-    def _measure_silence_s(self) -> float:
-        return self._clock.read_s() - max(self._last_reply_at_s, self._following_since_s)
-
     def _on_reply(
         self,
         lessor: key_ranges.LessorIdentity,
@@ -297,37 +285,10 @@
                 if is_usable
                 else following.FollowStep.REREAD_TABLE
             )
-        self._last_reply_at_s = self._clock.read_s()
+        has_lost_store = self._contact.record_reply(has_store=reply.has_store)
         follower.apply_reply(reply)
         self._peers = follower.peers or self._peers
-        return (
-            following.FollowStep.TAKE_OVER
-            if self._has_lost_store(reply)
-            else following.FollowStep.CONTINUE
-        )
-
-    def _has_lost_store(self, reply: reports.Reply) -> bool:
-        """Return whether the lessor lost the store for some time; others may still reach it."""
-        if reply.has_store:
-            self._store_lost_since_s = None
-            return False
-        now_s = self._clock.read_s()
-        if self._store_lost_since_s is None:
-            self._store_lost_since_s = now_s
-        return now_s - self._store_lost_since_s >= LESSOR_STORE_TIMEOUT_S
-
-    def _is_lost(self, lessor: key_ranges.LessorIdentity, error: reports.UnreachableError) -> bool:
-        if error.is_refused:
-            return True
-        silent_s = self._measure_silence_s()
-        if silent_s < ASK_PEERS_AFTER_S:
-            return False
-        if silent_s >= UNCONFIRMED_TAKEOVER_AFTER_S:
-            return True
-        others = [
-            peer for peer in self._peers if peer.address not in {self._own.address, lessor.address}
-        ]
-        return failure_detection.peers_confirm_loss(self._dialer, others, self._generator)
+        return following.FollowStep.TAKE_OVER if has_lost_store else following.FollowStep.CONTINUE
 
     def _has_lessor_changed(self, lessor: key_ranges.LessorIdentity) -> bool:
         stored = ownership_tables.read(self._store)
@@ -336,50 +297,22 @@
         self._apply_stored(stored)
         return stored.table.lessor != lessor
 
-    def _log_loss(self, lessor: key_ranges.LessorIdentity, error: reports.UnreachableError) -> None:
-        logging.warning(
-            "lessor %s lost, step report, silent for %.2f s: %s",
-            lessor.incarnation,
-            self._measure_silence_s(),
-            error,
-        )
-
     def _take_over(
         self, stored: key_ranges.StoredTable, stop_signal: tasks.StopSignal
     ) -> key_ranges.StoredTable | None:
-        """Write a takeover record and run the term, unless another instance takes over first.
+        """Take over and run the term, unless another instance takes over first.
 
         Returns that instance's table, so that it need not be read again.
         """
         if self._has_resigned:
             stop_signal.wait(RETRY_INTERVAL_S)
             return None
-        if not self._await_directory(stop_signal):
-            return None
-        latest = ownership_tables.read(self._store)
-        if latest is None or stop_signal.is_set:
-            return None
-        if latest.table.lessor != stored.table.lessor:
-            return latest
-        expected = latest.offset + 1
-        table = ownership_tables.take_over(latest.table, self._own, expected)
-        outcome = self._store.write(
-            ownership_tables.TOPIC, ownership_tables.KEY, ownership_tables.encode(table), expected
-        )
-        if not isinstance(outcome, client.Written):
-            logging.info("takeover failed, step write: %s", outcome)
-            return None
-        acquired_table = key_ranges.StoredTable(outcome.offset, table)
-        context = lessor_context.LessorContext(
-            self._store, self._channel, self._directory, self._clock
-        )
-        own_term = lessor.LessorTerm(context, self._own, acquired_table, self._max_lease_s)
-        logging.info(
-            "became lessor in term %d, ranges %d, predecessors %d",
-            outcome.offset,
-            len(table.assignments),
-            len(table.predecessors),
+        result = takeover.take_over(
+            self._context, self._own, stored, self._max_lease_s, stop_signal
         )
+        own_term = result.term
+        if own_term is None:
+            return result.other_table
         with self._lock:
             if own_term.term < self._min_term:
                 return None
@@ -388,21 +321,6 @@
         self._serve(own_term, stop_signal)
         return None
 
-    def _await_directory(self, stop_signal: tasks.StopSignal) -> bool:
-        """Wait for the configuration and the servers, without which a lessor cannot plan.
-
-        Returns
-        -------
-        bool
-            Whether both are known; `False` if the wait lasted `DIRECTORY_TIMEOUT_S`.
-        """
-        self._directory.request_read()
-        ends_at_s = self._clock.read_s() + DIRECTORY_TIMEOUT_S
-        while not self._directory.is_complete:
-            if self._clock.read_s() >= ends_at_s or stop_signal.wait(DIRECTORY_CHECK_INTERVAL_S):
-                return False
-        return True
-
     def _serve(self, own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
         self._responder.begin_term()
         publisher = publication.ViewPublisher(
@@ -424,11 +342,8 @@
             own_term = self._term
             if own_term is None or own_term.is_over or not own_term.awaits_predecessors:
                 continue
-            if all(
-                failure_detection.has_stopped_granting(
-                    self._dialer, predecessor, own_term.term, self._own
-                )
-                for predecessor in own_term.predecessors
+            if failure_detection.have_all_stopped_granting(
+                self._dialer, own_term.predecessors, own_term.term, self._own
             ):
                 logging.info("term %d: all earlier lessors have stopped granting", own_term.term)
                 own_term.end_predecessor_wait()
--- a/src/goldcresthall/ranges/failure_detection.py
+++ b/src/goldcresthall/ranges/failure_detection.py
@@ -63,3 +63,15 @@
     except reports.UnreachableError:
         return False
     return ended
+
+
+def have_all_stopped_granting(
+    dialer: reports.PeerDialer,
+    predecessors: tuple[key_ranges.LessorIdentity, ...],
+    term: int,
+    successor: key_ranges.LessorIdentity,
+) -> bool:
+    """Return whether all earlier lessors have provably stopped granting."""
+    return all(
+        has_stopped_granting(dialer, predecessor, term, successor) for predecessor in predecessors
+    )
--- a/src/goldcresthall/ranges/owners.py
+++ b/src/goldcresthall/ranges/owners.py
@@ -34,6 +34,15 @@
     revision: int = 0
     owners: tuple[key_ranges.RangeOwner, ...] = ()
 
+    @classmethod
+    def from_table(cls, table: key_ranges.OwnershipTable) -> OwnersView:
+        """Return the owners as stored; all of them count as ready."""
+        assigned = tuple(
+            key_ranges.RangeOwner(row.service, row.keys, row.owner, ready=True)
+            for row in table.assignments
+        )
+        return cls(table.term, table.revision, assigned)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CountedKeys:
--- a/src/goldcresthall/ranges/report_encoding.py
+++ b/src/goldcresthall/ranges/report_encoding.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from goldcresthall.core import configuration_documents
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.core import row_changes
-from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.generated.lessor import ttypes
 from goldcresthall.ranges import owners
@@ -124,12 +124,16 @@
     )
 
 
-def _encode_document(document: directory.ConfigurationDocument) -> ttypes.ConfigurationDocument:
+def _encode_document(
+    document: configuration_documents.ConfigurationDocument,
+) -> ttypes.ConfigurationDocument:
     return ttypes.ConfigurationDocument(document.version, document.content)
 
 
-def _decode_document(received: ttypes.ConfigurationDocument) -> directory.ConfigurationDocument:
-    return directory.ConfigurationDocument(received.version, received.content)
+def _decode_document(
+    received: ttypes.ConfigurationDocument,
+) -> configuration_documents.ConfigurationDocument:
+    return configuration_documents.ConfigurationDocument(received.version, received.content)
 
 
 def _encode_peers(peer_list: reports.PeerList) -> ttypes.PeerList:
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -6,6 +6,7 @@
 import threading
 from typing import TYPE_CHECKING
 
+from goldcresthall.core import configuration_documents
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
 from goldcresthall.ranges import reports
@@ -143,7 +144,7 @@
 
     def _find_newer_document(
         self, report: reports.Report
-    ) -> directory.ConfigurationDocument | None:
+    ) -> configuration_documents.ConfigurationDocument | None:
         document = self._directory.document
         if document is None or document.version <= report.held_configuration:
             return None
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -9,11 +9,11 @@
 import abc
 import dataclasses
 
+from goldcresthall.core import configuration_documents
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.core import row_changes
-from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import service
 from goldcresthall.ranges import owners
@@ -112,7 +112,7 @@
     owners: OwnerChanges | None = None
     has_fresh_servers: bool = False
     servers: ServerChanges | None = None
-    document: directory.ConfigurationDocument | None = None
+    document: configuration_documents.ConfigurationDocument | None = None
     successor: key_ranges.LessorIdentity | None = None
 
 
--- /dev/null
+++ b/src/goldcresthall/ranges/takeover.py
@@ -0,0 +1,100 @@
+"""Takeover: an instance writes itself into the ownership table as the lessor."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from goldcresthall.core import key_ranges
+from goldcresthall.ranges import lessor
+from goldcresthall.ranges import ownership_tables
+from goldcresthall.store import client
+
+if TYPE_CHECKING:
+    from goldcresthall.kernel import tasks
+    from goldcresthall.ranges import lessor_context
+
+DIRECTORY_CHECK_INTERVAL_S = 0.05
+DIRECTORY_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeoverResult:
+    """Result of a takeover.
+
+    Attributes
+    ----------
+    term
+        The new term; `None` if the takeover failed.
+    other_table
+        The table of another instance that took over first; `None` unless it was read.
+    """
+
+    term: lessor.LessorTerm | None = None
+    other_table: key_ranges.StoredTable | None = None
+
+
+FAILED = TakeoverResult()
+
+
+def take_over(
+    context: lessor_context.LessorContext,
+    own: key_ranges.LessorIdentity,
+    stored: key_ranges.StoredTable,
+    max_lease_s: float,
+    stop_signal: tasks.StopSignal,
+) -> TakeoverResult:
+    """Write a takeover record, unless another instance takes over first.
+
+    Parameters
+    ----------
+    context
+        Services that the new term depends on.
+    own
+        Identity and address of this instance.
+    stored
+        The table, or only the lessor, that this instance last knew.
+    max_lease_s
+        Upper bound for the lease duration in seconds.
+    """
+    if not _await_directory(context, stop_signal):
+        return FAILED
+    latest = ownership_tables.read(context.store)
+    if latest is None or stop_signal.is_set:
+        return FAILED
+    if latest.table.lessor != stored.table.lessor:
+        return TakeoverResult(other_table=latest)
+    expected = latest.offset + 1
+    table = ownership_tables.take_over(latest.table, own, expected)
+    outcome = context.store.write(
+        ownership_tables.TOPIC, ownership_tables.KEY, ownership_tables.encode(table), expected
+    )
+    if not isinstance(outcome, client.Written):
+        logging.info("takeover failed, step write: %s", outcome)
+        return FAILED
+    logging.info(
+        "became lessor in term %d, ranges %d, predecessors %d",
+        outcome.offset,
+        len(table.assignments),
+        len(table.predecessors),
+    )
+    acquired_table = key_ranges.StoredTable(outcome.offset, table)
+    return TakeoverResult(lessor.LessorTerm(context, own, acquired_table, max_lease_s))
+
+
+def _await_directory(context: lessor_context.LessorContext, stop_signal: tasks.StopSignal) -> bool:
+    """Wait for the configuration and the servers, without which a lessor cannot plan.
+
+    Returns
+    -------
+    bool
+        Whether both are known; `False` if the wait lasted `DIRECTORY_TIMEOUT_S`.
+    """
+    context.directory.request_read()
+    ends_at_s = context.clock.read_s() + DIRECTORY_TIMEOUT_S
+    while not context.directory.is_complete:
+        if context.clock.read_s() >= ends_at_s or stop_signal.wait(DIRECTORY_CHECK_INTERVAL_S):
+            return False
+    return True
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from goldcresthall.core import configuration_documents
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import watchers
 from goldcresthall.kernel import kernel
@@ -160,7 +161,9 @@
     """Each of 195 instances once read each version; a storm of versions took 4,000 calls."""
     watched = WatchedDirectory(rank=9)
     watched.run()
-    watched.directory.receive_document(directory.ConfigurationDocument.compress(7, b"7"))
+    watched.directory.receive_document(
+        configuration_documents.ConfigurationDocument.compress(7, b"7")
+    )
     assert watched.await_version(7)
     watched.watchers.stop()
     assert not watched.store.newest_reads
@@ -173,7 +176,7 @@
     watched = WatchedDirectory(rank=9)
     watched.run()
     watched.store.version = 7
-    watched.directory.receive_document(directory.ConfigurationDocument(7, b"damaged"))
+    watched.directory.receive_document(configuration_documents.ConfigurationDocument(7, b"damaged"))
     assert watched.directory.held_version == 7
     assert watched.await_version(7)
     watched.watchers.stop()
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from goldcresthall.core import configuration_documents
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.core import row_changes
@@ -110,7 +111,7 @@
     """Put a version in force at the lessor, as its watchers do."""
     exchange.simulation.directory.apply_configuration(
         dataclasses.replace(range_simulation.CONFIGURATION, version=version),
-        directory.ConfigurationDocument.compress(version, b"stored"),
+        configuration_documents.ConfigurationDocument.compress(version, b"stored"),
     )
 
 
