--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -70,6 +70,7 @@
         self._has_resigned = False
         self._successor: key_ranges.LessorIdentity | None = None
         self._named_successor: key_ranges.LessorIdentity | None = None
+        self._followed: key_ranges.LessorIdentity | None = None
         self._task = tasks.Task("election", self._run)
         self._predecessor_task = tasks.Task("predecessor-query", self._query_predecessors)
 
@@ -185,10 +186,10 @@
             stored = known or ownership_tables.read(self._store)
             known = None
             if stored is None:
-                known = self._create_known_successor()
+                known = self._create_last_known()
                 stop_signal.wait(RETRY_INTERVAL_S)
                 continue
-            self._apply_stored(stored)
+            self._owners.apply(owners.OwnersView.from_table(stored.table))
             lessor = stored.table.lessor
             if lessor is None or lessor.address == self._own.address:
                 if lessor is None:
@@ -202,19 +203,20 @@
                 # Two instances could name each other, so the table is read after one name.
                 known = ownership_tables.create_unread(followed.successor)
 
-    def _create_known_successor(self) -> key_ranges.StoredTable | None:
-        """Return the lessor that took over from this instance, for use without the store."""
-        if self._successor is None:
-            return None
-        return ownership_tables.create_unread(self._successor)
+    def _create_last_known(self) -> key_ranges.StoredTable | None:
+        """Return the lessor to report to while the table cannot be read.
 
-    def _apply_stored(self, stored: key_ranges.StoredTable) -> None:
-        self._owners.apply(owners.OwnersView.from_table(stored.table))
+        That is the one that took over from this instance, or the one that it followed last. A
+        lessor that lost the store as well goes on renewing, and regains it first.
+        """
+        last_known = self._successor or self._followed
+        return None if last_known is None else ownership_tables.create_unread(last_known)
 
     def _follow(
         self, lessor: key_ranges.LessorIdentity, stop_signal: tasks.StopSignal
     ) -> following.Followed:
         """Report to a lessor until it is lost or replaced."""
+        self._followed = lessor
         self._contact.begin()
         follower = follower_state.FollowerState(
             self._own, self._owners, self._directory, self._estimates
@@ -294,7 +296,7 @@
         stored = ownership_tables.read(self._store)
         if stored is None:
             return True
-        self._apply_stored(stored)
+        self._owners.apply(owners.OwnersView.from_table(stored.table))
         return stored.table.lessor != lessor
 
     def _take_over(
@@ -318,6 +320,7 @@
                 return None
             self._term = own_term
             self._successor = None
+            self._followed = None
         self._serve(own_term, stop_signal)
         return None
 
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -149,6 +149,29 @@
     assert reads == [0, 2, 4]
 
 
+def test_instance_reports_to_the_lessor_it_knows_while_the_table_cannot_be_read(
+    election_service: election.Election, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """In an outage of the store each instance read the table seven times a second instead."""
+    stopped = tasks.StopSignal()
+    known = key_ranges.LessorIdentity(
+        identity.Incarnation("two", "life"), identity.Address("127.0.0.1", 7_002)
+    )
+    outcomes = [key_ranges.StoredTable(5, key_ranges.OwnershipTable(lessor=known)), None, None]
+
+    def read(store: client.StoreClient) -> key_ranges.StoredTable | None:
+        if not outcomes:
+            stopped.set()
+            return None
+        return outcomes.pop(0)
+
+    monkeypatch.setattr(ownership_tables, "read", read)
+    dialer = NamingDialer(known)
+    election_service._dialer = dialer
+    election_service._run(stopped)
+    assert dialer.dialed == [known.address] * 3
+
+
 class NamingDialer(reports.PeerDialer):
     """Reaches a former lessor that names its successor."""
 
