--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 where they stopped at their own start, and a read returns no more than 1,024 KB.
 """
 
+import os
 import pathlib
 import signal
 import sys
@@ -15,7 +16,9 @@
 
 IDLE_BACKENDS = 170
 RESTART_AT_S = 50.0
+BUSY_AT_S = 56.5
 KILL_AT_S = 58.0
+BUSY_FOR_S = 5.5
 RESTART_DELAY_S = 1.0
 WATCH_S = 10.0
 SAMPLE_S = 0.02
@@ -49,8 +52,10 @@
     keys = [key for key in KEYS if restarted.holds(key)]
     if trouble:
         restarted.restart()
+    wait_for(record, BUSY_AT_S)
     busy.update(keys)
-    record.write(f"now the busy keys are {keys[0]} to {keys[-1]}")
+    threading.Timer(BUSY_FOR_S, busy.clear).start()
+    record.write(f"for {BUSY_FOR_S} s the busy keys are {keys[0]} to {keys[-1]}")
     wait_for(record, KILL_AT_S)
     if not all(count(ledgers, key) == 1 for key in KEYS):
         raise standins.CannotRun("the keys are not granted again after the backend's restart")
@@ -117,4 +122,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.main(case, str(pathlib.Path(__file__).resolve().parent)))
+    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    record_path = pathlib.Path(__file__).resolve().parent / "record.txt"
+    sys.exit(standins.main(case, record_path, trouble=is_troubled))
