--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -7,6 +7,7 @@
 import threading
 
 from goldcresthall.admin import status_server
+from goldcresthall.backend import exchange_metrics
 from goldcresthall.callers import pipelined_frontend
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
@@ -79,6 +80,7 @@
         incarnation = identity.Incarnation.create(instance_settings.name)
         readiness = Readiness(service_kernel)
         _register_foundation(service_kernel, instance_settings)
+        _register_backend_clients(service_kernel, instance_settings)
         _register_ownership(service_kernel, incarnation, instance_settings)
         _register_frontends(service_kernel, instance_settings, readiness)
         return cls(service_kernel, incarnation, instance_settings, readiness)
@@ -109,6 +111,20 @@
     )
 
 
+def _register_backend_clients(
+    service_kernel: kernel.Kernel, instance_settings: deployment_settings.DeploymentSettings
+) -> None:
+    registry = service_kernel.find(names.METRICS, metrics.Metrics).registry
+    exchanges = exchange_metrics.ExchangeMetrics(registry)
+    service_kernel.register(
+        names.GRANTS, grant_client.PlatformGrantChannel(service_kernel, exchanges)
+    )
+    service_kernel.register(
+        names.REQUEST_SENDER,
+        request_client.PlatformRequestSender.from_config(instance_settings, exchanges),
+    )
+
+
 def _register_ownership(
     service_kernel: kernel.Kernel,
     incarnation: identity.Incarnation,
@@ -122,7 +138,6 @@
     )
     service_kernel.register(names.OWNERS, key_owners)
     service_kernel.register(names.ESTIMATES, estimates.Estimates(service_kernel))
-    service_kernel.register(names.GRANTS, grant_client.PlatformGrantChannel(service_kernel))
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics(registry, "client"))
     )
@@ -144,9 +159,6 @@
     instance_settings: deployment_settings.DeploymentSettings,
     readiness: Readiness,
 ) -> None:
-    service_kernel.register(
-        names.REQUEST_SENDER, request_client.PlatformRequestSender.from_config(instance_settings)
-    )
     service_kernel.register(
         names.GATEWAY, gateway.Gateway.from_config(service_kernel, instance_settings)
     )
--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -81,11 +81,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RawResponse:
-    """A complete HTTP response."""
+    """A complete HTTP response.
+
+    Attributes
+    ----------
+    is_first
+        Whether it is the first response on its connection. Any other may be a copy of an earlier
+        one, unless it bears something that only the request's own response can bear.
+    """
 
     status: int
     headers: tuple[outcomes.Header, ...]
     body: bytes
+    is_first: bool = False
 
     def find(self, name: str) -> str | None:
         """Return the value of a header by its lower-case name, or `None`."""
@@ -101,6 +109,7 @@
     def __init__(self, connected: socket.socket) -> None:
         self._socket = connected
         self._leftover = b""
+        self._received_count = 0
         self._is_reusable = False
         self._is_persistent = False
         self._max_idle_s = MAX_IDLE_S
@@ -142,6 +151,17 @@
         """Whether the connection can be used for another exchange."""
         return self._is_reusable and not self.has_expired and not self._is_readable()
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes have come that belong to no response; the end of the stream is none."""
+        if self._leftover:
+            return True
+        try:
+            self._socket.settimeout(0.0)
+            return bool(self._socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     @property
     def has_expired(self) -> bool:
         """Whether it has been idle for so long that the server may close it."""
@@ -243,7 +263,8 @@
         self._leftover, at_end = parser.trailing_data
         self._is_persistent = parser.their_state is h11.DONE and not at_end
         self._record_keep_alive(response)
-        return response
+        self._received_count += 1
+        return dataclasses.replace(response, is_first=self._received_count == 1)
 
     def _read_response(
         self,
--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -7,6 +7,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from absl import logging
+
 from goldcresthall.backend import exchange
 from goldcresthall.backend import response_memory
 from goldcresthall.core import outcomes
@@ -18,6 +20,7 @@
     from goldcresthall.kernel import cancellation
 
 IDLE_SWEEP_INTERVAL_S = 5.0
+LOG_INTERVAL_S = 1
 
 
 class ExchangePool:
@@ -27,9 +30,17 @@
     ----------
     limits
         Limits on the bodies of all responses together and of each.
+    count_surplus
+        Called for each kept connection that is closed because bytes came on it that belong to no
+        response.
     """
 
-    def __init__(self, limits: response_memory.ResponseLimits) -> None:
+    def __init__(
+        self,
+        limits: response_memory.ResponseLimits,
+        count_surplus: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._count_surplus = count_surplus
         self._memory = response_memory.ResponseMemory(limits)
         self._lock = threading.Lock()
         self._idle: dict[identity.Address, collections.deque[exchange.Connection]] = {}
@@ -106,11 +117,22 @@
                 used = pool.pop()
             if used.is_reusable:
                 return used
-            used.close()
+            self._close_unusable(address, used)
+
+    def _close_unusable(self, address: identity.Address, used: exchange.Connection) -> None:
+        if used.has_surplus:
+            self._count_surplus()
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "connection to %s closed, step receive: bytes that belong to no response",
+                LOG_INTERVAL_S,
+                address,
+            )
+        used.close()
 
     def _release(self, address: identity.Address, used: exchange.Connection, max_idle: int) -> None:
         if not used.is_reusable:
-            used.close()
+            self._close_unusable(address, used)
             return
         with self._lock:
             pool = self._idle.setdefault(address, collections.deque())
--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from goldcresthall.backend import exchange_metrics
     from goldcresthall.core import deployment
     from goldcresthall.kernel import kernel
 
@@ -31,6 +32,7 @@
 MISDIRECTED_STATUSES: Final = frozenset({400, 404, 405, 421, 501})
 MAX_IDLE_CONNECTIONS = 3
 MAX_REMEMBERED_HANDOVERS = 4_096
+TRAFFIC: Final = "commands"
 RESPONSE_LIMITS: Final = response_memory.ResponseLimits(max_body_bytes=65_536, total_bytes=0)
 
 
@@ -59,9 +61,14 @@
 class PlatformGrantChannel(grants.GrantChannel):
     """Sends grants and releases to backend servers over a separate connection pool."""
 
-    def __init__(self, service_kernel: kernel.Kernel) -> None:
+    def __init__(
+        self, service_kernel: kernel.Kernel, metrics: exchange_metrics.ExchangeMetrics
+    ) -> None:
         self._kernel = service_kernel
-        self._pool = exchange_pool.ExchangePool(RESPONSE_LIMITS)
+        self._metrics = metrics
+        self._pool = exchange_pool.ExchangePool(
+            RESPONSE_LIMITS, lambda: metrics.count_surplus(TRAFFIC)
+        )
         self._handovers = ReceivedHandovers()
 
     def start(self) -> None:
@@ -92,15 +99,7 @@
             GRANT_TIMEOUT_S,
             may_send=lambda: self._clock.read_s() < command.send_by_s,
         )
-        if not isinstance(response, exchange.RawResponse):
-            return response
-        if response.status == STATUS_OK:
-            return grants.Granted(is_draining=request_client.is_leaving(response))
-        if response.status == STATUS_CONFLICT:
-            return grants.StaleFence()
-        if response.status in MISDIRECTED_STATUSES:
-            return grants.CommandMisdirected(f"status {response.status}")
-        return grants.CommandRejected(f"status {response.status}")
+        return self._count("grant", response, _decode_grant(response))
 
     def release(
         self, server: deployment.RegisteredServer, command: grants.ReleaseCommand
@@ -124,12 +123,27 @@
             RELEASE_TIMEOUT_S,
             is_due=lambda received: self._handovers.is_new(_find_handover(received)),
         )
+        return self._count("release", response, self._decode_release(response))
+
+    def _decode_release(
+        self, response: exchange.RawResponse | grants.CommandOutcome
+    ) -> grants.CommandOutcome:
         if not isinstance(response, exchange.RawResponse):
             return response
         handover = _find_handover(response)
         if self._handovers.take(handover):
             return grants.Released(handover)
-        return grants.CommandRejected(f"status {response.status}, handover {handover!r}")
+        return grants.CommandRejected(f"{_describe(response)}, handover {handover!r}")
+
+    def _count(
+        self,
+        command: str,
+        response: exchange.RawResponse | grants.CommandOutcome,
+        outcome: grants.CommandOutcome,
+    ) -> grants.CommandOutcome:
+        is_first = isinstance(response, exchange.RawResponse) and response.is_first
+        self._metrics.count_command(command, type(outcome).__name__, is_first_exchange=is_first)
+        return outcome
 
     def _call(
         self,
@@ -166,6 +180,25 @@
             return grants.CommandUnanswered(f"{error.step.value}: {error}")
 
 
+def _decode_grant(
+    response: exchange.RawResponse | grants.CommandOutcome,
+) -> grants.CommandOutcome:
+    if not isinstance(response, exchange.RawResponse):
+        return response
+    if response.status == STATUS_OK:
+        return grants.Granted(is_draining=request_client.is_leaving(response))
+    if response.status == STATUS_CONFLICT:
+        return grants.StaleFence(_describe(response))
+    if response.status in MISDIRECTED_STATUSES:
+        return grants.CommandMisdirected(_describe(response))
+    return grants.CommandRejected(_describe(response))
+
+
+def _describe(response: exchange.RawResponse) -> str:
+    connection = "a new" if response.is_first else "a kept"
+    return f"status {response.status} on {connection} connection"
+
+
 def _find_handover(response: exchange.RawResponse) -> str:
     """Return the handover of a completed release; empty if the response is none."""
     is_completed = response.status == STATUS_OK
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -18,6 +18,7 @@
 from goldcresthall.platform import names
 
 if TYPE_CHECKING:
+    from goldcresthall.backend import exchange_metrics
     from goldcresthall.core import deployment_settings
     from goldcresthall.kernel import cancellation
 
@@ -31,6 +32,7 @@
 MAX_IDLE_CONNECTIONS = 4
 LOAD_FIELD_COUNT = 3
 LEAVING: Final = "1"
+TRAFFIC: Final = "requests"
 
 NOT_FORWARDED: Final = responses.HOP_BY_HOP_HEADERS | {
     "content-length",
@@ -47,20 +49,27 @@
     ----------
     limits
         Limits on the bodies of responses.
+    metrics
+        Counts surplus responses.
     """
 
-    def __init__(self, limits: response_memory.ResponseLimits) -> None:
-        self._pool = exchange_pool.ExchangePool(limits)
+    def __init__(
+        self, limits: response_memory.ResponseLimits, metrics: exchange_metrics.ExchangeMetrics
+    ) -> None:
+        self._pool = exchange_pool.ExchangePool(limits, lambda: metrics.count_surplus(TRAFFIC))
 
     @classmethod
     def from_config(
-        cls, instance_settings: deployment_settings.DeploymentSettings
+        cls,
+        instance_settings: deployment_settings.DeploymentSettings,
+        metrics: exchange_metrics.ExchangeMetrics,
     ) -> PlatformRequestSender:
         """Return the sender of an instance, with limits that fit its machine's memory."""
         machine = instance_settings.machine
-        return cls(
-            response_memory.ResponseLimits(machine.max_body_bytes, machine.response_memory_bytes)
+        limits = response_memory.ResponseLimits(
+            machine.max_body_bytes, machine.response_memory_bytes
         )
+        return cls(limits, metrics)
 
     def start(self) -> None:
         """Do nothing; connections are opened when needed."""
--- a/src/goldcresthall/ranges/grant_outcomes.py
+++ b/src/goldcresthall/ranges/grant_outcomes.py
@@ -44,10 +44,11 @@
     outcome: grants.StaleFence, lease: range_leases.RangeLease, now_s: float
 ) -> range_leases.RangeLease:
     logging.warning(
-        "server rejected grant of %s as stale: %s has seen a fencing token above %d",
+        "server rejected grant of %s as stale: %s has seen a fencing token above %d, %s",
         lease.keys,
         lease.owner,
         lease.fence,
+        outcome.detail,
     )
     return dataclasses.replace(lease, needs_higher_fence=True)
 
--- a/src/goldcresthall/ranges/grants.py
+++ b/src/goldcresthall/ranges/grants.py
@@ -78,6 +78,8 @@
 class StaleFence:
     """The server has seen a higher fencing token for one of the keys."""
 
+    detail: str
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CommandRejected:
--- a/src/goldcresthall/ranges/owner_reviews.py
+++ b/src/goldcresthall/ranges/owner_reviews.py
@@ -169,7 +169,15 @@
 
     def _free(self, lease_id: int, lease: range_leases.RangeLease, reason: str) -> None:
         if self._leases.update(lease_id, transitions.free):
-            logging.info("range %s of service %s is free: %s", lease.keys, lease.service, reason)
+            logging.info(
+                "range %s of service %s is free: %s; fencing token %d,"
+                " a grant may have arrived %.2f s ago at the latest",
+                lease.keys,
+                lease.service,
+                reason,
+                lease.fence,
+                self._context.clock.read_s() - lease.latest_arrival_at_s,
+            )
 
     def _expire(
         self, lease_id: int, lease: range_leases.RangeLease, owner: deployment.ServerIncarnation
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -93,7 +93,7 @@
         """
         keys = [key for key in SAMPLED_KEYS if command.keys.contains(key)]
         if any(self.highest_fences.get(key, -1) > command.fence for key in keys):
-            return grants.StaleFence()
+            return grants.StaleFence("status 409")
         for key in keys:
             if addressee == self.incarnation:
                 self._fences.record(key, self.incarnation, command.fence)
--- a/tests/platform/test_grant_client.py
+++ b/tests/platform/test_grant_client.py
@@ -7,8 +7,10 @@
 import threading
 from typing import TYPE_CHECKING
 
+import prometheus_client
 import pytest
 
+from goldcresthall.backend import exchange_metrics
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
@@ -83,11 +85,20 @@
 
 
 @pytest.fixture
-def channel() -> Iterator[grant_client.PlatformGrantChannel]:
+def registry() -> prometheus_client.CollectorRegistry:
+    """Return the registry of the channel's metrics."""
+    return prometheus_client.CollectorRegistry()
+
+
+@pytest.fixture
+def channel(
+    registry: prometheus_client.CollectorRegistry,
+) -> Iterator[grant_client.PlatformGrantChannel]:
     """Return a channel that has been started."""
     service_kernel = kernel.Kernel()
     service_kernel.register(names.CLOCK, clock.ManualClock())
-    created = grant_client.PlatformGrantChannel(service_kernel)
+    metrics = exchange_metrics.ExchangeMetrics(registry)
+    created = grant_client.PlatformGrantChannel(service_kernel, metrics)
     created.start()
     yield created
     created.stop()
@@ -179,3 +190,30 @@
     response = f"HTTP/1.1 {status} Status\r\nContent-Length: 0\r\n\r\n".encode()
     server.respond = lambda number, request: response
     assert isinstance(channel.grant(server.registered, GRANT), expected)
+
+
+def test_commands_are_counted_by_outcome_and_age_of_the_connection(
+    server: CommandServer,
+    channel: grant_client.PlatformGrantChannel,
+    registry: prometheus_client.CollectorRegistry,
+) -> None:
+    channel.grant(server.registered, GRANT)
+    server.respond = lambda number, request: b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+    outcome = channel.grant(server.registered, GRANT)
+    assert outcome == grants.StaleFence("status 409 on a kept connection")
+    for labels in (("Granted", "new"), ("StaleFence", "kept")):
+        named = dict(zip(("command", "outcome", "connection"), ("grant", *labels), strict=True))
+        assert registry.get_sample_value("goldcresthall_range_commands_total", named) == 1
+
+
+def test_response_that_answers_nothing_is_counted(
+    server: CommandServer,
+    channel: grant_client.PlatformGrantChannel,
+    registry: prometheus_client.CollectorRegistry,
+) -> None:
+    server.respond = lambda number, request: GRANTED + GRANTED
+    channel.grant(server.registered, GRANT)
+    counted = registry.get_sample_value(
+        "goldcresthall_surplus_responses_total", {"traffic": "commands"}
+    )
+    assert counted == 1
