--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -140,6 +140,9 @@
         Whether releases fail before they are sent.
     fails
         Whether grants end by an exception.
+    copied
+        Copies of earlier responses, by server, which are taken for the responses to grants that
+        the server executes.
     """
 
     def __init__(self, simulation: RangeSimulation) -> None:
@@ -148,6 +151,7 @@
         self.delays_grants = False
         self.refuses_releases = False
         self.fails = False
+        self.copied: dict[str, grants.CommandOutcome] = {}
 
     def start(self) -> None:
         """Do nothing."""
@@ -173,7 +177,8 @@
             delayed = DelayedGrant(range_server, command, now_s, server.incarnation)
             self._simulation.delayed_grants.append(delayed)
             return grants.CommandUnanswered("receive: timed out")
-        return range_server.grant(command, now_s, server.incarnation)
+        outcome = range_server.grant(command, now_s, server.incarnation)
+        return self.copied.get(server.name, outcome)
 
     def release(
         self, server: deployment.RegisteredServer, command: grants.ReleaseCommand
