--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -82,7 +82,12 @@
     def grant(
         self, server: deployment.RegisteredServer, command: grants.GrantCommand
     ) -> grants.CommandOutcome:
-        """Grant or renew the lease on a key range."""
+        """Grant or renew the lease on a key range.
+
+        A server may send a copy of an earlier response where the next one is due. So a refusal
+        proves nothing on a connection that has carried other commands, and the connection is
+        closed, as the response that is due may follow.
+        """
         # `target` is the last key of the range; in the header it names a server.
         document: dict[str, int | float | str] = {
             "from": command.keys.first,
@@ -98,6 +103,7 @@
             document,
             GRANT_TIMEOUT_S,
             may_send=lambda: self._clock.read_s() < command.send_by_s,
+            is_due=lambda received: received.status == STATUS_OK,
         )
         return self._count("grant", response, _decode_grant(response))
 
@@ -187,11 +193,12 @@
         return response
     if response.status == STATUS_OK:
         return grants.Granted(is_draining=request_client.is_leaving(response))
+    may_be_copy = not response.is_first
     if response.status == STATUS_CONFLICT:
-        return grants.StaleFence(_describe(response))
+        return grants.StaleFence(_describe(response), may_be_copy)
     if response.status in MISDIRECTED_STATUSES:
-        return grants.CommandMisdirected(_describe(response))
-    return grants.CommandRejected(_describe(response))
+        return grants.CommandMisdirected(_describe(response), may_be_copy)
+    return grants.CommandRejected(_describe(response), may_be_copy)
 
 
 def _describe(response: exchange.RawResponse) -> str:
--- a/src/goldcresthall/ranges/grant_outcomes.py
+++ b/src/goldcresthall/ranges/grant_outcomes.py
@@ -50,7 +50,7 @@
         lease.fence,
         outcome.detail,
     )
-    return dataclasses.replace(lease, needs_higher_fence=True)
+    return dataclasses.replace(_record_refusal(outcome, lease, now_s), needs_higher_fence=True)
 
 
 @apply_outcome.register
@@ -58,8 +58,7 @@
     outcome: grants.CommandUnanswered, lease: range_leases.RangeLease, now_s: float
 ) -> range_leases.RangeLease:
     logging.info("no response to grant of %s from %s: %s", lease.keys, lease.owner, outcome.detail)
-    failing = dataclasses.replace(lease, unanswered=True, latest_arrival_at_s=now_s)
-    return _record_failure(failing, now_s)
+    return _record_failure(_record_arrival(lease, now_s), now_s)
 
 
 @apply_outcome.register
@@ -74,7 +73,7 @@
     outcome: grants.CommandRejected, lease: range_leases.RangeLease, now_s: float
 ) -> range_leases.RangeLease:
     logging.warning("grant of %s was rejected by %s: %s", lease.keys, lease.owner, outcome.detail)
-    return _record_failure(lease, now_s)
+    return _record_failure(_record_refusal(outcome, lease, now_s), now_s)
 
 
 @apply_outcome.register
@@ -82,7 +81,19 @@
     outcome: grants.CommandMisdirected, lease: range_leases.RangeLease, now_s: float
 ) -> range_leases.RangeLease:
     logging.warning("grant of %s did not reach %s: %s", lease.keys, lease.owner, outcome.detail)
-    return dataclasses.replace(_record_failure(lease, now_s), misdirected=True)
+    failing = _record_failure(_record_refusal(outcome, lease, now_s), now_s)
+    return dataclasses.replace(failing, misdirected=not outcome.may_be_copy)
+
+
+def _record_refusal(
+    outcome: grants.Refusal, lease: range_leases.RangeLease, now_s: float
+) -> range_leases.RangeLease:
+    return _record_arrival(lease, now_s) if outcome.may_be_copy else lease
+
+
+def _record_arrival(lease: range_leases.RangeLease, now_s: float) -> range_leases.RangeLease:
+    """Return the lease after a grant that the server may have executed or may yet execute."""
+    return dataclasses.replace(lease, unanswered=True, latest_arrival_at_s=now_s)
 
 
 def _record_failure(lease: range_leases.RangeLease, now_s: float) -> range_leases.RangeLease:
--- a/src/goldcresthall/ranges/grants.py
+++ b/src/goldcresthall/ranges/grants.py
@@ -75,25 +75,34 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class StaleFence:
-    """The server has seen a higher fencing token for one of the keys."""
+class Refusal:
+    """The server refused the command.
+
+    Attributes
+    ----------
+    may_be_copy
+        Whether the response may be a copy of an earlier one, so that the server may have executed
+        the command or may execute it later.
+    """
 
     detail: str
+    may_be_copy: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CommandRejected:
-    """The server rejected the command."""
+class StaleFence(Refusal):
+    """The server has seen a higher fencing token for one of the keys."""
 
-    detail: str
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommandRejected(Refusal):
+    """The server refused the command for another reason."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CommandMisdirected:
+class CommandMisdirected(Refusal):
     """The server at the address is another one, or none that knows grants."""
 
-    detail: str
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CommandNotSent:
--- a/src/goldcresthall/ranges/range_leases.py
+++ b/src/goldcresthall/ranges/range_leases.py
@@ -49,8 +49,8 @@
     in_flight
         Whether a grant has been sent and is not yet completed.
     unanswered
-        Whether a grant under the current fencing token got no response and may still be
-        executed by the server.
+        Whether a grant under the current fencing token got no response that is certainly its own,
+        and may still be executed by the server.
     needs_higher_fence
         Whether the range must be granted again under a higher fencing token before
         anything else.
@@ -62,7 +62,7 @@
         Time of the first of the current series of failed grants; `None` if the last one
         succeeded.
     misdirected
-        Whether the last grant reached another server at the owner's address.
+        Whether the last grant certainly reached another server at the owner's address.
     handover
         Token from the previous owner, passed on with the next grant.
     target
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -93,7 +93,7 @@
         """
         keys = [key for key in SAMPLED_KEYS if command.keys.contains(key)]
         if any(self.highest_fences.get(key, -1) > command.fence for key in keys):
-            return grants.StaleFence("status 409")
+            return grants.StaleFence("status 409", may_be_copy=False)
         for key in keys:
             if addressee == self.incarnation:
                 self._fences.record(key, self.incarnation, command.fence)
@@ -169,7 +169,7 @@
             return grants.CommandNotSent("no longer allowed")
         range_server = self._find(server)
         if self._simulation.is_replaced(server.incarnation):
-            return grants.CommandMisdirected("status 400")
+            return grants.CommandMisdirected("status 400", may_be_copy=False)
         if range_server is None:
             return grants.CommandNotSent("refused")
         now_s = self._simulation.clock.read_s()
--- a/tests/ranges/test_range_state_machine.py
+++ b/tests/ranges/test_range_state_machine.py
@@ -12,11 +12,20 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from goldcresthall.ranges import grants
 from goldcresthall.ranges import membership
 from goldcresthall.ranges import range_leases
 from tests.fakes import range_simulation
 
 INDEXES = strategies.integers(0, 3)
+COPIES = strategies.sampled_from(
+    (
+        None,
+        grants.CommandRejected("status 503"),
+        grants.CommandMisdirected("status 421"),
+        grants.StaleFence("status 409"),
+    )
+)
 
 
 class RangeMachine(stateful.RuleBasedStateMachine):
@@ -60,6 +69,14 @@
         name = f"server-{index}"
         unreachable.add(name) if is_partitioned else unreachable.discard(name)
 
+    @stateful.rule(number=strategies.integers(0, 1), index=INDEXES, copied=COPIES)
+    def copy_responses(self, number: int, index: int, copied: grants.CommandOutcome | None) -> None:
+        channel = self.simulation.instances[number].channel
+        if copied is None:
+            channel.copied.pop(f"server-{index}", None)
+        else:
+            channel.copied[f"server-{index}"] = copied
+
     @stateful.rule(number=strategies.integers(0, 1), is_frozen=strategies.booleans())
     def freeze(self, number: int, is_frozen: bool) -> None:
         self.simulation.instances[number].is_frozen = is_frozen
