--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -6,8 +6,10 @@
 import dataclasses
 import select
 import socket
+import struct
 import time
 from typing import TYPE_CHECKING
+from typing import Final
 
 import h11
 
@@ -25,6 +27,9 @@
 MAX_IDLE_S = 4.0
 KEEP_ALIVE_FRACTION = 0.5
 MAX_RESPONSES_READ = 4
+# Closing resets the connection, also when the process is killed. Otherwise the kernel would go on
+# delivering what a partition holds up, so that a command arrived long after it had been given up.
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
 class ExchangeError(Exception):
@@ -127,6 +132,7 @@
         try:
             connected = socket.create_connection((address.host, address.port), timeout_s)
             connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         except OSError as error:
             detail = f"{type(error).__name__}: {error}"
             raise ConnectFailedError(outcomes.Step.CONNECT, detail) from error
--- a/tests/backend/test_exchange.py
+++ b/tests/backend/test_exchange.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import queue
 import socket
 import struct
 import threading
@@ -71,6 +72,14 @@
         server.stop()
 
 
+def receive(connection: socket.socket) -> bytes:
+    """Return the next bytes; empty once the connection is closed or reset."""
+    try:
+        return connection.recv(4_096)
+    except ConnectionResetError:
+        return b""
+
+
 def create_response(request_id: str, body: bytes, extra: bytes = b"") -> bytes:
     head = f"HTTP/1.1 200 OK\r\nX-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
     return head.encode() + body + extra
@@ -212,7 +221,7 @@
     closed = threading.Event()
 
     def script(connection: socket.socket) -> None:
-        while connection.recv(4_096):
+        while receive(connection):
             connection.sendall(create_response("mine", b"true"))
         closed.set()
 
@@ -271,6 +280,23 @@
     done.set()
 
 
+def test_request_that_is_given_up_resets_its_connection(servers: list[ScriptedServer]) -> None:
+    """A grant that a partition held up arrived after its keys were given on (OWNER)."""
+    endings: queue.Queue[str] = queue.Queue()
+
+    def script(connection: socket.socket) -> None:
+        try:
+            while connection.recv(4_096):
+                pass
+            endings.put("closed")
+        except ConnectionResetError:
+            endings.put("reset")
+
+    with pytest.raises(exchange.TimedOutError):
+        run(servers, script, timeout_s=0.2)
+    assert endings.get(timeout=TEST_TIMEOUT_S) == "reset"
+
+
 def test_response_before_the_end_of_a_long_body_is_taken_and_the_connection_closed(
     servers: list[ScriptedServer],
 ) -> None:
@@ -329,7 +355,7 @@
 def test_request_that_is_no_longer_allowed_is_not_sent(servers: list[ScriptedServer]) -> None:
     """A lessor's grant must not leave once another may have taken over."""
     received: list[bytes] = []
-    server = ScriptedServer(lambda connection: received.append(connection.recv(100)))
+    server = ScriptedServer(lambda connection: received.append(receive(connection)))
     servers.append(server)
     pool = exchange_pool.ExchangePool(LIMITS)
     with pytest.raises(exchange.NotSentError):
