--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -41,7 +41,7 @@
 class LessorTerm:
     """One term of an instance as the lessor.
 
-    Three rules ensure that a key has at most one holder:
+    Four rules ensure that a key has at most one holder:
 
     * A range gets a new owner only after the previous owner released it under its
       latest fencing token or has restarted, or after every lease that any lessor
@@ -50,6 +50,11 @@
     * No grant is sent when the last confirmation from the store is older than
       `AUTHORITY_S`. A successor waits `PREDECESSOR_WAIT_S` for the grants of earlier
       lessors, unless all of them have stopped granting before.
+    * While an earlier lessor may still grant, no range changes hands. The higher fencing
+      token of the takeover stops its renewals only at servers that know the token, not at
+      a server that has started again since, which could hold what it had released before.
+      Draining owners keep their ranges until then. Only ranges that the acquired table
+      gives to no server may be assigned: an earlier lessor left them free by these rules.
 
     Parameters
     ----------
--- a/src/goldcresthall/ranges/owner_reviews.py
+++ b/src/goldcresthall/ranges/owner_reviews.py
@@ -23,8 +23,9 @@
 class OwnerReviewer:
     """Decides from news of the servers which ranges need another owner.
 
-    A range is free at once only if its owner released it, or a later server has its address. In
-    all other cases the owner's lease runs out first, or its next incarnation gets the range.
+    A range is free at once only if its owner released it, or a later server has its address, and
+    no earlier lessor may renew leases. In all other cases the owner's lease runs out first, or its
+    next incarnation gets the range.
 
     Parameters
     ----------
@@ -61,7 +62,7 @@
                 if lease.phase is range_leases.LeasePhase.EXPIRING:
                     self._free_expired(lease_id, lease, now_s, predecessors_end_s)
                 else:
-                    self._review_owner(lease_id, lease, lease.owner, now_s)
+                    self._review_owner(lease_id, lease, lease.owner, now_s, predecessors_end_s)
 
     def _free_expired(
         self, lease_id: int, lease: range_leases.RangeLease, now_s: float, predecessors_end_s: float
@@ -69,7 +70,7 @@
         restarted = None if lease.owner is None else self._find_restarted(lease.owner)
         if restarted is not None and self._may_hold_again(restarted, lease):
             self._follow_restart(lease_id, lease, restarted.server.incarnation)
-        elif self._is_replaced(lease):
+        elif now_s >= predecessors_end_s and self._is_replaced(lease):
             self._free_replaced(lease_id, lease, now_s)
         elif now_s >= lease.find_expiry_s(self._leases.lease_s, predecessors_end_s):
             self._free(lease_id, lease, "the lease expired")
@@ -80,12 +81,13 @@
         lease: range_leases.RangeLease,
         owner: deployment.ServerIncarnation,
         now_s: float,
+        predecessors_end_s: float,
     ) -> None:
         latest = self._context.directory.servers.by_name.get(owner.name)
         restarted = self._find_restarted(owner)
         if restarted is not None:
             self._review_restarted(lease_id, lease, restarted)
-        elif self._is_replaced(lease):
+        elif now_s >= predecessors_end_s and self._is_replaced(lease):
             self._free_replaced(lease_id, lease, now_s)
         elif transitions.is_failing(lease, now_s) or self._has_no_address(owner, latest):
             self._expire(lease_id, lease, owner)
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -36,7 +36,8 @@
     has_store
         Whether new owners can be recorded in the store.
     predecessors_end_s
-        Reading of the clock until which an earlier lessor may renew leases.
+        Reading of the clock until which an earlier lessor may renew leases, also at the next
+        incarnation of a server, which knows no fencing token.
     may_split
         Whether the recorded table is small enough for more ranges.
     """
@@ -45,6 +46,10 @@
     predecessors_end_s: float
     may_split: bool = True
 
+    def may_release(self, now_s: float) -> bool:
+        """Return whether a range may change hands by a release."""
+        return self.has_store and now_s >= self.predecessors_end_s
+
 
 class RangeRebalancer:
     """Chooses owners within one term; the lessor records its decisions in the store.
@@ -86,8 +91,9 @@
         configuration = self._context.directory.configuration
         if configuration is None or not self._context.directory.servers.by_name:
             return
-        self._releases.record_store(has_store=constraints.has_store)
         now_s = self._context.clock.read_s()
+        may_release = constraints.may_release(now_s)
+        self._releases.allow(may_begin=may_release)
         is_rebalancing = (
             now_s - self._rebalanced_at_s >= REBALANCE_INTERVAL_S and constraints.has_store
         )
@@ -96,9 +102,9 @@
         for name in configuration.keyed_services:
             self._add_missing_ranges(name)
             self._reviewer.review(name, now_s, constraints.predecessors_end_s)
-            self._place(name, now_s, is_rebalancing=is_rebalancing)
+            self._place(name, now_s, is_rebalancing=is_rebalancing and may_release)
             if is_rebalancing:
-                self._join_calm(name, now_s, may_split=constraints.may_split)
+                self._join_calm(name, now_s, constraints)
 
     def _add_missing_ranges(self, service: str) -> None:
         """Add free ranges for keys that no lease covers."""
@@ -145,7 +151,7 @@
             for move in planner.plan_moves(leases, loads, key_rates):
                 self._start_move(move, key_rates.sum_range(move.keys))
 
-    def _join_calm(self, service: str, now_s: float, *, may_split: bool) -> None:
+    def _join_calm(self, service: str, now_s: float, constraints: PlanningConstraints) -> None:
         """Join ranges that were split for load and are calm again."""
         leases = {
             lease_id: lease
@@ -153,7 +159,7 @@
             if lease.service == service
         }
         servers = len({lease.owner for lease in leases.values()})
-        limit = range_joins.find_range_limit(servers) if may_split else servers
+        limit = range_joins.find_range_limit(servers) if constraints.may_split else servers
         key_rates = self._statistics.estimate_rates(service, now_s)
         for pair in range_joins.find_joins(leases, key_rates, limit):
             if self._leases.join(pair.first_id, pair.second_id):
@@ -164,6 +170,8 @@
                     service,
                     pair.first.owner,
                 )
+        if not constraints.may_release(now_s):
+            return
         for move in range_joins.find_consolidations(leases, key_rates, limit):
             self._start_move(move, key_rates.sum_range(move.keys))
 
--- a/src/goldcresthall/ranges/range_releases.py
+++ b/src/goldcresthall/ranges/range_releases.py
@@ -44,11 +44,11 @@
         self._context = context
         self._leases = leases
         self._renewers = renewers
-        self._has_store = True
+        self._may_begin = True
 
-    def record_store(self, *, has_store: bool) -> None:
-        """Record whether new owners can be stored; without that, no release begins."""
-        self._has_store = has_store
+    def allow(self, *, may_begin: bool) -> None:
+        """Set whether releases may begin now."""
+        self._may_begin = may_begin
 
     def start(
         self,
@@ -64,7 +64,7 @@
             self._leases.update(lease_id, transitions.demand_fence)
             return
         begin = functools.partial(transitions.begin_release, target)
-        if not self._has_store or not self._leases.update(lease_id, begin):
+        if not self._may_begin or not self._leases.update(lease_id, begin):
             return
         command = grants.ReleaseCommand(lease_id=lease_id, keys=lease.keys, fence=lease.fence)
         self._context.start_task("release", lambda stop: self._run_release(lease, command, stop))
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -68,6 +68,16 @@
         fences[server] = max(fence, fences.get(server, -1))
 
 
+def create_directory(simulated_clock: clock.ManualClock) -> directory.Directory:
+    """Return a directory that knows the configuration and no server yet."""
+    service_kernel = kernel.Kernel()
+    service_kernel.register(names.CLOCK, simulated_clock)
+    created = directory.Directory(service_kernel)
+    created.start()
+    created.apply_configuration(CONFIGURATION)
+    return created
+
+
 class RangeServer:
     """A server that holds leases on sampled keys, with a slow clock."""
 
@@ -198,7 +208,13 @@
 
 
 class Instance:
-    """One instance with its connections to the store and the servers, and its term if any."""
+    """One instance with its connections to the store and the servers, and its term if any.
+
+    Attributes
+    ----------
+    sees_changes
+        Whether its directory gets the changes of the list of servers.
+    """
 
     def __init__(self, simulation: RangeSimulation, number: int) -> None:
         self._simulation = simulation
@@ -211,6 +227,8 @@
         self.own_term: lessor.LessorTerm | None = None
         self.pending_releases: list[Callable[[], None]] = []
         self.is_frozen = False
+        self.sees_changes = True
+        self.directory = create_directory(simulation.clock)
 
     def take_over(self, suspended_s: float = 0.0) -> None:
         """Become the lessor unless the store fails or another instance wrote first.
@@ -239,7 +257,7 @@
         context = lessor_context.LessorContext(
             self.store,
             self.channel,
-            self._simulation.directory,
+            self.directory,
             self._simulation.clock,
             self._start_task,
             self._start_task,
@@ -291,14 +309,15 @@
         self.fences = FenceHistory()
         self.servers: dict[deployment.ServerIncarnation, RangeServer] = {}
         self.last_registered: dict[deployment.ServerIncarnation, deployment.RegisteredServer] = {}
-        service_kernel = kernel.Kernel()
-        service_kernel.register(names.CLOCK, self.clock)
-        self.directory = directory.Directory(service_kernel)
-        self.directory.start()
-        self.directory.apply_configuration(CONFIGURATION)
+        self.listed: dict[str, deployment.RegisteredServer] = {}
+        self.instances = [Instance(self, number) for number in range(instance_count)]
         for number in range(server_count):
             self.start_server(f"server-{number}")
-        self.instances = [Instance(self, number) for number in range(instance_count)]
+
+    @property
+    def directory(self) -> directory.Directory:
+        """The first instance's directory."""
+        return self.instances[0].directory
 
     def find_running(self, name: str) -> RangeServer | None:
         """Return the incarnation of a server that runs now, if any."""
@@ -332,7 +351,16 @@
             slow_start_remaining_s=0.0,
         )
         self.last_registered[incarnation] = registered
-        self.directory.apply_changes((registered,), frozenset())
+        self.listed[incarnation.name] = registered
+        self.update_directories()
+
+    def update_directories(self) -> None:
+        """Bring the directories of all instances that see changes up to date."""
+        for instance in self.instances:
+            if instance.sees_changes:
+                known = frozenset(instance.directory.servers.by_name)
+                changed = tuple(self.listed.values())
+                instance.directory.apply_changes(changed, known - frozenset(self.listed))
 
     def is_replaced(self, incarnation: deployment.ServerIncarnation) -> bool:
         """Return whether a server of another service answers at a server's address."""
@@ -353,11 +381,13 @@
             incarnation=deployment.ServerIncarnation(f"other-{incarnation.name}", started_ms),
             service="other",
         )
-        self.directory.apply_changes((replacement,), frozenset())
+        self.listed[replacement.name] = replacement
+        self.update_directories()
 
     def deregister_server(self, incarnation: deployment.ServerIncarnation) -> None:
         """Remove a server from the directory."""
-        self.directory.apply_changes((), frozenset({incarnation.name}))
+        self.listed.pop(incarnation.name, None)
+        self.update_directories()
 
     def advance(self, seconds: float) -> None:
         """Advance the clock in steps of 0.1 s, and run and check all instances after each."""
--- a/tests/ranges/test_range_state_machine.py
+++ b/tests/ranges/test_range_state_machine.py
@@ -77,6 +77,11 @@
         else:
             channel.copied[f"server-{index}"] = copied
 
+    @stateful.rule(number=strategies.integers(0, 1), sees_changes=strategies.booleans())
+    def hide_servers(self, number: int, sees_changes: bool) -> None:
+        self.simulation.instances[number].sees_changes = sees_changes
+        self.simulation.update_directories()
+
     @stateful.rule(number=strategies.integers(0, 1), is_frozen=strategies.booleans())
     def freeze(self, number: int, is_frozen: bool) -> None:
         self.simulation.instances[number].is_frozen = is_frozen
