--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -84,9 +84,9 @@
     ) -> grants.CommandOutcome:
         """Grant or renew the lease on a key range.
 
-        A server may send a copy of an earlier response where the next one is due. So a refusal
-        proves nothing on a connection that has carried other commands, and the connection is
-        closed, as the response that is due may follow.
+        A server may send a copy of an earlier response where the next one is due. So a response
+        proves nothing on a connection that has carried other commands. After a refusal the
+        connection is closed, as the response that is due may follow.
         """
         # `target` is the last key of the range; in the header it names a server.
         document: dict[str, int | float | str] = {
@@ -102,6 +102,7 @@
             names.GRANT_PATH,
             document,
             GRANT_TIMEOUT_S,
+            new_connection=command.needs_proof,
             may_send=lambda: self._clock.read_s() < command.send_by_s,
             is_due=lambda received: received.status == STATUS_OK,
         )
@@ -112,10 +113,9 @@
     ) -> grants.CommandOutcome:
         """Release a key range and wait until its requests in progress have ended.
 
-        A server may send a copy of an earlier response where the next one is due. A copied
-        response to a grant does no harm, since the grant that it seems to answer has arrived; one
-        taken for the response to a release would free keys that are in use. So only a handover
-        that was never received before completes a release.
+        A server may send a copy of an earlier response where the next one is due, which would free
+        keys that are in use. So only a handover that was never received before completes a
+        release.
         """
         document: dict[str, int | float | str] = {
             "from": command.keys.first,
@@ -158,6 +158,7 @@
         document: dict[str, int | float | str],
         timeout_s: float,
         *,
+        new_connection: bool = False,
         may_send: Callable[[], bool] | None = None,
         is_due: Callable[[exchange.RawResponse], bool] | None = None,
     ) -> exchange.RawResponse | grants.CommandOutcome:
@@ -176,7 +177,7 @@
                 timeout_s,
                 cancellation.Cancellation(),
                 max_idle=MAX_IDLE_CONNECTIONS,
-                new_connection=False,
+                new_connection=new_connection,
                 may_send=may_send,
                 is_due=is_due,
             )
@@ -191,9 +192,9 @@
 ) -> grants.CommandOutcome:
     if not isinstance(response, exchange.RawResponse):
         return response
-    if response.status == STATUS_OK:
-        return grants.Granted(is_draining=request_client.is_leaving(response))
     may_be_copy = not response.is_first
+    if response.status == STATUS_OK:
+        return grants.Granted(request_client.is_leaving(response), may_be_copy)
     if response.status == STATUS_CONFLICT:
         return grants.StaleFence(_describe(response), may_be_copy)
     if response.status in MISDIRECTED_STATUSES:
--- a/src/goldcresthall/ranges/grant_outcomes.py
+++ b/src/goldcresthall/ranges/grant_outcomes.py
@@ -12,6 +12,7 @@
 
 RENEW_INTERVAL_S = 1.0
 GRANT_RETRY_INTERVAL_S = 0.15
+PROOF_RETRY_INTERVAL_S = 1.0
 
 
 @functools.singledispatch
@@ -36,6 +37,7 @@
         failing_since_s=None,
         misdirected=False,
         handover="",
+        unproven=lease.unproven or outcome.may_be_copy,
     )
 
 
@@ -85,6 +87,32 @@
     return dataclasses.replace(failing, misdirected=not outcome.may_be_copy)
 
 
+def apply_proof_outcome(
+    outcome: grants.CommandOutcome, lease: range_leases.RangeLease, now_s: float
+) -> range_leases.RangeLease:
+    """Return a lease after a grant that should have proved its execution ended at `now_s`.
+
+    If it did not, grants go over kept connections again and the next attempt waits. An overloaded
+    server rejects new connections; that is no failure of its lease, so the grant is sent again at
+    once.
+    """
+    if isinstance(outcome, grants.Granted) and not outcome.may_be_copy:
+        return dataclasses.replace(apply_outcome(outcome, lease, now_s), needs_proof=False)
+    logging.info(
+        "grant of %s to %s under fencing token %d is not proven: %s",
+        lease.keys,
+        lease.owner,
+        lease.fence,
+        outcome,
+    )
+    postponed = dataclasses.replace(
+        lease, needs_proof=False, proof_after_s=now_s + PROOF_RETRY_INTERVAL_S, due_at_s=now_s
+    )
+    if isinstance(outcome, grants.CommandNotSent):
+        return postponed
+    return apply_outcome(outcome, postponed, now_s)
+
+
 def _record_refusal(
     outcome: grants.Refusal, lease: range_leases.RangeLease, now_s: float
 ) -> range_leases.RangeLease:
--- a/src/goldcresthall/ranges/grants.py
+++ b/src/goldcresthall/ranges/grants.py
@@ -26,6 +26,9 @@
         Lease duration in seconds from the arrival of the command.
     handover
         Token that the previous holder returned on release; empty if there is none.
+    needs_proof
+        Whether the response must be proof that the server executed the command, so that the
+        command goes over a new connection.
     send_by_s
         Reading of the clock from which the command must not be sent any more, because another
         lessor may have taken over.
@@ -36,6 +39,7 @@
     fence: int
     lease_s: float
     handover: str = ""
+    needs_proof: bool = False
     send_by_s: float = math.inf
 
 
@@ -56,9 +60,13 @@
     ----------
     is_draining
         Whether the server said that it is draining.
+    may_be_copy
+        Whether the response may be a copy of an earlier one, so that the server may not have
+        executed the command yet.
     """
 
     is_draining: bool = False
+    may_be_copy: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/ranges/lease_table.py
+++ b/src/goldcresthall/ranges/lease_table.py
@@ -187,13 +187,17 @@
     def complete_grant(
         self, command: grants.GrantCommand, outcome: grants.CommandOutcome, now_s: float
     ) -> None:
-        """Record a grant's outcome; one under an earlier token only completes the grant."""
+        """Record a grant's outcome; one under an earlier token tells only of its arrival."""
         with self._lock:
             lease = self._leases.get(command.lease_id)
             if lease is None:
                 return
             lease = dataclasses.replace(lease, in_flight=False)
-            if lease.fence == command.fence:
+            if lease.fence != command.fence:
+                lease = dataclasses.replace(lease, latest_arrival_at_s=now_s)
+            elif command.needs_proof:
+                lease = grant_outcomes.apply_proof_outcome(outcome, lease, now_s)
+            else:
                 lease = grant_outcomes.apply_outcome(outcome, lease, now_s)
             self._apply({command.lease_id: lease})
             if not self._in_flight:
@@ -217,6 +221,7 @@
                     fence=lease.fence,
                     lease_s=self._lease_s,
                     handover=lease.handover,
+                    needs_proof=lease.awaits_proof,
                     send_by_s=self._authority_ends_at_s,
                 )
         return None
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -12,6 +12,7 @@
 from goldcresthall.ranges import lease_renewal
 from goldcresthall.ranges import lease_table
 from goldcresthall.ranges import ownership_tables
+from goldcresthall.ranges import range_joins
 from goldcresthall.ranges import range_rebalancer
 from goldcresthall.ranges import transitions
 from goldcresthall.store import client
@@ -43,9 +44,10 @@
 
     Four rules ensure that a key has at most one holder:
 
-    * A range gets a new owner only after the previous owner released it under its
-      latest fencing token or has restarted, or after every lease that any lessor
-      may have granted to it has expired.
+    * A range gets a new owner only after the previous owner released it, or after
+      every lease that any lessor may have granted to it has expired. Before a release the
+      owner acknowledges the latest fencing token by a response that cannot be a copy of an
+      earlier one, so that it rejects any grant that it has yet to execute.
     * A new owner is recorded in the store before it is granted anything.
     * No grant is sent when the last confirmation from the store is older than
       `AUTHORITY_S`. A successor waits `PREDECESSOR_WAIT_S` for the grants of earlier
@@ -270,7 +272,7 @@
         expected = self._table.offset + 1
         table = self._create_table(decided_ids)
         encoded = ownership_tables.encode(table)
-        if not self._fits_record(len(encoded)):
+        if not self._fits_record(table, len(encoded)):
             return
         outcome = self._context.store.write(
             ownership_tables.TOPIC, ownership_tables.KEY, encoded, expected
@@ -288,12 +290,17 @@
         else:
             self._record_store_failure(began_at_s)
 
-    def _fits_record(self, size_bytes: int) -> bool:
-        """Return whether a table may be written: one that is small enough, or that shrinks."""
+    def _fits_record(self, table: key_ranges.OwnershipTable, size_bytes: int) -> bool:
+        """Return whether a table may be written: one that is small enough, or that shrinks.
+
+        Beyond that, ranges that are to be joined may need new tokens and owners first.
+        """
         max_bytes = self._context.max_record_bytes
         self._may_split = size_bytes <= SPLIT_TABLE_FRACTION * max_bytes
         if size_bytes <= MAX_TABLE_FRACTION * max_bytes or size_bytes < self._table_bytes:
             return True
+        if size_bytes <= max_bytes and range_joins.is_consolidation(self._table.table, table):
+            return True
         logging.log_every_n_seconds(
             logging.ERROR,
             "ownership table not written, step encode: %d bytes",
--- a/src/goldcresthall/ranges/owner_reviews.py
+++ b/src/goldcresthall/ranges/owner_reviews.py
@@ -93,9 +93,18 @@
             self._expire(lease_id, lease, owner)
         elif latest is None or latest.draining_since_s is not None:
             self._releases.start(lease_id, lease, None)
+        elif lease.target is not None and not self._may_hold(lease.target):
+            self._leases.update(lease_id, transitions.cancel_move)
+        elif lease.target is not None:
+            self._releases.start(lease_id, lease, lease.target)
         elif lease.unanswered and lease.failing_since_s is None:
             self._leases.update(lease_id, transitions.demand_fence)
 
+    def _may_hold(self, target: deployment.ServerIncarnation) -> bool:
+        """Return whether the target of a move is still registered and does not drain."""
+        entry = self._context.directory.servers.find(target)
+        return entry is not None and entry.draining_since_s is None
+
     def _find_restarted(
         self, owner: deployment.ServerIncarnation
     ) -> server_lists.DirectoryEntry | None:
--- a/src/goldcresthall/ranges/range_joins.py
+++ b/src/goldcresthall/ranges/range_joins.py
@@ -90,6 +90,13 @@
     return tuple(itertools.islice(moves, MAX_CONSOLIDATIONS))
 
 
+def is_consolidation(stored: key_ranges.OwnershipTable, changed: key_ranges.OwnershipTable) -> bool:
+    """Return whether a table has ranges to bring together and `changed` adds none."""
+    rows = stored.assignments
+    limit = len({assignment.owner for assignment in rows})
+    return len(rows) > CONSOLIDATION_FACTOR * limit and len(changed.assignments) <= len(rows)
+
+
 def _order_by_size(
     pair: Neighbours,
 ) -> tuple[range_leases.RangeLease, range_leases.RangeLease]:
@@ -113,10 +120,6 @@
             key_rates.sum_range(key_ranges.KeyRange(first.keys.first, second.keys.last)),
         )
         for (first_id, first), (second_id, second) in itertools.pairwise(ordered)
-        if first.is_movable
-        and second.is_movable
-        and first.target is None
-        and second.target is None
-        and first.keys.last + 1 == second.keys.first
+        if first.is_movable and second.is_movable and first.keys.last + 1 == second.keys.first
     ]
     return sorted(pairs, key=lambda pair: (pair.rate, pair.first.keys.first))
--- a/src/goldcresthall/ranges/range_leases.py
+++ b/src/goldcresthall/ranges/range_leases.py
@@ -51,9 +51,18 @@
     unanswered
         Whether a grant under the current fencing token got no response that is certainly its own,
         and may still be executed by the server.
+    unproven
+        Whether a grant under the current fencing token was acknowledged by a response that may be
+        a copy of an earlier one, so that the server may still execute the grant.
     needs_higher_fence
         Whether the range must be granted again under a higher fencing token before
         anything else.
+    needs_proof
+        Whether the owner must acknowledge a higher fencing token by a response that is certainly
+        its own. Until the token is recorded, renewals go on under the present one.
+    proof_after_s
+        Time before which no such acknowledgement is demanded again, because the last attempt
+        failed.
     latest_arrival_at_s
         Latest time at which a grant of this lessor may have arrived at the owner.
     due_at_s
@@ -66,7 +75,8 @@
     handover
         Token from the previous owner, passed on with the next grant.
     target
-        Server that gets the range next; `None` if no move is planned.
+        Server that gets the range next; `None` if no move is planned. A held range with a target
+        waits until its release would prove that the owner no longer holds it.
     """
 
     service: str
@@ -77,7 +87,10 @@
     ready: bool = False
     in_flight: bool = False
     unanswered: bool = False
+    unproven: bool = False
     needs_higher_fence: bool = False
+    needs_proof: bool = False
+    proof_after_s: float = -math.inf
     latest_arrival_at_s: float = -math.inf
     due_at_s: float = -math.inf
     failing_since_s: float | None = None
@@ -90,14 +103,34 @@
         """Whether grants and renewals are sent to the owner."""
         return self.phase in {LeasePhase.GRANTING, LeasePhase.HELD}
 
+    @property
+    def awaits_proof(self) -> bool:
+        """Whether the next grant must prove that the owner knows the fencing token."""
+        return self.needs_proof and self.phase is LeasePhase.GRANTING
+
     @property
     def is_movable(self) -> bool:
+        """Whether a move or join may be planned, because nothing else is under way."""
+        return (
+            self.phase is LeasePhase.HELD
+            and self.target is None
+            and not (
+                self.in_flight or self.unanswered or self.needs_higher_fence or self.needs_proof
+            )
+        )
+
+    @property
+    def is_releasable(self) -> bool:
         """Whether an acknowledged release would prove that the owner no longer holds the range.
 
-        A grant that is in flight or unanswered could arrive after the release.
+        A grant that is in flight, unanswered or unproven could be executed after the release.
         """
         return self.phase is LeasePhase.HELD and not (
-            self.in_flight or self.unanswered or self.needs_higher_fence
+            self.in_flight
+            or self.unanswered
+            or self.unproven
+            or self.needs_higher_fence
+            or self.needs_proof
         )
 
     def find_expiry_s(self, lease_s: float, predecessors_end_s: float) -> float:
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -93,7 +93,9 @@
             return
         now_s = self._context.clock.read_s()
         may_release = constraints.may_release(now_s)
-        self._releases.allow(may_begin=may_release)
+        self._releases.allow(
+            may_begin=may_release, predecessors_end_s=constraints.predecessors_end_s
+        )
         is_rebalancing = (
             now_s - self._rebalanced_at_s >= REBALANCE_INTERVAL_S and constraints.has_store
         )
@@ -153,11 +155,7 @@
 
     def _join_calm(self, service: str, now_s: float, constraints: PlanningConstraints) -> None:
         """Join ranges that were split for load and are calm again."""
-        leases = {
-            lease_id: lease
-            for lease_id, lease in self._leases.snapshot().leases.items()
-            if lease.service == service
-        }
+        leases = self._list_leases(service)
         servers = len({lease.owner for lease in leases.values()})
         limit = range_joins.find_range_limit(servers) if constraints.may_split else servers
         key_rates = self._statistics.estimate_rates(service, now_s)
@@ -172,9 +170,14 @@
                 )
         if not constraints.may_release(now_s):
             return
+        leases = self._list_leases(service)
         for move in range_joins.find_consolidations(leases, key_rates, limit):
             self._start_move(move, key_rates.sum_range(move.keys))
 
+    def _list_leases(self, service: str) -> dict[int, range_leases.RangeLease]:
+        leases = self._leases.snapshot().leases
+        return {lease_id: lease for lease_id, lease in leases.items() if lease.service == service}
+
     def _list_candidates(self, service: str, now_s: float) -> tuple[planner.Candidate, ...]:
         registered = [
             entry.server
@@ -214,6 +217,8 @@
         if part_id is None:
             return
         lease = self._leases.snapshot().leases[part_id]
+        if not lease.is_movable:
+            return
         logging.info(
             "moving range %s of service %s from %s to %s, %.1f requests/s",
             move.keys,
--- a/src/goldcresthall/ranges/range_releases.py
+++ b/src/goldcresthall/ranges/range_releases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -45,10 +46,12 @@
         self._leases = leases
         self._renewers = renewers
         self._may_begin = True
+        self._predecessors_end_s = -math.inf
 
-    def allow(self, *, may_begin: bool) -> None:
-        """Set whether releases may begin now."""
+    def allow(self, *, may_begin: bool, predecessors_end_s: float) -> None:
+        """Set whether releases may begin now, and when earlier lessors stopped granting."""
         self._may_begin = may_begin
+        self._predecessors_end_s = predecessors_end_s
 
     def start(
         self,
@@ -58,13 +61,21 @@
     ) -> None:
         """Request the release of a range from its owner.
 
-        If a grant is unanswered, the range gets a higher fencing token first.
+        If a grant may still be executed, the owner must acknowledge a higher fencing token first;
+        until then it keeps the range. The caller requests the release again in the next step.
         """
-        if lease.unanswered:
-            self._leases.update(lease_id, transitions.demand_fence)
+        if not self._may_begin:
+            return
+        # A grant of an earlier lessor may have arrived after an earlier acknowledgement at a
+        # server that had started again, which may execute it later.
+        is_unproven = lease.unproven or lease.latest_arrival_at_s < self._predecessors_end_s
+        if lease.unanswered or is_unproven:
+            now_s = self._context.clock.read_s()
+            demand = functools.partial(transitions.demand_proof, target, now_s)
+            self._leases.update(lease_id, demand)
             return
         begin = functools.partial(transitions.begin_release, target)
-        if not self._may_begin or not self._leases.update(lease_id, begin):
+        if not self._leases.update(lease_id, begin):
             return
         command = grants.ReleaseCommand(lease_id=lease_id, keys=lease.keys, fence=lease.fence)
         self._context.start_task("release", lambda stop: self._run_release(lease, command, stop))
--- a/src/goldcresthall/ranges/transitions.py
+++ b/src/goldcresthall/ranges/transitions.py
@@ -37,7 +37,10 @@
     """Return whether a new owner or fencing token must be recorded in the store."""
     if lease.phase is range_leases.LeasePhase.FREE:
         return lease.target is not None
-    return lease.needs_higher_fence and lease.is_granted and not lease.in_flight
+    needs_token = lease.needs_higher_fence or (
+        lease.needs_proof and lease.phase is range_leases.LeasePhase.HELD
+    )
+    return needs_token and lease.is_granted and not lease.in_flight
 
 
 def demand_fence(lease: range_leases.RangeLease) -> range_leases.RangeLease | None:
@@ -45,6 +48,23 @@
     return dataclasses.replace(lease, needs_higher_fence=True) if lease.is_granted else None
 
 
+def demand_proof(
+    target: deployment.ServerIncarnation | None,
+    now_s: float,
+    lease: range_leases.RangeLease,
+) -> range_leases.RangeLease | None:
+    """Return a held lease marked to get a higher fencing token that its owner acknowledges.
+
+    Once it has, no grant under an earlier token can be executed after a release. The range then
+    moves to `target`. Nothing is demanded soon after a failed attempt. Returns `None` unless the
+    range is held and its renewals succeed.
+    """
+    if lease.phase is not range_leases.LeasePhase.HELD or lease.failing_since_s is not None:
+        return None
+    needs_proof = lease.needs_proof or now_s >= lease.proof_after_s
+    return dataclasses.replace(lease, needs_proof=needs_proof, target=target)
+
+
 def assign(fence: int, lease: range_leases.RangeLease) -> range_leases.RangeLease | None:
     """Return the lease under a new fencing token.
 
@@ -58,18 +78,22 @@
     owner: deployment.ServerIncarnation, fence: int, lease: range_leases.RangeLease
 ) -> range_leases.RangeLease:
     """Return the lease as it is to be granted to `owner` under a new fencing token."""
+    stays = owner == lease.owner
     return dataclasses.replace(
         lease,
         owner=owner,
         fence=fence,
         phase=range_leases.LeasePhase.GRANTING,
-        target=None,
+        target=lease.target if stays else None,
         unanswered=False,
+        unproven=False,
         needs_higher_fence=False,
+        needs_proof=lease.needs_proof and stays,
+        proof_after_s=lease.proof_after_s if stays else -math.inf,
         failing_since_s=None,
         misdirected=False,
         due_at_s=-math.inf,
-        latest_arrival_at_s=lease.latest_arrival_at_s if owner == lease.owner else -math.inf,
+        latest_arrival_at_s=lease.latest_arrival_at_s if stays else -math.inf,
     )
 
 
@@ -95,6 +119,7 @@
         handover="",
         unanswered=False,
         needs_higher_fence=True,
+        needs_proof=False,
         failing_since_s=None,
         misdirected=False,
     )
@@ -138,7 +163,9 @@
         handover="",
         target=None,
         unanswered=False,
+        unproven=False,
         needs_higher_fence=False,
+        needs_proof=False,
         failing_since_s=None,
         misdirected=False,
     )
@@ -148,14 +175,20 @@
     """Return the lease without renewal; `None` if not granted or a grant is in flight."""
     if lease.in_flight or not lease.is_granted:
         return None
-    return dataclasses.replace(lease, phase=range_leases.LeasePhase.EXPIRING, ready=False)
+    return dataclasses.replace(
+        lease,
+        phase=range_leases.LeasePhase.EXPIRING,
+        ready=False,
+        target=None,
+        needs_proof=False,
+    )
 
 
 def begin_release(
     target: deployment.ServerIncarnation | None, lease: range_leases.RangeLease
 ) -> range_leases.RangeLease | None:
-    """Return the lease in release; `None` unless it is movable."""
-    if not lease.is_movable:
+    """Return the lease in release; `None` unless that would prove that the owner gave it up."""
+    if not lease.is_releasable:
         return None
     return dataclasses.replace(
         lease, phase=range_leases.LeasePhase.RELEASING, ready=False, target=target
@@ -180,10 +213,18 @@
         needs_higher_fence=True,
         latest_arrival_at_s=max(first.latest_arrival_at_s, second.latest_arrival_at_s),
         due_at_s=min(first.due_at_s, second.due_at_s),
+        unproven=first.unproven or second.unproven,
         handover="",
     )
 
 
+def cancel_move(lease: range_leases.RangeLease) -> range_leases.RangeLease | None:
+    """Return the lease of a range that stays with its owner; `None` unless it waits for a move."""
+    if not lease.is_granted or lease.target is None:
+        return None
+    return dataclasses.replace(lease, target=None, needs_proof=False)
+
+
 def set_target(
     target: deployment.ServerIncarnation, lease: range_leases.RangeLease
 ) -> range_leases.RangeLease:
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -153,6 +153,10 @@
     copied
         Copies of earlier responses, by server, which are taken for the responses to grants that
         the server executes.
+    acknowledges_early
+        Names of servers that write a copy of an earlier acknowledgement and execute grants later.
+    rejects_connections
+        Names of servers that reject new connections.
     """
 
     def __init__(self, simulation: RangeSimulation) -> None:
@@ -162,6 +166,8 @@
         self.refuses_releases = False
         self.fails = False
         self.copied: dict[str, grants.CommandOutcome] = {}
+        self.acknowledges_early: set[str] = set()
+        self.rejects_connections: set[str] = set()
 
     def start(self) -> None:
         """Do nothing."""
@@ -172,7 +178,10 @@
     def grant(
         self, server: deployment.RegisteredServer, command: grants.GrantCommand
     ) -> grants.CommandOutcome:
-        """Execute a grant, or queue it for later execution."""
+        """Execute a grant, or queue it for later execution.
+
+        The first response on a new connection is the true one.
+        """
         if self.fails:
             raise RuntimeError("broken")
         if self._simulation.clock.read_s() >= command.send_by_s:
@@ -182,13 +191,29 @@
             return grants.CommandMisdirected("status 400", may_be_copy=False)
         if range_server is None:
             return grants.CommandNotSent("refused")
+        if command.needs_proof and server.name in self.rejects_connections:
+            return grants.CommandNotSent("rejected")
+        return self._deliver(range_server, server, command)
+
+    def _deliver(
+        self,
+        range_server: RangeServer,
+        server: deployment.RegisteredServer,
+        command: grants.GrantCommand,
+    ) -> grants.CommandOutcome:
         now_s = self._simulation.clock.read_s()
-        if self.delays_grants:
+        may_be_copy = not command.needs_proof
+        acknowledges_early = may_be_copy and server.name in self.acknowledges_early
+        if self.delays_grants or acknowledges_early:
             delayed = DelayedGrant(range_server, command, now_s, server.incarnation)
             self._simulation.delayed_grants.append(delayed)
+            if acknowledges_early:
+                return grants.Granted()
             return grants.CommandUnanswered("receive: timed out")
         outcome = range_server.grant(command, now_s, server.incarnation)
-        return self.copied.get(server.name, outcome)
+        if isinstance(outcome, grants.Granted):
+            outcome = dataclasses.replace(outcome, may_be_copy=may_be_copy)
+        return self.copied.get(server.name, outcome) if may_be_copy else outcome
 
     def release(
         self, server: deployment.RegisteredServer, command: grants.ReleaseCommand
--- a/tests/platform/test_grant_client.py
+++ b/tests/platform/test_grant_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import socket
 import threading
 from typing import TYPE_CHECKING
@@ -55,6 +56,8 @@
 
     def stop(self) -> None:
         """Stop accepting connections."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def _accept(self) -> None:
@@ -107,7 +110,7 @@
 def test_release_returns_the_handover(
     server: CommandServer, channel: grant_client.PlatformGrantChannel
 ) -> None:
-    assert channel.grant(server.registered, GRANT) == grants.Granted()
+    assert channel.grant(server.registered, GRANT) == grants.Granted(may_be_copy=False)
     assert channel.release(server.registered, RELEASE) == grants.Released("abc")
 
 
@@ -115,7 +118,7 @@
     server: CommandServer, channel: grant_client.PlatformGrantChannel
 ) -> None:
     """Keys were given on while their holder was still at work on them (OWNER)."""
-    assert channel.grant(server.registered, GRANT) == grants.Granted()
+    assert channel.grant(server.registered, GRANT) == grants.Granted(may_be_copy=False)
     server.respond = lambda number, request: GRANTED
     outcome = channel.release(server.registered, RELEASE)
     assert isinstance(outcome, grants.CommandRejected)
@@ -230,3 +233,39 @@
         outcome = channel.grant(server.registered, GRANT)
         assert isinstance(outcome, grants.Refusal)
         assert outcome.may_be_copy is may_be_copy
+
+
+def test_only_an_acknowledgement_on_a_new_connection_is_certainly_no_copy(
+    server: CommandServer, channel: grant_client.PlatformGrantChannel
+) -> None:
+    """A copied acknowledgement was taken for the one to a grant that was executed later (OWNER)."""
+    for may_be_copy in (False, True, True):
+        assert channel.grant(server.registered, GRANT) == grants.Granted(may_be_copy=may_be_copy)
+
+
+def test_grant_that_needs_proof_goes_over_a_new_connection(
+    server: CommandServer, channel: grant_client.PlatformGrantChannel
+) -> None:
+    used: list[int] = []
+
+    def respond(number: int, request: bytes) -> bytes:
+        used.append(number)
+        return GRANTED
+
+    server.respond = respond
+    channel.grant(server.registered, GRANT)
+    needing = dataclasses.replace(GRANT, needs_proof=True)
+    assert channel.grant(server.registered, needing) == grants.Granted(may_be_copy=False)
+    assert used == [1, 2]
+
+
+def test_grant_that_needs_proof_is_not_sent_if_the_new_connection_is_refused(
+    server: CommandServer, channel: grant_client.PlatformGrantChannel
+) -> None:
+    """An overloaded server rejects new connections; the kept one serves the next grant."""
+    registered = server.registered
+    channel.grant(registered, GRANT)
+    server.stop()
+    needing = dataclasses.replace(GRANT, needs_proof=True)
+    assert isinstance(channel.grant(registered, needing), grants.CommandNotSent)
+    assert channel.grant(registered, GRANT) == grants.Granted(may_be_copy=True)
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -132,12 +132,15 @@
     original = range_releases.RangeReleases.start
 
     def release(self: Any, lease_id: int, lease: range_leases.RangeLease, target: Any) -> None:
-        original(self, lease_id, dataclasses.replace(lease, unanswered=False), target)
+        original(
+            self, lease_id, dataclasses.replace(lease, unanswered=False, unproven=False), target
+        )
 
     movable = property(
         lambda self: self.phase is range_leases.LeasePhase.HELD and not self.in_flight
     )
     monkeypatch.setattr(range_leases.RangeLease, "is_movable", movable)
+    monkeypatch.setattr(range_leases.RangeLease, "is_releasable", movable)
     monkeypatch.setattr(transitions, "demand_fence", lambda lease: None)
     monkeypatch.setattr(range_releases.RangeReleases, "start", release)
     with pytest.raises(AssertionError, match="is held by"):
