--- a/tests/ranges/test_range_state_machine.py
+++ b/tests/ranges/test_range_state_machine.py
@@ -77,6 +77,22 @@
         else:
             channel.copied[f"server-{index}"] = copied
 
+    @stateful.rule(
+        number=strategies.integers(0, 1), index=INDEXES, acknowledges_early=strategies.booleans()
+    )
+    def acknowledge_early(self, number: int, index: int, acknowledges_early: bool) -> None:
+        early = self.simulation.instances[number].channel.acknowledges_early
+        name = f"server-{index}"
+        early.add(name) if acknowledges_early else early.discard(name)
+
+    @stateful.rule(
+        number=strategies.integers(0, 1), index=INDEXES, is_rejecting=strategies.booleans()
+    )
+    def reject_connections(self, number: int, index: int, is_rejecting: bool) -> None:
+        rejecting = self.simulation.instances[number].channel.rejects_connections
+        name = f"server-{index}"
+        rejecting.add(name) if is_rejecting else rejecting.discard(name)
+
     @stateful.rule(number=strategies.integers(0, 1), sees_changes=strategies.booleans())
     def hide_servers(self, number: int, sees_changes: bool) -> None:
         self.simulation.instances[number].sees_changes = sees_changes
