--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -68,6 +68,16 @@
         fences[server] = max(fence, fences.get(server, -1))
 
 
+def create_directory(simulated_clock: clock.ManualClock) -> directory.Directory:
+    """Return a directory that knows the configuration and no server yet."""
+    service_kernel = kernel.Kernel()
+    service_kernel.register(names.CLOCK, simulated_clock)
+    created = directory.Directory(service_kernel)
+    created.start()
+    created.apply_configuration(CONFIGURATION)
+    return created
+
+
 class RangeServer:
     """A server that holds leases on sampled keys, with a slow clock."""
 
@@ -143,6 +153,10 @@
     copied
         Copies of earlier responses, by server, which are taken for the responses to grants that
         the server executes.
+    acknowledges_early
+        Names of servers that write a copy of an earlier acknowledgement and execute grants later.
+    rejects_connections
+        Names of servers that reject new connections.
     """
 
     def __init__(self, simulation: RangeSimulation) -> None:
@@ -152,6 +166,8 @@
         self.refuses_releases = False
         self.fails = False
         self.copied: dict[str, grants.CommandOutcome] = {}
+        self.acknowledges_early: set[str] = set()
+        self.rejects_connections: set[str] = set()
 
     def start(self) -> None:
         """Do nothing."""
@@ -162,7 +178,10 @@
     def grant(
         self, server: deployment.RegisteredServer, command: grants.GrantCommand
     ) -> grants.CommandOutcome:
-        """Execute a grant, or queue it for later execution."""
+        """Execute a grant, or queue it for later execution.
+
+        The first response on a new connection is the true one.
+        """
         if self.fails:
             raise RuntimeError("broken")
         if self._simulation.clock.read_s() >= command.send_by_s:
@@ -172,13 +191,29 @@
             return grants.CommandMisdirected("status 400", may_be_copy=False)
         if range_server is None:
             return grants.CommandNotSent("refused")
+        if command.needs_proof and server.name in self.rejects_connections:
+            return grants.CommandNotSent("rejected")
+        return self._deliver(range_server, server, command)
+
+    def _deliver(
+        self,
+        range_server: RangeServer,
+        server: deployment.RegisteredServer,
+        command: grants.GrantCommand,
+    ) -> grants.CommandOutcome:
         now_s = self._simulation.clock.read_s()
-        if self.delays_grants:
+        may_be_copy = not command.needs_proof
+        acknowledges_early = may_be_copy and server.name in self.acknowledges_early
+        if self.delays_grants or acknowledges_early:
             delayed = DelayedGrant(range_server, command, now_s, server.incarnation)
             self._simulation.delayed_grants.append(delayed)
+            if acknowledges_early:
+                return grants.Granted()
             return grants.CommandUnanswered("receive: timed out")
         outcome = range_server.grant(command, now_s, server.incarnation)
-        return self.copied.get(server.name, outcome)
+        if isinstance(outcome, grants.Granted):
+            outcome = dataclasses.replace(outcome, may_be_copy=may_be_copy)
+        return self.copied.get(server.name, outcome) if may_be_copy else outcome
 
     def release(
         self, server: deployment.RegisteredServer, command: grants.ReleaseCommand
@@ -198,7 +233,13 @@
 
 
 class Instance:
-    """One instance with its connections to the store and the servers, and its term if any."""
+    """One instance with its connections to the store and the servers, and its term if any.
+
+    Attributes
+    ----------
+    sees_changes
+        Whether its directory gets the changes of the list of servers.
+    """
 
     def __init__(self, simulation: RangeSimulation, number: int) -> None:
         self._simulation = simulation
@@ -211,6 +252,8 @@
         self.own_term: lessor.LessorTerm | None = None
         self.pending_releases: list[Callable[[], None]] = []
         self.is_frozen = False
+        self.sees_changes = True
+        self.directory = create_directory(simulation.clock)
 
     def take_over(self, suspended_s: float = 0.0) -> None:
         """Become the lessor unless the store fails or another instance wrote first.
@@ -239,7 +282,7 @@
         context = lessor_context.LessorContext(
             self.store,
             self.channel,
-            self._simulation.directory,
+            self.directory,
             self._simulation.clock,
             self._start_task,
             self._start_task,
@@ -291,14 +334,15 @@
         self.fences = FenceHistory()
         self.servers: dict[deployment.ServerIncarnation, RangeServer] = {}
         self.last_registered: dict[deployment.ServerIncarnation, deployment.RegisteredServer] = {}
-        service_kernel = kernel.Kernel()
-        service_kernel.register(names.CLOCK, self.clock)
-        self.directory = directory.Directory(service_kernel)
-        self.directory.start()
-        self.directory.apply_configuration(CONFIGURATION)
+        self.listed: dict[str, deployment.RegisteredServer] = {}
+        self.instances = [Instance(self, number) for number in range(instance_count)]
         for number in range(server_count):
             self.start_server(f"server-{number}")
-        self.instances = [Instance(self, number) for number in range(instance_count)]
+
+    @property
+    def directory(self) -> directory.Directory:
+        """The first instance's directory."""
+        return self.instances[0].directory
 
     def find_running(self, name: str) -> RangeServer | None:
         """Return the incarnation of a server that runs now, if any."""
@@ -332,7 +376,16 @@
             slow_start_remaining_s=0.0,
         )
         self.last_registered[incarnation] = registered
-        self.directory.apply_changes((registered,), frozenset())
+        self.listed[incarnation.name] = registered
+        self.update_directories()
+
+    def update_directories(self) -> None:
+        """Bring the directories of all instances that see changes up to date."""
+        for instance in self.instances:
+            if instance.sees_changes:
+                known = frozenset(instance.directory.servers.by_name)
+                changed = tuple(self.listed.values())
+                instance.directory.apply_changes(changed, known - frozenset(self.listed))
 
     def is_replaced(self, incarnation: deployment.ServerIncarnation) -> bool:
         """Return whether a server of another service answers at a server's address."""
@@ -353,11 +406,13 @@
             incarnation=deployment.ServerIncarnation(f"other-{incarnation.name}", started_ms),
             service="other",
         )
-        self.directory.apply_changes((replacement,), frozenset())
+        self.listed[replacement.name] = replacement
+        self.update_directories()
 
     def deregister_server(self, incarnation: deployment.ServerIncarnation) -> None:
         """Remove a server from the directory."""
-        self.directory.apply_changes((), frozenset({incarnation.name}))
+        self.listed.pop(incarnation.name, None)
+        self.update_directories()
 
     def advance(self, seconds: float) -> None:
         """Advance the clock in steps of 0.1 s, and run and check all instances after each."""
