--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,18 +1,16 @@
-"""A loopback TCP proxy that delays or drops bytes, or resets connections."""
+"""A loopback TCP proxy that delays, holds up or drops bytes, or resets connections."""
 
 from __future__ import annotations
 
 import contextlib
 import enum
 import socket
-import struct
 import threading
 import time
 
-READ_SIZE_BYTES = 65_536
-IDLE_POLL_S = 0.05
+from tests.soak import held_stream
+
 FORWARD_DELAY_S = 0.15
-LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class Mode(enum.Enum):
@@ -26,6 +24,10 @@
         Bytes in both directions are dropped; connections stay open.
     DROP_RESPONSES
         Requests are forwarded; responses are dropped.
+    HOLD, HOLD_REQUESTS
+        A partition, of both directions or of the one towards the target. Bytes are held up and
+        delivered after it heals, unless their sender has reset the connection meanwhile. New
+        connections are not established before it heals.
     """
 
     FORWARD = "forward"
@@ -34,6 +36,8 @@
     BLACKHOLE = "blackhole"
     DROP_RESPONSES = "drop_responses"
     REFUSE = "refuse"
+    HOLD = "hold"
+    HOLD_REQUESTS = "hold_requests"
 
 
 class Proxy:
@@ -62,7 +66,7 @@
             )
         if mode in {Mode.RESET, Mode.REFUSE} or (affected and mode is Mode.FORWARD):
             for connection in affected:
-                _reset(connection)
+                held_stream.reset(connection)
 
     def stop(self) -> None:
         """Stop listening and reset the open connections."""
@@ -73,7 +77,7 @@
         with self._lock:
             affected = tuple(self._open_sockets)
         for connection in affected:
-            _reset(connection)
+            held_stream.reset(connection)
 
     def _accept(self) -> None:
         while not self._is_stopped:
@@ -82,16 +86,19 @@
             except OSError:
                 return
             if self._mode in {Mode.RESET, Mode.REFUSE}:
-                _reset(accepted)
+                held_stream.reset(accepted)
                 accepted.close()
                 continue
             threading.Thread(target=self._connect, args=(accepted,), daemon=True).start()
 
     def _connect(self, accepted: socket.socket) -> None:
+        if not held_stream.wait_until_connected(accepted, self._holds_requests):
+            accepted.close()
+            return
         try:
             target = socket.create_connection(("127.0.0.1", self._target_port), 2.0)
         except OSError:
-            _reset(accepted)
+            held_stream.reset(accepted)
             accepted.close()
             return
         target.settimeout(None)
@@ -109,8 +116,15 @@
         target.close()
 
     def _forward(self, source: socket.socket, sink: socket.socket, is_response: bool) -> None:
+        is_cut = self._holds_responses if is_response else self._holds_requests
+        stream = held_stream.HeldStream(source, is_cut)
+        has_ended = False
         try:
-            while chunk := source.recv(READ_SIZE_BYTES):
+            while not has_ended:
+                chunk = source.recv(held_stream.READ_SIZE_BYTES)
+                has_ended = not chunk
+                if is_cut():
+                    chunk, has_ended = stream.hold(chunk, has_ended=has_ended)
                 if self._mode is Mode.DELAY:
                     time.sleep(FORWARD_DELAY_S)
                 if self._mode is Mode.BLACKHOLE or (
@@ -119,19 +133,19 @@
                     continue
                 sink.sendall(chunk)
         except OSError:
-            _reset(sink)
+            held_stream.wait_until_healed(is_cut)
+            held_stream.reset(sink)
             return
         if self._mode is not Mode.BLACKHOLE:
             with contextlib.suppress(OSError):
                 sink.shutdown(socket.SHUT_WR)
 
+    def _holds_requests(self) -> bool:
+        return not self._is_stopped and self._mode in {Mode.HOLD, Mode.HOLD_REQUESTS}
 
-def _drops_bytes(mode: Mode) -> bool:
-    return mode in {Mode.BLACKHOLE, Mode.DROP_RESPONSES, Mode.RESET, Mode.REFUSE}
+    def _holds_responses(self) -> bool:
+        return not self._is_stopped and self._mode is Mode.HOLD
 
 
-def _reset(connection: socket.socket) -> None:
-    """Shut down both directions of a connection and request a TCP reset when it is closed."""
-    with contextlib.suppress(OSError):
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-        connection.shutdown(socket.SHUT_RDWR)
+def _drops_bytes(mode: Mode) -> bool:
+    return mode in {Mode.BLACKHOLE, Mode.DROP_RESPONSES, Mode.RESET, Mode.REFUSE}
