--- a/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import json
 import threading
 import time
 from typing import TYPE_CHECKING
 
+from goldcresthall_stand_ins import server_faults
 from goldcresthall_stand_ins import web
 
 if TYPE_CHECKING:
@@ -17,6 +19,8 @@
 
 SERVERS_TOPIC = "keyed.servers"
 MS_PER_S = 1_000
+RELEASE_PATH = "/api/release"
+LATE_AFTER_S = 0.3  # a grant that is executed later than this after its arrival counts as late
 INVALID_KEY = 65_536  # one past the last key, so no server holds it; used if a request has none
 
 
@@ -37,12 +41,33 @@
     at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcceptedGrant:
+    """A grant that a server has accepted.
+
+    Attributes
+    ----------
+    is_late
+        Whether the server executed it some time after its arrival.
+    """
+
+    server: DeploymentServer
+    keys: range
+    fence: int
+    is_late: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _HeldGrant:
     fence: int
     expires_at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _RunningWork:
+    key: int
+
+
 class DeploymentServer(web.StandIn):
     """Accepts grants, runs requests and writes its own entry into the store on demand.
 
@@ -51,7 +76,14 @@
     work_s
         Run time of each request, in seconds.
     on_grant
-        Called with the server and the keys after each accepted grant.
+        Called after each accepted grant.
+
+    Attributes
+    ----------
+    fault
+        Fault of the responses to commands.
+    extra_work_s
+        Added to the run time of each request, in seconds.
     """
 
     def __init__(
@@ -62,7 +94,7 @@
         *,
         keyed: bool,
         work_s: float = 0.0,
-        on_grant: Callable[[DeploymentServer, range], None] | None = None,
+        on_grant: Callable[[AcceptedGrant], None] | None = None,
     ) -> None:
         super().__init__("127.0.0.1", 0, threads=24)
         self._store = store
@@ -72,6 +104,12 @@
         self._work_s = work_s
         self._on_grant = on_grant
         self._lock = threading.Lock()
+        self._work_ended = threading.Condition(self._lock)
+        self._history = server_faults.ResponseHistory()
+        self.fault = server_faults.ServerFault()
+        self.extra_work_s = 0.0
+        self._running: set[_RunningWork] = set()
+        self._lease_ends_s: dict[int, float] = {}
         self._held_grants: dict[int, _HeldGrant] = {}
         self._highest_fences: dict[int, int] = {}
         self._started_ms = int(time.time() * MS_PER_S)
@@ -106,6 +144,9 @@
         with self._lock:
             self._held_grants.clear()
             self._highest_fences.clear()
+            self._running.clear()
+            self._lease_ends_s.clear()
+            self._work_ended.notify_all()
             self._started_ms = max(int(time.time() * MS_PER_S), self._started_ms + 1)
 
     def unregister(self) -> None:
@@ -115,8 +156,7 @@
     def holds(self, key: int) -> bool:
         """Return whether the server holds an unexpired grant of a key."""
         with self._lock:
-            held_grant = self._held_grants.get(key)
-            return held_grant is not None and held_grant.expires_at_s > time.monotonic()
+            return self._holds(key)
 
     def holds_any(self, keys: range) -> bool:
         """Return whether the server holds an unexpired grant of any of the keys."""
@@ -127,34 +167,62 @@
                 for key, held_grant in self._held_grants.items()
             )
 
+    def works_on_any(self, keys: range) -> bool:
+        """Return whether work on any of the keys runs whose lease has not run out."""
+        now_s = time.monotonic()
+        with self._lock:
+            return any(
+                work.key in keys and self._lease_ends_s.get(work.key, 0.0) > now_s
+                for work in self._running
+            )
+
     def handle_request(self, request: web.Request) -> web.Response:
         """Handle a grant, a release or a request of a caller."""
         expected = request.headers.get("goldcresthall-target-instance")
         if expected is not None and expected != self._name:
             return web.Response(421, b"", (("Goldcresthall-Instance-Id", self._name),))
-        if request.path == "/api/grant":
-            return self._grant(json.loads(request.body))
-        if request.path == "/api/release":
-            return self._release(json.loads(request.body))
-        return self._run(request)
+        execute = {server_faults.GRANT_PATH: self._grant, RELEASE_PATH: self._release}.get(
+            request.path
+        )
+        if execute is None:
+            return self._run(request)
+        command = server_faults.Command(
+            request,
+            functools.partial(execute, json.loads(request.body), self._started_ms),
+            time.monotonic(),
+        )
+        return server_faults.respond(self.fault, command, self._history)
 
-    def _grant(self, command: dict[str, int | float]) -> web.Response:
+    def _grant(
+        self, command: dict[str, int | float], started_ms: int, arrived_at_s: float
+    ) -> web.Response:
         keys = range(int(command["from"]), int(command["target"]) + 1)
         fence = int(command["fence"])
+        lease_ends_s = arrived_at_s + float(command["hold_s"])
+        now_s = time.monotonic()
         with self._lock:
             if any(self._highest_fences.get(key, -1) > fence for key in keys):
                 return web.Response(409, b"")
-            held_grant = _HeldGrant(fence, time.monotonic() + float(command["hold_s"]))
-            self._held_grants.update(dict.fromkeys(keys, held_grant))
+            if lease_ends_s <= now_s or started_ms != self._started_ms:
+                return web.Response(503, b"")
+            self._held_grants.update(dict.fromkeys(keys, _HeldGrant(fence, lease_ends_s)))
             self._highest_fences.update(dict.fromkeys(keys, fence))
+            self._lease_ends_s.update(dict.fromkeys(keys, lease_ends_s))
         if self._on_grant is not None:
-            self._on_grant(self, keys)
+            is_late = now_s - arrived_at_s > LATE_AFTER_S
+            self._on_grant(AcceptedGrant(self, keys, fence, is_late))
         return web.Response(200, b"")
 
-    def _release(self, command: dict[str, int | float]) -> web.Response:
+    def _release(
+        self, command: dict[str, int | float], started_ms: int, arrived_at_s: float
+    ) -> web.Response:
+        """Stop new work on keys, and return once the work that runs has ended."""
+        keys = range(int(command["from"]), int(command["target"]) + 1)
         with self._lock:
-            for key in range(int(command["from"]), int(command["target"]) + 1):
+            for key in keys:
                 self._held_grants.pop(key, None)
+            running = {work for work in self._running if work.key in keys}
+            self._work_ended.wait_for(lambda: self._running.isdisjoint(running))
             self._release_count += 1
             handover = f"{self._name}-{self._started_ms}-{self._release_count}"
         return web.Response(200, b"", (("Goldcresthall-Lease-Handover", handover),))
@@ -162,14 +230,26 @@
     def _run(self, request: web.Request) -> web.Response:
         request_id = request.headers.get("goldcresthall-request-id", "")
         key = request.headers.get("goldcresthall-shard-key", "")
-        if self._keyed and not self.holds(int(key or INVALID_KEY)):
-            return web.Response(421, b"", (("Goldcresthall-Not-Executed", "1"),))
+        work = _RunningWork(int(key or INVALID_KEY))
+        with self._lock:
+            if self._keyed and not self._holds(work.key):
+                return web.Response(421, b"", (("Goldcresthall-Not-Executed", "1"),))
+            self._running.add(work)
         self.executed_requests.append(ExecutedRequest(request_id, key, time.monotonic()))
-        if self._work_s:
-            time.sleep(self._work_s)
+        time.sleep(self._work_s + self.extra_work_s)
+        with self._lock:
+            self._running.discard(work)
+            self._work_ended.notify_all()
+            outlasted = self._keyed and self._lease_ends_s.get(work.key, 0.0) <= time.monotonic()
+        if outlasted:
+            return web.Response(500, b"", (("Goldcresthall-Request-Id", request_id),))
         headers = (
             ("Goldcresthall-Request-Id", request_id),
             ("Goldcresthall-Response-Signature", f"signed-by-{self._name}"),
             ("Goldcresthall-Server-Load", "1,0,4"),
         )
         return web.Response(200, f"{self._name} ran {request_id}".encode(), headers)
+
+    def _holds(self, key: int) -> bool:
+        held_grant = self._held_grants.get(key)
+        return held_grant is not None and held_grant.expires_at_s > time.monotonic()
--- a/stand_ins/src/goldcresthall_stand_ins/web.py
+++ b/stand_ins/src/goldcresthall_stand_ins/web.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import socket
 import threading
 import time
 import urllib.parse
@@ -18,17 +19,25 @@
 
 LISTEN_BACKLOG = 512
 MS_PER_S = 1_000
+CONNECTION = "stand_in.connection"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """An HTTP request to a stand-in; the names of headers are in lower case."""
+    """An HTTP request to a stand-in; the names of headers are in lower case.
+
+    Attributes
+    ----------
+    connection
+        Identity of the connection that carried the request.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    connection: object = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +50,10 @@
         Value of Content-Length; `None` for the actual length of the body.
     drip_ms
         Milliseconds between two bytes of the body; zero to send it at once.
+    preceded_by
+        Another response that is sent before this one.
+    is_withheld
+        Whether nothing is sent and the connection is closed.
     """
 
     status: int
@@ -48,6 +61,24 @@
     headers: tuple[tuple[str, str], ...] = ()
     declared_length: int | None = None
     drip_ms: float = 0.0
+    preceded_by: Response | None = None
+    is_withheld: bool = False
+
+    def encode(self) -> bytes:
+        """Return the bytes of a response that precedes another."""
+        headers = (*self.headers, ("Content-Length", str(len(self.body))))
+        lines = [f"HTTP/1.1 {self.status} -", *(f"{name}: {value}" for name, value in headers)]
+        return "\r\n".join((*lines, "", "")).encode() + self.body
+
+
+class ConnectionGateway(wsgi.Gateway_10):
+    """Adds the connection to what the stand-in learns about a request."""
+
+    def get_environ(self) -> Any:
+        """Return the WSGI environment of the request."""
+        environ: Any = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[CONNECTION] = self.req.conn
+        return environ
 
 
 class StandIn(abc.ABC):
@@ -57,6 +88,7 @@
         self._server = wsgi.Server(
             (host, port), self._serve, numthreads=threads, request_queue_size=LISTEN_BACKLOG
         )
+        self._server.gateway = ConnectionGateway
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
     @property
@@ -89,8 +121,14 @@
                 if name.startswith("HTTP_")
             },
             body=environ["wsgi.input"].read(length) if length else b"",
+            connection=environ[CONNECTION],
         )
         response = self.handle_request(request)
+        if response.is_withheld:
+            environ[CONNECTION].socket.shutdown(socket.SHUT_RDWR)
+            return []
+        if response.preceded_by is not None:
+            environ[CONNECTION].wfile.write(response.preceded_by.encode())
         declared_length = (
             len(response.body) if response.declared_length is None else response.declared_length
         )
--- /dev/null
+++ b/tests/soak/drawing.py
@@ -0,0 +1,114 @@
+"""Draws the faults of a seed."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+from typing import Final
+
+from goldcresthall_stand_ins import server_faults
+
+from tests.soak import faults
+from tests.soak import proxy
+from tests.soak import server_fault_kinds
+
+if TYPE_CHECKING:
+    import random
+
+SIMPLE_KINDS: Final = (
+    faults.InstanceKilled,
+    faults.InstancePaused,
+    faults.InstanceTerminated,
+    faults.InstanceReloaded,
+    faults.StoreUnavailable,
+    faults.StoreSlow,
+    faults.ServerCrashed,
+    faults.ServerDrained,
+    faults.ServerRestarted,
+    faults.ConfigurationPublished,
+)
+PARTITION_MODES: Final = (proxy.Mode.HOLD, proxy.Mode.HOLD_REQUESTS)
+DISRUPTIVE_MODES: Final = tuple(
+    mode for mode in proxy.Mode if mode not in {proxy.Mode.FORWARD, *PARTITION_MODES}
+)
+MAX_DURATION_S = 5.0
+# Long enough that a range of the server is given on, and that what was held up arrives after that.
+PARTITION_S = (2.0, 8.0)
+COMMAND_FAULT_S = (1.0, 6.0)
+FOLLOWING_PARTITION_S = (1.5, 4.0)
+GRANT_DELAY_S = (2.0, 6.0)
+EXTRA_WORK_S = (0.2, 1.5)
+
+
+def draw_faults(
+    generator: random.Random, soak_duration_s: float, rate_per_s: float
+) -> list[faults.Fault]:
+    """Return random faults that may overlap, ordered by start time."""
+    draws = (
+        *(functools.partial(_draw_simple, kind) for kind in SIMPLE_KINDS),
+        functools.partial(_draw_disrupted, faults.StoreConnectionsDisrupted),
+        functools.partial(_draw_disrupted, faults.ServerConnectionsDisrupted),
+        *(_draw_partition,) * 3,
+        *(_draw_faulty_commands,) * 4,
+        _draw_slow_work,
+    )
+    drawn_faults: list[faults.Fault] = []
+    at_s = 0.0
+    while True:
+        at_s += generator.expovariate(rate_per_s)
+        if at_s >= soak_duration_s:
+            return drawn_faults
+        duration_s = min(generator.uniform(0.2, MAX_DURATION_S), soak_duration_s - at_s)
+        base = faults.Fault(at_s=at_s, duration_s=duration_s, index=generator.randrange(1_000))
+        drawn_faults.append(generator.choice(draws)(base, generator))
+
+
+def _draw_simple(
+    kind: type[faults.Fault], base: faults.Fault, generator: random.Random
+) -> faults.Fault:
+    return kind(at_s=base.at_s, duration_s=base.duration_s, index=base.index)
+
+
+def _draw_disrupted(
+    kind: type[faults.StoreConnectionsDisrupted | faults.ServerConnectionsDisrupted],
+    base: faults.Fault,
+    generator: random.Random,
+) -> faults.Fault:
+    mode = generator.choice(DISRUPTIVE_MODES)
+    return kind(at_s=base.at_s, duration_s=base.duration_s, index=base.index, mode=mode)
+
+
+def _draw_partition(base: faults.Fault, generator: random.Random) -> faults.Fault:
+    return server_fault_kinds.ServerPartitioned(
+        at_s=base.at_s,
+        duration_s=generator.uniform(*PARTITION_S),
+        index=base.index,
+        mode=generator.choice(PARTITION_MODES),
+    )
+
+
+def _draw_faulty_commands(base: faults.Fault, generator: random.Random) -> faults.Fault:
+    is_followed = generator.random() < 0.5
+    fault = generator.choice(
+        (
+            server_faults.RefusalsCopied(is_followed),
+            server_faults.SuccessesCopied(is_followed),
+            server_faults.GrantsDelayed(generator.uniform(*GRANT_DELAY_S)),
+        )
+    )
+    return server_fault_kinds.CommandsFaulty(
+        at_s=base.at_s,
+        duration_s=generator.uniform(*COMMAND_FAULT_S),
+        index=base.index,
+        fault=fault,
+        partition_s=generator.choice((0.0, generator.uniform(*FOLLOWING_PARTITION_S))),
+    )
+
+
+def _draw_slow_work(base: faults.Fault, generator: random.Random) -> faults.Fault:
+    return server_fault_kinds.WorkSlow(
+        at_s=base.at_s,
+        duration_s=base.duration_s,
+        index=base.index,
+        extra_work_s=generator.uniform(*EXTRA_WORK_S),
+    )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,14 +8,10 @@
 import signal
 import threading
 import time
-from typing import TYPE_CHECKING
 
 from tests.soak import deployment
 from tests.soak import proxy
 
-if TYPE_CHECKING:
-    import random
-
 SERVER_ENTRY_EXPIRY_S = 2.6
 SERVER_DRAIN_S = 3.0
 SERVER_REGISTRATION_DELAY_S = 0.9
@@ -105,42 +101,8 @@
     """The next version of the configuration is published."""
 
 
-DISRUPTIVE_MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.FORWARD)
 TERMINATION_GRACE_S = 6.0
 
-
-def draw_faults(generator: random.Random, soak_duration_s: float, rate_per_s: float) -> list[Fault]:
-    """Return random faults that may overlap, ordered by start time."""
-    simple_kinds = (
-        InstanceKilled,
-        InstancePaused,
-        InstanceTerminated,
-        InstanceReloaded,
-        StoreUnavailable,
-        StoreSlow,
-        ServerCrashed,
-        ServerDrained,
-        ServerRestarted,
-        ConfigurationPublished,
-    )
-    drawn_faults: list[Fault] = []
-    at_s = 0.0
-    while True:
-        at_s += generator.expovariate(rate_per_s)
-        if at_s >= soak_duration_s:
-            return drawn_faults
-        duration_s = min(generator.uniform(0.2, 5.0), soak_duration_s - at_s)
-        index = generator.randrange(1_000)
-        kind = generator.choice(
-            (*simple_kinds, StoreConnectionsDisrupted, ServerConnectionsDisrupted)
-        )
-        if kind in {StoreConnectionsDisrupted, ServerConnectionsDisrupted}:
-            mode = generator.choice(DISRUPTIVE_MODES)
-            drawn_faults.append(kind(at_s=at_s, duration_s=duration_s, index=index, mode=mode))
-        else:
-            drawn_faults.append(kind(at_s=at_s, duration_s=duration_s, index=index))
-
-
 # Faults during which instances may not learn in time what the store has accepted.
 DISTURBING_KINDS = (
     InstanceKilled,
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -9,6 +9,8 @@
 
 from goldcresthall_stand_ins import deployment_server
 
+from tests.soak import owners
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 LATE_GRANT_WINDOW_S = 0.3
 STATUS_OK = 200
@@ -61,6 +63,7 @@
         self._results: list[CallerResult] = []
         self._servers: list[deployment_server.DeploymentServer] = []
         self._late_grants_until_s = 0.0
+        self._owner_check = owners.OwnerCheck()
         self._drains: list[Drain] = []
         self._disturbances: list[Disturbance] = []
 
@@ -93,18 +96,19 @@
         with self._lock:
             self._late_grants_until_s = time.monotonic() + LATE_GRANT_WINDOW_S
 
-    def record_grant(self, server: deployment_server.DeploymentServer, keys: range) -> None:
-        """Check that no other running server holds any of the keys just granted.
+    def record_grant(self, grant: deployment_server.AcceptedGrant) -> None:
+        """Check a grant that a running server has accepted.
 
         Late grants are tolerated while `allow_late_grants` is in effect.
         """
         now_s = time.monotonic()
         with self._lock:
-            others = [other for other in self._servers if other is not server]
+            if grant.server not in self._servers:
+                return
+            others = [other for other in self._servers if other is not grant.server]
             may_be_late = now_s < self._late_grants_until_s
-        holders = [other.name for other in others if other.holds_any(keys)]
-        if holders and not may_be_late:
-            self.record_violation("one owner per key", f"{server.name} and {holders} hold {keys}")
+        for finding in self._owner_check.judge(grant, others, may_be_late=may_be_late):
+            self.record_violation(finding.invariant, finding.detail)
 
     def record_drain(self, server: deployment_server.DeploymentServer) -> None:
         """Record that the store has accepted a server's draining state."""
--- a/tests/soak/seed_run.py
+++ b/tests/soak/seed_run.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from tests.soak import deployment
+from tests.soak import drawing
 from tests.soak import faults
 from tests.soak import invariants
 
@@ -48,7 +49,7 @@
 ) -> SeedResult:
     """Run one seed; `folder` receives the settings and logs of the instances."""
     generator = random.Random(seed)
-    drawn_faults = faults.draw_faults(generator, duration_s, FAULTS_PER_S)
+    drawn_faults = drawing.draw_faults(generator, duration_s, FAULTS_PER_S)
     running = deployment.SoakDeployment(folder, size or deployment.DeploymentSize(), generator)
     try:
         running.start()
--- /dev/null
+++ b/tests/soak/server_fault_kinds.py
@@ -0,0 +1,86 @@
+"""Faults of keyed servers: partitions, and faulty responses to commands."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from goldcresthall_stand_ins import server_faults
+
+from tests.soak import deployment
+from tests.soak import faults
+from tests.soak import proxy
+
+if TYPE_CHECKING:
+    import threading
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerPartitioned(faults.Fault):
+    """A keyed server is cut off from the instances; what was held up is delivered later."""
+
+    mode: proxy.Mode
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CommandsFaulty(faults.Fault):
+    """A keyed server responds to commands with a fault, and is cut off afterwards.
+
+    Attributes
+    ----------
+    partition_s
+        Seconds for which it is cut off; zero if it is not.
+    """
+
+    fault: server_faults.ServerFault
+    partition_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkSlow(faults.Fault):
+    """Each request takes a keyed server longer by some time, in seconds."""
+
+    extra_work_s: float
+
+
+@faults.inject.register(ServerPartitioned)
+def _(
+    fault: ServerPartitioned, running: deployment.SoakDeployment, stopped: threading.Event
+) -> None:
+    _partition(_find_server(fault, running), fault.mode, fault.duration_s, running, stopped)
+
+
+@faults.inject.register(CommandsFaulty)
+def _(fault: CommandsFaulty, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
+    soak_server = _find_server(fault, running)
+    soak_server.server.fault = fault.fault
+    stopped.wait(fault.duration_s)
+    if fault.partition_s:
+        _partition(soak_server, proxy.Mode.HOLD, fault.partition_s, running, stopped)
+    soak_server.server.fault = server_faults.ServerFault()
+
+
+@faults.inject.register(WorkSlow)
+def _(fault: WorkSlow, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
+    server = _find_server(fault, running).server
+    server.extra_work_s = fault.extra_work_s
+    stopped.wait(fault.duration_s)
+    server.extra_work_s = 0.0
+
+
+def _find_server(fault: faults.Fault, running: deployment.SoakDeployment) -> deployment.SoakServer:
+    keyed = tuple(running.keyed)
+    return keyed[fault.index % len(keyed)]
+
+
+def _partition(
+    soak_server: deployment.SoakServer,
+    mode: proxy.Mode,
+    duration_s: float,
+    running: deployment.SoakDeployment,
+    stopped: threading.Event,
+) -> None:
+    soak_server.proxy.set_mode(mode)
+    stopped.wait(duration_s)
+    running.checker.allow_late_grants()
+    soak_server.proxy.set_mode(proxy.Mode.FORWARD)
