--- a/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import functools
 import json
@@ -14,6 +15,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from goldcresthall_stand_ins import deployment_store
 
@@ -176,6 +178,27 @@
                 for work in self._running
             )
 
+    def stop_new_work(self, keys: range) -> None:
+        """Hold the keys no longer; running work goes on."""
+        with self._lock:
+            for key in keys:
+                self._held_grants.pop(key, None)
+
+    @contextlib.contextmanager
+    def work_on(self, key: int) -> Iterator[bool]:
+        """Run work on a key in the `with` block; yield whether it may begin."""
+        work = _RunningWork(key)
+        with self._lock:
+            may_begin = not self._keyed or self._holds(key)
+            if may_begin:
+                self._running.add(work)
+        try:
+            yield may_begin
+        finally:
+            with self._lock:
+                self._running.discard(work)
+                self._work_ended.notify_all()
+
     def handle_request(self, request: web.Request) -> web.Response:
         """Handle a grant, a release or a request of a caller."""
         expected = request.headers.get("goldcresthall-target-instance")
@@ -218,9 +241,8 @@
     ) -> web.Response:
         """Stop new work on keys, and return once the work that runs has ended."""
         keys = range(int(command["from"]), int(command["target"]) + 1)
+        self.stop_new_work(keys)
         with self._lock:
-            for key in keys:
-                self._held_grants.pop(key, None)
             running = {work for work in self._running if work.key in keys}
             self._work_ended.wait_for(lambda: self._running.isdisjoint(running))
             self._release_count += 1
@@ -230,18 +252,13 @@
     def _run(self, request: web.Request) -> web.Response:
         request_id = request.headers.get("goldcresthall-request-id", "")
         key = request.headers.get("goldcresthall-shard-key", "")
-        work = _RunningWork(int(key or INVALID_KEY))
-        with self._lock:
-            if self._keyed and not self._holds(work.key):
+        key_number = int(key or INVALID_KEY)
+        with self.work_on(key_number) as may_begin:
+            if not may_begin:
                 return web.Response(421, b"", (("Goldcresthall-Not-Executed", "1"),))
-            self._running.add(work)
-        self.executed_requests.append(ExecutedRequest(request_id, key, time.monotonic()))
-        time.sleep(self._work_s + self.extra_work_s)
-        with self._lock:
-            self._running.discard(work)
-            self._work_ended.notify_all()
-            outlasted = self._keyed and self._lease_ends_s.get(work.key, 0.0) <= time.monotonic()
-        if outlasted:
+            self.executed_requests.append(ExecutedRequest(request_id, key, time.monotonic()))
+            time.sleep(self._work_s + self.extra_work_s)
+        if self._keyed and self._has_lease_ended(key_number):
             return web.Response(500, b"", (("Goldcresthall-Request-Id", request_id),))
         headers = (
             ("Goldcresthall-Request-Id", request_id),
@@ -253,3 +270,7 @@
     def _holds(self, key: int) -> bool:
         held_grant = self._held_grants.get(key)
         return held_grant is not None and held_grant.expires_at_s > time.monotonic()
+
+    def _has_lease_ended(self, key: int) -> bool:
+        with self._lock:
+            return self._lease_ends_s.get(key, 0.0) <= time.monotonic()
