--- a/tests/soak/drawing.py
+++ b/tests/soak/drawing.py
@@ -34,6 +34,7 @@
 MAX_DURATION_S = 5.0
 # Long enough that a range of the server is given on, and that what was held up arrives after that.
 PARTITION_S = (2.0, 8.0)
+PARTIAL_FRACTION = 0.3
 COMMAND_FAULT_S = (1.0, 6.0)
 FOLLOWING_PARTITION_S = (1.5, 4.0)
 GRANT_DELAY_S = (2.0, 6.0)
@@ -84,6 +85,7 @@
         duration_s=generator.uniform(*PARTITION_S),
         index=base.index,
         mode=generator.choice(PARTITION_MODES),
+        is_partial=generator.random() < PARTIAL_FRACTION,
     )
 
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,12 +4,18 @@
 
 import contextlib
 import enum
+import functools
 import socket
 import threading
 import time
+from typing import TYPE_CHECKING
 
+from tests.soak import client_processes
 from tests.soak import held_stream
 
+if TYPE_CHECKING:
+    from collections.abc import Set
+
 FORWARD_DELAY_S = 0.15
 
 
@@ -40,6 +46,9 @@
     HOLD_REQUESTS = "hold_requests"
 
 
+PARTITIONS = frozenset({Mode.HOLD, Mode.HOLD_REQUESTS})
+
+
 class Proxy:
     """Forwards connections from its own port to a target port."""
 
@@ -47,20 +56,24 @@
         self._target_port = target_port
         self._lock = threading.Lock()
         self._mode = Mode.FORWARD
+        self._partitioned: frozenset[int] | None = None
+        self._is_partitioned: dict[socket.socket, bool] = {}
         self._open_sockets: set[socket.socket] = set()
         self._is_stopped = False
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.port = int(self._listener.getsockname()[1])
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def set_mode(self, mode: Mode) -> None:
-        """Switch the mode.
+    def set_mode(self, mode: Mode, *, partitioned: frozenset[int] | None = None) -> None:
+        """Switch the mode; a partition can affect the clients with some process IDs only.
 
         RESET and REFUSE reset open connections at once. When a mode that drops bytes returns to
         FORWARD, all open connections are reset, because they may have lost bytes.
         """
         with self._lock:
             before, self._mode = self._mode, mode
+            self._partitioned = partitioned
+            self._is_partitioned = {}
             affected = (
                 tuple(self._open_sockets) if _drops_bytes(mode) or _drops_bytes(before) else ()
             )
@@ -92,7 +105,9 @@
             threading.Thread(target=self._connect, args=(accepted,), daemon=True).start()
 
     def _connect(self, accepted: socket.socket) -> None:
-        if not held_stream.wait_until_connected(accepted, self._holds_requests):
+        if not held_stream.wait_until_connected(
+            accepted, functools.partial(self._is_cut, accepted, PARTITIONS)
+        ):
             accepted.close()
             return
         try:
@@ -116,7 +131,9 @@
         target.close()
 
     def _forward(self, source: socket.socket, sink: socket.socket, is_response: bool) -> None:
-        is_cut = self._holds_responses if is_response else self._holds_requests
+        client = sink if is_response else source
+        cutting = {Mode.HOLD} if is_response else PARTITIONS
+        is_cut = functools.partial(self._is_cut, client, cutting)
         stream = held_stream.HeldStream(source, is_cut)
         has_ended = False
         try:
@@ -140,11 +157,24 @@
             with contextlib.suppress(OSError):
                 sink.shutdown(socket.SHUT_WR)
 
-    def _holds_requests(self) -> bool:
-        return not self._is_stopped and self._mode in {Mode.HOLD, Mode.HOLD_REQUESTS}
-
-    def _holds_responses(self) -> bool:
-        return not self._is_stopped and self._mode is Mode.HOLD
+    def _is_cut(self, client: socket.socket, cutting: Set[Mode]) -> bool:
+        """Return whether the mode is one of those that cut a direction, and affects a client."""
+        partitioned = self._partitioned
+        if self._is_stopped or self._mode not in cutting:
+            return False
+        if partitioned is None:
+            return True
+        # Found out once, while the client's end is open; it may close during the partition.
+        verdicts = self._is_partitioned
+        if client not in verdicts:
+            verdicts[client] = self._is_from(client, partitioned)
+        return verdicts[client]
+
+    def _is_from(self, client: socket.socket, process_ids: frozenset[int]) -> bool:
+        with contextlib.suppress(OSError):
+            port = int(client.getpeername()[1])
+            return client_processes.has_opened(process_ids, port, self.port)
+        return False
 
 
 def _drops_bytes(mode: Mode) -> bool:
--- a/tests/soak/server_fault_kinds.py
+++ b/tests/soak/server_fault_kinds.py
@@ -17,9 +17,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServerPartitioned(faults.Fault):
-    """A keyed server is cut off from the instances; what was held up is delivered later."""
+    """A keyed server is cut off from instances; what was held up is delivered later.
+
+    Attributes
+    ----------
+    is_partial
+        Whether only some instances are affected, by the binary digits of `index`.
+    """
 
     mode: proxy.Mode
+    is_partial: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,7 +54,15 @@
 def _(
     fault: ServerPartitioned, running: deployment.SoakDeployment, stopped: threading.Event
 ) -> None:
-    _partition(_find_server(fault, running), fault.mode, fault.duration_s, running, stopped)
+    partitioned = None
+    if fault.is_partial:
+        partitioned = frozenset(
+            instance.process.pid
+            for number, instance in enumerate(running.instances)
+            if fault.index >> number & 1
+        )
+    cut = _Cut(fault.mode, fault.duration_s, partitioned)
+    _partition(_find_server(fault, running), cut, running, stopped)
 
 
 @faults.inject.register(CommandsFaulty)
@@ -56,7 +71,7 @@
     soak_server.server.fault = fault.fault
     stopped.wait(fault.duration_s)
     if fault.partition_s:
-        _partition(soak_server, proxy.Mode.HOLD, fault.partition_s, running, stopped)
+        _partition(soak_server, _Cut(proxy.Mode.HOLD, fault.partition_s), running, stopped)
     soak_server.server.fault = server_faults.ServerFault()
 
 
@@ -73,14 +88,20 @@
     return keyed[fault.index % len(keyed)]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Cut:
+    mode: proxy.Mode
+    duration_s: float
+    process_ids: frozenset[int] | None = None
+
+
 def _partition(
     soak_server: deployment.SoakServer,
-    mode: proxy.Mode,
-    duration_s: float,
+    cut: _Cut,
     running: deployment.SoakDeployment,
     stopped: threading.Event,
 ) -> None:
-    soak_server.proxy.set_mode(mode)
-    stopped.wait(duration_s)
+    soak_server.proxy.set_mode(cut.mode, partitioned=cut.process_ids)
+    stopped.wait(cut.duration_s)
     running.checker.allow_late_grants()
     soak_server.proxy.set_mode(proxy.Mode.FORWARD)
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import socket
 from typing import TYPE_CHECKING
 
@@ -123,3 +124,18 @@
     listener.settimeout(SILENCE_S)
     with pytest.raises(TimeoutError):
         listener.accept()
+
+
+@pytest.mark.parametrize("is_affected", [True, False])
+def test_partial_partition_affects_the_named_processes_only(
+    listener: socket.socket, partition: proxy.Proxy, is_affected: bool
+) -> None:
+    client, server = connect(listener, partition)
+    process_ids = frozenset({os.getpid()} if is_affected else ())
+    partition.set_mode(proxy.Mode.HOLD, partitioned=process_ids)
+    client.sendall(b"1")
+    server.settimeout(SILENCE_S if is_affected else TIMEOUT_S)
+    with pytest.raises(TimeoutError) if is_affected else contextlib.nullcontext():
+        assert server.recv(100) == b"1"
+    client.close()
+    server.close()
