--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import http.client
+import json
 import os
 import random
 import signal
@@ -17,6 +18,7 @@
 from goldcresthall_stand_ins import deployment_store
 from goldcresthall_stand_ins import fleet
 
+from goldcresthall.ranges import ownership_tables
 from tests.features import deployment_system
 from tests.soak import callers
 from tests.soak import invariants
@@ -55,7 +57,7 @@
 
     def __init__(self, folder: pathlib.Path, number: int, store_proxy: proxy.Proxy) -> None:
         self.store_proxy = store_proxy
-        self.caller_port, self.readiness_port, self._peer_port, self._admin_port = (
+        self.caller_port, self.readiness_port, self.peer_port, self._admin_port = (
             fleet.reserve_port() for _ in range(4)
         )
         self._settings_file = folder / f"instance-{number}.toml"
@@ -64,7 +66,7 @@
                 name=f"instance-{number}",
                 callers=self.caller_port,
                 readiness=self.readiness_port,
-                peers=self._peer_port,
+                peers=self.peer_port,
                 admin=self._admin_port,
                 store=store_proxy.port,
             )
@@ -227,6 +229,12 @@
         soak_server.proxy.stop()
         soak_server.server.stop()
 
+    def find_lessor(self) -> SoakInstance | None:
+        """Return the instance that the stored ownership table names as lessor, if there is one."""
+        stored = self.store.read(ownership_tables.TOPIC, ownership_tables.KEY)
+        port = json.loads(stored)["lessor"]["address"]["port"] if stored else None
+        return next((found for found in self.instances if found.peer_port == port), None)
+
     def publish(self) -> int:
         """Write the next configuration, with a route that names its version; return the version."""
         with self._lock:
--- a/tests/soak/drawing.py
+++ b/tests/soak/drawing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 from typing import TYPE_CHECKING
 from typing import Final
@@ -24,6 +25,7 @@
     faults.StoreSlow,
     faults.ServerCrashed,
     faults.ServerDrained,
+    faults.ServerLeft,
     faults.ServerRestarted,
     faults.ConfigurationPublished,
 )
@@ -32,6 +34,7 @@
     mode for mode in proxy.Mode if mode not in {proxy.Mode.FORWARD, *PARTITION_MODES}
 )
 MAX_DURATION_S = 5.0
+LESSOR_FRACTION = 1 / 3
 # Long enough that a range of the server is given on, and that what was held up arrives after that.
 PARTITION_S = (2.0, 8.0)
 PARTIAL_FRACTION = 0.3
@@ -60,14 +63,19 @@
         if at_s >= soak_duration_s:
             return drawn_faults
         duration_s = min(generator.uniform(0.2, MAX_DURATION_S), soak_duration_s - at_s)
-        base = faults.Fault(at_s=at_s, duration_s=duration_s, index=generator.randrange(1_000))
+        base = faults.Fault(
+            at_s=at_s,
+            duration_s=duration_s,
+            index=generator.randrange(1_000),
+            at_lessor=generator.random() < LESSOR_FRACTION,
+        )
         drawn_faults.append(generator.choice(draws)(base, generator))
 
 
 def _draw_simple(
     kind: type[faults.Fault], base: faults.Fault, generator: random.Random
 ) -> faults.Fault:
-    return kind(at_s=base.at_s, duration_s=base.duration_s, index=base.index)
+    return kind(**dataclasses.asdict(base))
 
 
 def _draw_disrupted(
@@ -76,7 +84,7 @@
     generator: random.Random,
 ) -> faults.Fault:
     mode = generator.choice(DISRUPTIVE_MODES)
-    return kind(at_s=base.at_s, duration_s=base.duration_s, index=base.index, mode=mode)
+    return kind(**dataclasses.asdict(base), mode=mode)
 
 
 def _draw_partition(base: faults.Fault, generator: random.Random) -> faults.Fault:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,11 +30,14 @@
         duration.
     index
         Selects the affected instance or server, modulo their number.
+    at_lessor
+        Whether a fault of an instance affects the lessor instead.
     """
 
     at_s: float
     duration_s: float
     index: int
+    at_lessor: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,6 +94,11 @@
     """A server drains and shuts down after a replacement was started."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLeft(Fault):
+    """A server leaves without reporting that it drains, after a replacement was started."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServerRestarted(Fault):
     """A keyed server starts again under its name and registers some time later."""
@@ -132,7 +140,7 @@
 
 @inject.register
 def _(fault: InstanceKilled, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
-    instance = running.instances[fault.index % len(running.instances)]
+    instance = _find_instance(fault, running)
     killed = instance.process
     killed.kill()
     stopped.wait(fault.duration_s)
@@ -141,7 +149,7 @@
 
 @inject.register
 def _(fault: InstancePaused, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
-    instance = running.instances[fault.index % len(running.instances)]
+    instance = _find_instance(fault, running)
     instance.send_signal(signal.SIGSTOP)
     stopped.wait(fault.duration_s)
     running.checker.allow_late_grants()
@@ -152,7 +160,7 @@
 def _(
     fault: InstanceTerminated, running: deployment.SoakDeployment, stopped: threading.Event
 ) -> None:
-    instance = running.instances[fault.index % len(running.instances)]
+    instance = _find_instance(fault, running)
     terminated = instance.process
     terminated.terminate()
     stopped.wait(TERMINATION_GRACE_S)
@@ -164,14 +172,14 @@
 def _(
     fault: InstanceReloaded, running: deployment.SoakDeployment, stopped: threading.Event
 ) -> None:
-    running.instances[fault.index % len(running.instances)].send_signal(signal.SIGHUP)
+    _find_instance(fault, running).send_signal(signal.SIGHUP)
 
 
 @inject.register
 def _(
     fault: StoreConnectionsDisrupted, running: deployment.SoakDeployment, stopped: threading.Event
 ) -> None:
-    disrupted_proxy = running.instances[fault.index % len(running.instances)].store_proxy
+    disrupted_proxy = _find_instance(fault, running).store_proxy
     disrupted_proxy.set_mode(fault.mode)
     stopped.wait(fault.duration_s)
     disrupted_proxy.set_mode(proxy.Mode.FORWARD)
@@ -216,15 +224,17 @@
 
 @inject.register
 def _(fault: ServerDrained, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
-    servers = (*running.keyed, *running.unkeyed)
-    soak_server = servers[fault.index % len(servers)]
-    running.add_server(soak_server.server.name.partition("-")[0])
+    soak_server = _replace_server(fault, running)
     soak_server.server.register("draining", port=soak_server.proxy.port)
-    running.checker.record_drain(soak_server.server)
-    stopped.wait(SERVER_DRAIN_S)
-    with contextlib.suppress(ValueError):
-        running.remove_server(soak_server)
+    _finish_serving(soak_server, running, stopped)
+    soak_server.server.unregister()
+
+
+@inject.register
+def _(fault: ServerLeft, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
+    soak_server = _replace_server(fault, running)
     soak_server.server.unregister()
+    _finish_serving(soak_server, running, stopped)
 
 
 @inject.register
@@ -244,14 +254,37 @@
     running.publish()
 
 
+def _find_instance(fault: Fault, running: deployment.SoakDeployment) -> deployment.SoakInstance:
+    lessor = running.find_lessor() if fault.at_lessor else None
+    return lessor or running.instances[fault.index % len(running.instances)]
+
+
+def _replace_server(fault: Fault, running: deployment.SoakDeployment) -> deployment.SoakServer:
+    """Start a replacement for a server; return the server."""
+    servers = (*running.keyed, *running.unkeyed)
+    soak_server = servers[fault.index % len(servers)]
+    running.add_server(soak_server.server.name.partition("-")[0])
+    return soak_server
+
+
+def _finish_serving(
+    soak_server: deployment.SoakServer,
+    running: deployment.SoakDeployment,
+    stopped: threading.Event,
+) -> None:
+    """Let a server that the store knows to be leaving serve for some time; stop it then."""
+    running.checker.record_drain(soak_server.server)
+    stopped.wait(SERVER_DRAIN_S)
+    with contextlib.suppress(ValueError):
+        running.remove_server(soak_server)
+
+
 def _crash_server(fault: Fault, running: deployment.SoakDeployment) -> deployment.SoakServer | None:
     """Start a replacement for a server and crash the server.
 
     Returns `None` if another fault has removed the server already.
     """
-    servers = (*running.keyed, *running.unkeyed)
-    soak_server = servers[fault.index % len(servers)]
-    running.add_server(soak_server.server.name.partition("-")[0])
+    soak_server = _replace_server(fault, running)
     try:
         running.remove_server(soak_server)
     except ValueError:
