--- a/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
@@ -84,6 +84,8 @@
     ----------
     fault
         Fault of the responses to commands.
+    history
+        The responses to commands so far.
     extra_work_s
         Added to the run time of each request, in seconds.
     """
@@ -107,7 +109,7 @@
         self._on_grant = on_grant
         self._lock = threading.Lock()
         self._work_ended = threading.Condition(self._lock)
-        self._history = server_faults.ResponseHistory()
+        self.history = server_faults.ResponseHistory()
         self.fault = server_faults.ServerFault()
         self.extra_work_s = 0.0
         self._running: set[_RunningWork] = set()
@@ -214,7 +216,7 @@
             functools.partial(execute, json.loads(request.body), self._started_ms),
             time.monotonic(),
         )
-        return server_faults.respond(self.fault, command, self._history)
+        return server_faults.respond(self.fault, command, self.history)
 
     def _grant(
         self, command: dict[str, int | float], started_ms: int, arrived_at_s: float
--- a/stand_ins/src/goldcresthall_stand_ins/server_faults.py
+++ b/stand_ins/src/goldcresthall_stand_ins/server_faults.py
@@ -70,9 +70,16 @@
 
 
 class ResponseHistory:
-    """The responses to commands that a server has sent, by connection and kind."""
+    """The responses to commands that a server has sent, by connection and kind.
+
+    Attributes
+    ----------
+    copied
+        Set when a copy is about to be sent.
+    """
 
     def __init__(self) -> None:
+        self.copied = threading.Event()
         self._lock = threading.Lock()
         self._refusal: web.Response | None = None
         self._successes: weakref.WeakKeyDictionary[object, web.Response] = (
@@ -158,4 +165,5 @@
 ) -> web.Response:
     """Execute a command; return the copy, with the true response after it if there is one."""
     response = _execute(command, history)
+    history.copied.set()
     return dataclasses.replace(response, preceded_by=copy) if is_followed else copy
--- a/tests/soak/drawing.py
+++ b/tests/soak/drawing.py
@@ -39,7 +39,7 @@
 PARTITION_S = (2.0, 8.0)
 PARTIAL_FRACTION = 0.3
 COMMAND_FAULT_S = (1.0, 6.0)
-FOLLOWING_PARTITION_S = (1.5, 4.0)
+FOLLOWING_PARTITION_S = (3.0, 6.0)
 GRANT_DELAY_S = (2.0, 6.0)
 EXTRA_WORK_S = (0.2, 1.5)
 
@@ -101,17 +101,19 @@
     is_followed = generator.random() < 0.5
     fault = generator.choice(
         (
+            server_faults.RefusalsCopied(is_followed),
             server_faults.RefusalsCopied(is_followed),
             server_faults.SuccessesCopied(is_followed),
             server_faults.GrantsDelayed(generator.uniform(*GRANT_DELAY_S)),
         )
     )
+    partition_s = generator.uniform(*FOLLOWING_PARTITION_S)
     return server_fault_kinds.CommandsFaulty(
         at_s=base.at_s,
         duration_s=generator.uniform(*COMMAND_FAULT_S),
         index=base.index,
         fault=fault,
-        partition_s=generator.choice((0.0, generator.uniform(*FOLLOWING_PARTITION_S))),
+        partition_s=generator.choice((0.0, partition_s, partition_s)),
     )
 
 
--- a/tests/soak/server_fault_kinds.py
+++ b/tests/soak/server_fault_kinds.py
@@ -14,6 +14,9 @@
 if TYPE_CHECKING:
     import threading
 
+MAX_COPY_WAIT_S = 1.5  # longer than the time between two renewals
+COPY_DELIVERY_S = 0.03
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServerPartitioned(faults.Fault):
@@ -31,7 +34,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CommandsFaulty(faults.Fault):
-    """A keyed server responds to commands with a fault, and is cut off afterwards.
+    """A keyed server responds to commands with a fault, and is cut off after a copied response.
 
     Attributes
     ----------
@@ -71,6 +74,9 @@
     soak_server.server.fault = fault.fault
     stopped.wait(fault.duration_s)
     if fault.partition_s:
+        soak_server.server.history.copied.clear()
+        if soak_server.server.history.copied.wait(MAX_COPY_WAIT_S):
+            stopped.wait(COPY_DELIVERY_S)
         _partition(soak_server, _Cut(proxy.Mode.HOLD, fault.partition_s), running, stopped)
     soak_server.server.fault = server_faults.ServerFault()
 
