--- a/stand_ins/src/goldcresthall_stand_ins/web.py
+++ b/stand_ins/src/goldcresthall_stand_ins/web.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import contextlib
 import dataclasses
 import socket
 import threading
@@ -125,7 +126,8 @@
         )
         response = self.handle_request(request)
         if response.is_withheld:
-            environ[CONNECTION].socket.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):  # the client may have closed it already
+                environ[CONNECTION].socket.shutdown(socket.SHUT_RDWR)
             return []
         if response.preceded_by is not None:
             environ[CONNECTION].wfile.write(response.preceded_by.encode())
--- a/tests/soak/drawing.py
+++ b/tests/soak/drawing.py
@@ -114,6 +114,7 @@
         index=base.index,
         fault=fault,
         partition_s=generator.choice((0.0, partition_s, partition_s)),
+        resets=not is_followed,
     )
 
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -12,6 +12,7 @@
 
 from tests.soak import client_processes
 from tests.soak import held_stream
+from tests.soak import listener
 
 if TYPE_CHECKING:
     from collections.abc import Set
@@ -60,8 +61,8 @@
         self._is_partitioned: dict[socket.socket, bool] = {}
         self._open_sockets: set[socket.socket] = set()
         self._is_stopped = False
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.port = int(self._listener.getsockname()[1])
+        self._listener = listener.Listener()
+        self.port = self._listener.port
         threading.Thread(target=self._accept, daemon=True).start()
 
     def set_mode(self, mode: Mode, *, partitioned: frozenset[int] | None = None) -> None:
@@ -73,6 +74,7 @@
         with self._lock:
             before, self._mode = self._mode, mode
             self._partitioned = partitioned
+            self._listener.set_hanging(mode in PARTITIONS and partitioned is None)
             self._is_partitioned = {}
             affected = (
                 tuple(self._open_sockets) if _drops_bytes(mode) or _drops_bytes(before) else ()
@@ -84,8 +86,6 @@
     def stop(self) -> None:
         """Stop listening and reset the open connections."""
         self._is_stopped = True
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         with self._lock:
             affected = tuple(self._open_sockets)
@@ -93,11 +93,7 @@
             held_stream.reset(connection)
 
     def _accept(self) -> None:
-        while not self._is_stopped:
-            try:
-                accepted, _ = self._listener.accept()
-            except OSError:
-                return
+        while (accepted := self._listener.accept()) is not None:
             if self._mode in {Mode.RESET, Mode.REFUSE}:
                 held_stream.reset(accepted)
                 accepted.close()
--- a/tests/soak/server_fault_kinds.py
+++ b/tests/soak/server_fault_kinds.py
@@ -40,10 +40,13 @@
     ----------
     partition_s
         Seconds for which it is cut off; zero if it is not.
+    resets
+        Whether its connections are reset just before.
     """
 
     fault: server_faults.ServerFault
     partition_s: float
+    resets: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +80,8 @@
         soak_server.server.history.copied.clear()
         if soak_server.server.history.copied.wait(MAX_COPY_WAIT_S):
             stopped.wait(COPY_DELIVERY_S)
+        if fault.resets:
+            soak_server.proxy.set_mode(proxy.Mode.RESET)
         _partition(soak_server, _Cut(proxy.Mode.HOLD, fault.partition_s), running, stopped)
     soak_server.server.fault = server_faults.ServerFault()
 
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -108,20 +108,30 @@
     server.close()
 
 
-def test_connection_given_up_during_the_partition_delivers_nothing(
+def test_connection_is_not_established_before_the_partition_heals(
     listener: socket.socket, partition: proxy.Proxy
 ) -> None:
     partition.set_mode(proxy.Mode.HOLD)
-    with socket.create_connection(("127.0.0.1", partition.port), TIMEOUT_S) as given_up:
-        given_up.sendall(b"1")
-    with socket.create_connection(("127.0.0.1", partition.port), TIMEOUT_S) as waiting:
-        waiting.sendall(b"2")
+    with pytest.raises(TimeoutError):
+        socket.create_connection(("127.0.0.1", partition.port), SILENCE_S)
+    with socket.socket() as waiting:
+        waiting.setblocking(False)
+        waiting.connect_ex(("127.0.0.1", partition.port))
         partition.set_mode(proxy.Mode.FORWARD)
         server, _ = listener.accept()
-        server.settimeout(TIMEOUT_S)
-        assert server.recv(100) == b"2"
         server.close()
-    listener.settimeout(SILENCE_S)
+
+
+def test_connection_given_up_during_a_partial_partition_delivers_nothing(
+    listener: socket.socket, partition: proxy.Proxy
+) -> None:
+    partition.set_mode(proxy.Mode.HOLD, partitioned=frozenset({os.getpid()}))
+    with socket.create_connection(("127.0.0.1", partition.port), TIMEOUT_S) as given_up:
+        given_up.sendall(b"1")
+        listener.settimeout(SILENCE_S)
+        with pytest.raises(TimeoutError):
+            listener.accept()
+    partition.set_mode(proxy.Mode.FORWARD)
     with pytest.raises(TimeoutError):
         listener.accept()
 
