--- a/stand_ins/src/goldcresthall_stand_ins/web.py
+++ b/stand_ins/src/goldcresthall_stand_ins/web.py
@@ -128,6 +128,7 @@
         if response.is_withheld:
             with contextlib.suppress(OSError):  # the client may have closed it already
                 environ[CONNECTION].socket.shutdown(socket.SHUT_RDWR)
+            start_response("503 -", [("Content-Length", "0")])  # the server insists on a status
             return []
         if response.preceded_by is not None:
             environ[CONNECTION].wfile.write(response.preceded_by.encode())
