--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,14 +8,10 @@
 import signal
 import threading
 import time
-from typing import TYPE_CHECKING
 
 from tests.soak import deployment
 from tests.soak import proxy
 
-if TYPE_CHECKING:
-    import random
-
 SERVER_ENTRY_EXPIRY_S = 2.6
 SERVER_DRAIN_S = 3.0
 SERVER_REGISTRATION_DELAY_S = 0.9
@@ -34,11 +30,14 @@
         duration.
     index
         Selects the affected instance or server, modulo their number.
+    at_lessor
+        Whether a fault of an instance affects the lessor instead.
     """
 
     at_s: float
     duration_s: float
     index: int
+    at_lessor: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -95,6 +94,11 @@
     """A server drains and shuts down after a replacement was started."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLeft(Fault):
+    """A server leaves without reporting that it drains, after a replacement was started."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServerRestarted(Fault):
     """A keyed server starts again under its name and registers some time later."""
@@ -105,42 +109,8 @@
     """The next version of the configuration is published."""
 
 
-DISRUPTIVE_MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.FORWARD)
 TERMINATION_GRACE_S = 6.0
 
-
-def draw_faults(generator: random.Random, soak_duration_s: float, rate_per_s: float) -> list[Fault]:
-    """Return random faults that may overlap, ordered by start time."""
-    simple_kinds = (
-        InstanceKilled,
-        InstancePaused,
-        InstanceTerminated,
-        InstanceReloaded,
-        StoreUnavailable,
-        StoreSlow,
-        ServerCrashed,
-        ServerDrained,
-        ServerRestarted,
-        ConfigurationPublished,
-    )
-    drawn_faults: list[Fault] = []
-    at_s = 0.0
-    while True:
-        at_s += generator.expovariate(rate_per_s)
-        if at_s >= soak_duration_s:
-            return drawn_faults
-        duration_s = min(generator.uniform(0.2, 5.0), soak_duration_s - at_s)
-        index = generator.randrange(1_000)
-        kind = generator.choice(
-            (*simple_kinds, StoreConnectionsDisrupted, ServerConnectionsDisrupted)
-        )
-        if kind in {StoreConnectionsDisrupted, ServerConnectionsDisrupted}:
-            mode = generator.choice(DISRUPTIVE_MODES)
-            drawn_faults.append(kind(at_s=at_s, duration_s=duration_s, index=index, mode=mode))
-        else:
-            drawn_faults.append(kind(at_s=at_s, duration_s=duration_s, index=index))
-
-
 # Faults during which instances may not learn in time what the store has accepted.
 DISTURBING_KINDS = (
     InstanceKilled,
@@ -170,7 +140,7 @@
 
 @inject.register
 def _(fault: InstanceKilled, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
-    instance = running.instances[fault.index % len(running.instances)]
+    instance = _find_instance(fault, running)
     killed = instance.process
     killed.kill()
     stopped.wait(fault.duration_s)
@@ -179,7 +149,7 @@
 
 @inject.register
 def _(fault: InstancePaused, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
-    instance = running.instances[fault.index % len(running.instances)]
+    instance = _find_instance(fault, running)
     instance.send_signal(signal.SIGSTOP)
     stopped.wait(fault.duration_s)
     running.checker.allow_late_grants()
@@ -190,7 +160,7 @@
 def _(
     fault: InstanceTerminated, running: deployment.SoakDeployment, stopped: threading.Event
 ) -> None:
-    instance = running.instances[fault.index % len(running.instances)]
+    instance = _find_instance(fault, running)
     terminated = instance.process
     terminated.terminate()
     stopped.wait(TERMINATION_GRACE_S)
@@ -202,14 +172,14 @@
 def _(
     fault: InstanceReloaded, running: deployment.SoakDeployment, stopped: threading.Event
 ) -> None:
-    running.instances[fault.index % len(running.instances)].send_signal(signal.SIGHUP)
+    _find_instance(fault, running).send_signal(signal.SIGHUP)
 
 
 @inject.register
 def _(
     fault: StoreConnectionsDisrupted, running: deployment.SoakDeployment, stopped: threading.Event
 ) -> None:
-    disrupted_proxy = running.instances[fault.index % len(running.instances)].store_proxy
+    disrupted_proxy = _find_instance(fault, running).store_proxy
     disrupted_proxy.set_mode(fault.mode)
     stopped.wait(fault.duration_s)
     disrupted_proxy.set_mode(proxy.Mode.FORWARD)
@@ -254,15 +224,17 @@
 
 @inject.register
 def _(fault: ServerDrained, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
-    servers = (*running.keyed, *running.unkeyed)
-    soak_server = servers[fault.index % len(servers)]
-    running.add_server(soak_server.server.name.partition("-")[0])
+    soak_server = _replace_server(fault, running)
     soak_server.server.register("draining", port=soak_server.proxy.port)
-    running.checker.record_drain(soak_server.server)
-    stopped.wait(SERVER_DRAIN_S)
-    with contextlib.suppress(ValueError):
-        running.remove_server(soak_server)
+    _finish_serving(soak_server, running, stopped)
+    soak_server.server.unregister()
+
+
+@inject.register
+def _(fault: ServerLeft, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
+    soak_server = _replace_server(fault, running)
     soak_server.server.unregister()
+    _finish_serving(soak_server, running, stopped)
 
 
 @inject.register
@@ -282,14 +254,37 @@
     running.publish()
 
 
+def _find_instance(fault: Fault, running: deployment.SoakDeployment) -> deployment.SoakInstance:
+    lessor = running.find_lessor() if fault.at_lessor else None
+    return lessor or running.instances[fault.index % len(running.instances)]
+
+
+def _replace_server(fault: Fault, running: deployment.SoakDeployment) -> deployment.SoakServer:
+    """Start a replacement for a server; return the server."""
+    servers = (*running.keyed, *running.unkeyed)
+    soak_server = servers[fault.index % len(servers)]
+    running.add_server(soak_server.server.name.partition("-")[0])
+    return soak_server
+
+
+def _finish_serving(
+    soak_server: deployment.SoakServer,
+    running: deployment.SoakDeployment,
+    stopped: threading.Event,
+) -> None:
+    """Let a server that the store knows to be leaving serve for some time; stop it then."""
+    running.checker.record_drain(soak_server.server)
+    stopped.wait(SERVER_DRAIN_S)
+    with contextlib.suppress(ValueError):
+        running.remove_server(soak_server)
+
+
 def _crash_server(fault: Fault, running: deployment.SoakDeployment) -> deployment.SoakServer | None:
     """Start a replacement for a server and crash the server.
 
     Returns `None` if another fault has removed the server already.
     """
-    servers = (*running.keyed, *running.unkeyed)
-    soak_server = servers[fault.index % len(servers)]
-    running.add_server(soak_server.server.name.partition("-")[0])
+    soak_server = _replace_server(fault, running)
     try:
         running.remove_server(soak_server)
     except ValueError:
