--- /dev/null
+++ b/tests/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
--- /dev/null
+++ b/tests/stand_ins/rules/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checker of the rules on records made by hand."""
--- /dev/null
+++ b/tests/stand_ins/rules/examples.py
@@ -0,0 +1,234 @@
+"""Short constructors of events and checks of records made by hand."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+from goldcresthall_stand_ins.rules import events
+from goldcresthall_stand_ins.rules import record as records
+from goldcresthall_stand_ins.rules import rulebook
+
+if TYPE_CHECKING:
+    from goldcresthall_stand_ins.rules import bounds
+    from goldcresthall_stand_ins.rules import violations
+
+ALL_KEYS = (0, 99)
+_disturbance_numbers = itertools.count()
+
+
+def find_violations(
+    *recorded: events.Event, limits: bounds.Bounds | None = None
+) -> list[violations.Violation]:
+    """Return the broken rules of some events."""
+    return rulebook.check(records.Record.from_events(recorded, limits))
+
+
+def find_broken_rules(*recorded: events.Event, limits: bounds.Bounds | None = None) -> set[str]:
+    """Return the names of the broken rules of some events."""
+    return {violation.rule for violation in find_violations(*recorded, limits=limits)}
+
+
+def grant(
+    at_s: float,
+    server: str,
+    fence: int,
+    *,
+    keys: tuple[int, int] = ALL_KEYS,
+    lease_s: float = 4.0,
+    incarnation: int = 1,
+    arrived_at_s: float | None = None,
+    sent_at_s: float | None = None,
+) -> events.GrantTaken:
+    """Return a grant by instance `lessor`."""
+    return events.GrantTaken(
+        at_s=at_s,
+        server=server,
+        incarnation=incarnation,
+        first_key=keys[0],
+        last_key=keys[1],
+        fence=fence,
+        lease_s=lease_s,
+        arrived_at_s=at_s if arrived_at_s is None else arrived_at_s,
+        sent_at_s=sent_at_s,
+        sender="lessor",
+    )
+
+
+def release(
+    at_s: float, server: str, *, keys: tuple[int, int] = ALL_KEYS, incarnation: int = 1
+) -> events.KeysReleased:
+    """Return a release of keys."""
+    return events.KeysReleased(
+        at_s=at_s, server=server, incarnation=incarnation, first_key=keys[0], last_key=keys[1]
+    )
+
+
+def start(at_s: float, server: str, incarnation: int = 1) -> events.ServerStarted:
+    """Return the start of a server of service `agenda`."""
+    return events.ServerStarted(
+        at_s=at_s, server=server, incarnation=incarnation, service="agenda", address="a:1"
+    )
+
+
+def end(at_s: float, server: str, incarnation: int = 1) -> events.ServerEnded:
+    """Return the end of a server process."""
+    return events.ServerEnded(at_s=at_s, server=server, incarnation=incarnation)
+
+
+def arrival(
+    at_s: float,
+    server: str,
+    request_id: str = "r1",
+    *,
+    instance: str = "edge",
+    incarnation: int = 1,
+    service: str = "agenda",
+    method: str = "GET",
+    path: str = "/item",
+    body_digest: str = "",
+    deadline_s: float | None = None,
+    is_health_check: bool = False,
+) -> events.RequestArrived:
+    """Return the arrival of a request at a server."""
+    return events.RequestArrived(
+        at_s=at_s,
+        server=server,
+        incarnation=incarnation,
+        service=service,
+        request_id=request_id,
+        instance=instance,
+        method=method,
+        path=path,
+        body_digest=body_digest,
+        deadline_s=deadline_s,
+        is_health_check=is_health_check,
+    )
+
+
+def begin(
+    at_s: float,
+    server: str,
+    request_id: str = "r1",
+    *,
+    key: int | None = None,
+    incarnation: int = 1,
+) -> events.RequestBegan:
+    """Return the begin of the work on a request."""
+    return events.RequestBegan(
+        at_s=at_s, server=server, incarnation=incarnation, request_id=request_id, key=key
+    )
+
+
+def finish(
+    at_s: float,
+    server: str,
+    request_id: str = "r1",
+    *,
+    status: int = 200,
+    signature: str = "signed",
+    body_digest: str = "body",
+    is_complete: bool = True,
+    incarnation: int = 1,
+) -> events.RequestEnded:
+    """Return the end of the work on a request."""
+    return events.RequestEnded(
+        at_s=at_s,
+        server=server,
+        incarnation=incarnation,
+        request_id=request_id,
+        status=status,
+        signature=signature,
+        body_digest=body_digest,
+        is_complete=is_complete,
+    )
+
+
+def refusal(
+    at_s: float,
+    server: str,
+    request_id: str = "r1",
+    *,
+    instance: str = "edge",
+    status: int = 503,
+    signature: str = "",
+    retry_after_s: float | None = None,
+) -> events.RequestRefused:
+    """Return the refusal of a request by a server."""
+    return events.RequestRefused(
+        at_s=at_s,
+        server=server,
+        incarnation=1,
+        request_id=request_id,
+        instance=instance,
+        status=status,
+        signature=signature,
+        retry_after_s=retry_after_s,
+    )
+
+
+def sending(
+    at_s: float,
+    request_id: str = "r1",
+    *,
+    instance: str = "edge",
+    is_idempotent: bool = True,
+    deadline_s: float | None = None,
+    route: str = "",
+    method: str = "GET",
+    path: str = "/item",
+    body_digest: str = "",
+) -> events.CallerSent:
+    """Return a request of a caller, on a connection of its own."""
+    return events.CallerSent(
+        at_s=at_s,
+        request_id=request_id,
+        instance=instance,
+        connection=f"connection-{request_id}",
+        is_idempotent=is_idempotent,
+        deadline_s=deadline_s,
+        route=route,
+        method=method,
+        path=path,
+        body_digest=body_digest,
+    )
+
+
+def answer(
+    at_s: float,
+    request_id: str = "r1",
+    *,
+    status: int = 200,
+    signature: str = "signed",
+    body_digest: str = "body",
+    echoed_id: str = "",
+    is_complete: bool = True,
+    is_valid: bool = True,
+) -> events.CallerAnswered:
+    """Return a response to a caller."""
+    return events.CallerAnswered(
+        at_s=at_s,
+        request_id=request_id,
+        connection=f"connection-{request_id}",
+        status=status,
+        signature=signature,
+        echoed_id=echoed_id,
+        body_digest=body_digest,
+        is_complete=is_complete,
+        is_valid=is_valid,
+    )
+
+
+def disturb(
+    from_s: float,
+    until_s: float,
+    kind: events.DisturbanceKind,
+    instance: str = "",
+    peer: str = "",
+) -> tuple[events.Event, events.Event]:
+    """Return the begin and the end of a disturbance."""
+    number = next(_disturbance_numbers)
+    began = events.DisturbanceBegan(
+        at_s=from_s, number=number, kind=kind, instance=instance, peer=peer
+    )
+    return began, events.DisturbanceEnded(at_s=until_s, number=number)
