--- a/stand_ins/src/goldcresthall_stand_ins/rules/__init__.py
+++ b/stand_ins/src/goldcresthall_stand_ins/rules/__init__.py
@@ -1,4 +1,4 @@
 """Checks a record of a run against the rules of the platform, apart from any fault injection.
 
-Not yet checked: DRAIN, TWICE, REFUSED, MIXED, UNASKED, LOST, BUDGET, GONE, CONFIG.
+Not yet checked: UNASKED, LOST, BUDGET, GONE, CONFIG.
 """
--- a/stand_ins/src/goldcresthall_stand_ins/rules/events.py
+++ b/stand_ins/src/goldcresthall_stand_ins/rules/events.py
@@ -88,7 +88,7 @@
         Shard key; `None` if the request has none.
     method, path, body_digest
         What arrived; the path includes the query. The digest is empty if the server has not
-        read the whole body.
+        read the whole body; `RequestBodyRead` may follow.
     deadline_s
         Time left according to the request, in seconds; `None` if the request has no deadline.
     is_health_check
@@ -108,6 +108,16 @@
     is_health_check: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestBodyRead(Event):
+    """A server has read the whole body of a request, perhaps after its response."""
+
+    server: str
+    incarnation: int
+    request_id: str
+    body_digest: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RequestBegan(Event):
     """A server began to work on a request."""
@@ -171,7 +181,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallerSent(Event):
-    """A caller sent the last byte of a request.
+    """A caller sent a request; `at_s` is when it had sent the last byte or gave up sending.
 
     Attributes
     ----------
@@ -241,6 +251,14 @@
     connection: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReadinessAnswered(Event):
+    """An instance was asked whether it is ready; no answer counts as not ready."""
+
+    instance: str
+    is_ready: bool
+
+
 class ServerState(enum.Enum):
     """State of a server according to the store."""
 
--- a/tests/stand_ins/rules/examples.py
+++ b/tests/stand_ins/rules/examples.py
@@ -232,3 +232,22 @@
         at_s=from_s, number=number, kind=kind, instance=instance, peer=peer
     )
     return began, events.DisturbanceEnded(at_s=until_s, number=number)
+
+
+def acknowledge(
+    at_s: float, server: str, state: events.ServerState, incarnation: int = 1
+) -> events.ServerStateAcknowledged:
+    """Return the store's acknowledgement of a server's state."""
+    return events.ServerStateAcknowledged(
+        at_s=at_s, server=server, incarnation=incarnation, state=state
+    )
+
+
+def say_leaving(at_s: float, server: str, instance: str = "edge") -> events.LeavingSaid:
+    """Return a passed-on response in which a server says that it is leaving."""
+    return events.LeavingSaid(at_s=at_s, server=server, incarnation=1, instance=instance)
+
+
+def readiness(at_s: float, instance: str, *, is_ready: bool) -> events.ReadinessAnswered:
+    """Return the answer of an instance to the question whether it is ready."""
+    return events.ReadinessAnswered(at_s=at_s, instance=instance, is_ready=is_ready)
