--- a/stand_ins/src/goldcresthall_stand_ins/rules/disturbances.py
+++ b/stand_ins/src/goldcresthall_stand_ins/rules/disturbances.py
@@ -15,7 +15,7 @@
 PROCESS_KINDS = frozenset(
     {Kind.KILLED, Kind.STARTED, Kind.TERMINATED, Kind.FROZEN, Kind.SLOWED, Kind.CONNECTIONS_RESET}
 )
-RESTART_KINDS = frozenset({Kind.KILLED, Kind.STARTED, Kind.TERMINATED})
+RESTART_KINDS = frozenset({Kind.KILLED, Kind.STARTED})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +72,16 @@
             for span in self.spans
         )
 
+    def was_link_cut(self, instance: str, peer: str, from_s: float, until_s: float) -> bool:
+        """Return whether the link of an instance and a peer was cut between two times."""
+        return any(
+            span.began.kind is Kind.LINK_CUT
+            and span.began.instance in {instance, ""}
+            and span.began.peer in {peer, ""}
+            and span.overlaps(from_s, until_s)
+            for span in self.spans
+        )
+
     def was_restarted_or_frozen(self, instance: str, from_s: float, until_s: float) -> bool:
         """Return whether an instance restarted or froze at any time between two times."""
         kinds = RESTART_KINDS | {Kind.FROZEN}
@@ -82,6 +92,33 @@
             for span in self.spans
         )
 
+    def was_restarted(self, instance: str, from_s: float, until_s: float) -> bool:
+        """Return whether an instance restarted at any time between two times."""
+        return any(
+            span.began.kind in RESTART_KINDS
+            and span.began.instance == instance
+            and span.overlaps(from_s, until_s)
+            for span in self.spans
+        )
+
+    def was_slowed(self, instance: str, from_s: float, until_s: float) -> bool:
+        """Return whether an instance was slowed at any time between two times."""
+        return any(
+            span.began.kind is Kind.SLOWED
+            and span.began.instance == instance
+            and span.overlaps(from_s, until_s)
+            for span in self.spans
+        )
+
+    def was_cut(self, instance: str, from_s: float, until_s: float) -> bool:
+        """Return whether any link of an instance was cut at any time between two times."""
+        return any(
+            span.began.kind is Kind.LINK_CUT
+            and span.began.instance in {instance, ""}
+            and span.overlaps(from_s, until_s)
+            for span in self.spans
+        )
+
     def may_be_late(self, grant: events.GrantTaken, thaw_s: float) -> bool:
         """Return whether a grant arrived just after its sender or a link has recovered."""
         return any(
--- a/stand_ins/src/goldcresthall_stand_ins/rules/events.py
+++ b/stand_ins/src/goldcresthall_stand_ins/rules/events.py
@@ -9,6 +9,8 @@
 import dataclasses
 import enum
 
+from goldcresthall_stand_ins.rules import routes as config_routes
+
 STORE = "store"  # name of the platform's store as the peer of a link or a disturbed target
 
 
@@ -191,8 +193,8 @@
         Unique to the caller's connection.
     deadline_s
         For how long the caller waits, in seconds.
-    route
-        Name of the route that the caller means; empty if it means none.
+    host, path
+        They select the route; the path includes the query.
     body_digest
         Digest of the whole body, computed as the servers compute it.
     """
@@ -202,9 +204,9 @@
     connection: str
     is_idempotent: bool
     deadline_s: float | None = None
-    route: str = ""
     key: int | None = None
     method: str = "GET"
+    host: str = ""
     path: str = "/"
     body_digest: str = ""
 
@@ -276,29 +278,6 @@
     state: ServerState
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Route:
-    """A route of a configuration version.
-
-    Attributes
-    ----------
-    services
-        Services that may run its requests; more than one if the traffic is split.
-    timeout_s
-        Longest time that a request may be kept waiting, in seconds.
-    max_attempts
-        Number of servers to which one request may be sent.
-    """
-
-    name: str
-    host: str
-    path_prefix: str
-    services: tuple[str, ...]
-    timeout_s: float
-    max_attempts: int
-    is_idempotent: bool
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigurationAcknowledged(Event):
     """The store acknowledged a version of the configuration.
@@ -311,7 +290,7 @@
 
     version: int
     sent_at_s: float
-    routes: tuple[Route, ...]
+    routes: tuple[config_routes.Route, ...]
 
 
 class DisturbanceKind(enum.Enum):
--- a/stand_ins/src/goldcresthall_stand_ins/rules/request_index.py
+++ b/stand_ins/src/goldcresthall_stand_ins/rules/request_index.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import operator
 from typing import TYPE_CHECKING
 from typing import Protocol
 from typing import TypeVar
@@ -38,6 +39,8 @@
         What servers saw, in order; health checks are left out.
     answered
         Responses that callers received, in order.
+    server_ends
+        Ends of server processes, in order.
     """
 
     def __init__(self, record: records.Record) -> None:
@@ -49,12 +52,33 @@
         self.ended = _group(record.select(events.RequestEnded))
         self.refused = _group(record.select(events.RequestRefused))
         self.answered = _group(record.select(events.CallerAnswered))
+        self.server_ends = record.select(events.ServerEnded)
 
     def is_idempotent(self, request_id: str) -> bool:
         """Return whether a request may run more than once; unknown requests count as such."""
         sent = self.sent.get(request_id)
         return sent is None or sent.is_idempotent
 
+    def find_run(self, arrival: events.RequestArrived) -> events.RequestBegan | None:
+        """Return the run of a request at the server that it reached; `None` if it did not run."""
+        for began in self.began.get(arrival.request_id, ()):
+            if began.server == arrival.server and began.incarnation == arrival.incarnation:
+                return began
+        return None
+
+    def find_run_end(
+        self, began: events.RequestBegan
+    ) -> events.RequestEnded | events.ServerEnded | None:
+        """Return the event with which a run ended; `None` if it still ran at the end."""
+        same_run = [
+            event
+            for event in (*self.ended.get(began.request_id, ()), *self.server_ends)
+            if event.server == began.server
+            and event.incarnation == began.incarnation
+            and event.at_s >= began.at_s
+        ]
+        return min(same_run, key=operator.attrgetter("at_s"), default=None)
+
     def was_misdirected(self, arrival: events.RequestArrived) -> bool:
         """Return whether the server rejected a request because it was meant for another."""
         return any(
--- a/tests/stand_ins/rules/examples.py
+++ b/tests/stand_ins/rules/examples.py
@@ -7,6 +7,7 @@
 
 from goldcresthall_stand_ins.rules import events
 from goldcresthall_stand_ins.rules import record as records
+from goldcresthall_stand_ins.rules import routes as config_routes
 from goldcresthall_stand_ins.rules import rulebook
 
 if TYPE_CHECKING:
@@ -153,12 +154,13 @@
     status: int = 503,
     signature: str = "",
     retry_after_s: float | None = None,
+    incarnation: int = 1,
 ) -> events.RequestRefused:
     """Return the refusal of a request by a server."""
     return events.RequestRefused(
         at_s=at_s,
         server=server,
-        incarnation=1,
+        incarnation=incarnation,
         request_id=request_id,
         instance=instance,
         status=status,
@@ -174,21 +176,24 @@
     instance: str = "edge",
     is_idempotent: bool = True,
     deadline_s: float | None = None,
-    route: str = "",
+    key: int | None = None,
     method: str = "GET",
+    host: str = "host",
     path: str = "/item",
     body_digest: str = "",
+    connection: str = "",
 ) -> events.CallerSent:
-    """Return a request of a caller, on a connection of its own."""
+    """Return a request of a caller, by default on a connection of its own."""
     return events.CallerSent(
         at_s=at_s,
         request_id=request_id,
         instance=instance,
-        connection=f"connection-{request_id}",
+        connection=connection or f"connection-{request_id}",
         is_idempotent=is_idempotent,
         deadline_s=deadline_s,
-        route=route,
+        key=key,
         method=method,
+        host=host,
         path=path,
         body_digest=body_digest,
     )
@@ -204,12 +209,13 @@
     echoed_id: str = "",
     is_complete: bool = True,
     is_valid: bool = True,
+    connection: str = "",
 ) -> events.CallerAnswered:
     """Return a response to a caller."""
     return events.CallerAnswered(
         at_s=at_s,
         request_id=request_id,
-        connection=f"connection-{request_id}",
+        connection=connection or f"connection-{request_id}",
         status=status,
         signature=signature,
         echoed_id=echoed_id,
@@ -251,3 +257,44 @@
 def readiness(at_s: float, instance: str, *, is_ready: bool) -> events.ReadinessAnswered:
     """Return the answer of an instance to the question whether it is ready."""
     return events.ReadinessAnswered(at_s=at_s, instance=instance, is_ready=is_ready)
+
+
+def cut_off(at_s: float, request_id: str = "r1", *, connection: str = "") -> events.CallerCutOff:
+    """Return the end of a connection before a complete response."""
+    return events.CallerCutOff(
+        at_s=at_s, request_id=request_id, connection=connection or f"connection-{request_id}"
+    )
+
+
+def leave(at_s: float, request_id: str = "r1") -> events.CallerLeft:
+    """Return a caller that closes its connection before a response."""
+    return events.CallerLeft(
+        at_s=at_s, request_id=request_id, connection=f"connection-{request_id}"
+    )
+
+
+def route(
+    *services: str,
+    path_prefix: str = "/item",
+    weights: tuple[float, ...] = (),
+    timeout_s: float = 2.0,
+    max_attempts: int = 2,
+) -> config_routes.Route:
+    """Return a route to services, by default with equal weights."""
+    parts = tuple(
+        config_routes.TrafficPart(service, weights[index] if weights else 1.0)
+        for index, service in enumerate(services)
+    )
+    return config_routes.Route(path_prefix, "host", path_prefix, parts, timeout_s, max_attempts)
+
+
+def configure(
+    at_s: float, version: int, *routes: config_routes.Route, sent_at_s: float | None = None
+) -> events.ConfigurationAcknowledged:
+    """Return the store's acknowledgement of a configuration version."""
+    return events.ConfigurationAcknowledged(
+        at_s=at_s,
+        sent_at_s=at_s if sent_at_s is None else sent_at_s,
+        version=version,
+        routes=routes,
+    )
--- a/tests/stand_ins/rules/test_record.py
+++ b/tests/stand_ins/rules/test_record.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     import pathlib
 
-ROUTE = events.Route("r", "host", "/item/", ("agenda",), 2.0, 3, is_idempotent=True)
+ROUTE = examples.route("agenda", "ledger", weights=(3.0, 1.0))
 
 
 def test_written_record_reads_back_whole(tmp_path: pathlib.Path) -> None:
