--- a/tests/stand_ins/rules/test_cutoffs.py
+++ b/tests/stand_ins/rules/test_cutoffs.py
@@ -46,6 +46,10 @@
         (4, True, True, (examples.end(10.2, "a"),), KEPT),
         (4, True, True, (examples.end(10.2, "b"),), BROKEN),
         (4, True, True, (examples.finish(10.2, "a", "r0", is_complete=False),), KEPT),
+        (4, True, True, (examples.end(10.2, "a", 2),), BROKEN),
+        (4, True, True, (examples.end(10.0, "a"),), BROKEN),
+        (4, True, True, (examples.finish(10.2, "b", "r0", is_complete=False),), BROKEN),
+        (4, True, True, (examples.finish(10.6, "a", "r0", is_complete=False),), BROKEN),
         (4, True, True, examples.disturb(7.0, 7.2, Kind.FROZEN, "edge"), KEPT),
         (4, True, True, examples.disturb(6.0, 6.9, Kind.FROZEN, "edge"), BROKEN),
         (4, True, True, examples.disturb(10.4, 10.4, Kind.STARTED, "edge"), KEPT),
@@ -63,6 +67,13 @@
     assert find_lost_faults(*recorded, *extra) == expected
 
 
+def test_response_on_another_connection_keeps_none() -> None:
+    """Only an earlier response on the same connection makes it a kept one."""
+    recorded = [event for index in range(4) for event in cut_kept(index, is_kept=False)]
+    elsewhere = [examples.sending(9.0, "x"), examples.answer(9.5, "x", status=500, signature="")]
+    assert find_lost_faults(*recorded, *elsewhere) == KEPT
+
+
 def cut_request(
     sent_s: float, cut_s: float, *, arrives: bool = True, key: int | None = None
 ) -> list[events.Event]:
--- a/tests/stand_ins/rules/test_draining.py
+++ b/tests/stand_ins/rules/test_draining.py
@@ -126,6 +126,18 @@
     )
 
 
+def test_taking_instance_was_out_of_touch_when_it_took_the_request() -> None:
+    """An instance that was out of touch when it took a request is excused until the end."""
+    recorded = (
+        examples.acknowledge(10.0, "a", State.DRAINING),
+        examples.sending(12.5, instance="taker"),
+        examples.arrival(16.0, "a", instance="edge"),
+    )
+    frozen = examples.disturb(10.0, 10.5, Kind.FROZEN, "taker")
+    assert find_drain_faults(*recorded) == BROKEN
+    assert find_drain_faults(*recorded, *frozen) == KEPT
+
+
 @pytest.mark.parametrize(
     ("sent_s", "instance", "server", "expected"),
     [
@@ -210,3 +222,14 @@
         for event in terminate(f"edge-{index}", is_ready_later=True, ended_at_s=13.9)
     ]
     assert find_drain_faults(*recorded) == KEPT
+
+
+def test_only_instances_ready_at_the_signal_count() -> None:
+    """Instances that were not ready when SIGTERM came do not thin out those that were."""
+    recorded = [
+        event for index in range(2) for event in terminate(f"edge-{index}", is_ready_later=True)
+    ]
+    for index in range(8):
+        recorded.append(examples.readiness(9.5, f"idle-{index}", is_ready=False))
+        recorded += examples.disturb(10.0, 16.0, Kind.TERMINATED, f"idle-{index}")
+    assert find_drain_faults(*recorded) == BROKEN
