--- a/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
@@ -128,7 +128,15 @@
             )
 
     def handle_request(self, request: web.Request) -> web.Response:
-        """Handle a grant, a release or a request of a caller."""
+        """Handle a grant, a release or a request of a caller; the response echoes its id."""
+        response = self._handle(request)
+        request_id = request.headers.get("goldcresthall-request-id")
+        if request_id is None:
+            return response
+        echo = ("Goldcresthall-Request-Id", request_id)
+        return dataclasses.replace(response, headers=(*response.headers, echo))
+
+    def _handle(self, request: web.Request) -> web.Response:
         expected = request.headers.get("goldcresthall-target-instance")
         if expected is not None and expected != self._name:
             return web.Response(421, b"", (("Goldcresthall-Instance-Id", self._name),))
@@ -168,7 +176,6 @@
         if self._work_s:
             time.sleep(self._work_s)
         headers = (
-            ("Goldcresthall-Request-Id", request_id),
             ("Goldcresthall-Response-Signature", f"signed-by-{self._name}"),
             ("Goldcresthall-Server-Load", "1,0,4"),
         )
--- a/tests/platform/test_request_client.py
+++ b/tests/platform/test_request_client.py
@@ -74,3 +74,58 @@
     for status in (200, 429, 500):
         response = create_raw_response(status, ("Retry-After", "2"))
         assert request_client._decode(response, "mine").signals.pause_s == 0.0
+
+
+REFUSED = ("Goldcresthall-Not-Executed", "1")
+
+
+def create_refusal(
+    status: int, request_id: str | None, *headers: tuple[str, str], is_first: bool
+) -> exchange.RawResponse:
+    echo = () if request_id is None else (("Goldcresthall-Request-Id", request_id),)
+    named = tuple(outcomes.Header(name, value) for name, value in (*echo, REFUSED, *headers))
+    return exchange.RawResponse(status, named, b"", is_first)
+
+
+@pytest.mark.parametrize("status", [400, 421, 429, 503])
+def test_refusal_without_an_id_on_a_kept_connection_proves_nothing(status: int) -> None:
+    """A copy of the refusal of another request was taken for this one's (REFUSED, TWICE)."""
+    attempt = request_client._decode(create_refusal(status, None, is_first=False), "mine")
+    assert isinstance(attempt, attempts.AttemptUnknown)
+    assert attempt.reason is outcomes.UnknownReason.ANSWER_MISMATCHED
+    assert retry_policy.find_retry_reason(attempt, idempotent=False) is None
+
+
+def test_misdirection_without_an_id_on_a_kept_connection_proves_nothing() -> None:
+    """Status 421 says "not run" also without the header (REFUSED, TWICE)."""
+    attempt = request_client._decode(exchange.RawResponse(421, (), b""), "mine")
+    assert isinstance(attempt, attempts.AttemptUnknown)
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+def test_refusal_of_another_request_proves_nothing(*, is_first: bool) -> None:
+    refusal = create_refusal(503, "other", is_first=is_first)
+    assert isinstance(request_client._decode(refusal, "mine"), attempts.AttemptUnknown)
+
+
+@pytest.mark.parametrize(("request_id", "is_first"), [("mine", False), (None, True)])
+def test_refusal_that_can_be_no_copy_means_that_the_request_was_not_run(
+    request_id: str | None, *, is_first: bool
+) -> None:
+    for status in (421, 429, 503):
+        refusal = create_refusal(status, request_id, is_first=is_first)
+        assert isinstance(request_client._decode(refusal, "mine"), attempts.AttemptNotRun)
+
+
+def test_copy_of_a_refusal_still_tells_of_draining_and_pause_but_not_of_load() -> None:
+    """What a server wants holds beyond one response; its load does not."""
+    refusal = create_refusal(
+        503,
+        None,
+        ("Server-Leaving", "1"),
+        ("Retry-After", "2"),
+        ("Goldcresthall-Server-Load", "1,1,4"),
+        is_first=False,
+    )
+    signals = request_client._decode(refusal, "mine").signals
+    assert signals == attempts.ServerSignals(draining=True, load=None, pause_s=2.0)
