--- a/src/goldcresthall/core/attempts.py
+++ b/src/goldcresthall/core/attempts.py
@@ -82,16 +82,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptUnknown:
-    """The server may or may not have run the request."""
+    """The server may or may not have run the request.
+
+    Attributes
+    ----------
+    signals
+        What holds whichever request the response was for; no signals without a response.
+    """
 
     reason: outcomes.UnknownReason
     step: outcomes.Step
     detail: str
-
-    @property
-    def signals(self) -> ServerSignals:
-        """No signals: there is no response that is known to be the server's."""
-        return NO_SIGNALS
+    signals: ServerSignals = NO_SIGNALS
 
 
 Attempt = AttemptAnswered | AttemptNotRun | AttemptUnknown
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 import json
 import math
@@ -91,7 +92,9 @@
                 dispatch.timeout_s,
                 cancelled,
                 max_idle=min(MAX_IDLE_CONNECTIONS, dispatch.connection_limit),
-                new_connection=not dispatch.idempotent,
+                # Without an id, only a new connection tells the response from a copy.
+                new_connection=not dispatch.idempotent or not dispatch.request_id,
+                is_due=lambda received: _is_due(received, dispatch.request_id),
             )
         except exchange.ExchangeError as error:
             if cancelled.is_cancelled:
@@ -119,7 +122,9 @@
         load=_parse_load(response.find(names.SERVER_LOAD)),
         pause_s=_find_pause_s(response),
     )
-    if response.find(names.NOT_EXECUTED) is not None or response.status == STATUS_MISDIRECTED:
+    if _is_refusal(response):
+        if not _is_due(response, request_id):
+            return _create_unproven(response, signals)
         if response.status < MIN_ERROR_STATUS:
             return _describe_mismatch(f"status {response.status} for a request that was not run")
         return attempts.AttemptNotRun(
@@ -141,6 +146,37 @@
     )
 
 
+def _is_refusal(response: exchange.RawResponse) -> bool:
+    """Return whether a response says that its request was not run."""
+    return response.find(names.NOT_EXECUTED) is not None or response.status == STATUS_MISDIRECTED
+
+
+def _is_due(response: exchange.RawResponse, request_id: str) -> bool:
+    """Return whether a response is certainly the one to a request and no copy of an earlier one.
+
+    It is if it echoes the request's id. A refusal without an id is if it is the first response on
+    its connection.
+    """
+    echoed = response.find(names.REQUEST_ID)
+    if not echoed:
+        return response.is_first and _is_refusal(response)
+    return echoed == request_id
+
+
+def _create_unproven(
+    response: exchange.RawResponse, signals: attempts.ServerSignals
+) -> attempts.AttemptUnknown:
+    """Return the attempt whose response is a refusal that may be a copy of an earlier one.
+
+    A server that is draining stays so, and a pause that it asked for before is at most repeated.
+    Its load is out of date. From a response that names another request nothing is believed.
+    """
+    unknown = _describe_mismatch(f"status {response.status}, perhaps a copy of an earlier refusal")
+    if response.find(names.REQUEST_ID):
+        return unknown
+    return dataclasses.replace(unknown, signals=dataclasses.replace(signals, load=None))
+
+
 def is_leaving(response: exchange.RawResponse) -> bool:
     """Return whether a server says in a response that it is draining before it ends."""
     return (response.find(names.SERVER_LEAVING) or "").strip() == LEAVING
--- a/tests/platform/test_copied_refusals.py
+++ b/tests/platform/test_copied_refusals.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 
 import prometheus_client
@@ -11,7 +10,6 @@
 from goldcresthall.backend import exchange_metrics
 from goldcresthall.backend import response_memory
 from goldcresthall.core import attempts
-from goldcresthall.core import identity
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
 from goldcresthall.gateway import request_progress
@@ -21,6 +19,7 @@
 from tests.backend import test_exchange
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterator
 
 LIMITS = response_memory.ResponseLimits(max_body_bytes=65_536, total_bytes=0)
@@ -43,9 +42,7 @@
             headers.append(outcomes.Header("Goldcresthall-Request-Id", request_id))
         dispatch = attempts.Dispatch(
             request_id=request_id,
-            server=preset.BackendServer(
-                name="one", address=server.address, failure_domain="near"
-            ),
+            server=preset.BackendServer(name="one", address=server.address, failure_domain="near"),
             connection_limit=4,
             method="POST",
             target="/",
@@ -104,9 +101,7 @@
     attempt = sender.send(server, "mine", idempotent=False)
     server.stop()
     assert retry_policy.find_retry_reason(attempt, idempotent=False) is None
-    progress = request_progress.record_attempt(
-        request_progress.RequestProgress(), "one", attempt
-    )
+    progress = request_progress.record_attempt(request_progress.RequestProgress(), "one", attempt)
     assert isinstance(progress.outcome, outcomes.OutcomeUnknown)
 
 
