--- a/src/goldcresthall/backend/connections.py
+++ b/src/goldcresthall/backend/connections.py
@@ -138,10 +138,21 @@
 
 
 class BackendConnection(connection.HTTPConnection):
-    """One connection to a backend server."""
+    """One connection to a backend server.
+
+    Attributes
+    ----------
+    response_count
+        Number of responses received; any but the first may be a copy of an earlier one, unless it
+        echoes the request's id.
+    is_echoing
+        Whether the last response echoed its request's id. Otherwise the connection is not kept.
+    """
 
     response_class = CompleteResponse
     idle_since_s = 0.0
+    response_count = 0
+    is_echoing = False
 
     def connect(self) -> None:
         """Connect and bound the total receive time of each response."""
--- a/src/goldcresthall/backend/http_client.py
+++ b/src/goldcresthall/backend/http_client.py
@@ -58,17 +58,17 @@
         """Send one request to one server and wait for the complete response."""
         ends_at_s = time.monotonic() + dispatch.timeout_s
         pool = self._find_work_pool(dispatch.server.address)
-        connection = pool.acquire()
+        connection = None if dispatch.sent_before else pool.acquire()
         if connection is None:
             try:
                 connection = pool.connect(min(CONNECT_TIMEOUT_S, dispatch.timeout_s))
             except (urllib3.exceptions.HTTPError, OSError) as error:
                 return responses.classify_connect_error(error)
         attempt = _exchange(connection, dispatch, ends_at_s)
-        if isinstance(attempt, attempts.AttemptUnknown) or _is_body_unread(attempt, dispatch):
-            connection.close()
-        else:
+        if _may_be_kept(connection, attempt, dispatch):
             pool.release(connection)
+        else:
+            connection.close()
         return attempt
 
     def probe(
@@ -123,6 +123,15 @@
             return self._lease_pools[address]
 
 
+def _may_be_kept(
+    connection: connections.BackendConnection,
+    attempt: attempts.Attempt,
+    dispatch: attempts.Dispatch,
+) -> bool:
+    is_known = not isinstance(attempt, attempts.AttemptUnknown)
+    return is_known and connection.is_echoing and not _is_body_unread(attempt, dispatch)
+
+
 def _is_body_unread(attempt: attempts.Attempt, dispatch: attempts.Dispatch) -> bool:
     """Return whether the server may still read the request's body as the next request."""
     return isinstance(attempt, attempts.AttemptNotRun) and bool(dispatch.body)
@@ -163,7 +172,15 @@
         body = response.read(decode_content=False)
     except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError, ValueError) as error:
         return responses.classify_receive_error(error)
-    return responses.classify_response(dispatch.request_id, response.status, response.headers, body)
+    connection.response_count += 1
+    connection.is_echoing = protocol.REQUEST_ID_HEADER in response.headers
+    return responses.classify_response(
+        dispatch.request_id,
+        response.status,
+        response.headers,
+        body,
+        is_first=connection.response_count == 1,
+    )
 
 
 def _create_headers(dispatch: attempts.Dispatch, remaining_s: float) -> dict[str, str]:
--- a/src/goldcresthall/backend/responses.py
+++ b/src/goldcresthall/backend/responses.py
@@ -44,10 +44,23 @@
 
 
 def classify_response(
-    request_id: str, status: int, headers: Mapping[str, str], body: bytes
+    request_id: str, status: int, headers: Mapping[str, str], body: bytes, *, is_first: bool
 ) -> attempts.Attempt:
-    """Return the result of an attempt from a complete response."""
+    """Return the result of an attempt from a complete response.
+
+    Parameters
+    ----------
+    is_first
+        Whether it is the first response on its connection. Without an id any other may be a copy
+        of an earlier one.
+    """
     echoed = headers.get(protocol.REQUEST_ID_HEADER)
+    if echoed is None and not is_first:
+        return attempts.AttemptUnknown(
+            outcomes.UnknownReason.ANSWER_MISMATCHED,
+            outcomes.Step.RECEIVE,
+            "response without an id on a kept connection",
+        )
     if echoed is not None and echoed != request_id:
         return attempts.AttemptUnknown(
             outcomes.UnknownReason.ANSWER_MISMATCHED,
--- a/src/goldcresthall/core/attempts.py
+++ b/src/goldcresthall/core/attempts.py
@@ -25,6 +25,9 @@
     ----------
     timeout_s
         Seconds left until the caller's deadline.
+    sent_before
+        Whether the request was sent to this server before, so that a copy of the earlier response
+        bears the same id.
     """
 
     request_id: str
@@ -37,6 +40,7 @@
     timeout_s: float
     grant: FencingToken | None = None
     idempotent: bool = True
+    sent_before: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/routing/router.py
+++ b/src/goldcresthall/routing/router.py
@@ -167,7 +167,7 @@
         )
         timeout_s = self._find_timeout_s(plan, permit)
         try:
-            attempt = self._client.send(_create_dispatch(request, plan, candidate, timeout_s))
+            attempt = self._client.send(_create_dispatch(request, plan, permit, timeout_s))
         except BaseException:
             self._finish_attempt(plan, permit, in_flight, ATTEMPT_ABORTED)
             raise
@@ -255,9 +255,10 @@
 def _create_dispatch(
     request: requests.Request,
     plan: plans.Plan,
-    candidate: targets.CandidateServer,
+    permit: queues.Permit,
     timeout_s: float,
 ) -> attempts.Dispatch:
+    candidate = permit.candidate
     return attempts.Dispatch(
         request_id=request.request_id,
         server=candidate.server,
@@ -268,6 +269,7 @@
         body=request.body,
         timeout_s=timeout_s,
         grant=candidate.grant,
+        sent_before=candidate.server.name in permit.spec.tried,
     )
 
 
--- a/stand_ins/src/goldcresthall_stand_ins/backend.py
+++ b/stand_ins/src/goldcresthall_stand_ins/backend.py
@@ -171,7 +171,7 @@
 
     def _handle_work(self, request: web.Request) -> web.Response:
         if self._faults.shed or not self._admitted.acquire(blocking=False):
-            return self._refuse(protocol.NOT_RUN_SHED, STATUS_UNAVAILABLE)
+            return self._refuse(request, protocol.NOT_RUN_SHED, STATUS_UNAVAILABLE)
         self._change_load(1)
         try:
             with self._slots:
@@ -192,11 +192,11 @@
             return self._take_effect(request, partition, epoch)
         grant = leases.Grant(self._config.service, partition, epoch)
         if not self._holder.begin(grant):
-            return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
+            return self._refuse(request, protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
         try:
             self._simulate_work(request)
             if not self._holder.holds(grant):
-                return self._refuse(protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
+                return self._refuse(request, protocol.NOT_RUN_NOT_OWNER, STATUS_MISDIRECTED)
             return self._take_effect(request, partition, epoch)
         finally:
             self._holder.end(grant)
@@ -258,6 +258,11 @@
             drip_ms=self._faults.drip_ms,
         )
 
-    def _refuse(self, reason: str, status: int) -> web.Response:
-        headers = ((protocol.NOT_RUN_HEADER, reason), ("Retry-After", "1"))
+    def _refuse(self, request: web.Request, reason: str, status: int) -> web.Response:
+        request_id = request.headers.get(protocol.REQUEST_ID_HEADER.lower(), "")
+        headers = (
+            (protocol.REQUEST_ID_HEADER, request_id),
+            (protocol.NOT_RUN_HEADER, reason),
+            ("Retry-After", "1"),
+        )
         return web.Response(status, b"{}", headers)
--- a/tests/backend/test_http_client.py
+++ b/tests/backend/test_http_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import select
 import time
 from typing import TYPE_CHECKING
@@ -14,12 +15,16 @@
 from goldcresthall.core import identity
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
+from goldcresthall.routing import retries
 from tests.backend import raw_server
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-COMPLETE = raw_server.Script((b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",))
+ECHO = b"Goldcresthall-Request-Id: request-1\r\n"
+COMPLETE = raw_server.Script((b"HTTP/1.1 200 OK\r\n" + ECHO + b"Content-Length: 5\r\n\r\nwhole",))
+UNNAMED = raw_server.Script((b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",))
+SHED = b"HTTP/1.1 503 -\r\nGoldcresthall-Not-Run: shed\r\n%sContent-Length: 0\r\n\r\n"
 DRIPPING_HEADERS = raw_server.Script((b"HTTP/1.1 200 OK\r\n", b"X: y\r\n"), drips=True)
 DRIPPING_BODY = raw_server.Script(
     (b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", b"x"), drips=True
@@ -179,3 +184,60 @@
     assert isinstance(attempt, attempts.AttemptAnswered)
     assert attempt.signals == attempts.ServerSignals(draining=True, load=7.0)
     assert attempt.answer.headers == ()
+
+
+@pytest.mark.parametrize("unnamed", [raw_server.Script((SHED % b"",)), UNNAMED])
+def test_response_without_an_id_on_a_kept_connection_proves_nothing(
+    client: http_client.HttpBackendClient, unnamed: raw_server.Script
+) -> None:
+    """A copy of another request's response was taken for this one's (TWICE, REFUSED, MIXED)."""
+    with raw_server.run_server(COMPLETE, unnamed, COMPLETE) as server:
+        client.send(create_dispatch(server.address))
+        attempt = client.send(create_dispatch(server.address, "POST"))
+        assert isinstance(attempt, attempts.AttemptUnknown)
+        assert attempt.reason is outcomes.UnknownReason.ANSWER_MISMATCHED
+        context = retries.RetryContext(idempotent=False, keyed=True)
+        assert retries.decide_retry(attempt, context) == retries.NoRetry()
+        assert isinstance(client.send(create_dispatch(server.address)), attempts.AttemptAnswered)
+        assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    ("response", "expected"),
+    [
+        (raw_server.Script((SHED % b"",)), attempts.AttemptNotRun),
+        (UNNAMED, attempts.AttemptAnswered),
+    ],
+)
+def test_first_response_without_an_id_is_taken_and_its_connection_closed(
+    client: http_client.HttpBackendClient,
+    response: raw_server.Script,
+    expected: type[attempts.Attempt],
+) -> None:
+    """On a connection that is kept every response must be known by its id."""
+    with raw_server.run_server(response, COMPLETE) as server:
+        assert isinstance(client.send(create_dispatch(server.address)), expected)
+        assert isinstance(client.send(create_dispatch(server.address)), attempts.AttemptAnswered)
+        assert server.connections == 2
+
+
+def test_refusal_that_echoes_the_id_means_not_run_on_a_kept_connection(
+    client: http_client.HttpBackendClient,
+) -> None:
+    with raw_server.run_server(COMPLETE, raw_server.Script((SHED % ECHO,))) as server:
+        client.send(create_dispatch(server.address))
+        attempt = client.send(create_dispatch(server.address, "POST"))
+        assert isinstance(attempt, attempts.AttemptNotRun)
+        assert server.connections == 1
+
+
+def test_request_sent_again_to_a_server_gets_a_new_connection(
+    client: http_client.HttpBackendClient,
+) -> None:
+    """On the kept connection a copy of its earlier refusal bears the same id (TWICE)."""
+    with raw_server.run_server(raw_server.Script((SHED % ECHO,)), COMPLETE) as server:
+        first = create_dispatch(server.address, "POST")
+        assert isinstance(client.send(first), attempts.AttemptNotRun)
+        again = dataclasses.replace(first, sent_before=True)
+        assert isinstance(client.send(again), attempts.AttemptAnswered)
+        assert server.connections == 2
--- a/tests/backend/test_response_integrity.py
+++ b/tests/backend/test_response_integrity.py
@@ -66,9 +66,9 @@
 @pytest.mark.parametrize(
     ("method", "response"),
     [
-        ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"),
-        ("GET", b"HTTP/1.1 204 No Content\r\n\r\n"),
-        ("GET", b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n"),
+        ("HEAD", b"HTTP/1.1 200 OK\r\n" + base.ECHO + b"Content-Length: 5\r\n\r\n"),
+        ("GET", b"HTTP/1.1 204 No Content\r\n" + base.ECHO + b"\r\n"),
+        ("GET", b"HTTP/1.1 304 Not Modified\r\n" + base.ECHO + b"Content-Length: 5\r\n\r\n"),
     ],
 )
 def test_response_without_body_is_complete(
@@ -106,7 +106,7 @@
 def test_refusal_of_a_request_with_body_closes_the_connection(
     client: http_client.HttpBackendClient,
 ) -> None:
-    shed = b"HTTP/1.1 503 -\r\nGoldcresthall-Not-Run: shed\r\nContent-Length: 0\r\n\r\n"
+    shed = base.SHED % base.ECHO
     with raw_server.run_server(raw_server.Script((shed,)), base.COMPLETE) as server:
         dispatch = dataclasses.replace(base.create_dispatch(server.address, "POST"), body=b"GET /")
         assert isinstance(client.send(dispatch), attempts.AttemptNotRun)
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -26,6 +26,22 @@
     assert harness.read_metric("goldcresthall_retries_total", reason="connect_failed") == 1
 
 
+def test_request_sent_again_to_its_owner_is_marked(harness: conftest.RouterHarness) -> None:
+    """On a kept connection a copy of its earlier refusal would bear the same id (TWICE)."""
+    harness.publish(conftest.create_policy(keyed=True))
+    harness.set_owner("program-1")
+    harness.script_attempts(backends.SHED)
+    assert isinstance(harness.handle("POST", "/orders/molde"), outcomes.Answered)
+    assert [dispatch.sent_before for dispatch in harness.backends.sent] == [False, True]
+
+
+def test_request_sent_to_another_server_is_not_marked(harness: conftest.RouterHarness) -> None:
+    harness.publish(conftest.create_policy(count=2))
+    harness.script_attempts(backends.SHED)
+    harness.handle("POST", "/orders/molde")
+    assert [dispatch.sent_before for dispatch in harness.backends.sent] == [False, False]
+
+
 @pytest.mark.parametrize("attempt", [backends.CONNECTION_LOST, backends.TIMED_OUT])
 def test_attempt_of_unknown_outcome_is_retried_only_if_idempotent(
     harness: conftest.RouterHarness, attempt: outcomes.OutcomeUnknown
