--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -207,7 +207,7 @@
         )
         if isinstance(outcome, client.StoreFailed):
             self._record_store_failure(now_s)
-        elif isinstance(outcome, client.Records) and not outcome.records:
+        elif _is_unchanged(outcome):
             self._record_confirmation(now_s)
         else:
             self._check_stored_table(now_s)
@@ -335,3 +335,8 @@
                     lease_id,
                     functools.partial(transitions.assign_to, assignment.owner, stored.offset),
                 )
+
+
+def _is_unchanged(outcome: client.ReadOutcome) -> bool:
+    """Return whether a read from the end of the table on proves that nothing was written since."""
+    return isinstance(outcome, client.Records) and not outcome.records and outcome.is_caught_up
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -19,6 +19,7 @@
 from goldcresthall.ranges import range_leases
 from goldcresthall.ranges import range_releases
 from goldcresthall.ranges import transitions
+from goldcresthall.store import client
 from tests.fakes import range_simulation
 
 
@@ -238,6 +239,20 @@
     assert first.own_term.is_over
 
 
+def test_empty_read_short_of_the_end_does_not_confirm_the_term(
+    simulation: range_simulation.RangeSimulation, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The log was longer than the lessor's own table, which another had then replaced (OWNER)."""
+    first = simulation.instances[0]
+    assert first.own_term is not None
+    assert first.own_term.has_store
+    short = client.Records((), 2, is_caught_up=False)
+    monkeypatch.setattr(first.store, "read_changes", lambda *_: short)
+    monkeypatch.setattr(first.store, "read_newest", lambda _: client.StoreFailed("read", "lost"))
+    simulation.advance(2.0)
+    assert not first.own_term.has_store
+
+
 def test_handover_leaves_no_predecessors_to_wait_for(
     simulation: range_simulation.RangeSimulation,
 ) -> None:
