--- a/src/goldcresthall/platform/store_client.py
+++ b/src/goldcresthall/platform/store_client.py
@@ -61,14 +61,8 @@
 
     def __init__(self, address: identity.Address, calls: store_metrics.StoreMetrics) -> None:
         self._calls = calls
-        self._pool = urllib3.HTTPConnectionPool(
-            address.host,
-            address.port,
-            maxsize=POOL_SIZE,
-            block=False,
-            retries=False,
-            socket_options=SOCKET_OPTIONS,
-        )
+        self._address = address
+        self._pool = self._create_pool()
 
     @classmethod
     def from_config(
@@ -126,13 +120,15 @@
         if outcome.status == STATUS_GONE:
             return client.RecordsExpired()
         if outcome.status == STATUS_NOT_FOUND:
-            return client.Records((), from_offset)
+            if from_offset:
+                return client.StoreFailed("read", "status 404 for a topic that had records")
+            return client.Records((), 0)
         if outcome.status != STATUS_OK:
             return client.StoreFailed("read", f"status {outcome.status}")
         try:
             return _decode_records(outcome.data, from_offset)
         except exceptions.MalformedEntryError as error:
-            return client.StoreFailed("decode", str(error))
+            return self._reject("decode", str(error))
 
     def write(self, topic: str, key: str, value: bytes, expected_end: int) -> client.WriteOutcome:
         """Append a record if the topic's end offset is `expected_end`."""
@@ -146,9 +142,9 @@
         try:
             document = fields.parse_object(outcome.data)
             if outcome.status == STATUS_OK:
-                return client.Written(_read_offset(document, "offset"))
+                return self._confirm_write(_read_offset(document, "offset"), expected_end)
             if outcome.status == STATUS_PRECONDITION_FAILED:
-                return client.OffsetConflict(_read_offset(document, "end_offset"))
+                return self._report_conflict(_read_offset(document, "end_offset"), expected_end)
         except exceptions.MalformedEntryError as error:
             if outcome.status not in NOT_WRITTEN_STATUSES:
                 return client.StoreFailed("decode", str(error))
@@ -156,6 +152,35 @@
             return client.WriteRefused("write", f"status {outcome.status}")
         return client.StoreFailed("write", f"status {outcome.status}")
 
+    def _confirm_write(self, offset: int, expected_end: int) -> client.WriteOutcome:
+        if offset != expected_end:
+            return self._reject("write", f"response to a write at {offset}, not {expected_end}")
+        return client.Written(offset)
+
+    def _report_conflict(self, end_offset: int, expected_end: int) -> client.WriteOutcome:
+        if end_offset == expected_end:
+            return self._reject("write", f"conflict at the expected end {end_offset}")
+        return client.OffsetConflict(end_offset)
+
+    def _create_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(
+            self._address.host,
+            self._address.port,
+            maxsize=POOL_SIZE,
+            block=False,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
+        )
+
+    def _reject(self, step: str, detail: str) -> client.StoreFailed:
+        """Return the failure of a call whose response is for another one.
+
+        The response that is due may follow, so no kept connection is used again.
+        """
+        rejected, self._pool = self._pool, self._create_pool()
+        rejected.close()
+        return client.StoreFailed(step, detail)
+
     def _call(self, call: _Call) -> urllib3.BaseHTTPResponse | client.StoreFailed:
         outcome = self._send(call)
         succeeded = not isinstance(outcome, client.StoreFailed)
@@ -254,6 +279,9 @@
             raise exceptions.MalformedEntryError("a record is truncated")
         records.append(_decode_record(data[begin:position], from_offset + len(records)))
     end_offset = from_offset + len(records)
+    if end_offset > log_end:
+        detail = f"records up to {end_offset} of a log that ends at {log_end}"
+        raise exceptions.MalformedEntryError(detail)
     return client.Records(tuple(records), end_offset, end_offset >= log_end)
 
 
