--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -112,10 +112,9 @@
     ) -> grants.CommandOutcome:
         """Release a key range and wait until its requests in progress have ended.
 
-        A server may send a copy of an earlier response where the next one is due. A copied
-        response to a grant does no harm, since the grant that it seems to answer has arrived; one
-        taken for the response to a release would free keys that are in use. So only a handover
-        that was never received before completes a release.
+        A server may send a copy of an earlier response where the next one is due. One taken for
+        the response to a release would free keys that are in use. So only a handover that was
+        never received before completes a release.
         """
         document: dict[str, int | float | str] = {
             "from": command.keys.first,
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -142,7 +142,7 @@
         Whether grants end by an exception.
     copied
         Copies of earlier responses, by server, which are taken for the responses to grants that
-        the server executes.
+        the server executes or has yet to execute.
     """
 
     def __init__(self, simulation: RangeSimulation) -> None:
@@ -176,7 +176,8 @@
         if self.delays_grants:
             delayed = DelayedGrant(range_server, command, now_s, server.incarnation)
             self._simulation.delayed_grants.append(delayed)
-            return grants.CommandUnanswered("receive: timed out")
+            unanswered = grants.CommandUnanswered("receive: timed out")
+            return self.copied.get(server.name, unanswered)
         outcome = range_server.grant(command, now_s, server.incarnation)
         return self.copied.get(server.name, outcome)
 
--- a/tests/ranges/test_copied_responses.py
+++ b/tests/ranges/test_copied_responses.py
@@ -50,3 +50,21 @@
     simulation.instances[0].channel.copied[FAULTY] = refusal
     simulation.advance(1.1)
     lose_faulty(simulation)
+
+
+def test_copied_success_of_a_delayed_renewal_leaves_one_holder(
+    simulation: range_simulation.RangeSimulation,
+) -> None:
+    """A renewal that seemed to be answered is executed after the release that followed (OWNER)."""
+    simulation.advance(membership.STABILIZATION_WINDOW_S + 1.0)
+    channel = simulation.instances[0].channel
+    channel.copied[FAULTY] = grants.Granted()
+    channel.delays_grants = True
+    simulation.advance(0.6)
+    channel.copied.clear()
+    channel.delays_grants = False
+    leaving = next(server for server in simulation.servers if server.name == FAULTY)
+    simulation.register_server(leaving, draining=True)
+    simulation.advance(0.6)
+    simulation.deliver_delayed_grants()
+    assert simulation.count_held() == len(range_simulation.SAMPLED_KEYS)
