--- a/src/goldcresthall/core/attempts.py
+++ b/src/goldcresthall/core/attempts.py
@@ -25,6 +25,9 @@
     ----------
     timeout_s
         Seconds left until the caller's deadline.
+    sent_before
+        Whether the request was sent to this server before, so that a copy of the earlier response
+        bears the same id.
     """
 
     request_id: str
@@ -37,6 +40,7 @@
     timeout_s: float
     grant: FencingToken | None = None
     idempotent: bool = True
+    sent_before: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,16 +86,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptUnknown:
-    """The server may or may not have run the request."""
+    """The server may or may not have run the request.
+
+    Attributes
+    ----------
+    signals
+        What holds whichever request the response was for; no signals without a response.
+    """
 
     reason: outcomes.UnknownReason
     step: outcomes.Step
     detail: str
-
-    @property
-    def signals(self) -> ServerSignals:
-        """No signals: there is no response that is known to be the server's."""
-        return NO_SIGNALS
+    signals: ServerSignals = NO_SIGNALS
 
 
 Attempt = AttemptAnswered | AttemptNotRun | AttemptUnknown
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -152,7 +152,7 @@
         Whether grants end by an exception.
     copied
         Copies of earlier responses, by server, which are taken for the responses to grants that
-        the server executes.
+        the server executes or has yet to execute.
     acknowledges_early
         Names of servers that write a copy of an earlier acknowledgement and execute grants later.
     rejects_connections
@@ -209,7 +209,8 @@
             self._simulation.delayed_grants.append(delayed)
             if acknowledges_early:
                 return grants.Granted()
-            return grants.CommandUnanswered("receive: timed out")
+            unanswered = grants.CommandUnanswered("receive: timed out")
+            return self.copied.get(server.name, unanswered) if may_be_copy else unanswered
         outcome = range_server.grant(command, now_s, server.incarnation)
         if isinstance(outcome, grants.Granted):
             outcome = dataclasses.replace(outcome, may_be_copy=may_be_copy)
