--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import select
 import socket
 import struct
@@ -13,9 +14,12 @@
 
 import h11
 
+from goldcresthall.backend import response_framing
 from goldcresthall.core import outcomes
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from goldcresthall.backend import response_memory
     from goldcresthall.core import identity
 
@@ -27,6 +31,7 @@
 MAX_IDLE_S = 4.0
 KEEP_ALIVE_FRACTION = 0.5
 MAX_RESPONSES_READ = 4
+EVENTS_PER_DEADLINE_CHECK = 256
 # Closing resets the connection, also when the process is killed. Otherwise the kernel would go on
 # delivering what a partition holds up, so that a command arrived long after it had been given up.
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
@@ -67,7 +72,7 @@
 
 
 class TooLargeError(TruncatedError):
-    """The body exceeds the limits on the memory for responses, as one without end does."""
+    """The response exceeds a limit on its body or on its framing, as one without end does."""
 
 
 class ConnectionLostError(ExchangeError):
@@ -259,11 +264,13 @@
         self, parser: h11.Connection, ends_at_s: float, memory: response_memory.ResponseMemory
     ) -> RawResponse:
         """Return the next response; the parser is one that has sent the request."""
+        framing = response_framing.FramingTally()
         if self._leftover:
+            framing.add_received(len(self._leftover))
             parser.receive_data(self._leftover)
         try:
             with memory.create_reservation() as reservation:
-                response = self._read_response(parser, ends_at_s, reservation)
+                response = self._read_response(parser, ends_at_s, reservation, framing)
         except h11.RemoteProtocolError as error:
             raise TruncatedError(outcomes.Step.RECEIVE, str(error)) from error
         self._leftover, at_end = parser.trailing_data
@@ -277,32 +284,46 @@
         parser: h11.Connection,
         ends_at_s: float,
         reservation: response_memory.BodyReservation,
+        framing: response_framing.FramingTally,
     ) -> RawResponse:
         head: h11.Response | None = None
-        chunks: list[bytes] = []
-        while True:
-            event = parser.next_event()
-            if event is h11.NEED_DATA:
-                self._receive_bytes(parser, ends_at_s, header_received=head is not None)
-            elif isinstance(event, h11.Response):
+        body = bytearray()
+        for event in self._read_events(parser, ends_at_s, framing):
+            if isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
                 if not reservation.add(len(event.data)):
                     raise TooLargeError(outcomes.Step.RECEIVE, "the response is too large")
-                chunks.append(bytes(event.data))
+                body += event.data
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _create_response(head, b"".join(chunks))
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionLostError(outcomes.Step.RECEIVE, "closed before the response")
-
-    def _receive_bytes(
-        self, parser: h11.Connection, ends_at_s: float, *, header_received: bool
-    ) -> None:
-        remaining_s = ends_at_s - time.monotonic()
-        if remaining_s <= 0:
-            raise TimedOutError(outcomes.Step.RECEIVE, "timed out")
+                return _create_response(head, bytes(body))
+        raise ConnectionLostError(outcomes.Step.RECEIVE, "closed before the response")
+
+    def _read_events(
+        self, parser: h11.Connection, ends_at_s: float, framing: response_framing.FramingTally
+    ) -> Iterator[h11.Event]:
+        """Yield the parts of a response until the connection ends."""
+        for number in itertools.count(1):
+            # A block received may hold thousands of tiny chunks.
+            if number % EVENTS_PER_DEADLINE_CHECK == 0:
+                _find_remaining_s(ends_at_s)
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                data = self._receive_bytes(parser, ends_at_s)
+                framing.add_received(len(data))
+                parser.receive_data(data)
+                continue
+            if isinstance(event, h11.ConnectionClosed) or not isinstance(event, h11.Event):
+                return
+            framing.add_event(event)
+            if framing.is_excessive:
+                raise TooLargeError(outcomes.Step.RECEIVE, "the response has too much framing")
+            yield event
+
+    def _receive_bytes(self, parser: h11.Connection, ends_at_s: float) -> bytes:
+        header_received = parser.their_state is h11.SEND_BODY
         try:
-            self._socket.settimeout(remaining_s)
+            self._socket.settimeout(_find_remaining_s(ends_at_s))
             data = self._socket.recv(RECEIVE_BYTES)
         except TimeoutError as error:
             raise TimedOutError(outcomes.Step.RECEIVE, "timed out") from error
@@ -311,7 +332,7 @@
             raise error_type(outcomes.Step.RECEIVE, str(error)) from error
         if not data and not header_received and not parser.trailing_data[0]:
             raise ConnectionLostError(outcomes.Step.RECEIVE, "closed before the response")
-        parser.receive_data(data)
+        return data
 
     def _record_keep_alive(self, response: RawResponse) -> None:
         self.idle_since_s = time.monotonic()
@@ -326,6 +347,13 @@
         return bool(poll.poll(timeout_s * MS_PER_S))
 
 
+def _find_remaining_s(ends_at_s: float) -> float:
+    remaining_s = ends_at_s - time.monotonic()
+    if remaining_s <= 0:
+        raise TimedOutError(outcomes.Step.RECEIVE, "timed out")
+    return remaining_s
+
+
 def _encode(request: RawRequest) -> tuple[h11.Connection, bytes]:
     """Return a parser that expects the response to a request, and the request's bytes."""
     parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
--- a/tests/backend/test_exchange.py
+++ b/tests/backend/test_exchange.py
@@ -14,6 +14,7 @@
 
 from goldcresthall.backend import exchange
 from goldcresthall.backend import exchange_pool
+from goldcresthall.backend import response_framing
 from goldcresthall.backend import response_memory
 from goldcresthall.core import identity
 from goldcresthall.core import outcomes
@@ -400,3 +401,120 @@
     with pytest.raises(exchange.TruncatedError):
         run(servers, script)
     assert sum(sent) < 20 * LIMITS.max_body_bytes
+
+
+FINAL_HEAD = b"HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nX-Id: mine\r\n\r\n"
+CUT_WITHIN_BYTES = 300_000
+
+
+class CountingSocket(socket.socket):
+    """Counts what is received from it."""
+
+    received_bytes = 0
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        """Receive and count."""
+        data = super().recv(size, flags)
+        self.received_bytes += len(data)
+        return data
+
+
+@pytest.fixture
+def socket_pair() -> Iterator[tuple[CountingSocket, socket.socket]]:
+    """Yield the ends of a connection: the caller's, which counts, and the server's."""
+    ours, theirs = socket.socketpair()
+    counting = CountingSocket(fileno=ours.detach())
+    yield counting, theirs
+    counting.close()
+    theirs.close()
+
+
+def run_on(connected: socket.socket) -> exchange.RawResponse:
+    memory = response_memory.ResponseMemory(LIMITS)
+    return exchange.Connection(connected).exchange(REQUEST, ID_HEADER, TEST_TIMEOUT_S, memory)
+
+
+@pytest.mark.parametrize(
+    ("head", "part"),
+    [
+        (b"", INTERIM),
+        (FINAL_HEAD, b"1\r\na\r\n"),
+        (FINAL_HEAD, b"2\r\nab\r\n"),
+        (FINAL_HEAD, b"00000000000000000006\r\nabcdef\r\n"),
+        (FINAL_HEAD, b"1000;" + b"e" * 16_000 + b"\r\n" + b"a" * 4_096 + b"\r\n"),
+    ],
+)
+def test_framing_without_end_is_cut_at_the_limit(
+    socket_pair: tuple[CountingSocket, socket.socket], head: bytes, part: bytes
+) -> None:
+    """Interim responses and tiny chunks without end once took a core until the deadline."""
+    connected, server = socket_pair
+
+    def send_without_end() -> None:
+        with contextlib.suppress(OSError):
+            server.sendall(head)
+            while True:
+                server.sendall(part * 1_000)
+
+    threading.Thread(target=send_without_end, daemon=True).start()
+    with pytest.raises(exchange.TooLargeError):
+        run_on(connected)
+    assert connected.received_bytes < CUT_WITHIN_BYTES
+
+
+def test_small_chunks_of_a_sound_server_are_received(servers: list[ScriptedServer]) -> None:
+    """The bound on framing must leave streams of single bytes and of short lines alone."""
+    single_bytes = b"1\r\na\r\n" * 2_000
+    lines = (b"200\r\n" + b"b" * 512 + b"\r\n") * 1_800
+    expected_bytes = 2_000 + 512 * 1_800
+
+    def script(connection: socket.socket) -> None:
+        connection.recv(1_000)
+        connection.sendall(INTERIM * 2 + FINAL_HEAD + single_bytes + lines + b"0\r\n\r\n")
+
+    assert len(run(servers, script, timeout_s=TEST_TIMEOUT_S).body) == expected_bytes
+
+
+def test_body_in_small_packets_is_received(
+    socket_pair: tuple[CountingSocket, socket.socket], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A body of known length that arrives in small packets has no more framing than another."""
+    connected, server = socket_pair
+    monkeypatch.setattr(exchange, "RECEIVE_BYTES", 100)
+    body = bytes(100 * 4 * response_framing.MIN_PART_LIMIT)
+    threading.Thread(
+        target=lambda: server.sendall(create_response("mine", body)), daemon=True
+    ).start()
+    assert run_on(connected).body == body
+
+
+class LateClock:
+    """A clock by which every deadline has passed once bytes were received."""
+
+    def __init__(self, connected: CountingSocket) -> None:
+        self._connected = connected
+
+    def monotonic(self) -> float:
+        """Return the time in seconds."""
+        return 10 * TEST_TIMEOUT_S if self._connected.received_bytes else 0.0
+
+
+def test_deadline_ends_the_parsing_of_many_chunks(
+    socket_pair: tuple[CountingSocket, socket.socket], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Deadlines once passed by a second while tiny chunks that had arrived were parsed."""
+    connected, server = socket_pair
+    monkeypatch.setattr(exchange, "time", LateClock(connected))
+    server.sendall(FINAL_HEAD + b"1\r\na\r\n" * 5_000 + b"0\r\n\r\n")
+    with pytest.raises(exchange.TimedOutError):
+        run_on(connected)
+
+
+def test_ordinary_response_that_has_arrived_is_returned_at_the_deadline(
+    socket_pair: tuple[CountingSocket, socket.socket], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    connected, server = socket_pair
+    monkeypatch.setattr(exchange, "time", LateClock(connected))
+    server.sendall(create_response("mine", b"whole"))
+    assert run_on(connected).body == b"whole"
