--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 import h11
+from absl import logging
 
 from goldcresthall.backend import exchange
 from goldcresthall.callers import codec
@@ -305,13 +306,20 @@
                 view = view[self._socket.send(view) :]
             except BlockingIOError:
                 if not self._wait_writable(ends_at_s - time.monotonic()):
-                    self._is_closed = True
+                    self._close_unread()
                     return
             except OSError:
                 # The reading task detects the same failure and cancels the requests in progress.
                 self._is_closed = True
                 return
 
+    def _close_unread(self) -> None:
+        """Close the connection of a caller that does not read, so that the reading task ends."""
+        logging.info("connection closed, step send: the caller does not read its responses")
+        self._is_closed = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
     def _wait_writable(self, timeout_s: float) -> bool:
         poll = select.poll()
         try:
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -190,3 +190,26 @@
     assert reads[1] < 0.5
     connection.respond(first.pending, create_response(b"first"))
     assert b"Connection: close" in read_until(caller, b"first")
+
+
+def test_connection_of_a_caller_that_does_not_read_ends(
+    pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Responses behind one that the caller did not read were once kept until it left."""
+    monkeypatch.setattr(connections, "SEND_TIMEOUT_S", 0.1)
+    caller, connection = pair
+    caller.sendall(REQUEST % 1 + REQUEST % 2)
+    first = connection.receive(LIMITS)
+    second = connection.receive(LIMITS)
+    ended = threading.Event()
+
+    def receive_next() -> None:
+        try:
+            connection.receive(LIMITS)
+        except exceptions.CallerDisconnectedError:
+            ended.set()
+
+    threading.Thread(target=receive_next, daemon=True).start()
+    connection.respond(second.pending, create_response(b"second"))
+    connection.respond(first.pending, create_response(bytes(64 * 1_048_576)))
+    assert ended.wait(timeout=10)
