--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -75,6 +75,10 @@
     """The response exceeds a limit on its body or on its framing, as one without end does."""
 
 
+class MemoryShortError(TruncatedError):
+    """There was no memory for the body, because others wait for callers that read slowly."""
+
+
 class ConnectionLostError(ExchangeError):
     """The connection ended before the request was sent or before the response began."""
 
@@ -183,7 +187,7 @@
         request: RawRequest,
         id_header: str,
         timeout_s: float,
-        memory: response_memory.ResponseMemory,
+        reservation: response_memory.BodyReservation,
     ) -> RawResponse:
         """Send a request and return its response; a few responses to other requests are skipped.
 
@@ -191,8 +195,8 @@
         ----------
         id_header
             Lower-case name of the request id header, which the response echoes.
-        memory
-            Memory for the body.
+        reservation
+            Memory for the body; empty. The caller releases it.
 
         Raises
         ------
@@ -205,11 +209,12 @@
         parser, data = _encode(request)
         is_sent = self._send(data, ends_at_s)
         for _ in range(MAX_RESPONSES_READ):
-            response = self._receive(parser, ends_at_s, memory)
+            response = self._receive(parser, ends_at_s, reservation)
             echoed = response.find(id_header)
             if echoed is None or echoed == expected:
                 self._is_reusable = is_sent and self._is_persistent and not self._leftover
                 return response
+            reservation.release()
             if not self._is_persistent:
                 break
             parser, _ = _encode(request)
@@ -261,7 +266,10 @@
         return ready[0][1]
 
     def _receive(
-        self, parser: h11.Connection, ends_at_s: float, memory: response_memory.ResponseMemory
+        self,
+        parser: h11.Connection,
+        ends_at_s: float,
+        reservation: response_memory.BodyReservation,
     ) -> RawResponse:
         """Return the next response; the parser is one that has sent the request."""
         framing = response_framing.FramingTally()
@@ -269,8 +277,7 @@
             framing.add_received(len(self._leftover))
             parser.receive_data(self._leftover)
         try:
-            with memory.create_reservation() as reservation:
-                response = self._read_response(parser, ends_at_s, reservation, framing)
+            response = self._read_response(parser, ends_at_s, reservation, framing)
         except h11.RemoteProtocolError as error:
             raise TruncatedError(outcomes.Step.RECEIVE, str(error)) from error
         self._leftover, at_end = parser.trailing_data
@@ -293,7 +300,8 @@
                 head = event
             elif isinstance(event, h11.Data):
                 if not reservation.add(len(event.data)):
-                    raise TooLargeError(outcomes.Step.RECEIVE, "the response is too large")
+                    error_type = MemoryShortError if reservation.is_held_up else TooLargeError
+                    raise error_type(outcomes.Step.RECEIVE, "no memory for the response")
                 body += event.data
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return _create_response(head, bytes(body))
--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -46,6 +46,11 @@
         self._idle: dict[identity.Address, collections.deque[exchange.Connection]] = {}
         self._swept_at_s = time.monotonic()
 
+    @property
+    def used_bytes(self) -> int:
+        """Bytes counted for the bodies that are being received or wait for their callers."""
+        return self._memory.used_bytes
+
     def send(
         self,
         address: identity.Address,
@@ -63,6 +68,8 @@
 
         Parameters
         ----------
+        cancelled
+            Cancels the exchange; its end releases the memory of the body.
         max_idle
             Maximum number of idle connections kept to the address.
         new_connection
@@ -88,12 +95,16 @@
         if may_send is not None and not may_send():
             used.close()
             raise exchange.NotSentError(outcomes.Step.SEND, "no longer allowed")
+        reservation = self._memory.create_reservation()
         try:
             with cancelled.call_on_cancel(used.interrupt):
-                response = used.exchange(request, id_header, remaining_s, self._memory)
+                response = used.exchange(request, id_header, remaining_s, reservation)
         except BaseException:
+            reservation.release()
             used.close()
             raise
+        reservation.start_waiting()
+        cancelled.call_at_end(reservation.release)
         if is_due is not None and not is_due(response):
             used.close()
         else:
--- a/src/goldcresthall/backend/response_memory.py
+++ b/src/goldcresthall/backend/response_memory.py
@@ -1,4 +1,4 @@
-"""Bounds on the memory that response bodies take while they are received."""
+"""Bounds on the memory that response bodies take until they are written to the callers."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-# Not counted against the total, so that ordinary responses arrive beside bodies without end.
+# Received whatever the total is, so that ordinary responses arrive beside bodies without end.
 UNCOUNTED_BODY_BYTES: Final = 65_536
 
 
@@ -23,7 +23,8 @@
     max_body_bytes
         Largest body of one response.
     total_bytes
-        Sum of the parts beyond `UNCOUNTED_BODY_BYTES` of all bodies that are being received.
+        Sum of all complete bodies that wait for their callers, and of the parts beyond
+        `UNCOUNTED_BODY_BYTES` of all bodies that are being received.
     """
 
     max_body_bytes: int
@@ -31,34 +32,53 @@
 
 
 class ResponseMemory:
-    """The memory for the response bodies that are being received on all connections."""
+    """The memory for the response bodies of all connections."""
 
     def __init__(self, limits: ResponseLimits) -> None:
         self._limits = limits
         self._lock = threading.Lock()
-        self._used_bytes = 0
+        self._incoming_bytes = 0
+        self._waiting_bytes = 0
 
     @property
     def used_bytes(self) -> int:
         """Bytes counted against the total."""
-        return self._used_bytes
+        return self._incoming_bytes + self._waiting_bytes
 
     def create_reservation(self) -> BodyReservation:
         """Return an empty reservation for one body."""
         return BodyReservation(self, self._limits.max_body_bytes)
 
+    def has_room_without_waiting(self, count: int) -> bool:
+        """Return whether only the bodies that wait for their callers leave no room for more."""
+        return self._incoming_bytes + count <= self._limits.total_bytes
+
     def take(self, count: int) -> bool:
         """Count more bytes if the total allows it; return whether it does."""
         with self._lock:
-            if self._used_bytes + count > self._limits.total_bytes:
+            if self.used_bytes + count > self._limits.total_bytes:
                 return False
-            self._used_bytes += count
+            self._incoming_bytes += count
             return True
 
     def release(self, count: int) -> None:
-        """Count bytes less."""
+        """Count bytes less that were being received."""
         with self._lock:
-            self._used_bytes -= count
+            self._incoming_bytes -= count
+
+    def start_waiting(self, taken_bytes: int, size_bytes: int) -> None:
+        """Count a complete body in full, in place of what was taken for it.
+
+        This may exceed the total, since what was received is delivered.
+        """
+        with self._lock:
+            self._incoming_bytes -= taken_bytes
+            self._waiting_bytes += size_bytes
+
+    def stop_waiting(self, size_bytes: int) -> None:
+        """Count a complete body no more."""
+        with self._lock:
+            self._waiting_bytes -= size_bytes
 
 
 class BodyReservation:
@@ -69,6 +89,13 @@
         self._max_body_bytes = max_body_bytes
         self._size_bytes = 0
         self._taken_bytes = 0
+        self._waiting_bytes = 0
+        self._is_held_up = False
+
+    @property
+    def is_held_up(self) -> bool:
+        """Whether bytes were refused only because complete bodies wait for their callers."""
+        return self._is_held_up
 
     def __enter__(self) -> BodyReservation:
         """Return the reservation."""
@@ -81,8 +108,7 @@
         traceback: TracebackType | None,
     ) -> None:
         """Release what was taken."""
-        self._memory.release(self._taken_bytes)
-        self._taken_bytes = 0
+        self.release()
 
     def add(self, count: int) -> bool:
         """Reserve more bytes of the body; return `False` if a limit does not allow them."""
@@ -93,6 +119,19 @@
         if missing <= 0:
             return True
         if not self._memory.take(missing):
+            self._is_held_up = self._memory.has_room_without_waiting(missing)
             return False
         self._taken_bytes += missing
         return True
+
+    def start_waiting(self) -> None:
+        """Count the body, which is complete, in full until it is released."""
+        self._memory.start_waiting(self._taken_bytes, self._size_bytes)
+        self._waiting_bytes = self._size_bytes
+        self._taken_bytes = 0
+
+    def release(self) -> None:
+        """Release what was taken; the reservation is empty again."""
+        self._memory.release(self._taken_bytes)
+        self._memory.stop_waiting(self._waiting_bytes)
+        self._size_bytes = self._taken_bytes = self._waiting_bytes = 0
--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -162,6 +162,7 @@
             self._changed.notify_all()
         for pending in abandoned:
             pending.cancelled.cancel()
+            pending.cancelled.end()
         self._socket.close()
 
     def _read_request(
@@ -293,6 +294,7 @@
             # on it would be interrupted when the instance stops.
             pending.closes = pending.closes or (self._is_draining and not self._pending)
             self._send(_encode(pending, pending.response))
+            pending.cancelled.end()
             if pending.closes:
                 self._is_closed = True
                 with contextlib.suppress(OSError):
--- a/src/goldcresthall/core/outcomes.py
+++ b/src/goldcresthall/core/outcomes.py
@@ -56,6 +56,7 @@
     CONNECTION_LOST = "connection_lost"
     ANSWER_TRUNCATED = "answer_truncated"
     ANSWER_TOO_LARGE = "answer_too_large"
+    MEMORY_SHORT = "memory_short"
     ANSWER_MISMATCHED = "answer_mismatched"
     SEND_INTERRUPTED = "send_interrupted"
     CALLER_LEFT = "caller_left"
--- a/src/goldcresthall/kernel/cancellation.py
+++ b/src/goldcresthall/kernel/cancellation.py
@@ -1,4 +1,4 @@
-"""Cancellation of requests whose caller has disconnected."""
+"""Cancellation of requests whose caller has disconnected, and the end of their work."""
 
 from __future__ import annotations
 
@@ -17,7 +17,9 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._is_cancelled = False
+        self._has_ended = False
         self._interrupts: list[Callable[[], None]] = []
+        self._releases: list[Callable[[], None]] = []
 
     @property
     def is_cancelled(self) -> bool:
@@ -32,6 +34,23 @@
         for interrupt in interrupts:
             interrupt()
 
+    def end(self) -> None:
+        """Release what was kept for the result, once it was handed over or nobody wants it."""
+        with self._lock:
+            self._has_ended = True
+            releases = tuple(self._releases)
+            self._releases.clear()
+        for release in releases:
+            release()
+
+    def call_at_end(self, release: Callable[[], None]) -> None:
+        """Call `release` once the work has ended; at once if it already has."""
+        with self._lock:
+            if not self._has_ended:
+                self._releases.append(release)
+                return
+        release()
+
     @contextlib.contextmanager
     def call_on_cancel(self, interrupt: Callable[[], None]) -> Iterator[None]:
         """Call `interrupt` if the work is cancelled before or within the block."""
--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -168,13 +168,14 @@
         )
         body = request_client.encode_command(document)
         request = exchange.RawRequest("POST", path, headers, body)
+        cancelled = cancellation.Cancellation()
         try:
             return self._pool.send(
                 server.address,
                 request,
                 names.REQUEST_ID,
                 timeout_s,
-                cancellation.Cancellation(),
+                cancelled,
                 max_idle=MAX_IDLE_CONNECTIONS,
                 new_connection=False,
                 may_send=may_send,
@@ -184,6 +185,8 @@
             return grants.CommandNotSent(str(error))
         except exchange.ExchangeError as error:
             return grants.CommandUnanswered(f"{error.step.value}: {error}")
+        finally:
+            cancelled.end()
 
 
 def _decode_grant(
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -185,6 +185,11 @@
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TOO_LARGE, error.step, str(error))
 
 
+@_describe_failure.register
+def _(error: exchange.MemoryShortError) -> attempts.Attempt:
+    return attempts.AttemptUnknown(outcomes.UnknownReason.MEMORY_SHORT, error.step, str(error))
+
+
 @_describe_failure.register
 def _(error: exchange.TruncatedError) -> attempts.Attempt:
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TRUNCATED, error.step, str(error))
--- a/tests/backend/test_exchange.py
+++ b/tests/backend/test_exchange.py
@@ -431,8 +431,8 @@
 
 
 def run_on(connected: socket.socket) -> exchange.RawResponse:
-    memory = response_memory.ResponseMemory(LIMITS)
-    return exchange.Connection(connected).exchange(REQUEST, ID_HEADER, TEST_TIMEOUT_S, memory)
+    reservation = response_memory.ResponseMemory(LIMITS).create_reservation()
+    return exchange.Connection(connected).exchange(REQUEST, ID_HEADER, TEST_TIMEOUT_S, reservation)
 
 
 @pytest.mark.parametrize(
@@ -518,3 +518,32 @@
     monkeypatch.setattr(exchange, "time", LateClock(connected))
     server.sendall(create_response("mine", b"whole"))
     assert run_on(connected).body == b"whole"
+
+
+def test_complete_bodies_count_until_their_work_has_ended(servers: list[ScriptedServer]) -> None:
+    """Bodies that waited for slow callers were not counted and could take all memory."""
+
+    def script(connection: socket.socket) -> None:
+        connection.recv(4_096)
+        connection.sendall(create_response("mine", bytes(LIMITS.max_body_bytes)))
+
+    server = ScriptedServer(script)
+    servers.append(server)
+    pool = exchange_pool.ExchangePool(LIMITS)
+
+    def send(cancelled: cancellation.Cancellation) -> exchange.RawResponse:
+        return pool.send(
+            server.address, REQUEST, ID_HEADER, 5.0, cancelled, max_idle=1, new_connection=True
+        )
+
+    waiting = [cancellation.Cancellation() for _ in range(2)]
+    for cancelled in waiting:
+        send(cancelled)
+    with pytest.raises(exchange.MemoryShortError):
+        send(cancellation.Cancellation())
+    waiting[0].end()
+    last = cancellation.Cancellation()
+    assert len(send(last).body) == LIMITS.max_body_bytes
+    for cancelled in (waiting[1], last):
+        cancelled.end()
+    assert pool.used_bytes == 0
--- a/tests/backend/test_response_memory.py
+++ b/tests/backend/test_response_memory.py
@@ -45,3 +45,31 @@
     for reservation in reservations:
         reservation.__exit__(None, None, None)
     assert memory.used_bytes == 0
+
+
+def test_small_bodies_are_received_and_counted_while_they_wait() -> None:
+    """Many small responses to callers that do not read leave no room for large ones."""
+    memory = response_memory.ResponseMemory(LIMITS)
+    waiting = [memory.create_reservation() for _ in range(20)]
+    for reservation in waiting:
+        assert reservation.add(FREE)
+        reservation.start_waiting()
+    assert memory.used_bytes == 20 * FREE
+    with memory.create_reservation() as large:
+        assert not large.add(2 * FREE)
+        assert large.is_held_up
+    for reservation in waiting:
+        reservation.release()
+    assert memory.used_bytes == 0
+    with memory.create_reservation() as large:
+        assert large.add(2 * FREE)
+        assert not large.is_held_up
+
+
+def test_bodies_without_end_are_not_blamed_on_callers() -> None:
+    """A server whose bodies have no end must still be avoided when the total ends them."""
+    memory = response_memory.ResponseMemory(LIMITS)
+    with memory.create_reservation() as first, memory.create_reservation() as second:
+        assert first.add(LIMITS.max_body_bytes)
+        assert not second.add(LIMITS.max_body_bytes)
+        assert not second.is_held_up
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -192,6 +192,22 @@
     assert b"Connection: close" in read_until(caller, b"first")
 
 
+def test_memory_is_released_once_the_response_is_written(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    caller.sendall(REQUEST % 1 + REQUEST % 2)
+    first = connection.receive(LIMITS)
+    second = connection.receive(LIMITS)
+    released: list[str] = []
+    first.pending.cancelled.call_at_end(lambda: released.append("first"))
+    second.pending.cancelled.call_at_end(lambda: released.append("second"))
+    connection.respond(second.pending, create_response(b"second"))
+    assert released == []
+    connection.respond(first.pending, create_response(b"first"))
+    assert released == ["first", "second"]
+
+
 def test_connection_of_a_caller_that_does_not_read_ends(
     pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -201,15 +217,20 @@
     caller.sendall(REQUEST % 1 + REQUEST % 2)
     first = connection.receive(LIMITS)
     second = connection.receive(LIMITS)
+    released: list[str] = []
+    for number, received in enumerate((first, second)):
+        received.pending.cancelled.call_at_end(lambda number=number: released.append(number))
     ended = threading.Event()
 
     def receive_next() -> None:
         try:
             connection.receive(LIMITS)
         except exceptions.CallerDisconnectedError:
+            connection.abandon()
             ended.set()
 
     threading.Thread(target=receive_next, daemon=True).start()
     connection.respond(second.pending, create_response(b"second"))
     connection.respond(first.pending, create_response(bytes(64 * 1_048_576)))
     assert ended.wait(timeout=10)
+    assert released == [0, 1]
