--- a/src/goldcresthall/backend/http_client.py
+++ b/src/goldcresthall/backend/http_client.py
@@ -17,6 +17,7 @@
 from goldcresthall.core import attempts
 from goldcresthall.core import leases
 from goldcresthall.core import outcomes
+from goldcresthall.encoding import bounded_bodies
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
 
@@ -28,6 +29,7 @@
 STATUS_OK = 200
 CONNECT_TIMEOUT_S = 0.25
 LEASE_POOL_SIZE = 2
+MAX_LEASE_BODY_BYTES = 1_048_576
 
 NOT_FORWARDED: Final = responses.HOP_BY_HOP_HEADERS | {
     protocol.PARTITION_HEADER.lower(),
@@ -77,7 +79,9 @@
         """Return a server's health signals, or `None` if it gives no valid response."""
         pool = self._find_lease_pool(server.address)
         try:
-            response = pool.request("GET", protocol.HEALTH_PATH, timeout=timeout_s, redirect=False)
+            response = bounded_bodies.request(
+                pool, "GET", protocol.HEALTH_PATH, MAX_LEASE_BODY_BYTES, timeout=timeout_s
+            )
         except urllib3.exceptions.HTTPError:
             return None
         return responses.read_signals(response.headers) if response.status == STATUS_OK else None
@@ -98,8 +102,13 @@
     ) -> leases.LeaseOutcome:
         pool = self._find_lease_pool(server.address)
         try:
-            response = pool.request(
-                method, protocol.LEASE_PATH, body=body, timeout=timeout_s, redirect=False
+            response = bounded_bodies.request(
+                pool,
+                method,
+                protocol.LEASE_PATH,
+                MAX_LEASE_BODY_BYTES,
+                body=body,
+                timeout=timeout_s,
             )
             if response.status != STATUS_OK:
                 return leases.LeaseUnanswered(server.name, f"status {response.status}")
--- a/src/goldcresthall/log_service/http_log_client.py
+++ b/src/goldcresthall/log_service/http_log_client.py
@@ -9,6 +9,7 @@
 
 import urllib3
 
+from goldcresthall.encoding import bounded_bodies
 from goldcresthall.log_service import log_client
 
 if TYPE_CHECKING:
@@ -16,6 +17,7 @@
 
 MS_PER_S = 1_000
 CONNECTION_POOL_SIZE = 4
+MAX_BODY_BYTES = 32 * 1_048_576
 STATUS_OK = 200
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_GONE = 410
@@ -56,9 +58,16 @@
         encoded = [base64.b64encode(entry).decode() for entry in entries]
         body = json.dumps({"entries": encoded}).encode()
         try:
-            response = self._pool.request("POST", "/log/append", body=body, timeout=self._timeout_s)
+            response = bounded_bodies.request(
+                self._pool,
+                "POST",
+                "/log/append",
+                MAX_BODY_BYTES,
+                body=body,
+                timeout=self._timeout_s,
+            )
             if response.status == STATUS_OK:
-                return log_client.Appended(int(response.json()["first_offset"]))
+                return log_client.Appended(int(json.loads(response.data)["first_offset"]))
         except urllib3.exceptions.NewConnectionError as error:
             return log_client.AppendRefused(f"connect: {error}")
         except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
@@ -72,10 +81,12 @@
         path = f"/log/read?from={from_offset}&limit={limit}&wait_ms={wait_ms}"
         timeout_s = self._timeout_s + wait_ms / MS_PER_S
         try:
-            response = self._pool.request("GET", path, timeout=timeout_s)
+            response = bounded_bodies.request(
+                self._pool, "GET", path, MAX_BODY_BYTES, timeout=timeout_s
+            )
             if response.status not in {STATUS_OK, STATUS_GONE}:
                 return log_client.ReadFailed(f"status {response.status}")
-            return self._decode_page(response.status, response.json())
+            return self._decode_page(response.status, json.loads(response.data))
         except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
             return log_client.ReadFailed(f"receive: {error}")
 
--- a/src/goldcresthall/log_service/instance_list.py
+++ b/src/goldcresthall/log_service/instance_list.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from goldcresthall.core import identity
+from goldcresthall.encoding import bounded_bodies
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
 from goldcresthall.kernel import clock
@@ -23,6 +24,7 @@
 
 MS_PER_S = 1_000
 STATUS_OK = 200
+MAX_BODY_BYTES = 8 * 1_048_576
 WARNING_INTERVAL_S = 10
 
 
@@ -135,7 +137,9 @@
         timeout_s = self._platform.request_timeout_ms / MS_PER_S
         read_started_at_s = self._clock.read_s()
         try:
-            response = self._pool.request("GET", "/instances", timeout=timeout_s)
+            response = bounded_bodies.request(
+                self._pool, "GET", "/instances", MAX_BODY_BYTES, timeout=timeout_s
+            )
             if response.status != STATUS_OK:
                 _log_read_failure(f"status {response.status}")
                 return
--- a/src/goldcresthall/platform/store_client.py
+++ b/src/goldcresthall/platform/store_client.py
@@ -14,6 +14,7 @@
 import urllib3
 from urllib3 import connection
 
+from goldcresthall.encoding import bounded_bodies
 from goldcresthall.platform import exceptions
 from goldcresthall.platform import fields
 from goldcresthall.platform import names
@@ -31,6 +32,10 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 1
 POOL_SIZE = 4
+# A call returns 1 MiB by default.
+MAX_BODY_BYTES = 8 * 1_048_576
+# Pages have at most 1 MB; the memory of a machine holds no more of them.
+MAX_PAGES = 200
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_GONE = 410
@@ -96,7 +101,7 @@
         records: list[client.KeyedRecord] = []
         end_offset: int | None = None
         after = ""
-        while True:
+        for _ in range(MAX_PAGES):
             path = f"{names.NEWEST_PATH}?topic={topic}&{PARTITION_PARAMETER}{after}"
             outcome = self._call(_Call("GET", topic, "read_newest", path))
             if isinstance(outcome, client.StoreFailed):
@@ -112,6 +117,7 @@
             if page.next_key is None:
                 return client.Records(tuple(records), end_offset, end_offset == page.end_offset)
             after = f"&after={parse.quote(page.next_key, safe='', errors='surrogatepass')}"
+        return client.StoreFailed("read", f"more than {MAX_PAGES} pages")
 
     def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
         """Return the records from an offset on, waiting up to `wait_s` seconds for the first.
@@ -156,17 +162,22 @@
             return client.WriteRefused("write", f"status {outcome.status}")
         return client.StoreFailed("write", f"status {outcome.status}")
 
-    def _call(self, call: _Call) -> urllib3.BaseHTTPResponse | client.StoreFailed:
+    def _call(self, call: _Call) -> bounded_bodies.BoundedResponse | client.StoreFailed:
         outcome = self._send(call)
         succeeded = not isinstance(outcome, client.StoreFailed)
         self._calls.count_call(call.topic, call.operation, succeeded=succeeded)
         return outcome
 
-    def _send(self, call: _Call) -> urllib3.BaseHTTPResponse | client.StoreFailed:
+    def _send(self, call: _Call) -> bounded_bodies.BoundedResponse | client.StoreFailed:
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S + call.wait_s)
         try:
-            return self._pool.request(
-                call.method, call.path, body=call.body or None, timeout=timeout
+            return bounded_bodies.request(
+                self._pool,
+                call.method,
+                call.path,
+                MAX_BODY_BYTES,
+                body=call.body or None,
+                timeout=timeout,
             )
         except urllib3.exceptions.NewConnectionError as error:
             return client.StoreFailed("connect", str(error))
@@ -209,7 +220,7 @@
     next_key: str | None
 
 
-def _decode_newest(response: urllib3.BaseHTTPResponse) -> _NewestPage:
+def _decode_newest(response: bounded_bodies.BoundedResponse) -> _NewestPage:
     if response.status != STATUS_OK:
         raise exceptions.MalformedEntryError(f"status {response.status}")
     document = fields.parse_object(response.data)
