--- a/src/goldcresthall/backend/http_client.py
+++ b/src/goldcresthall/backend/http_client.py
@@ -29,6 +29,8 @@
 STATUS_OK = 200
 CONNECT_TIMEOUT_S = 0.25
 LEASE_POOL_SIZE = 2
+MAX_BODY_BYTES = 32 * 1_048_576
+READ_BYTES = 1_048_576
 MAX_LEASE_BODY_BYTES = 1_048_576
 
 NOT_FORWARDED: Final = responses.HOP_BY_HOP_HEADERS | {
@@ -169,12 +171,29 @@
     connection.timeout = max(0.0, ends_at_s - time.monotonic())
     try:
         response = connection.getresponse()
-        body = response.read(decode_content=False)
+        body = _read_body(response)
     except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError, ValueError) as error:
         return responses.classify_receive_error(error)
+    if len(body) > MAX_BODY_BYTES:
+        return attempts.AttemptUnknown(
+            outcomes.UnknownReason.ANSWER_TOO_LARGE,
+            outcomes.Step.RECEIVE,
+            f"the body exceeds {MAX_BODY_BYTES} bytes",
+        )
     return responses.classify_response(dispatch.request_id, response.status, response.headers, body)
 
 
+def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Return a body, or its first part if it has more than `MAX_BODY_BYTES` bytes."""
+    body = bytearray()
+    while len(body) <= MAX_BODY_BYTES:
+        part = response.read(READ_BYTES, decode_content=False)
+        if not part:
+            break
+        body += part
+    return bytes(body)
+
+
 def _create_headers(dispatch: attempts.Dispatch, remaining_s: float) -> dict[str, str]:
     headers = {
         header.name: header.value
--- a/tests/backend/test_http_client.py
+++ b/tests/backend/test_http_client.py
@@ -179,3 +179,18 @@
     assert isinstance(attempt, attempts.AttemptAnswered)
     assert attempt.signals == attempts.ServerSignals(draining=True, load=7.0)
     assert attempt.answer.headers == ()
+
+
+def test_body_without_end_is_cut_at_the_limit(
+    client: http_client.HttpBackendClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A body of any length was once kept until the deadline."""
+    monkeypatch.setattr(http_client, "MAX_BODY_BYTES", 100_000, raising=False)
+    body = bytes(4 * 1_048_576)
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    with raw_server.run_server(raw_server.Script((head, body)), COMPLETE) as server:
+        attempt = client.send(create_dispatch(server.address))
+        assert isinstance(attempt, attempts.AttemptUnknown)
+        assert attempt.reason is outcomes.UnknownReason.ANSWER_TOO_LARGE
+        assert isinstance(client.send(create_dispatch(server.address)), attempts.AttemptAnswered)
+        assert server.connections == 2
