--- a/src/goldcresthall/encoding/bounded_bodies.py
+++ b/src/goldcresthall/encoding/bounded_bodies.py
@@ -53,7 +53,8 @@
     """
     response = pool.request(method, path, preload_content=False, redirect=False, **options)
     try:
-        parts = response.stream(READ_BYTES, decode_content=True)
+        # Not `stream`, which waits for a whole block, however slowly its bytes come.
+        parts = iter(lambda: response.read1(READ_BYTES, decode_content=True), b"")
         return BoundedResponse(response.status, response.headers, _join(parts, max_body_bytes))
     except BaseException:
         response.close()
--- a/tests/encoding/test_bounded_bodies.py
+++ b/tests/encoding/test_bounded_bodies.py
@@ -20,6 +20,7 @@
 from goldcresthall.platform import store_client
 from goldcresthall.store import client
 from goldcresthall.store import store_metrics
+from tests.backend import raw_server
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -35,7 +36,8 @@
 class EndlessServer:
     """Responds to each request with a body without end."""
 
-    def __init__(self) -> None:
+    def __init__(self, part: bytes = CHUNK) -> None:
+        self._part = part
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.sent_bytes = 0
         threading.Thread(target=self._run, daemon=True).start()
@@ -60,8 +62,8 @@
             connection.recv(65_536)
             connection.sendall(HEAD)
             while self.sent_bytes < SENT_AT_MOST_BYTES:
-                connection.sendall(CHUNK)
-                self.sent_bytes += len(CHUNK)
+                connection.sendall(self._part)
+                self.sent_bytes += len(self._part)
 
 
 @pytest.fixture
@@ -103,3 +105,32 @@
     pool = urllib3.HTTPConnectionPool(server.address.host, server.address.port, retries=False)
     with pytest.raises(bounded_bodies.BodyBoundError):
         bounded_bodies.request(pool, "GET", "/", SENT_AT_MOST_BYTES, timeout=1.0)
+
+
+def test_chunk_extension_without_end_is_cut() -> None:
+    """Some ways to read a response with the library keep a line of any length."""
+    server = EndlessServer(b"1;" + b"e" * MIB)
+    pool = urllib3.HTTPConnectionPool(server.address.host, server.address.port, retries=False)
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        bounded_bodies.request(pool, "GET", "/", MIB, timeout=1.0)
+    assert server.sent_bytes < CUT_WITHIN_BYTES
+    server.stop()
+
+
+def test_body_that_comes_byte_by_byte_is_cut(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A read of many bytes once waited for all of them, each within the timeout."""
+    monkeypatch.setattr(bounded_bodies, "MAX_BODY_S", 0.0)
+    with raw_server.run_server(
+        raw_server.Script((b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", b"a"), drips=True)
+    ) as server:
+        pool = urllib3.HTTPConnectionPool(server.address.host, server.address.port, retries=False)
+        with pytest.raises(bounded_bodies.BodyBoundError):
+            bounded_bodies.request(pool, "GET", "/", MIB, timeout=1.0)
+
+
+def test_truncated_body_is_an_error() -> None:
+    script = raw_server.Script((b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",), closes=True)
+    with raw_server.run_server(script) as server:
+        pool = urllib3.HTTPConnectionPool(server.address.host, server.address.port, retries=False)
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            bounded_bodies.request(pool, "GET", "/", MIB, timeout=1.0)
