--- a/src/goldcresthall/backend/connections.py
+++ b/src/goldcresthall/backend/connections.py
@@ -21,6 +21,7 @@
 
 MAX_IDLE_S = 5.0
 TIMEOUT_TOLERANCE_S = 0.002
+MAX_HEAD_BYTES = 131_072
 INTERIM_STATUSES: Final = range(102, 200)
 BLANK_LINES: Final = frozenset({b"\r\n", b"\n"})
 
@@ -75,11 +76,15 @@
 
 
 class HeaderReader:
-    """Reads a response's header lines and records whether the end of the header was seen."""
+    """Reads a response's header lines and records whether the end of the header was seen.
+
+    The lines of interim responses count as well; the library skips some of them itself.
+    """
 
     def __init__(self, file: BinaryIO) -> None:
         self._file = file
         self._last_line = b""
+        self._read_bytes = 0
 
     @property
     def has_ended(self) -> bool:
@@ -87,8 +92,17 @@
         return self._last_line in BLANK_LINES
 
     def readline(self, limit: int = -1) -> bytes:
-        """Return the next line."""
+        """Return the next line.
+
+        Raises
+        ------
+        http.client.IncompleteRead
+            If the lines exceed `MAX_HEAD_BYTES`.
+        """
         self._last_line = self._file.readline(limit)
+        self._read_bytes += len(self._last_line)
+        if self._read_bytes > MAX_HEAD_BYTES:
+            raise http.client.IncompleteRead(b"")
         return self._last_line
 
     def close(self) -> None:
@@ -114,14 +128,14 @@
             If the header is truncated or does not state, without contradiction, where the
             body ends.
         """
-        self._read_header()
+        reader = HeaderReader(self.fp)
+        self._read_header(reader)
         while self.status in INTERIM_STATUSES:
             self.headers = self.msg = None  # type: ignore[assignment]
-            self._read_header()
+            self._read_header(reader)
 
-    def _read_header(self) -> None:
+    def _read_header(self, reader: HeaderReader) -> None:
         file = self.fp
-        reader = HeaderReader(file)
         self.fp = reader  # type: ignore[assignment]
         try:
             super().begin()
--- a/tests/backend/test_http_client.py
+++ b/tests/backend/test_http_client.py
@@ -194,3 +194,18 @@
         assert attempt.reason is outcomes.UnknownReason.ANSWER_TOO_LARGE
         assert isinstance(client.send(create_dispatch(server.address)), attempts.AttemptAnswered)
         assert server.connections == 2
+
+
+@pytest.mark.parametrize("status", [100, 103])
+def test_interim_responses_without_end_are_cut(
+    client: http_client.HttpBackendClient, status: int
+) -> None:
+    """Interim responses were once read until the deadline."""
+    interim = f"HTTP/1.1 {status} Wait\r\nX-A: {'b' * 900}\r\n\r\n".encode() * 1_000
+    with raw_server.run_server(
+        raw_server.Script((interim, COMPLETE.pieces[0])), COMPLETE
+    ) as server:
+        attempt = client.send(create_dispatch(server.address))
+        assert isinstance(attempt, attempts.AttemptUnknown)
+        assert attempt.reason is outcomes.UnknownReason.ANSWER_TRUNCATED
+        assert isinstance(client.send(create_dispatch(server.address)), attempts.AttemptAnswered)
