--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -15,6 +15,7 @@
 from absl import logging
 
 from goldcresthall.backend import exchange
+from goldcresthall.backend import response_framing
 from goldcresthall.callers import codec
 from goldcresthall.callers import exceptions
 from goldcresthall.core import outcomes
@@ -169,22 +170,24 @@
         self, parser: h11.Connection, limits: deployment.CallerLimits
     ) -> ReceivedRequest:
         head = self._read_head(parser, limits)
-        chunks: list[bytes] = []
-        remaining_bytes = limits.body_bytes
+        body = bytearray()
+        framing = response_framing.FramingTally()
         ends_at_s = time.monotonic() + BODY_TIMEOUT_S
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
                 if parser.they_are_waiting_for_100_continue:
                     self._send_continue(parser)
-                parser.receive_data(self._receive_bytes(ends_at_s, limits))
+                data = self._receive_bytes(ends_at_s, limits)
+                framing.add_received(len(data))
+                parser.receive_data(data)
             elif isinstance(event, h11.Data):
-                chunks.append(bytes(event.data))
-                remaining_bytes -= len(chunks[-1])
-                if remaining_bytes < 0:
+                body += event.data
+                framing.add_event(event)
+                if len(body) > limits.body_bytes or framing.is_excessive:
                     raise exceptions.BadRequestError(STATUS_TOO_LARGE, "the body is too large")
             elif isinstance(event, h11.EndOfMessage):
-                return self._finish_request(parser, head, b"".join(chunks))
+                return self._finish_request(parser, head, bytes(body))
 
     def _read_head(self, parser: h11.Connection, limits: deployment.CallerLimits) -> h11.Request:
         ends_at_s: float | None = None
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import socket
 import threading
@@ -234,3 +235,46 @@
     connection.respond(first.pending, create_response(bytes(64 * 1_048_576)))
     assert ended.wait(timeout=10)
     assert released == [0, 1]
+
+
+def test_tiny_chunks_without_end_are_rejected(
+    pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller's chunks of one byte once took a core until the limit of its body."""
+    caller, connection = pair
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    receive_bytes = connection._receive_bytes
+    received: list[int] = []
+
+    def count_bytes(ends_at_s: float | None, limits: deployment.CallerLimits) -> bytes:
+        data = receive_bytes(ends_at_s, limits)
+        received.append(len(data))
+        return data
+
+    def send_without_end() -> None:
+        with contextlib.suppress(OSError):
+            caller.sendall(head)
+            while True:
+                caller.sendall(b"1\r\na\r\n" * 1_000)
+
+    monkeypatch.setattr(connection, "_receive_bytes", count_bytes)
+    sender = threading.Thread(target=send_without_end, daemon=True)
+    sender.start()
+    with pytest.raises(exceptions.BadRequestError) as raised:
+        connection.receive(dataclasses.replace(LIMITS, body_bytes=500_000))
+    assert raised.value.status == 413
+    assert sum(received) < 300_000
+    connection.abandon()
+    sender.join(timeout=10)
+
+
+def test_small_chunks_of_a_sound_caller_are_read(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    threading.Thread(
+        target=lambda: caller.sendall(head + b"1\r\na\r\n" * 2_000 + b"0\r\n\r\n"), daemon=True
+    ).start()
+    received = connection.receive(dataclasses.replace(LIMITS, body_bytes=500_000))
+    assert len(received.request.body) == 2_000
