--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -22,6 +22,7 @@
 from goldcresthall.kernel import cancellation
 
 if TYPE_CHECKING:
+    from goldcresthall.backend import response_memory
     from goldcresthall.core import deployment
 
 RECEIVE_BYTES = 65_536
@@ -36,6 +37,7 @@
 STATUS_BAD_REQUEST = 400
 STATUS_TOO_LARGE = 413
 STATUS_HEADER_TOO_LARGE = 431
+STATUS_UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,9 +69,15 @@
     """Reads a caller's requests and sends the responses in request order.
 
     One task reads requests; the tasks that handle them submit the responses.
+
+    Parameters
+    ----------
+    memory
+        Memory for the bodies of the requests of all connections.
     """
 
-    def __init__(self, accepted: socket.socket) -> None:
+    def __init__(self, accepted: socket.socket, memory: response_memory.ResponseMemory) -> None:
+        self._memory = memory
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = accepted
@@ -170,6 +178,23 @@
         self, parser: h11.Connection, limits: deployment.CallerLimits
     ) -> ReceivedRequest:
         head = self._read_head(parser, limits)
+        reservation = self._memory.create_reservation()
+        try:
+            body = self._read_body(parser, limits, reservation)
+            received = self._finish_request(parser, head, body)
+        except BaseException:
+            reservation.release()
+            raise
+        reservation.start_waiting()
+        received.pending.cancelled.call_at_end(reservation.release)
+        return received
+
+    def _read_body(
+        self,
+        parser: h11.Connection,
+        limits: deployment.CallerLimits,
+        reservation: response_memory.BodyReservation,
+    ) -> bytes:
         body = bytearray()
         framing = response_framing.FramingTally()
         ends_at_s = time.monotonic() + BODY_TIMEOUT_S
@@ -186,8 +211,10 @@
                 framing.add_event(event)
                 if len(body) > limits.body_bytes or framing.is_excessive:
                     raise exceptions.BadRequestError(STATUS_TOO_LARGE, "the body is too large")
+                if not reservation.add(len(event.data)):
+                    raise exceptions.BadRequestError(STATUS_UNAVAILABLE, "no memory for the body")
             elif isinstance(event, h11.EndOfMessage):
-                return self._finish_request(parser, head, bytes(body))
+                return bytes(body)
 
     def _read_head(self, parser: h11.Connection, limits: deployment.CallerLimits) -> h11.Request:
         ends_at_s: float | None = None
--- a/src/goldcresthall/callers/pipelined_frontend.py
+++ b/src/goldcresthall/callers/pipelined_frontend.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 
+from goldcresthall.backend import response_memory
 from goldcresthall.callers import connections
 from goldcresthall.callers import exceptions
 from goldcresthall.core import deployment
@@ -41,6 +42,10 @@
         self._kernel = service_kernel
         self._address = instance_settings.listen.callers
         self._codec = caller_codec
+        memory_bytes = instance_settings.machine.request_memory_bytes
+        self._memory = response_memory.ResponseMemory(
+            response_memory.ResponseLimits(memory_bytes, memory_bytes)
+        )
         self._lock = threading.Lock()
         self._connections: set[connections.CallerConnection] = set()
         self._is_draining = False
@@ -112,7 +117,7 @@
             self._add_connection(accepted)
 
     def _add_connection(self, accepted: socket.socket) -> None:
-        connection = connections.CallerConnection(accepted)
+        connection = connections.CallerConnection(accepted, self._memory)
         with self._lock:
             self._connections.add(connection)
             if self._is_draining:
--- a/src/goldcresthall/core/deployment_settings.py
+++ b/src/goldcresthall/core/deployment_settings.py
@@ -12,6 +12,7 @@
 DEFAULT_MAX_RECORD_BYTES = 262_144
 RESPONSE_MEMORY_FRACTION = 1 / 8
 MAX_BODY_MEMORY_FRACTION = 1 / 32
+REQUEST_MEMORY_FRACTION = 1 / 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,6 +54,11 @@
         """Memory in bytes for the response bodies that are being received at the same time."""
         return int(self.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_FRACTION)
 
+    @property
+    def request_memory_bytes(self) -> int:
+        """Memory in bytes for the bodies of all requests in progress."""
+        return int(self.memory_mb * BYTES_PER_MB * REQUEST_MEMORY_FRACTION)
+
     @property
     def max_body_bytes(self) -> int:
         """Largest response body in bytes."""
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from goldcresthall.backend import response_memory
 from goldcresthall.callers import codec
 from goldcresthall.callers import connections
 from goldcresthall.callers import exceptions
@@ -21,6 +22,7 @@
     from collections.abc import Iterator
 
 LIMITS = deployment.CallerLimits(header_bytes=1_024, body_bytes=100)
+MEMORY = response_memory.ResponseLimits(1_000_000, 1_000_000)
 REQUEST = b"GET /page/%d HTTP/1.1\r\nHost: a.example\r\n\r\n"
 
 
@@ -30,7 +32,7 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         caller = socket.create_connection(listener.getsockname(), timeout=5)
         accepted, _ = listener.accept()
-    connection = connections.CallerConnection(accepted)
+    connection = connections.CallerConnection(accepted, response_memory.ResponseMemory(MEMORY))
     yield caller, connection
     connection.abandon()
     caller.close()
@@ -278,3 +280,21 @@
     ).start()
     received = connection.receive(dataclasses.replace(LIMITS, body_bytes=500_000))
     assert len(received.request.body) == 2_000
+
+
+def test_bodies_of_requests_in_progress_have_a_bound_together(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    """Large bodies of many callers could take all memory while each kept to its own limit."""
+    caller, connection = pair
+    limits = dataclasses.replace(LIMITS, body_bytes=900_000)
+    body = bytes(600_000)
+    request = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    threading.Thread(target=lambda: caller.sendall(request * 3), daemon=True).start()
+    first = connection.receive(limits)
+    connection.respond(first.pending, create_response(b"first"))
+    second = connection.receive(limits)
+    assert second.request.body == body
+    with pytest.raises(exceptions.BadRequestError) as raised:
+        connection.receive(limits)
+    assert raised.value.status == 503
--- a/tests/callers/test_pipelined_frontend.py
+++ b/tests/callers/test_pipelined_frontend.py
@@ -47,12 +47,14 @@
 
 
 @pytest.fixture
-def pairs() -> Iterator[list[tuple[socket.socket, connections.CallerConnection]]]:
+def pairs(
+    front: pipelined_frontend.PipelinedFrontend,
+) -> Iterator[list[tuple[socket.socket, connections.CallerConnection]]]:
     """Yield three connections, each with its caller's socket."""
     created = []
     for _ in range(3):
         accepted, caller = _connect()
-        created.append((caller, connections.CallerConnection(accepted)))
+        created.append((caller, connections.CallerConnection(accepted, front._memory)))
     yield created
     for caller, connection in created:
         caller.close()
