--- a/src/goldcresthall/peers/transport.py
+++ b/src/goldcresthall/peers/transport.py
@@ -7,15 +7,20 @@
 from typing import Final
 
 from thrift.protocol import TCompactProtocol
+from thrift.protocol import TProtocol
 from thrift.transport import TTransport
 
 if TYPE_CHECKING:
-    from thrift.protocol import TProtocol
-
     from goldcresthall.peers import peer_metrics
 
 MAX_FRAME_BYTES: Final = 16 * 1_048_576
 FRAME_HEADER_BYTES: Final = 4
+# An element may take a single byte in a frame, but many in memory.
+MAX_CONTAINER_ELEMENTS: Final = 262_144
+
+
+# The compiled decoder raises the last two, for a container too large and for malformed text.
+DECODE_ERRORS: Final = (TProtocol.TProtocolException, OverflowError, ValueError)
 
 
 class FrameTooLargeError(TTransport.TTransportException):  # type: ignore[misc]
@@ -59,4 +64,6 @@
     The library's compiled encoder is used where it is installed; its bytes are the same.
     """
     framed = LimitedFramedTransport(transport, metrics)
-    return TCompactProtocol.TCompactProtocolAccelerated(framed, fallback=True)
+    return TCompactProtocol.TCompactProtocolAccelerated(
+        framed, container_length_limit=MAX_CONTAINER_ELEMENTS, fallback=True
+    )
--- a/src/goldcresthall/ranges/peer_channel.py
+++ b/src/goldcresthall/ranges/peer_channel.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
-from thrift.protocol import TProtocol
 from thrift.transport import TSocket
 from thrift.transport import TTransport
 
@@ -80,7 +79,7 @@
         except TTransport.TTransportException as error:
             self._socket.close()
             raise reports.UnreachableError(str(error), is_refused=_is_refused(error)) from error
-        except (Thrift.TException, TProtocol.TProtocolException, OSError, EOFError) as error:
+        except (*transport.DECODE_ERRORS, Thrift.TException, OSError, EOFError) as error:
             self._socket.close()
             raise reports.UnreachableError(str(error), is_refused=False) from error
 
--- a/src/goldcresthall/ranges/peer_server.py
+++ b/src/goldcresthall/ranges/peer_server.py
@@ -115,6 +115,8 @@
             logging.warning("peer called an unknown method, step decode; closing the connection")
         except (TTransport.TTransportException, OSError, EOFError):
             logging.debug("peer connection closed")
+        except transport.DECODE_ERRORS as error:
+            logging.warning("peer connection closed, step decode: %s", error)
         finally:
             accepted.close()
             with self._lock:
