--- a/src/goldcresthall/peers/transport.py
+++ b/src/goldcresthall/peers/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import time
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -15,6 +16,9 @@
 
 MAX_FRAME_BYTES: Final = 16 * 1_048_576
 FRAME_HEADER_BYTES: Final = 4
+READ_BYTES: Final = 65_536
+# The timeout of a connection starts anew with each byte.
+MAX_FRAME_S: Final = 10.0
 # An element may take a single byte in a frame, but many in memory.
 MAX_CONTAINER_ELEMENTS: Final = 262_144
 
@@ -27,6 +31,10 @@
     """A peer announced a frame larger than `MAX_FRAME_BYTES`."""
 
 
+class FrameTooLateError(TTransport.TTransportException):  # type: ignore[misc]
+    """A peer's frame took longer than `MAX_FRAME_S` from its size to its end."""
+
+
 class LimitedFramedTransport(TTransport.TFramedTransport):  # type: ignore[misc]
     """A framed transport that rejects negative and oversized frames and counts bytes."""
 
@@ -47,9 +55,24 @@
         size = int.from_bytes(header, "big", signed=True)
         if not 0 <= size <= MAX_FRAME_BYTES:
             raise FrameTooLargeError(message=f"frame size of {size} bytes is out of range")
-        self._TFramedTransport__rbuf = io.BytesIO(self._inner.readAll(size))
+        self._TFramedTransport__rbuf = io.BytesIO(self._read_content(size))
         self._metrics.count_received(FRAME_HEADER_BYTES + size)
 
+    def _read_content(self, size: int) -> bytes:
+        """Read a frame's content; the library would copy all of it with each part received."""
+        ends_at_s = time.monotonic() + MAX_FRAME_S
+        content = bytearray()
+        while len(content) < size:
+            part = self._inner.read(min(READ_BYTES, size - len(content)))
+            if not part:
+                raise EOFError
+            content += part
+            if time.monotonic() > ends_at_s:
+                raise FrameTooLateError(
+                    message=f"{len(content)} of {size} bytes in {MAX_FRAME_S} s"
+                )
+        return bytes(content)
+
     def flush(self) -> None:
         """Send the buffered data as one frame."""
         self._metrics.count_sent(FRAME_HEADER_BYTES + self._TFramedTransport__wbuf.tell())
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -26,3 +26,41 @@
     inner = TTransport.TMemoryBuffer(len(content).to_bytes(4, "big") + content)
     with pytest.raises(transport.DECODE_ERRORS):
         ttypes.OwnershipChanges().read(transport.create_protocol(inner, create_metrics()))
+
+
+class DrippingTransport(TTransport.TTransportBase):  # type: ignore[misc]
+    """Announces the largest frame and sends it byte by byte."""
+
+    def __init__(self) -> None:
+        self.read_bytes = 0
+
+    def readAll(self, size: int) -> bytes:  # noqa: N802
+        """Return the size of the frame, or the content at once if it is asked for."""
+        return transport.MAX_FRAME_BYTES.to_bytes(size, "big")
+
+    def read(self, size: int) -> bytes:
+        """Return one byte."""
+        self.read_bytes += 1
+        return b"a"
+
+
+def test_frame_that_comes_byte_by_byte_ends_at_a_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each byte once restarted the timeout, and all bytes before it were copied."""
+    monkeypatch.setattr(transport, "MAX_FRAME_S", 0.0)
+    inner = DrippingTransport()
+    framed = transport.LimitedFramedTransport(inner, create_metrics())
+    with pytest.raises(transport.FrameTooLateError):
+        framed.readFrame()
+    assert inner.read_bytes < transport.READ_BYTES
+
+
+def test_frame_in_parts_is_read_whole() -> None:
+    content = bytes(range(256)) * 1_000
+    inner = TTransport.TMemoryBuffer(len(content).to_bytes(4, "big") + content)
+    assert transport.LimitedFramedTransport(inner, create_metrics()).read(len(content)) == content
+
+
+def test_truncated_frame_is_an_error() -> None:
+    inner = TTransport.TMemoryBuffer((100).to_bytes(4, "big") + b"short")
+    with pytest.raises(EOFError):
+        transport.LimitedFramedTransport(inner, create_metrics()).readFrame()
