--- a/src/goldcresthall/admin/server.py
+++ b/src/goldcresthall/admin/server.py
@@ -37,6 +37,7 @@
 
 MS_PER_S = 1_000
 THREAD_COUNT = 4
+MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 8 * 1_048_576
 JSON_CONTENT_TYPE = "application/json"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
@@ -57,6 +58,7 @@
         self._server = wsgi.Server(
             (address.host, address.port), self._serve, numthreads=THREAD_COUNT
         )
+        self._server.max_request_header_size = MAX_HEADER_BYTES
         self._is_draining = False
         self._task = tasks.LoopTask("admin", self._run)
 
--- a/src/goldcresthall/admin/status_server.py
+++ b/src/goldcresthall/admin/status_server.py
@@ -19,6 +19,8 @@
 
 THREAD_COUNT = 2
 SHUTDOWN_TIMEOUT_S = 1
+MAX_HEADER_BYTES = 16_384
+MAX_BODY_BYTES = 16_384
 
 
 class StatusServer(service.Service):
@@ -39,6 +41,8 @@
             numthreads=THREAD_COUNT,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.max_request_body_size = MAX_BODY_BYTES
         self._task = tasks.LoopTask(name, lambda _: self._server.serve())
 
     def start(self) -> None:
