--- a/src/goldcresthall/backend/http_client.py
+++ b/src/goldcresthall/backend/http_client.py
@@ -17,6 +17,7 @@
 from goldcresthall.core import attempts
 from goldcresthall.core import leases
 from goldcresthall.core import outcomes
+from goldcresthall.encoding import bounded_bodies
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
 
@@ -28,6 +29,9 @@
 STATUS_OK = 200
 CONNECT_TIMEOUT_S = 0.25
 LEASE_POOL_SIZE = 2
+MAX_BODY_BYTES = 32 * 1_048_576
+READ_BYTES = 1_048_576
+MAX_LEASE_BODY_BYTES = 1_048_576
 
 NOT_FORWARDED: Final = responses.HOP_BY_HOP_HEADERS | {
     protocol.PARTITION_HEADER.lower(),
@@ -77,7 +81,9 @@
         """Return a server's health signals, or `None` if it gives no valid response."""
         pool = self._find_lease_pool(server.address)
         try:
-            response = pool.request("GET", protocol.HEALTH_PATH, timeout=timeout_s, redirect=False)
+            response = bounded_bodies.request(
+                pool, "GET", protocol.HEALTH_PATH, MAX_LEASE_BODY_BYTES, timeout=timeout_s
+            )
         except urllib3.exceptions.HTTPError:
             return None
         return responses.read_signals(response.headers) if response.status == STATUS_OK else None
@@ -98,8 +104,13 @@
     ) -> leases.LeaseOutcome:
         pool = self._find_lease_pool(server.address)
         try:
-            response = pool.request(
-                method, protocol.LEASE_PATH, body=body, timeout=timeout_s, redirect=False
+            response = bounded_bodies.request(
+                pool,
+                method,
+                protocol.LEASE_PATH,
+                MAX_LEASE_BODY_BYTES,
+                body=body,
+                timeout=timeout_s,
             )
             if response.status != STATUS_OK:
                 return leases.LeaseUnanswered(server.name, f"status {response.status}")
@@ -169,9 +180,15 @@
     connection.timeout = max(0.0, ends_at_s - time.monotonic())
     try:
         response = connection.getresponse()
-        body = response.read(decode_content=False)
+        body = _read_body(response)
     except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError, ValueError) as error:
         return responses.classify_receive_error(error)
+    if len(body) > MAX_BODY_BYTES:
+        return attempts.AttemptUnknown(
+            outcomes.UnknownReason.ANSWER_TOO_LARGE,
+            outcomes.Step.RECEIVE,
+            f"the body exceeds {MAX_BODY_BYTES} bytes",
+        )
     connection.response_count += 1
     connection.is_echoing = protocol.REQUEST_ID_HEADER in response.headers
     return responses.classify_response(
@@ -183,6 +200,17 @@
     )
 
 
+def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Return a body, or its first part if it has more than `MAX_BODY_BYTES` bytes."""
+    body = bytearray()
+    while len(body) <= MAX_BODY_BYTES:
+        part = response.read(READ_BYTES, decode_content=False)
+        if not part:
+            break
+        body += part
+    return bytes(body)
+
+
 def _create_headers(dispatch: attempts.Dispatch, remaining_s: float) -> dict[str, str]:
     headers = {
         header.name: header.value
--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -12,14 +12,17 @@
 from typing import TYPE_CHECKING
 
 import h11
+from absl import logging
 
 from goldcresthall.backend import exchange
+from goldcresthall.backend import response_framing
 from goldcresthall.callers import codec
 from goldcresthall.callers import exceptions
 from goldcresthall.core import outcomes
 from goldcresthall.kernel import cancellation
 
 if TYPE_CHECKING:
+    from goldcresthall.backend import response_memory
     from goldcresthall.core import deployment
 
 RECEIVE_BYTES = 65_536
@@ -34,6 +37,7 @@
 STATUS_BAD_REQUEST = 400
 STATUS_TOO_LARGE = 413
 STATUS_HEADER_TOO_LARGE = 431
+STATUS_UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,9 +69,15 @@
     """Reads a caller's requests and sends the responses in request order.
 
     One task reads requests; the tasks that handle them submit the responses.
+
+    Parameters
+    ----------
+    memory
+        Memory for the bodies of the requests of all connections.
     """
 
-    def __init__(self, accepted: socket.socket) -> None:
+    def __init__(self, accepted: socket.socket, memory: response_memory.ResponseMemory) -> None:
+        self._memory = memory
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = accepted
@@ -161,28 +171,50 @@
             self._changed.notify_all()
         for pending in abandoned:
             pending.cancelled.cancel()
+            pending.cancelled.end()
         self._socket.close()
 
     def _read_request(
         self, parser: h11.Connection, limits: deployment.CallerLimits
     ) -> ReceivedRequest:
         head = self._read_head(parser, limits)
-        chunks: list[bytes] = []
-        remaining_bytes = limits.body_bytes
+        reservation = self._memory.create_reservation()
+        try:
+            body = self._read_body(parser, limits, reservation)
+            received = self._finish_request(parser, head, body)
+        except BaseException:
+            reservation.release()
+            raise
+        reservation.start_waiting()
+        received.pending.cancelled.call_at_end(reservation.release)
+        return received
+
+    def _read_body(
+        self,
+        parser: h11.Connection,
+        limits: deployment.CallerLimits,
+        reservation: response_memory.BodyReservation,
+    ) -> bytes:
+        body = bytearray()
+        framing = response_framing.FramingTally()
         ends_at_s = time.monotonic() + BODY_TIMEOUT_S
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
                 if parser.they_are_waiting_for_100_continue:
                     self._send_continue(parser)
-                parser.receive_data(self._receive_bytes(ends_at_s, limits))
+                data = self._receive_bytes(ends_at_s, limits)
+                framing.add_received(len(data))
+                parser.receive_data(data)
             elif isinstance(event, h11.Data):
-                chunks.append(bytes(event.data))
-                remaining_bytes -= len(chunks[-1])
-                if remaining_bytes < 0:
+                body += event.data
+                framing.add_event(event)
+                if len(body) > limits.body_bytes or framing.is_excessive:
                     raise exceptions.BadRequestError(STATUS_TOO_LARGE, "the body is too large")
+                if not reservation.add(len(event.data)):
+                    raise exceptions.BadRequestError(STATUS_UNAVAILABLE, "no memory for the body")
             elif isinstance(event, h11.EndOfMessage):
-                return self._finish_request(parser, head, b"".join(chunks))
+                return bytes(body)
 
     def _read_head(self, parser: h11.Connection, limits: deployment.CallerLimits) -> h11.Request:
         ends_at_s: float | None = None
@@ -292,6 +324,7 @@
             # on it would be interrupted when the instance stops.
             pending.closes = pending.closes or (self._is_draining and not self._pending)
             self._send(_encode(pending, pending.response))
+            pending.cancelled.end()
             if pending.closes:
                 self._is_closed = True
                 with contextlib.suppress(OSError):
@@ -305,13 +338,20 @@
                 view = view[self._socket.send(view) :]
             except BlockingIOError:
                 if not self._wait_writable(ends_at_s - time.monotonic()):
-                    self._is_closed = True
+                    self._close_unread()
                     return
             except OSError:
                 # The reading task detects the same failure and cancels the requests in progress.
                 self._is_closed = True
                 return
 
+    def _close_unread(self) -> None:
+        """Close the connection of a caller that does not read, so that the reading task ends."""
+        logging.info("connection closed, step send: the caller does not read its responses")
+        self._is_closed = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
     def _wait_writable(self, timeout_s: float) -> bool:
         poll = select.poll()
         try:
--- a/tests/backend/test_http_client.py
+++ b/tests/backend/test_http_client.py
@@ -198,6 +198,19 @@
         assert attempt.reason is outcomes.UnknownReason.ANSWER_MISMATCHED
         context = retries.RetryContext(idempotent=False, keyed=True)
         assert retries.decide_retry(attempt, context) == retries.NoRetry()
+
+
+def test_body_without_end_is_cut_at_the_limit(
+    client: http_client.HttpBackendClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A body of any length was once kept until the deadline."""
+    monkeypatch.setattr(http_client, "MAX_BODY_BYTES", 100_000, raising=False)
+    body = bytes(4 * 1_048_576)
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    with raw_server.run_server(raw_server.Script((head, body)), COMPLETE) as server:
+        attempt = client.send(create_dispatch(server.address))
+        assert isinstance(attempt, attempts.AttemptUnknown)
+        assert attempt.reason is outcomes.UnknownReason.ANSWER_TOO_LARGE
         assert isinstance(client.send(create_dispatch(server.address)), attempts.AttemptAnswered)
         assert server.connections == 2
 
@@ -241,3 +254,18 @@
         again = dataclasses.replace(first, sent_before=True)
         assert isinstance(client.send(again), attempts.AttemptAnswered)
         assert server.connections == 2
+
+
+@pytest.mark.parametrize("status", [100, 103])
+def test_interim_responses_without_end_are_cut(
+    client: http_client.HttpBackendClient, status: int
+) -> None:
+    """Interim responses were once read until the deadline."""
+    interim = f"HTTP/1.1 {status} Wait\r\nX-A: {'b' * 900}\r\n\r\n".encode() * 1_000
+    with raw_server.run_server(
+        raw_server.Script((interim, COMPLETE.pieces[0])), COMPLETE
+    ) as server:
+        attempt = client.send(create_dispatch(server.address))
+        assert isinstance(attempt, attempts.AttemptUnknown)
+        assert attempt.reason is outcomes.UnknownReason.ANSWER_TRUNCATED
+        assert isinstance(client.send(create_dispatch(server.address)), attempts.AttemptAnswered)
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import socket
 import threading
@@ -10,6 +11,7 @@
 
 import pytest
 
+from goldcresthall.backend import response_memory
 from goldcresthall.callers import codec
 from goldcresthall.callers import connections
 from goldcresthall.callers import exceptions
@@ -20,6 +22,7 @@
     from collections.abc import Iterator
 
 LIMITS = deployment.CallerLimits(header_bytes=1_024, body_bytes=100)
+MEMORY = response_memory.ResponseLimits(1_000_000, 1_000_000)
 REQUEST = b"GET /page/%d HTTP/1.1\r\nHost: a.example\r\n\r\n"
 
 
@@ -29,7 +32,7 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         caller = socket.create_connection(listener.getsockname(), timeout=5)
         accepted, _ = listener.accept()
-    connection = connections.CallerConnection(accepted)
+    connection = connections.CallerConnection(accepted, response_memory.ResponseMemory(MEMORY))
     yield caller, connection
     connection.abandon()
     caller.close()
@@ -190,3 +193,108 @@
     assert reads[1] < 0.5
     connection.respond(first.pending, create_response(b"first"))
     assert b"Connection: close" in read_until(caller, b"first")
+
+
+def test_memory_is_released_once_the_response_is_written(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    caller.sendall(REQUEST % 1 + REQUEST % 2)
+    first = connection.receive(LIMITS)
+    second = connection.receive(LIMITS)
+    released: list[str] = []
+    first.pending.cancelled.call_at_end(lambda: released.append("first"))
+    second.pending.cancelled.call_at_end(lambda: released.append("second"))
+    connection.respond(second.pending, create_response(b"second"))
+    assert released == []
+    connection.respond(first.pending, create_response(b"first"))
+    assert released == ["first", "second"]
+
+
+def test_connection_of_a_caller_that_does_not_read_ends(
+    pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Responses behind one that the caller did not read were once kept until it left."""
+    monkeypatch.setattr(connections, "SEND_TIMEOUT_S", 0.1)
+    caller, connection = pair
+    caller.sendall(REQUEST % 1 + REQUEST % 2)
+    first = connection.receive(LIMITS)
+    second = connection.receive(LIMITS)
+    released: list[str] = []
+    for number, received in enumerate((first, second)):
+        received.pending.cancelled.call_at_end(lambda number=number: released.append(number))
+    ended = threading.Event()
+
+    def receive_next() -> None:
+        try:
+            connection.receive(LIMITS)
+        except exceptions.CallerDisconnectedError:
+            connection.abandon()
+            ended.set()
+
+    threading.Thread(target=receive_next, daemon=True).start()
+    connection.respond(second.pending, create_response(b"second"))
+    connection.respond(first.pending, create_response(bytes(64 * 1_048_576)))
+    assert ended.wait(timeout=10)
+    assert released == [0, 1]
+
+
+def test_tiny_chunks_without_end_are_rejected(
+    pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller's chunks of one byte once took a core until the limit of its body."""
+    caller, connection = pair
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    receive_bytes = connection._receive_bytes
+    received: list[int] = []
+
+    def count_bytes(ends_at_s: float | None, limits: deployment.CallerLimits) -> bytes:
+        data = receive_bytes(ends_at_s, limits)
+        received.append(len(data))
+        return data
+
+    def send_without_end() -> None:
+        with contextlib.suppress(OSError):
+            caller.sendall(head)
+            while True:
+                caller.sendall(b"1\r\na\r\n" * 1_000)
+
+    monkeypatch.setattr(connection, "_receive_bytes", count_bytes)
+    sender = threading.Thread(target=send_without_end, daemon=True)
+    sender.start()
+    with pytest.raises(exceptions.BadRequestError) as raised:
+        connection.receive(dataclasses.replace(LIMITS, body_bytes=500_000))
+    assert raised.value.status == 413
+    assert sum(received) < 300_000
+    connection.abandon()
+    sender.join(timeout=10)
+
+
+def test_small_chunks_of_a_sound_caller_are_read(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    threading.Thread(
+        target=lambda: caller.sendall(head + b"1\r\na\r\n" * 2_000 + b"0\r\n\r\n"), daemon=True
+    ).start()
+    received = connection.receive(dataclasses.replace(LIMITS, body_bytes=500_000))
+    assert len(received.request.body) == 2_000
+
+
+def test_bodies_of_requests_in_progress_have_a_bound_together(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    """Large bodies of many callers could take all memory while each kept to its own limit."""
+    caller, connection = pair
+    limits = dataclasses.replace(LIMITS, body_bytes=900_000)
+    body = bytes(600_000)
+    request = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    threading.Thread(target=lambda: caller.sendall(request * 3), daemon=True).start()
+    first = connection.receive(limits)
+    connection.respond(first.pending, create_response(b"first"))
+    second = connection.receive(limits)
+    assert second.request.body == body
+    with pytest.raises(exceptions.BadRequestError) as raised:
+        connection.receive(limits)
+    assert raised.value.status == 503
