--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -101,7 +101,7 @@
             server,
             names.GRANT_PATH,
             document,
-            GRANT_TIMEOUT_S,
+            min(GRANT_TIMEOUT_S, max(0.0, command.send_by_s - self._clock.read_s())),
             new_connection=command.needs_proof,
             may_send=lambda: self._clock.read_s() < command.send_by_s,
             is_due=lambda received: received.status == STATUS_OK,
--- a/src/goldcresthall/ranges/grants.py
+++ b/src/goldcresthall/ranges/grants.py
@@ -30,8 +30,8 @@
         Whether the response must be proof that the server executed the command, so that the
         command goes over a new connection.
     send_by_s
-        Reading of the clock from which the command must not be sent any more, because another
-        lessor may have taken over.
+        Reading of the clock from which the command must neither be sent nor arrive any more,
+        because another lessor may have taken over. A command in progress is given up then.
     """
 
     lease_id: int
--- a/tests/platform/test_grant_client.py
+++ b/tests/platform/test_grant_client.py
@@ -7,10 +7,12 @@
 import socket
 import threading
 from typing import TYPE_CHECKING
+from typing import Any
 
 import prometheus_client
 import pytest
 
+from goldcresthall.backend import exchange
 from goldcresthall.backend import exchange_metrics
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
@@ -269,3 +271,22 @@
     needing = dataclasses.replace(GRANT, needs_proof=True)
     assert isinstance(channel.grant(registered, needing), grants.CommandNotSent)
     assert channel.grant(registered, GRANT) == grants.Granted(may_be_copy=True)
+
+
+def test_grant_is_given_up_when_the_authority_ends(
+    server: CommandServer,
+    channel: grant_client.PlatformGrantChannel,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A grant that a partition held up arrived after the successor's wait had begun (OWNER)."""
+    timeouts_s: list[float] = []
+    send = channel._pool.send
+
+    def record_timeout(*args: Any, **options: Any) -> exchange.RawResponse:
+        timeouts_s.append(args[3])
+        return send(*args, **options)
+
+    monkeypatch.setattr(channel._pool, "send", record_timeout)
+    now_s = channel._clock.read_s()
+    channel.grant(server.registered, dataclasses.replace(GRANT, send_by_s=now_s + 0.25))
+    assert timeouts_s == [0.25]
