--- a/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
@@ -18,6 +18,7 @@
     from collections.abc import Iterator
 
     from goldcresthall_stand_ins import deployment_store
+    from goldcresthall_stand_ins.rules import server_recorder
 
 SERVERS_TOPIC = "keyed.servers"
 MS_PER_S = 1_000
@@ -79,6 +80,8 @@
         Run time of each request, in seconds.
     on_grant
         Called after each accepted grant.
+    recorder
+        Records what the server sees; `None` to record nothing.
 
     Attributes
     ----------
@@ -99,6 +102,7 @@
         keyed: bool,
         work_s: float = 0.0,
         on_grant: Callable[[AcceptedGrant], None] | None = None,
+        recorder: server_recorder.ServerRecorder | None = None,
     ) -> None:
         super().__init__("127.0.0.1", 0, threads=24)
         self._store = store
@@ -107,6 +111,7 @@
         self._keyed = keyed
         self._work_s = work_s
         self._on_grant = on_grant
+        self._recorder = recorder
         self._lock = threading.Lock()
         self._work_ended = threading.Condition(self._lock)
         self.history = server_faults.ResponseHistory()
@@ -125,6 +130,18 @@
         """Name under which the server registers."""
         return self._name
 
+    def start(self) -> None:
+        """Bind the address and serve in a background thread."""
+        super().start()
+        if self._recorder is not None:
+            self._recorder.record_start(f"127.0.0.1:{self.port}")
+
+    def stop(self) -> None:
+        """Stop serving and close the listening socket."""
+        if self._recorder is not None:
+            self._recorder.record_end()
+        super().stop()
+
     def register(self, state: str = "ready", *, port: int | None = None) -> None:
         """Write the server's entry into the store; a proxy's port replaces its own."""
         entry = {
@@ -152,6 +169,8 @@
             self._lease_ends_s.clear()
             self._work_ended.notify_all()
             self._started_ms = max(int(time.time() * MS_PER_S), self._started_ms + 1)
+            if self._recorder is not None:
+                self._recorder.record_start(f"127.0.0.1:{self.port}")
 
     def unregister(self) -> None:
         """Delete the server's entry from the store."""
@@ -212,7 +231,10 @@
 
     def _handle(self, request: web.Request) -> web.Response:
         expected = request.headers.get("goldcresthall-target-instance")
+        if self._recorder is not None and not request.path.startswith("/api/"):
+            self._recorder.record_arrival(request)
         if expected is not None and expected != self._name:
+            self._record_refusal(request)
             return web.Response(421, b"", (("Goldcresthall-Instance-Id", self._name),))
         execute = {server_faults.GRANT_PATH: self._grant, RELEASE_PATH: self._release}.get(
             request.path
@@ -241,6 +263,9 @@
             self._held_grants.update(dict.fromkeys(keys, _HeldGrant(fence, lease_ends_s)))
             self._highest_fences.update(dict.fromkeys(keys, fence))
             self._lease_ends_s.update(dict.fromkeys(keys, lease_ends_s))
+            if self._recorder is not None:
+                lease_s = float(command["hold_s"])
+                self._recorder.record_grant(keys, fence, lease_s, arrived_at_s)
         if self._on_grant is not None:
             is_late = now_s - arrived_at_s > LATE_AFTER_S
             self._on_grant(AcceptedGrant(self, keys, fence, is_late))
@@ -255,6 +280,8 @@
         with self._lock:
             running = {work for work in self._running if work.key in keys}
             self._work_ended.wait_for(lambda: self._running.isdisjoint(running))
+            if self._recorder is not None:
+                self._recorder.record_release(keys)
             self._release_count += 1
             handover = f"{self._name}-{self._started_ms}-{self._release_count}"
         return web.Response(200, b"", (("Goldcresthall-Lease-Handover", handover),))
@@ -265,16 +292,31 @@
         key_number = int(key or INVALID_KEY)
         with self.work_on(key_number) as may_begin:
             if not may_begin:
+                self._record_refusal(request)
                 return web.Response(421, b"", (("Goldcresthall-Not-Executed", "1"),))
+            if self._recorder is not None and request_id:
+                self._recorder.record_run(request_id, key_number if key else None)
             self.executed_requests.append(ExecutedRequest(request_id, key, time.monotonic()))
             time.sleep(self._work_s + self.extra_work_s)
         if self._keyed and self._has_lease_ended(key_number):
-            return web.Response(500, b"", (("Goldcresthall-Request-Id", request_id),))
+            self._record_response(request_id, 500, "", b"")
+            return web.Response(500, b"")
         headers = (
             ("Goldcresthall-Response-Signature", f"signed-by-{self._name}"),
             ("Goldcresthall-Server-Load", "1,0,4"),
         )
-        return web.Response(200, f"{self._name} ran {request_id}".encode(), headers)
+        body = f"{self._name} ran {request_id}".encode()
+        self._record_response(request_id, 200, f"signed-by-{self._name}", body)
+        return web.Response(200, body, headers)
+
+    def _record_response(self, request_id: str, status: int, signature: str, body: bytes) -> None:
+        if self._recorder is not None and request_id:
+            self._recorder.record_response(request_id, status, signature, body)
+
+    def _record_refusal(self, request: web.Request) -> None:
+        if self._recorder is not None:
+            request_id = request.headers.get("goldcresthall-request-id", "")
+            self._recorder.record_refusal(request_id, 421)
 
     def _holds(self, key: int) -> bool:
         held_grant = self._held_grants.get(key)
