--- a/tests/stand_ins/rules/test_budgets.py
+++ b/tests/stand_ins/rules/test_budgets.py
@@ -119,6 +119,7 @@
         (4, ("a", "b", "a"), (), KEPT),  # two servers
         (4, ("a", "b", "c"), (examples.end(10.15, "a"),), KEPT),
         (4, ("a", "b", "c"), (examples.end(10.9, "a"),), BROKEN),
+        (4, ("a", "b", "c"), (examples.end(10.15, "a", 2),), BROKEN),
         (4, ("a", "b", "c"), examples.disturb(10.15, 11, Kind.LINK_CUT, "edge", "a"), KEPT),
         (4, ("a", "b", "c"), examples.disturb(10.15, 11, Kind.LINK_CUT, "edge", "d"), BROKEN),
     ],
--- a/tests/stand_ins/rules/test_configuration.py
+++ b/tests/stand_ins/rules/test_configuration.py
@@ -130,6 +130,17 @@
     assert examples.find_broken_rules(OLD, NEW, *earlier, *run(21.0, "agenda", "r2")) == KEPT
 
 
+def test_slack_counts_from_the_newer_version() -> None:
+    """An older version may be used for a while after the newer one, whatever came before."""
+    new = examples.configure(20.5, 9, examples.route("ledger"), sent_at_s=19.8)
+    recorded = [
+        *run(19.0, "agenda", "r0"),
+        *run(20.4, "ledger"),
+        *run(20.7, "agenda", "r2"),
+    ]
+    assert examples.find_broken_rules(OLD, new, *recorded) == KEPT
+
+
 def hold_requests(
     count: int, answer_s: float | None, prefix: str, *, instance: str = "edge"
 ) -> list[events.Event]:
@@ -236,3 +247,14 @@
         recorded.append(examples.sending(30.0, f"rejected-{index}"))
         recorded.append(examples.answer(30.1, f"rejected-{index}", status=503, signature=""))
     assert examples.find_broken_rules(*recorded) == expected
+
+
+def test_split_counts_in_undisturbed_times_only() -> None:
+    """Shares of an instance that is out of touch do not count."""
+    split = examples.route("agenda", "ledger", weights=(3.0, 1.0))
+    recorded: list[events.Event] = [examples.configure(1.0, 5, split)]
+    for index in range(200):
+        recorded += run(30.0, "ledger", f"ledger-{index}")
+    frozen = examples.disturb(28.0, 28.5, Kind.FROZEN, "edge")
+    assert examples.find_broken_rules(*recorded) == BROKEN
+    assert examples.find_broken_rules(*recorded, *frozen) == KEPT
