--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -14,6 +14,7 @@
 
 import h11
 
+from goldcresthall.backend import exceptions
 from goldcresthall.backend import response_framing
 from goldcresthall.core import outcomes
 
@@ -37,52 +38,6 @@
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
-class ExchangeError(Exception):
-    """An exchange failed.
-
-    Attributes
-    ----------
-    step
-        The step at which it failed.
-    """
-
-    def __init__(self, step: outcomes.Step, detail: str) -> None:
-        super().__init__(detail)
-        self.step = step
-
-
-class ConnectFailedError(ExchangeError):
-    """No connection was made; no byte of the request was sent."""
-
-
-class ConnectionRejectedError(ConnectFailedError):
-    """The server accepted the connection and reset it, as an overloaded server does."""
-
-
-class NotSentError(ConnectFailedError):
-    """The request was no longer allowed once there was a connection; no byte of it was sent."""
-
-
-class TimedOutError(ExchangeError):
-    """The complete response was not received in time."""
-
-
-class TruncatedError(ExchangeError):
-    """The response is truncated, too large, not valid HTTP or for another request."""
-
-
-class TooLargeError(TruncatedError):
-    """The response exceeds a limit on its body or on its framing, as one without end does."""
-
-
-class MemoryShortError(TruncatedError):
-    """There was no memory for the body, because others wait for callers that read slowly."""
-
-
-class ConnectionLostError(ExchangeError):
-    """The connection ended before the request was sent or before the response began."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RawRequest:
     """An HTTP request."""
@@ -144,7 +99,7 @@
             connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         except OSError as error:
             detail = f"{type(error).__name__}: {error}"
-            raise ConnectFailedError(outcomes.Step.CONNECT, detail) from error
+            raise exceptions.ConnectFailedError(outcomes.Step.CONNECT, detail) from error
         return cls(connected)
 
     def check_early_reset(self) -> None:
@@ -159,7 +114,9 @@
         """
         if self._is_readable(EARLY_RESET_WAIT_S):
             self.close()
-            raise ConnectionRejectedError(outcomes.Step.CONNECT, "reset or closed after connecting")
+            raise exceptions.ConnectionRejectedError(
+                outcomes.Step.CONNECT, "reset or closed after connecting"
+            )
 
     @property
     def is_reusable(self) -> bool:
@@ -218,7 +175,7 @@
             if not self._is_persistent:
                 break
             parser, _ = _encode(request)
-        raise TruncatedError(outcomes.Step.RECEIVE, "no response to this request")
+        raise exceptions.TruncatedError(outcomes.Step.RECEIVE, "no response to this request")
 
     def interrupt(self) -> None:
         """Abort an exchange in progress; called from another thread."""
@@ -247,7 +204,7 @@
                 else:
                     view = view[sent:]
         except OSError as error:
-            raise ConnectionLostError(outcomes.Step.SEND, str(error)) from error
+            raise exceptions.ConnectionLostError(outcomes.Step.SEND, str(error)) from error
         return True
 
     def _send_some(self, data: memoryview) -> int | None:
@@ -262,7 +219,7 @@
         poll.register(self._socket, select.POLLIN | select.POLLOUT)
         ready = poll.poll(max(0.0, ends_at_s - time.monotonic()) * MS_PER_S)
         if not ready:
-            raise TimedOutError(outcomes.Step.SEND, "timed out")
+            raise exceptions.TimedOutError(outcomes.Step.SEND, "timed out")
         return ready[0][1]
 
     def _receive(
@@ -279,7 +236,7 @@
         try:
             response = self._read_response(parser, ends_at_s, reservation, framing)
         except h11.RemoteProtocolError as error:
-            raise TruncatedError(outcomes.Step.RECEIVE, str(error)) from error
+            raise exceptions.TruncatedError(outcomes.Step.RECEIVE, str(error)) from error
         self._leftover, at_end = parser.trailing_data
         self._is_persistent = parser.their_state is h11.DONE and not at_end
         self._record_keep_alive(response)
@@ -300,12 +257,16 @@
                 head = event
             elif isinstance(event, h11.Data):
                 if not reservation.add(len(event.data)):
-                    error_type = MemoryShortError if reservation.is_held_up else TooLargeError
+                    error_type = (
+                        exceptions.MemoryShortError
+                        if reservation.is_held_up
+                        else exceptions.TooLargeError
+                    )
                     raise error_type(outcomes.Step.RECEIVE, "no memory for the response")
                 body += event.data
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return _create_response(head, bytes(body))
-        raise ConnectionLostError(outcomes.Step.RECEIVE, "closed before the response")
+        raise exceptions.ConnectionLostError(outcomes.Step.RECEIVE, "closed before the response")
 
     def _read_events(
         self, parser: h11.Connection, ends_at_s: float, framing: response_framing.FramingTally
@@ -325,7 +286,9 @@
                 return
             framing.add_event(event)
             if framing.is_excessive:
-                raise TooLargeError(outcomes.Step.RECEIVE, "the response has too much framing")
+                raise exceptions.TooLargeError(
+                    outcomes.Step.RECEIVE, "the response has too much framing"
+                )
             yield event
 
     def _receive_bytes(self, parser: h11.Connection, ends_at_s: float) -> bytes:
@@ -334,12 +297,16 @@
             self._socket.settimeout(_find_remaining_s(ends_at_s))
             data = self._socket.recv(RECEIVE_BYTES)
         except TimeoutError as error:
-            raise TimedOutError(outcomes.Step.RECEIVE, "timed out") from error
+            raise exceptions.TimedOutError(outcomes.Step.RECEIVE, "timed out") from error
         except OSError as error:
-            error_type = TruncatedError if header_received else ConnectionLostError
+            error_type = (
+                exceptions.TruncatedError if header_received else exceptions.ConnectionLostError
+            )
             raise error_type(outcomes.Step.RECEIVE, str(error)) from error
         if not data and not header_received and not parser.trailing_data[0]:
-            raise ConnectionLostError(outcomes.Step.RECEIVE, "closed before the response")
+            raise exceptions.ConnectionLostError(
+                outcomes.Step.RECEIVE, "closed before the response"
+            )
         return data
 
     def _record_keep_alive(self, response: RawResponse) -> None:
@@ -358,7 +325,7 @@
 def _find_remaining_s(ends_at_s: float) -> float:
     remaining_s = ends_at_s - time.monotonic()
     if remaining_s <= 0:
-        raise TimedOutError(outcomes.Step.RECEIVE, "timed out")
+        raise exceptions.TimedOutError(outcomes.Step.RECEIVE, "timed out")
     return remaining_s
 
 
--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 
+from goldcresthall.backend import exceptions
 from goldcresthall.backend import exchange
 from goldcresthall.backend import response_memory
 from goldcresthall.core import outcomes
@@ -94,7 +95,7 @@
         remaining_s = timeout_s - (time.monotonic() - began_at_s)
         if may_send is not None and not may_send():
             used.close()
-            raise exchange.NotSentError(outcomes.Step.SEND, "no longer allowed")
+            raise exceptions.NotSentError(outcomes.Step.SEND, "no longer allowed")
         reservation = self._memory.create_reservation()
         try:
             with cancelled.call_on_cancel(used.interrupt):
--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from goldcresthall.backend import exceptions
 from goldcresthall.backend import exchange
 from goldcresthall.backend import exchange_pool
 from goldcresthall.backend import response_memory
@@ -182,9 +183,9 @@
                 may_send=may_send,
                 is_due=is_due,
             )
-        except exchange.ConnectFailedError as error:
+        except exceptions.ConnectFailedError as error:
             return grants.CommandNotSent(str(error))
-        except exchange.ExchangeError as error:
+        except exceptions.ExchangeError as error:
             return grants.CommandUnanswered(f"{error.step.value}: {error}")
         finally:
             cancelled.end()
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from goldcresthall.backend import exceptions
 from goldcresthall.backend import exchange
 from goldcresthall.backend import exchange_pool
 from goldcresthall.backend import request_sender
@@ -96,7 +97,7 @@
                 new_connection=not dispatch.idempotent or not dispatch.request_id,
                 is_due=lambda received: _is_due(received, dispatch.request_id),
             )
-        except exchange.ExchangeError as error:
+        except exceptions.ExchangeError as error:
             if cancelled.is_cancelled:
                 return attempts.AttemptUnknown(
                     outcomes.UnknownReason.CALLER_LEFT, error.step, "the caller disconnected"
@@ -197,37 +198,37 @@
 
 
 @functools.singledispatch
-def _describe_failure(error: exchange.ExchangeError) -> attempts.Attempt:
+def _describe_failure(error: exceptions.ExchangeError) -> attempts.Attempt:
     return attempts.AttemptUnknown(outcomes.UnknownReason.CONNECTION_LOST, error.step, str(error))
 
 
 @_describe_failure.register
-def _(error: exchange.ConnectFailedError) -> attempts.Attempt:
+def _(error: exceptions.ConnectFailedError) -> attempts.Attempt:
     return attempts.AttemptNotRun(outcomes.RefusalReason.CONNECT_FAILED, error.step, str(error))
 
 
 @_describe_failure.register
-def _(error: exchange.ConnectionRejectedError) -> attempts.Attempt:
+def _(error: exceptions.ConnectionRejectedError) -> attempts.Attempt:
     return attempts.AttemptNotRun(outcomes.RefusalReason.SERVER_SHED, error.step, str(error))
 
 
 @_describe_failure.register
-def _(error: exchange.TimedOutError) -> attempts.Attempt:
+def _(error: exceptions.TimedOutError) -> attempts.Attempt:
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TIMEOUT, error.step, str(error))
 
 
 @_describe_failure.register
-def _(error: exchange.TooLargeError) -> attempts.Attempt:
+def _(error: exceptions.TooLargeError) -> attempts.Attempt:
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TOO_LARGE, error.step, str(error))
 
 
 @_describe_failure.register
-def _(error: exchange.MemoryShortError) -> attempts.Attempt:
+def _(error: exceptions.MemoryShortError) -> attempts.Attempt:
     return attempts.AttemptUnknown(outcomes.UnknownReason.MEMORY_SHORT, error.step, str(error))
 
 
 @_describe_failure.register
-def _(error: exchange.TruncatedError) -> attempts.Attempt:
+def _(error: exceptions.TruncatedError) -> attempts.Attempt:
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TRUNCATED, error.step, str(error))
 
 
--- a/tests/backend/test_exchange.py
+++ b/tests/backend/test_exchange.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from goldcresthall.backend import exceptions
 from goldcresthall.backend import exchange
 from goldcresthall.backend import exchange_pool
 from goldcresthall.backend import response_framing
@@ -119,7 +120,7 @@
         connection.recv(4_096)
         connection.sendall(create_response("mine", b"whole")[:-2])
 
-    with pytest.raises(exchange.TruncatedError):
+    with pytest.raises(exceptions.TruncatedError):
         run(servers, script)
 
 
@@ -141,7 +142,7 @@
         connection.sendall(b"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\npart")
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
-    with pytest.raises(exchange.ExchangeError):
+    with pytest.raises(exceptions.ExchangeError):
         run(servers, script)
 
 
@@ -151,7 +152,7 @@
         connection.sendall(b"\x00\xff garbage \r\n\r\n")
         connection.recv(4_096)
 
-    with pytest.raises(exchange.TruncatedError):
+    with pytest.raises(exceptions.TruncatedError):
         run(servers, script)
 
 
@@ -165,7 +166,7 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
     monkeypatch.setattr(exchange, "EARLY_RESET_WAIT_S", 5.0)
-    with pytest.raises(exchange.ConnectionRejectedError):
+    with pytest.raises(exceptions.ConnectionRejectedError):
         run(servers, script, new_connection=new_connection)
 
 
@@ -263,7 +264,7 @@
         cancelled.cancel()
 
     threading.Thread(target=cancel, daemon=True).start()
-    with pytest.raises(exchange.ExchangeError):
+    with pytest.raises(exceptions.ExchangeError):
         exchange_pool.ExchangePool(LIMITS).send(
             server.address, REQUEST, ID_HEADER, 30.0, cancelled, max_idle=1, new_connection=False
         )
@@ -276,7 +277,7 @@
     def script(connection: socket.socket) -> None:
         done.wait(10)
 
-    with pytest.raises(exchange.TimedOutError):
+    with pytest.raises(exceptions.TimedOutError):
         run(servers, script, timeout_s=0.05)
     done.set()
 
@@ -293,7 +294,7 @@
         except ConnectionResetError:
             endings.put("reset")
 
-    with pytest.raises(exchange.TimedOutError):
+    with pytest.raises(exceptions.TimedOutError):
         run(servers, script, timeout_s=0.2)
     assert endings.get(timeout=TEST_TIMEOUT_S) == "reset"
 
@@ -334,7 +335,7 @@
     server = ScriptedServer(lambda connection: wait_silently(answered))
     servers.append(server)
     upload = dataclasses.replace(REQUEST, method="POST", body=b"x" * LONG_BODY_BYTES)
-    with pytest.raises(exchange.TimedOutError) as raised:
+    with pytest.raises(exceptions.TimedOutError) as raised:
         exchange_pool.ExchangePool(LIMITS).send(
             server.address,
             upload,
@@ -359,7 +360,7 @@
     server = ScriptedServer(lambda connection: received.append(receive(connection)))
     servers.append(server)
     pool = exchange_pool.ExchangePool(LIMITS)
-    with pytest.raises(exchange.NotSentError):
+    with pytest.raises(exceptions.NotSentError):
         pool.send(
             server.address,
             REQUEST,
@@ -398,7 +399,7 @@
             connection.sendall(part)
             sent.append(len(part))
 
-    with pytest.raises(exchange.TruncatedError):
+    with pytest.raises(exceptions.TruncatedError):
         run(servers, script)
     assert sum(sent) < 20 * LIMITS.max_body_bytes
 
@@ -458,7 +459,7 @@
                 server.sendall(part * 1_000)
 
     threading.Thread(target=send_without_end, daemon=True).start()
-    with pytest.raises(exchange.TooLargeError):
+    with pytest.raises(exceptions.TooLargeError):
         run_on(connected)
     assert connected.received_bytes < CUT_WITHIN_BYTES
 
@@ -507,7 +508,7 @@
     connected, server = socket_pair
     monkeypatch.setattr(exchange, "time", LateClock(connected))
     server.sendall(FINAL_HEAD + b"1\r\na\r\n" * 5_000 + b"0\r\n\r\n")
-    with pytest.raises(exchange.TimedOutError):
+    with pytest.raises(exceptions.TimedOutError):
         run_on(connected)
 
 
@@ -539,7 +540,7 @@
     waiting = [cancellation.Cancellation() for _ in range(2)]
     for cancelled in waiting:
         send(cancelled)
-    with pytest.raises(exchange.MemoryShortError):
+    with pytest.raises(exceptions.MemoryShortError):
         send(cancellation.Cancellation())
     waiting[0].end()
     last = cancellation.Cancellation()
