--- a/src/goldcresthall/ranges/lease_renewal.py
+++ b/src/goldcresthall/ranges/lease_renewal.py
@@ -75,10 +75,14 @@
             command = self._leases.take_due_grant(
                 incarnation, self._clock.read_s(), MAX_GRANT_WAIT_S
             )
-            server = self._servers.get(incarnation)
-            if command is None or server is None:
+            if command is None:
                 continue
-            self._send(server, command)
+            server = self._servers.get(incarnation)
+            if server is None:
+                outcome = grants.CommandNotSent("server address is unknown")
+                self._leases.complete_grant(command, outcome, self._clock.read_s())
+            else:
+                self._send(server, command)
 
     def _send(self, server: deployment.RegisteredServer, command: grants.GrantCommand) -> None:
         outcome: grants.CommandOutcome = grants.CommandUnanswered("the renewal task failed")
