--- a/src/goldcresthall/ranges/ownership_tables.py
+++ b/src/goldcresthall/ranges/ownership_tables.py
@@ -85,6 +85,10 @@
     if isinstance(outcome, client.StoreFailed):
         return None
     record = find_latest(outcome.records)
+    if record is None and outcome.end_offset > 0:
+        # Without its owners and predecessors, a takeover would free keys that are held.
+        logging.warning("ownership table is missing, step read: log ends at %d", outcome.end_offset)
+        return None
     if record is None:
         return key_ranges.StoredTable(outcome.end_offset - 1, key_ranges.OwnershipTable())
     try:
