--- a/src/goldcresthall/ranges/range_releases.py
+++ b/src/goldcresthall/ranges/range_releases.py
@@ -70,9 +70,7 @@
         # server that had started again, which may execute it later.
         is_unproven = lease.unproven or lease.latest_arrival_at_s < self._predecessors_end_s
         if lease.unanswered or is_unproven:
-            now_s = self._context.clock.read_s()
-            demand = functools.partial(transitions.demand_proof, target, now_s)
-            self._leases.update(lease_id, demand)
+            self._demand_proof(lease_id, lease, target)
             return
         begin = functools.partial(transitions.begin_release, target)
         if not self._leases.update(lease_id, begin):
@@ -80,6 +78,24 @@
         command = grants.ReleaseCommand(lease_id=lease_id, keys=lease.keys, fence=lease.fence)
         self._context.start_task("release", lambda stop: self._run_release(lease, command, stop))
 
+    def _demand_proof(
+        self,
+        lease_id: int,
+        lease: range_leases.RangeLease,
+        target: deployment.ServerIncarnation | None,
+    ) -> None:
+        """Demand that the owner acknowledges a higher token, before the range is released.
+
+        An owner that leaves may reject new connections until its end. Instances send it nothing
+        more by then, so its lease rather runs out from now on.
+        """
+        now_s = self._context.clock.read_s()
+        if target is None and now_s < lease.proof_after_s:
+            self._leases.update(lease_id, transitions.begin_expiry)
+            return
+        demand = functools.partial(transitions.demand_proof, target, now_s)
+        self._leases.update(lease_id, demand)
+
     def _run_release(
         self,
         lease: range_leases.RangeLease,
