--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -203,7 +203,9 @@
         return grants.StaleFence(_describe(response), may_be_copy)
     if response.status in MISDIRECTED_STATUSES:
         return grants.CommandMisdirected(_describe(response), may_be_copy)
-    return grants.CommandRejected(_describe(response), may_be_copy)
+    # A server's own failure (500, 504) may come after the command was executed.
+    may_be_executed = may_be_copy or response.find(names.NOT_EXECUTED) is None
+    return grants.CommandRejected(_describe(response), may_be_executed)
 
 
 def _describe(response: exchange.RawResponse) -> str:
--- a/src/goldcresthall/ranges/grant_outcomes.py
+++ b/src/goldcresthall/ranges/grant_outcomes.py
@@ -84,7 +84,7 @@
 ) -> range_leases.RangeLease:
     logging.warning("grant of %s did not reach %s: %s", lease.keys, lease.owner, outcome.detail)
     failing = _record_failure(_record_refusal(outcome, lease, now_s), now_s)
-    return dataclasses.replace(failing, misdirected=not outcome.may_be_copy)
+    return dataclasses.replace(failing, misdirected=not outcome.may_be_executed)
 
 
 def apply_proof_outcome(
@@ -116,7 +116,7 @@
 def _record_refusal(
     outcome: grants.Refusal, lease: range_leases.RangeLease, now_s: float
 ) -> range_leases.RangeLease:
-    return _record_arrival(lease, now_s) if outcome.may_be_copy else lease
+    return _record_arrival(lease, now_s) if outcome.may_be_executed else lease
 
 
 def _record_arrival(lease: range_leases.RangeLease, now_s: float) -> range_leases.RangeLease:
--- a/src/goldcresthall/ranges/grants.py
+++ b/src/goldcresthall/ranges/grants.py
@@ -88,13 +88,13 @@
 
     Attributes
     ----------
-    may_be_copy
-        Whether the response may be a copy of an earlier one, so that the server may have executed
-        the command or may execute it later.
+    may_be_executed
+        Whether the server may have executed the command or may execute it later, because the
+        response may be a copy of an earlier one or does not say that nothing was done.
     """
 
     detail: str
-    may_be_copy: bool = True
+    may_be_executed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -103,7 +103,7 @@
         """
         keys = [key for key in SAMPLED_KEYS if command.keys.contains(key)]
         if any(self.highest_fences.get(key, -1) > command.fence for key in keys):
-            return grants.StaleFence("status 409", may_be_copy=False)
+            return grants.StaleFence("status 409", may_be_executed=False)
         for key in keys:
             if addressee == self.incarnation:
                 self._fences.record(key, self.incarnation, command.fence)
@@ -188,7 +188,7 @@
             return grants.CommandNotSent("no longer allowed")
         range_server = self._find(server)
         if self._simulation.is_replaced(server.incarnation):
-            return grants.CommandMisdirected("status 400", may_be_copy=False)
+            return grants.CommandMisdirected("status 400", may_be_executed=False)
         if range_server is None:
             return grants.CommandNotSent("refused")
         if command.needs_proof and server.name in self.rejects_connections:
--- a/tests/platform/test_grant_client.py
+++ b/tests/platform/test_grant_client.py
@@ -205,7 +205,7 @@
     channel.grant(server.registered, GRANT)
     server.respond = lambda number, request: b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
     outcome = channel.grant(server.registered, GRANT)
-    assert outcome == grants.StaleFence("status 409 on a kept connection", may_be_copy=True)
+    assert outcome == grants.StaleFence("status 409 on a kept connection", may_be_executed=True)
     for labels in (("Granted", "new"), ("StaleFence", "kept")):
         named = dict(zip(("command", "outcome", "connection"), ("grant", *labels), strict=True))
         assert registry.get_sample_value("goldcresthall_range_commands_total", named) == 1
@@ -224,17 +224,31 @@
     assert counted == 1
 
 
-@pytest.mark.parametrize("status", [b"409 Conflict", b"421 Misdirected", b"503 Unavailable"])
-def test_only_a_refusal_on_a_new_connection_is_certainly_no_copy(
+NOT_EXECUTED = b"503 Unavailable\r\nGoldcresthall-Not-Executed: 1"
+
+
+@pytest.mark.parametrize("status", [b"409 Conflict", b"421 Misdirected", NOT_EXECUTED])
+def test_refusal_means_not_executed_only_on_a_new_connection(
     server: CommandServer, channel: grant_client.PlatformGrantChannel, status: bytes
 ) -> None:
     """A copied refusal was taken for the one to a grant that was executed (OWNER)."""
     channel.grant(server.registered, GRANT)
     server.respond = lambda number, request: b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % status
-    for may_be_copy in (True, False):
+    for may_be_executed in (True, False):
         outcome = channel.grant(server.registered, GRANT)
         assert isinstance(outcome, grants.Refusal)
-        assert outcome.may_be_copy is may_be_copy
+        assert outcome.may_be_executed is may_be_executed
+
+
+@pytest.mark.parametrize("status", [b"500 Failed", b"503 Unavailable", b"504 Late", b"204 Empty"])
+def test_status_that_does_not_say_not_executed_leaves_a_grant_in_doubt(
+    server: CommandServer, channel: grant_client.PlatformGrantChannel, status: bytes
+) -> None:
+    """Keys were given on although their server had executed the grant that it failed (OWNER)."""
+    server.respond = lambda number, request: b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % status
+    outcome = channel.grant(server.registered, GRANT)
+    assert isinstance(outcome, grants.CommandRejected)
+    assert outcome.may_be_executed
 
 
 def test_only_an_acknowledgement_on_a_new_connection_is_certainly_no_copy(
