Set down the interfaces of the work under load

Cause: the parts of the release are built side by side, so the types between them come first: fields of services and settings for cold servers, signals of a server's load, the rows of reports to the lessor for work, full servers and evacuated failure domains, and the list of candidates for ranges as a module of its own.

--- a/src/goldcresthall/core/attempts.py
+++ b/src/goldcresthall/core/attempts.py
@@ -55,11 +55,18 @@
         Number of requests in progress or queued at the server; `None` if not reported.
     pause_s
         Seconds for which the server wants no request from this instance; 0 if it did not say so.
+    queued
+        Number of requests that wait for a slot at the server; `None` if not reported.
+    slowdown
+        How much longer than usual work takes on the server's machine now, as a factor; `None` if
+        not reported.
     """
 
     draining: bool = False
     load: float | None = None
     pause_s: float = 0.0
+    queued: int | None = None
+    slowdown: float | None = None
 
 
 NO_SIGNALS: Final = ServerSignals()
--- a/src/goldcresthall/core/deployment.py
+++ b/src/goldcresthall/core/deployment.py
@@ -58,12 +58,18 @@
         Maximum number of connections that each of its backend servers accepts in total.
     keyed
         Whether its keys are partitioned among its backend servers, each key with one owner.
+    slow_start_s
+        Seconds for which a backend server is cold after its start.
+    cold_requests_per_s
+        Requests per second that a cold backend server bears; 0 if there is no limit.
     """
 
     name: str
     health_path: str
     connection_limit: int
     keyed: bool
+    slow_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/goldcresthall/core/deployment_settings.py
+++ b/src/goldcresthall/core/deployment_settings.py
@@ -10,6 +10,7 @@
 LESSOR_MIN_LINK_MBPS = 50.0
 BYTES_PER_MB = 1_000_000
 DEFAULT_MAX_RECORD_BYTES = 262_144
+DEFAULT_EVACUATION_S = 5.0
 RESPONSE_MEMORY_FRACTION = 1 / 8
 MAX_BODY_MEMORY_FRACTION = 1 / 32
 REQUEST_MEMORY_FRACTION = 1 / 4
@@ -89,6 +90,18 @@
     slack: float = 50.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ColdServerLimits:
+    """How far requests to a cold backend server may exceed what it bears.
+
+    All instances together may send it, in any second, the rate that it bears times `overshoot`,
+    plus `slack` requests.
+    """
+
+    overshoot: float = 1.0
+    slack: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DeploymentSettings:
     """All settings of an instance in a deployment (durations in seconds).
@@ -103,6 +116,10 @@
         Time after which a draining server must not get new work.
     grace_s
         Time from the termination signal until the process is killed.
+    cold_servers
+        Limits on requests to cold backend servers.
+    evacuation_s
+        Time after which nothing may reach the servers of an evacuated failure domain.
     max_record_bytes
         Size in bytes of the largest record that the store takes.
     is_first_start
@@ -119,5 +136,7 @@
     grace_s: float
     retries: RetryLimits = RetryLimits()
     machine: MachineLimits = MachineLimits()
+    cold_servers: ColdServerLimits = ColdServerLimits()
+    evacuation_s: float = DEFAULT_EVACUATION_S
     max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES
     is_first_start: bool = False
--- /dev/null
+++ b/src/goldcresthall/ranges/candidates.py
@@ -0,0 +1,72 @@
+"""The servers that may be assigned ranges of a service, with their capacities."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from goldcresthall.ranges import planner
+
+if TYPE_CHECKING:
+    from goldcresthall.ranges import lease_table
+    from goldcresthall.ranges import lessor_context
+    from goldcresthall.ranges import load_statistics
+    from goldcresthall.ranges import server_backoff
+
+MIN_SERVICE_TIME_S = 0.001
+
+
+class CandidateLister:
+    """Lists the servers of a service that neither drain nor fail nor back off.
+
+    Parameters
+    ----------
+    context
+        Services that the lessor depends on.
+    leases
+        Leases of the term.
+    backoff
+        Servers that should get no range for some time.
+    statistics
+        Service times of the servers.
+    """
+
+    def __init__(
+        self,
+        context: lessor_context.LessorContext,
+        leases: lease_table.LeaseTable,
+        backoff: server_backoff.ServerBackoff,
+        statistics: load_statistics.LoadStatistics,
+    ) -> None:
+        self._context = context
+        self._leases = leases
+        self._backoff = backoff
+        self._statistics = statistics
+
+    def list(self, service: str, now_s: float) -> tuple[planner.Candidate, ...]:
+        """Return the candidates; all registered servers that do not drain if none is usable."""
+        registered = [
+            entry.server
+            for entry in self._context.directory.servers.by_service.get(service, ())
+            if entry.draining_since_s is None
+        ]
+        failing = {
+            lease.owner
+            for lease in self._leases.snapshot().leases.values()
+            if lease.failing_since_s is not None
+        }
+        usable = [
+            server
+            for server in registered
+            if server.incarnation not in failing
+            and not self._backoff.is_backing_off(server.incarnation, now_s)
+        ] or registered
+        times_s = self._statistics.service_times.estimate_times_s(
+            tuple(server.incarnation for server in usable), now_s
+        )
+        return tuple(
+            planner.Candidate(
+                server.incarnation,
+                server.slots / max(MIN_SERVICE_TIME_S, times_s[server.incarnation]),
+            )
+            for server in usable
+        )
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from goldcresthall.core import key_ranges
+from goldcresthall.ranges import candidates
 from goldcresthall.ranges import load_statistics
 from goldcresthall.ranges import membership
 from goldcresthall.ranges import owner_reviews
@@ -74,6 +75,9 @@
         self._leases = leases
         self._statistics = load_statistics.LoadStatistics()
         self._backoff = server_backoff.ServerBackoff()
+        self._candidates = candidates.CandidateLister(
+            context, leases, self._backoff, self._statistics
+        )
         self._releases = range_releases.RangeReleases(context, leases, renewers)
         self._reviewer = owner_reviews.OwnerReviewer(
             context, leases, renewers, self._releases, self._backoff
@@ -133,21 +137,21 @@
         has_free = any(lease.phase is range_leases.LeasePhase.FREE for lease in leases)
         if not has_free and not is_rebalancing:
             return
-        candidates = self._list_candidates(service, now_s)
-        if not candidates:
+        listed = self._candidates.list(service, now_s)
+        if not listed:
             return
-        incarnations = frozenset(candidate.incarnation for candidate in candidates)
+        incarnations = frozenset(candidate.incarnation for candidate in listed)
         was_assigned = any(lease.fence for lease in leases)
         if not was_assigned and not self._membership.is_stable(service, incarnations, now_s):
             return
         key_rates = self._statistics.estimate_rates(service, now_s)
-        loads = planner.PlannedLoads(candidates, leases, key_rates)
+        loads = planner.PlannedLoads(listed, leases, key_rates)
         free = tuple(
             lease
             for lease in leases
             if lease.phase is range_leases.LeasePhase.FREE and lease.target not in incarnations
         )
-        for placement in planner.place_free(free, loads, key_rates, len(candidates)):
+        for placement in planner.place_free(free, loads, key_rates, len(listed)):
             self._set_target(placement)
         if is_rebalancing:
             for move in planner.plan_moves(leases, loads, key_rates):
@@ -178,33 +182,6 @@
         leases = self._leases.snapshot().leases
         return {lease_id: lease for lease_id, lease in leases.items() if lease.service == service}
 
-    def _list_candidates(self, service: str, now_s: float) -> tuple[planner.Candidate, ...]:
-        registered = [
-            entry.server
-            for entry in self._context.directory.servers.by_service.get(service, ())
-            if entry.draining_since_s is None
-        ]
-        failing = {
-            lease.owner
-            for lease in self._leases.snapshot().leases.values()
-            if lease.failing_since_s is not None
-        }
-        usable = [
-            server
-            for server in registered
-            if server.incarnation not in failing
-            and not self._backoff.is_backing_off(server.incarnation, now_s)
-        ] or registered
-        times_s = self._statistics.service_times.estimate_times_s(
-            tuple(server.incarnation for server in usable), now_s
-        )
-        return tuple(
-            planner.Candidate(
-                server.incarnation, server.slots / max(0.001, times_s[server.incarnation])
-            )
-            for server in usable
-        )
-
     def _set_target(self, placement: planner.Placement) -> None:
         part_id = self._leases.split(placement.service, placement.keys)
         if part_id is not None:
--- a/src/goldcresthall/ranges/report_encoding.py
+++ b/src/goldcresthall/ranges/report_encoding.py
@@ -11,6 +11,7 @@
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import estimates
 from goldcresthall.generated.lessor import ttypes
+from goldcresthall.ranges import load_encoding
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
 
@@ -45,6 +46,10 @@
             ttypes.ServerIncarnation(server.name, server.started_ms)
             for server in report.draining_servers
         ],
+        key_work=load_encoding.encode_key_work(report.key_work),
+        route_times=load_encoding.encode_routes(report.route_samples),
+        full_servers=load_encoding.encode_full_servers(report.full_servers),
+        known_work=report.known_work,
     )
 
 
@@ -81,6 +86,12 @@
             deployment.ServerIncarnation(row.name, row.started_ms)
             for row in received.draining_servers or ()
         ),
+        key_work=load_encoding.decode_key_work(received.key_work),
+        route_samples=load_encoding.decode_routes(received.route_times),
+        full_servers=load_encoding.decode_full_servers(received.full_servers),
+        known_work=(
+            row_changes.NO_REVISION if received.known_work is None else received.known_work
+        ),
     )
 
 
@@ -98,6 +109,9 @@
         successor=None if reply.successor is None else encode_lessor(reply.successor),
         servers_position=None if reply.servers_known is None else reply.servers_known.position,
         servers_age_ms=_encode_age_ms(reply.servers_known),
+        work=load_encoding.encode_work_table(reply.work),
+        evacuated=load_encoding.encode_evacuated(reply.evacuated),
+        full_servers=load_encoding.encode_full_servers(reply.full_servers),
     )
 
 
@@ -113,6 +127,9 @@
         servers=None if received.servers is None else _decode_servers(received.servers),
         document=None if received.document is None else _decode_document(received.document),
         successor=decode_lessor(received.successor),
+        work=load_encoding.decode_work_table(received.work),
+        evacuated=load_encoding.decode_evacuated(received.evacuated),
+        full_servers=load_encoding.decode_full_servers(received.full_servers),
     )
 
 
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -15,7 +15,10 @@
 from goldcresthall.core import key_ranges
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import estimates
+from goldcresthall.gateway import evacuations
 from goldcresthall.kernel import service
+from goldcresthall.load import server_news
+from goldcresthall.load import work_table
 from goldcresthall.ranges import owners
 
 ServerChanges = row_changes.RowChanges[deployment.RegisteredServer, str]
@@ -68,6 +71,14 @@
         Version of the configuration that the reporter holds; 0 if it has none.
     draining_servers
         Servers that told the reporter themselves that they are draining.
+    key_work
+        Expected work of the requests in `counts`.
+    route_samples
+        Work measured since the last report, by route.
+    full_servers
+        Servers at which the reporter lost requests because they were full.
+    known_work
+        Revision of the work table that the reporter has from this lessor.
     """
 
     reporter: key_ranges.LessorIdentity
@@ -80,6 +91,10 @@
     known_peers: int = row_changes.NO_REVISION
     held_configuration: int = 0
     draining_servers: tuple[deployment.ServerIncarnation, ...] = ()
+    key_work: tuple[work_table.KeyWork, ...] = ()
+    route_samples: tuple[work_table.RouteSample, ...] = ()
+    full_servers: tuple[server_news.FullServer, ...] = ()
+    known_work: int = row_changes.NO_REVISION
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +138,12 @@
         The lessor's configuration; `None` if the reporter holds one that is as recent.
     successor
         The lessor that took over from the responding instance; `None` if unknown.
+    work
+        The lessor's work table; `None` if the reporter has the latest one.
+    evacuated
+        Evacuated failure domains; `None` if the lessor does not know them.
+    full_servers
+        Servers at which any instance lost requests recently because they were full.
     """
 
     is_lessor: bool
@@ -134,6 +155,9 @@
     servers: ServerChanges | None = None
     document: configuration_documents.ConfigurationDocument | None = None
     successor: key_ranges.LessorIdentity | None = None
+    work: work_table.WorkTable | None = None
+    evacuated: evacuations.EvacuatedDomains | None = None
+    full_servers: tuple[server_news.FullServer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -40,6 +40,27 @@
   2: required i64 started_ms
 }
 
+/* Requested keys, each once, and the expected work of all requests for each. */
+struct KeyWork {
+  1: required string service_name
+  2: required list<i32> keys
+  3: required list<i32> work_ms
+}
+
+/* Responses to requests of a route and the sum of their work on a server of usual speed. */
+struct RouteTimes {
+  1: required string route
+  2: required i32 count
+  3: required i64 total_us
+}
+
+/* A server at which requests were lost because it was full, and how long ago. */
+struct FullServer {
+  1: required string server
+  2: required i64 started_ms
+  3: required i32 age_ms
+}
+
 struct Report {
   1: required string name
   2: required string incarnation
@@ -56,6 +77,12 @@
   12: optional i64 held_configuration
   /* Servers that said themselves that they are draining; not set by earlier releases. */
   13: optional list<ServerIncarnation> draining_servers
+  /* Not set by earlier releases. */
+  14: optional list<KeyWork> key_work
+  15: optional list<RouteTimes> route_times
+  16: optional list<FullServer> full_servers
+  /* Revision of the work table that the reporter has from this lessor. */
+  17: optional i64 known_work
 }
 
 struct ServerRow {
@@ -102,6 +129,31 @@
   4: required i32 port
 }
 
+/* Time that work takes at a server, in thousandths of the average over its service. */
+struct ServerSlowness {
+  1: required string server
+  2: required i64 started_ms
+  3: required i32 permille
+}
+
+/* Mean work of a route's requests on a server of usual speed. */
+struct RouteWork {
+  1: required string route
+  2: required i64 mean_us
+}
+
+struct WorkTable {
+  1: required i64 revision
+  2: required list<ServerSlowness> servers
+  3: required list<RouteWork> routes
+}
+
+/* Failure domains whose servers must get nothing, as known up to an offset in the store. */
+struct EvacuatedDomains {
+  1: required i64 position
+  2: required list<string> failure_domains
+}
+
 struct ReportReply {
   1: required bool is_lessor
   2: required bool has_store
@@ -117,6 +169,10 @@
   10: optional i64 servers_position
   /* Age of the read behind the servers when the report arrived; negative if it began later. */
   11: optional i64 servers_age_ms
+  /* Not set by earlier releases. */
+  12: optional WorkTable work
+  13: optional EvacuatedDomains evacuated
+  14: optional list<FullServer> full_servers
 }
 
 struct Presence {
