Name the admission of overloaded ranges in the replies to reports

Cause: only the lessor sees the demand of all instances for a range, so the share that its owner can serve is told with the replies that exist. Nothing fills the field yet. Ran: tests/ranges/test_load_encoding.py, test_follower_state.py.

--- a/src/goldcresthall/ranges/load_encoding.py
+++ b/src/goldcresthall/ranges/load_encoding.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from goldcresthall.admission import range_admissions
 from goldcresthall.core import deployment
+from goldcresthall.core import key_ranges
 from goldcresthall.gateway import evacuations
 from goldcresthall.generated.lessor import ttypes
 from goldcresthall.load import server_news
@@ -129,3 +131,27 @@
     if received is None:
         return None
     return evacuations.EvacuatedDomains(received.position, frozenset(received.failure_domains))
+
+
+def encode_admissions(
+    admissions: tuple[range_admissions.RangeAdmission, ...],
+) -> list[ttypes.RangeAdmission]:
+    """Encode the shares of requests to admit to overloaded ranges."""
+    return [
+        ttypes.RangeAdmission(row.service, row.keys.first, row.keys.last, int(row.share * PERMILLE))
+        for row in admissions
+    ]
+
+
+def decode_admissions(
+    received: list[ttypes.RangeAdmission] | None,
+) -> tuple[range_admissions.RangeAdmission, ...]:
+    """Decode the shares of requests to admit; empty if the sender sends none."""
+    return tuple(
+        range_admissions.RangeAdmission(
+            row.service_name,
+            key_ranges.KeyRange(row.first_key, row.last_key),
+            row.admitted_permille / PERMILLE,
+        )
+        for row in received or ()
+    )
--- a/src/goldcresthall/ranges/report_encoding.py
+++ b/src/goldcresthall/ranges/report_encoding.py
@@ -112,6 +112,7 @@
         work=load_encoding.encode_work_table(reply.work),
         evacuated=load_encoding.encode_evacuated(reply.evacuated),
         full_servers=load_encoding.encode_full_servers(reply.full_servers),
+        admissions=load_encoding.encode_admissions(reply.admissions),
     )
 
 
@@ -130,6 +131,7 @@
         work=load_encoding.decode_work_table(received.work),
         evacuated=load_encoding.decode_evacuated(received.evacuated),
         full_servers=load_encoding.decode_full_servers(received.full_servers),
+        admissions=load_encoding.decode_admissions(received.admissions),
     )
 
 
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -9,6 +9,7 @@
 import abc
 import dataclasses
 
+from goldcresthall.admission import range_admissions
 from goldcresthall.core import configuration_documents
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
@@ -144,6 +145,8 @@
         Evacuated failure domains; `None` if the lessor does not know them.
     full_servers
         Servers at which any instance lost requests recently because they were full.
+    admissions
+        Ranges whose owners are overloaded, with the share of requests to admit.
     """
 
     is_lessor: bool
@@ -158,6 +161,7 @@
     work: work_table.WorkTable | None = None
     evacuated: evacuations.EvacuatedDomains | None = None
     full_servers: tuple[server_news.FullServer, ...] = ()
+    admissions: tuple[range_admissions.RangeAdmission, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/ranges/test_load_encoding.py
+++ b/tests/ranges/test_load_encoding.py
@@ -5,6 +5,7 @@
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
+from goldcresthall.admission import range_admissions
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
@@ -70,6 +71,7 @@
         ),
         evacuated=evacuations.EvacuatedDomains(12, frozenset({"domain-a", "domain-b"})),
         full_servers=(server_news.FullServer(SERVER, 0.25),),
+        admissions=(range_admissions.RangeAdmission("service", key_ranges.KeyRange(7, 7), 0.125),),
     )
     received = _transfer(report_encoding.encode_reply(reply), ttypes.ReportReply())
     assert report_encoding.decode_reply(received) == reply
@@ -78,6 +80,6 @@
 def test_reply_of_an_earlier_release_says_nothing_of_load() -> None:
     reply = reports.Reply(is_lessor=True, has_store=True, configuration=3)
     sent = report_encoding.encode_reply(reply)
-    sent.full_servers = None
+    sent.full_servers = sent.admissions = None
     received = _transfer(sent, ttypes.ReportReply())
     assert report_encoding.decode_reply(received) == reply
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -154,6 +154,14 @@
   2: required list<string> failure_domains
 }
 
+/* Share of the requests for a range of keys that its owner can serve in time. */
+struct RangeAdmission {
+  1: required string service_name
+  2: required i32 first_key
+  3: required i32 last_key
+  4: required i32 admitted_permille
+}
+
 struct ReportReply {
   1: required bool is_lessor
   2: required bool has_store
@@ -173,6 +181,7 @@
   12: optional WorkTable work
   13: optional EvacuatedDomains evacuated
   14: optional list<FullServer> full_servers
+  15: optional list<RangeAdmission> admissions
 }
 
 struct Presence {
