Decode the slowdown of a server's machine from the load header

Cause: placement by work needs the waiting requests and the momentary slowdown that the header gives besides the load. Ruled out: believing the first two numbers of a malformed header; a superscript digit passed isdigit() and raised ValueError in int(). Run: pytest tests/platform/test_request_client.py.

--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -6,6 +6,7 @@
 import functools
 import json
 import math
+import re
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -32,7 +33,12 @@
 # A server that names hours by mistake is asked again after some minutes.
 MAX_RETRY_AFTER_S = 300.0
 MAX_IDLE_CONNECTIONS = 4
-LOAD_FIELD_COUNT = 3
+# Running, waiting and slots; on some services how long work takes now, in percent of the usual time.
+LOAD_PATTERN: Final = re.compile(
+    r"[ \t]*([0-9]{1,9})[ \t]*,[ \t]*([0-9]{1,9})[ \t]*,[ \t]*([0-9]{1,9})"
+    r"(?:[ \t]*,[ \t]*([1-9][0-9]{0,5}))?[ \t]*"
+)
+PERCENT = 100.0
 LEAVING: Final = "1"
 TRAFFIC: Final = "requests"
 
@@ -118,9 +124,9 @@
 
 
 def _decode(response: exchange.RawResponse, request_id: str) -> attempts.Attempt:
-    signals = attempts.ServerSignals(
+    signals = dataclasses.replace(
+        parse_load(response.find(names.SERVER_LOAD)),
         draining=is_leaving(response),
-        load=_parse_load(response.find(names.SERVER_LOAD)),
         pause_s=_find_pause_s(response),
     )
     if _is_refusal(response):
@@ -175,7 +181,9 @@
     unknown = _describe_mismatch(f"status {response.status}, perhaps a copy of an earlier refusal")
     if response.find(names.REQUEST_ID):
         return unknown
-    return dataclasses.replace(unknown, signals=dataclasses.replace(signals, load=None))
+    return dataclasses.replace(
+        unknown, signals=dataclasses.replace(signals, load=None, queued=None, slowdown=None)
+    )
 
 
 def is_leaving(response: exchange.RawResponse) -> bool:
@@ -232,12 +240,20 @@
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TRUNCATED, error.step, str(error))
 
 
-def _parse_load(text: str | None) -> float | None:
-    """Return the sum of running and queued requests; the third number, the slots, is unused."""
-    parts = (text or "").split(",")
-    if len(parts) < LOAD_FIELD_COUNT or not all(part.strip().isdigit() for part in parts[:2]):
-        return None
-    return float(int(parts[0]) + int(parts[1]))
+def parse_load(text: str | None) -> attempts.ServerSignals:
+    """Return a server's load, its waiting requests and its slowdown from the load header.
+
+    Nothing is known from a header that is not three or four whole numbers.
+    """
+    match = LOAD_PATTERN.fullmatch(text) if text is not None else None
+    if match is None:
+        return attempts.NO_SIGNALS
+    running, queued, _, percent = match.groups()
+    return attempts.ServerSignals(
+        load=float(int(running) + int(queued)),
+        queued=int(queued),
+        slowdown=None if percent is None else int(percent) / PERCENT,
+    )
 
 
 def _find_pause_s(response: exchange.RawResponse) -> float:
--- a/tests/platform/test_request_client.py
+++ b/tests/platform/test_request_client.py
@@ -130,3 +130,31 @@
     )
     signals = request_client._decode(refusal, "mine").signals
     assert signals == attempts.ServerSignals(draining=True, load=None, pause_s=2.0)
+
+
+@pytest.mark.parametrize(
+    ("text", "load", "queued", "slowdown"),
+    [
+        ("3,2,4", 5.0, 2, None),
+        ("3, 0 ,4", 3.0, 0, None),
+        ("3,2,4,100", 5.0, 2, 1.0),
+        (" 3 , 2 , 4 , 287 ", 5.0, 2, 2.87),
+    ],
+)
+def test_load_is_read_with_and_without_a_slowdown(
+    text: str, load: float, queued: int, slowdown: float | None
+) -> None:
+    response = create_raw_response(200, ("Goldcresthall-Server-Load", text))
+    signals = request_client._decode(response, "mine").signals
+    assert signals == attempts.ServerSignals(load=load, queued=queued, slowdown=slowdown)
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "3,2", "3,2,4,", "3,2,4,0", "3,2,4,1.5", "3,2,4,100,1", "3,-2,4", "+3,2,4", "3,2,x"]
+    + ["\u00b2,2,4", "\u0663,2,4", "3,2,4,100\n", "9999999999,2,4", "3,2,4;100"],
+)
+def test_nothing_of_a_malformed_load_is_believed(text: str) -> None:
+    """A superscript digit passed a check by ``isdigit`` and ended the decoding with an error."""
+    response = create_raw_response(200, ("Goldcresthall-Server-Load", text))
+    assert request_client._decode(response, "mine").signals == attempts.NO_SIGNALS
