Expect work per route and server, shared through the lessor

Cause: an instance sees 0.1 to 0.2 requests a second at a server, too few to know its speed, and routes of a service differ up to four times in work. The work model multiplies the route's work, the server's slowness and the machine's momentary slowdown; reports carry route and server samples, the lessor relays one table. Load selection takes expected completion, bytes and idle connections into account and draws from a subset of the servers above 16 instances. finish_attempt() no longer takes the duration, and service times have left gateway/estimates.py. Ruled out: division by the queue for all samples alike (biased), dropping queued samples (slow servers would never be known). Run: mypy, ruff, pytest tests/gateway tests/ranges tests/platform, all passed.

--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -19,6 +19,8 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.kernel import task_health
+from goldcresthall.load import work_metrics
+from goldcresthall.load import work_model
 from goldcresthall.observability import decisions
 from goldcresthall.observability import metrics
 from goldcresthall.observability import task_metrics
@@ -138,6 +140,9 @@
     )
     service_kernel.register(names.OWNERS, key_owners)
     service_kernel.register(names.ESTIMATES, estimates.Estimates(service_kernel))
+    model = work_model.WorkModel(service_kernel)
+    registry.register(work_metrics.WorkCollector(model))
+    service_kernel.register(names.WORK_MODEL, model)
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics(registry, "client"))
     )
--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -52,6 +52,10 @@
         """Bytes counted for the bodies that are being received or wait for their callers."""
         return self._memory.used_bytes
 
+    def has_idle(self, address: identity.Address) -> bool:
+        """Return whether there is an idle connection to an address, which may be closed by now."""
+        return bool(self._idle.get(address))
+
     def send(
         self,
         address: identity.Address,
--- a/src/goldcresthall/backend/request_sender.py
+++ b/src/goldcresthall/backend/request_sender.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from goldcresthall.core import attempts
+    from goldcresthall.core import identity
     from goldcresthall.kernel import cancellation
 
 
@@ -20,3 +21,7 @@
         self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
     ) -> attempts.Attempt:
         """Send one request to one server; cancellation aborts it."""
+
+    @abc.abstractmethod
+    def has_idle(self, address: identity.Address) -> bool:
+        """Return whether there is an idle connection to a server's address."""
--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -1,4 +1,4 @@
-"""Estimates of each backend server's service time, load and failure rate."""
+"""Estimates of each backend server's load and failure rate."""
 
 from __future__ import annotations
 
@@ -18,9 +18,8 @@
 if TYPE_CHECKING:
     from goldcresthall.kernel import kernel
 
-DEFAULT_SERVICE_TIME_S = 0.2
-SERVICE_TIME_EWMA_WEIGHT = 0.15
 FAILURE_EWMA_WEIGHT = 0.25
+USUAL_LOAD_EWMA_WEIGHT = 0.05
 REPORTED_LOAD_DECAY_S = 1.5
 ASSUMED_OVERLOAD_PER_SLOT = 8.0
 DEPRIORITIZATION_S = 1.0
@@ -43,8 +42,6 @@
 
     Attributes
     ----------
-    service_time_s
-        Moving average of the response time in seconds, without queueing at the server.
     failure_rate
         Moving average of the fraction of attempts that failed.
     reported_load
@@ -59,8 +56,6 @@
     """
 
     outstanding: int = 0
-    service_time_s: float = DEFAULT_SERVICE_TIME_S
-    samples: int = 0
     failure_rate: float = 0.0
     reported_load: float = 0.0
     reported_at_s: float = 0.0
@@ -72,18 +67,19 @@
 
         The load that it reported for other instances decays linearly with the report's age.
         """
-        freshness = max(0.0, 1.0 - (now_s - self.reported_at_s) / REPORTED_LOAD_DECAY_S)
-        return self.outstanding + self.reported_load * freshness
+        return self.outstanding + self.reported_load * self.find_freshness(now_s)
 
-    def find_response_time_s(self, load: float, slots: int) -> float:
-        """Return the expected response time in seconds of a request that joins `load` others."""
-        queued = max(0.0, load + 1.0 - slots)
-        return self.service_time_s * (1.0 + queued / slots)
+    def find_freshness(self, now_s: float) -> float:
+        """Return how much of the reported load still counts, from 1 to 0."""
+        return max(0.0, 1.0 - (now_s - self.reported_at_s) / REPORTED_LOAD_DECAY_S)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LatencySample:
-    """Number of responses of one server and the sum of their service times in seconds."""
+    """Number of responses of one server and the sum of their work in seconds.
+
+    The work is normalized by route: what the average request of the service would have taken.
+    """
 
     server: deployment.ServerIncarnation
     count: int
@@ -94,15 +90,14 @@
 
 
 class Estimates(service.Service):
-    """Estimates of all servers, and latency samples for the placement of keys."""
+    """Estimates of all servers."""
 
     def __init__(self, service_kernel: kernel.Kernel) -> None:
         self._kernel = service_kernel
         self._lock = threading.Lock()
         self._attempt_ended = threading.Condition(self._lock)
         self._estimates: dict[deployment.ServerIncarnation, Estimate] = {}
-        self._samples: dict[deployment.ServerIncarnation, LatencySample] = {}
-        self._service_average_s: dict[str, float] = {}
+        self._usual_loads: dict[str, float] = {}
 
     def start(self) -> None:
         """Look up the clock."""
@@ -112,12 +107,18 @@
         """Do nothing."""
 
     def find(self, server: deployment.RegisteredServer) -> Estimate:
-        """Return a server's estimate; a new server gets the average time of its service."""
-        estimate = self._estimates.get(server.incarnation)
-        if estimate is not None:
-            return estimate
-        average_s = self._service_average_s.get(server.service, DEFAULT_SERVICE_TIME_S)
-        return dataclasses.replace(INITIAL_ESTIMATE, service_time_s=average_s)
+        """Return a server's estimate."""
+        return self._estimates.get(server.incarnation, INITIAL_ESTIMATE)
+
+    def find_expected_load(self, server: deployment.RegisteredServer, now_s: float) -> float:
+        """Return the expected number of requests at a server, also without a recent report.
+
+        The usual load of the service's servers takes the place of a report that has aged.
+        Otherwise the servers of which nothing is known would look empty, and get all requests.
+        """
+        estimate = self.find(server)
+        usual = self._usual_loads.get(server.service, 0.0) * server.slots
+        return estimate.find_load(now_s) + usual * (1.0 - estimate.find_freshness(now_s))
 
     def start_attempt(self, server: deployment.RegisteredServer) -> None:
         """Count an attempt that is being sent to a server."""
@@ -128,16 +129,14 @@
             )
 
     def finish_attempt(
-        self, server: deployment.RegisteredServer, attempt: attempts.Attempt, duration_s: float
+        self, server: deployment.RegisteredServer, attempt: attempts.Attempt
     ) -> None:
-        """Update a server's estimate from an attempt that took `duration_s` seconds."""
+        """Update a server's estimate from an attempt."""
         now_s = self._clock.read_s()
         with self._lock:
             estimate = self._estimates[server.incarnation]
             estimate = dataclasses.replace(estimate, outstanding=max(0, estimate.outstanding - 1))
-            self._estimates[server.incarnation] = self._update(
-                server, estimate, attempt, duration_s, now_s
-            )
+            self._estimates[server.incarnation] = self._update(server, estimate, attempt, now_s)
             self._attempt_ended.notify_all()
 
     def cancel_attempt(self, server: deployment.RegisteredServer) -> None:
@@ -154,13 +153,6 @@
         with self._attempt_ended:
             self._attempt_ended.wait(timeout_s)
 
-    def take_latency_samples(self) -> tuple[LatencySample, ...]:
-        """Return the latency samples collected since the last call."""
-        with self._lock:
-            taken = tuple(self._samples.values())
-            self._samples = {}
-        return taken
-
     def retain(self, incarnations: frozenset[deployment.ServerIncarnation]) -> None:
         """Discard the estimates of all other servers, unless in use or paused."""
         now_s = self._clock.read_s()
@@ -178,7 +170,6 @@
         server: deployment.RegisteredServer,
         estimate: Estimate,
         attempt: attempts.Attempt,
-        duration_s: float,
         now_s: float,
     ) -> Estimate:
         failed = _has_failed(attempt)
@@ -195,30 +186,14 @@
         if load is not None:
             external_load = max(0.0, load - estimate.outstanding - 1)
             updated = dataclasses.replace(updated, reported_load=external_load, reported_at_s=now_s)
-        if failed:
-            return updated
-        queued = max(0.0, (load or 0.0) - server.slots)
-        return self._update_service_time(
-            server, updated, duration_s / (1.0 + queued / server.slots)
-        )
-
-    def _update_service_time(
-        self, server: deployment.RegisteredServer, estimate: Estimate, service_time_s: float
-    ) -> Estimate:
-        sample = self._samples.get(server.incarnation, LatencySample(server.incarnation, 0, 0.0))
-        self._samples[server.incarnation] = LatencySample(
-            server.incarnation, sample.count + 1, sample.total_s + service_time_s
-        )
-        average_s = self._service_average_s.get(server.service, service_time_s)
-        self._service_average_s[server.service] = average_s + SERVICE_TIME_EWMA_WEIGHT * (
-            service_time_s - average_s
-        )
-        smoothed_s = estimate.service_time_s + SERVICE_TIME_EWMA_WEIGHT * (
-            service_time_s - estimate.service_time_s
-        )
-        return dataclasses.replace(
-            estimate, service_time_s=smoothed_s, samples=estimate.samples + 1
-        )
+            if attempt.signals.load is not None:
+                self._update_usual_load(server, external_load)
+        return updated
+
+    def _update_usual_load(self, server: deployment.RegisteredServer, external_load: float) -> None:
+        per_slot = external_load / max(1, server.slots)
+        usual = self._usual_loads.get(server.service, per_slot)
+        self._usual_loads[server.service] = usual + USUAL_LOAD_EWMA_WEIGHT * (per_slot - usual)
 
 
 def _has_failed(attempt: attempts.Attempt) -> bool:
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -11,6 +11,7 @@
 from goldcresthall.core import attempts
 from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
+from goldcresthall.gateway import apertures
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import explanations
@@ -18,11 +19,13 @@
 from goldcresthall.gateway import retry_budgets
 from goldcresthall.gateway import retry_policy
 from goldcresthall.gateway import route_table
+from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_finder
 from goldcresthall.gateway import waiting
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.load import work_model
 from goldcresthall.observability import decisions
 from goldcresthall.observability import metrics
 from goldcresthall.ranges import owners
@@ -69,6 +72,7 @@
         generator: random.Random,
     ) -> None:
         self._kernel = service_kernel
+        self._name = instance_settings.name
         self._failure_domain = instance_settings.failure_domain
         self._drain_s = instance_settings.drain_s
         self._generator = generator
@@ -93,6 +97,7 @@
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
         self._owners = self._kernel.find(names.OWNERS, owners.Owners)
         self._estimates = self._kernel.find(names.ESTIMATES, estimates.Estimates)
+        self._model = self._kernel.find(names.WORK_MODEL, work_model.WorkModel)
         self._instance_counter = self._kernel.find(names.REPORTS, reports.InstanceCounter)
         self._sender = self._kernel.find(names.REQUEST_SENDER, request_sender.RequestSender)
         self._log = self._kernel.find(names.REQUEST_LOG, decisions.DecisionLog)
@@ -100,7 +105,11 @@
             server_directory=self._directory,
             key_owners=self._owners,
             server_estimates=self._estimates,
-            failure_domain=self._failure_domain,
+            model=self._model,
+            selector=selection.Selector(
+                self._estimates, self._model, self._sender.has_idle, self._failure_domain
+            ),
+            instance_apertures=apertures.Apertures(self._name, self._failure_domain),
             drain_s=self._drain_s,
             instance_counter=self._instance_counter,
         )
@@ -166,13 +175,14 @@
     ) -> request_progress.RequestProgress:
         wait_budget = retry_policy.WaitBudget(self._clock.read_s(), self._find_remaining_s(plan))
         progress = request_progress.RequestProgress()
+        demand = selection.Demand(plan.route.name, len(request.body), plan.route.idempotent)
         while not cancelled.is_cancelled:
             if self._find_remaining_s(plan) < MIN_ATTEMPT_S:
                 return progress
             serial = self._owners.serial
             target_in_s = plan.target_at_s - self._clock.read_s()
             selected = self._server_finder.find(
-                plan.target, progress.tried, self._generator, target_in_s
+                plan.target, progress.tried, self._generator, target_in_s, demand
             )
             if isinstance(selected, server_finder.Unavailable):
                 if selected.is_final:
@@ -230,7 +240,9 @@
         if cancelled.is_cancelled:
             self._estimates.cancel_attempt(server)
         else:
-            self._estimates.finish_attempt(server, attempt, self._clock.read_s() - began_at_s)
+            self._estimates.finish_attempt(server, attempt)
+            duration_s = self._clock.read_s() - began_at_s
+            self._model.record(plan.route.name, server, attempt, duration_s)
         self._observe_signals(server, attempt.signals)
         return attempt
 
--- a/src/goldcresthall/gateway/selection.py
+++ b/src/goldcresthall/gateway/selection.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 from typing import TYPE_CHECKING
+from typing import Final
 
 from goldcresthall.gateway import server_lists
 
@@ -13,17 +14,44 @@
     from collections.abc import Callable
 
     from goldcresthall.core import deployment
+    from goldcresthall.core import identity
     from goldcresthall.gateway import estimates
+    from goldcresthall.load import work_model
 
-REMOTE_DOMAIN_PENALTY_FACTOR = 2.0
+# Another failure domain must serve a request sooner by this much. A body of 60 KB adds 0.6 s, a
+# multiple of the usual work, so that it leaves its domain only if the servers there have queues.
+REMOTE_DOMAIN_PENALTY_S = 0.05
+REMOTE_DOMAIN_PENALTY_S_PER_BYTE = 1e-5
+NEW_CONNECTION_PENALTY_S = 0.02
 SLOW_START_PENALTY_FACTOR = 2.0
 FAILURE_PENALTY_WEIGHT = 6.0
-SCORE_JITTER_FRACTION = 0.15
+LOAD_PENALTY_WEIGHT = 0.25
+SCORE_JITTER_FRACTION = 0.1
 LOCAL_SAMPLE_SIZE = 4
 REMOTE_SAMPLE_SIZE = 2
 EXAMINED_FACTOR = 3
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request asks of the server that it is sent to.
+
+    Attributes
+    ----------
+    route
+        Name of its route; empty if unknown, for the average of the service.
+    uses_idle
+        Whether it may be sent on an idle connection.
+    """
+
+    route: str = ""
+    body_bytes: int = 0
+    uses_idle: bool = True
+
+
+UNKNOWN_DEMAND: Final = Demand()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidates:
     """The servers of a service, divided by failure domain.
@@ -79,46 +107,94 @@
     return generator.sample(usable, min(len(usable), size))
 
 
-def select_server(
-    sample: list[server_lists.DirectoryEntry],
-    server_estimates: estimates.Estimates,
-    failure_domain: str,
-    now_s: float,
-    generator: random.Random,
-) -> deployment.RegisteredServer:
-    """Return the server of a sample with the lowest expected response time.
+class Selector:
+    """Selects the server of a sample with the lowest expected time to the response.
 
-    Servers in other failure domains are penalized, so that they get requests mainly when the
-    local ones are overloaded.
-    """
-    best = min(
-        sample,
-        key=lambda entry: find_score_s(entry, server_estimates, failure_domain, now_s)
-        * generator.uniform(1.0 - SCORE_JITTER_FRACTION, 1.0 + SCORE_JITTER_FRACTION),
-    )
-    return best.server
-
-
-def find_score_s(
-    entry: server_lists.DirectoryEntry,
-    server_estimates: estimates.Estimates,
-    failure_domain: str,
-    now_s: float,
-) -> float:
-    """Return a server's expected response time in seconds, with penalties applied.
-
-    Penalties are for recent failures, for slow start after a server's registration and
-    for another failure domain.
+    Parameters
+    ----------
+    server_estimates
+        Load and failures of the servers.
+    model
+        Expected work of requests.
+    has_idle
+        Returns whether there is an idle connection to an address.
+    failure_domain
+        Failure domain of this instance.
     """
-    server = entry.server
-    estimate = server_estimates.find(server)
-    load = estimate.find_load(now_s)
-    queued = max(0.0, load + 1.0 - server.slots) / server.slots
-    load_penalty = 0.25 * load / server.slots
-    score_s = estimate.service_time_s * (1.0 + queued + load_penalty)
-    score_s *= 1.0 + FAILURE_PENALTY_WEIGHT * estimate.failure_rate
-    if now_s < entry.first_seen_s + server.slow_start_remaining_s:
-        score_s *= SLOW_START_PENALTY_FACTOR
-    if server.failure_domain != failure_domain:
-        score_s *= REMOTE_DOMAIN_PENALTY_FACTOR
-    return score_s
+
+    def __init__(
+        self,
+        server_estimates: estimates.Estimates,
+        model: work_model.WorkModel,
+        has_idle: Callable[[identity.Address], bool],
+        failure_domain: str,
+    ) -> None:
+        self._estimates = server_estimates
+        self._model = model
+        self._has_idle = has_idle
+        self._failure_domain = failure_domain
+
+    def draw(
+        self,
+        subset: Candidates,
+        everything: Candidates,
+        is_usable: Callable[[server_lists.DirectoryEntry], bool],
+        now_s: float,
+        generator: random.Random,
+    ) -> list[server_lists.DirectoryEntry]:
+        """Return a sample of a subset; one of all servers joins it if no slot there is free."""
+        sample = draw_sample(subset, is_usable, generator)
+        if subset is everything or any(self._has_free_slot(entry, now_s) for entry in sample):
+            return sample
+        return sample + draw_sample(everything, is_usable, generator)
+
+    def select(
+        self,
+        sample: list[server_lists.DirectoryEntry],
+        demand: Demand,
+        now_s: float,
+        generator: random.Random,
+    ) -> deployment.RegisteredServer:
+        """Return the best server of a sample.
+
+        The random part of the scores keeps instances with the same knowledge from choosing the
+        same server.
+        """
+        low, high = 1.0 - SCORE_JITTER_FRACTION, 1.0 + SCORE_JITTER_FRACTION
+        best = min(
+            sample,
+            key=lambda entry: self.find_completion_s(entry, demand, now_s)
+            * generator.uniform(low, high)
+            + self._find_penalty_s(entry.server, demand),
+        )
+        return best.server
+
+    def find_completion_s(
+        self, entry: server_lists.DirectoryEntry, demand: Demand, now_s: float
+    ) -> float:
+        """Return the expected seconds to the response: the work, and the work that waits ahead.
+
+        Recent failures and a slow start after a server's registration count as longer work.
+        """
+        server = entry.server
+        load = self._estimates.find_expected_load(server, now_s)
+        queued = max(0.0, load + 1.0 - server.slots) / server.slots
+        load_penalty = LOAD_PENALTY_WEIGHT * load / server.slots
+        completion_s = self._model.expect_s(demand.route, server) * (1.0 + queued + load_penalty)
+        completion_s *= 1.0 + FAILURE_PENALTY_WEIGHT * self._estimates.find(server).failure_rate
+        if now_s < entry.first_seen_s + server.slow_start_remaining_s:
+            completion_s *= SLOW_START_PENALTY_FACTOR
+        return completion_s
+
+    def _find_penalty_s(self, server: deployment.RegisteredServer, demand: Demand) -> float:
+        """Return the seconds that a new connection or another failure domain counts as."""
+        penalty_s = 0.0
+        if demand.uses_idle and not self._has_idle(server.address):
+            penalty_s = NEW_CONNECTION_PENALTY_S
+        if server.failure_domain != self._failure_domain:
+            penalty_s += REMOTE_DOMAIN_PENALTY_S
+            penalty_s += REMOTE_DOMAIN_PENALTY_S_PER_BYTE * demand.body_bytes
+        return penalty_s
+
+    def _has_free_slot(self, entry: server_lists.DirectoryEntry, now_s: float) -> bool:
+        return self._estimates.find_expected_load(entry.server, now_s) < entry.server.slots
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -7,11 +7,13 @@
 import math
 import random
 import zlib
+from typing import TYPE_CHECKING
 
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
+from goldcresthall.gateway import apertures
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import selection
@@ -20,6 +22,9 @@
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
 
+if TYPE_CHECKING:
+    from goldcresthall.load import work_model
+
 NO_SERVER_RETRY_AFTER_S = 0.5
 NO_OWNER_RETRY_AFTER_S = 0.5
 BUSY_RETRY_AFTER_S = 0.5
@@ -113,19 +118,24 @@
         server_directory: directory.Directory,
         key_owners: owners.Owners,
         server_estimates: estimates.Estimates,
-        failure_domain: str,
+        model: work_model.WorkModel,
+        selector: selection.Selector,
+        instance_apertures: apertures.Apertures,
         drain_s: float,
         instance_counter: reports.InstanceCounter,
     ) -> None:
         self.directory = server_directory
         self.owners = key_owners
         self.estimates = server_estimates
-        self.failure_domain = failure_domain
+        self.model = model
+        self.selector = selector
+        self._apertures = instance_apertures
         self.drain_s = drain_s
         self._instance_counter = instance_counter
-        self._divided: dict[str, selection.Candidates] = {}
 
-    def has_capacity(self, server: deployment.RegisteredServer, target_in_s: float) -> bool:
+    def has_capacity(
+        self, server: deployment.RegisteredServer, target_in_s: float, route: str = ""
+    ) -> bool:
         """Return whether a server has capacity for another request from this instance.
 
         This instance's share of the server's queue must not be used up, and the server's
@@ -147,31 +157,38 @@
             return False
         if load < server.slots:
             return True
-        response_time_s = estimate.find_response_time_s(load, server.slots)
+        response_time_s = self.find_response_time_s(server, load, route)
         return load < MAX_LOAD_PER_SLOT * server.slots and response_time_s <= target_in_s
 
+    def find_response_time_s(
+        self, server: deployment.RegisteredServer, load: float, route: str = ""
+    ) -> float:
+        """Return the expected response time in seconds of a request that joins `load` others."""
+        queued = max(0.0, load + 1.0 - server.slots)
+        return self.model.expect_s(route, server) * (1.0 + queued / server.slots)
+
     def find_pause_s(self, server: deployment.RegisteredServer) -> float:
         """Return the seconds for which a server wants no request; not positive if it does."""
         return self.estimates.find(server).paused_until_s - self.directory.read_s()
 
-    def divide(self, service: str) -> selection.Candidates:
-        """Return the servers of a service, divided by failure domain."""
+    def find_view(self, service: str) -> apertures.View:
+        """Return the servers of a service, and those of them that this instance uses first."""
         entries = self.directory.servers.by_service.get(service, ())
-        divided = self._divided.get(service)
-        if divided is None or divided.entries is not entries:
-            divided = selection.Candidates.divide(entries, self.failure_domain)
-            self._divided[service] = divided
-        return divided
+        return self._apertures.find(service, entries, self._instance_counter.live_instances)
 
     def create_wait(
-        self, queue: str, servers: tuple[deployment.RegisteredServer, ...], target_in_s: float
+        self,
+        queue: str,
+        servers: tuple[deployment.RegisteredServer, ...],
+        target_in_s: float,
+        route: str = "",
     ) -> waiting.CapacityWait:
         """Return how a request may wait for capacity at busy servers.
 
         This instance's share of what the servers can process until the target bounds the
         number of requests that wait. More would be held and then refused, or answered late.
         """
-        times_s = [self.estimates.find(server).service_time_s for server in servers]
+        times_s = [self.model.expect_s(route, server) for server in servers]
         service_time_s = sum(times_s) / len(times_s)
         usable_s = max(0.0, min(target_in_s, MAX_CAPACITY_WAIT_S) - service_time_s)
         slots = sum(server.slots for server in servers)
@@ -184,6 +201,7 @@
         tried: frozenset[str],
         generator: random.Random,
         target_in_s: float = math.inf,
+        demand: selection.Demand = selection.UNKNOWN_DEMAND,
     ) -> deployment.RegisteredServer | Unavailable:
         """Return the server for the next attempt, or why none is usable.
 
@@ -191,8 +209,10 @@
         ----------
         target_in_s
             Seconds until the request's latency target; negative once it has passed.
+        demand
+            What the request asks of its server.
         """
-        return _find_server(target, self, tried, generator, target_in_s)
+        return _find_server(target, self, tried, generator, target_in_s, demand=demand)
 
 
 @functools.singledispatch
@@ -202,6 +222,8 @@
     tried: frozenset[str],
     generator: random.Random,
     target_in_s: float,
+    *,
+    demand: selection.Demand,
 ) -> deployment.RegisteredServer | Unavailable:
     raise NotImplementedError(type(target).__name__)
 
@@ -213,12 +235,14 @@
     tried: frozenset[str],
     generator: random.Random,
     target_in_s: float,
+    *,
+    demand: selection.Demand,
 ) -> deployment.RegisteredServer | Unavailable:
     now_s = finder.directory.read_s()
-    divided = finder.divide(target.service)
+    view = finder.find_view(target.service)
 
     def is_usable(entry: server_lists.DirectoryEntry) -> bool:
-        return is_candidate(entry) and finder.has_capacity(entry.server, target_in_s)
+        return is_candidate(entry) and finder.has_capacity(entry.server, target_in_s, demand.route)
 
     def is_candidate(entry: server_lists.DirectoryEntry) -> bool:
         return _is_candidate(entry, tried) and finder.find_pause_s(entry.server) <= 0
@@ -227,18 +251,16 @@
         estimate = finder.estimates.find(entry.server)
         return estimate.deprioritized_until_s <= now_s and is_usable(entry)
 
-    sample = selection.draw_sample(divided, is_preferred, generator)
-    sample = sample or selection.draw_sample(divided, is_usable, generator)
+    sample = finder.selector.draw(view.subset, view.everything, is_preferred, now_s, generator)
+    sample = sample or selection.draw_sample(view.everything, is_usable, generator)
     if sample:
-        return selection.select_server(
-            sample, finder.estimates, finder.failure_domain, now_s, generator
-        )
-    candidates = [entry for entry in divided.entries if is_candidate(entry)]
+        return finder.selector.select(sample, demand, now_s, generator)
+    candidates = [entry for entry in view.everything.entries if is_candidate(entry)]
     if candidates:
         servers = tuple(entry.server for entry in candidates)
-        wait = finder.create_wait(target.service, servers, target_in_s)
+        wait = finder.create_wait(target.service, servers, target_in_s, demand.route)
         return _refuse_busy(target, f"{len(candidates)} servers are", wait)
-    paused = [entry.server for entry in divided.entries if _is_candidate(entry, tried)]
+    paused = [entry.server for entry in view.everything.entries if _is_candidate(entry, tried)]
     if paused:
         return _refuse_paused(target, min(map(finder.find_pause_s, paused)))
     return Unavailable(
@@ -258,6 +280,8 @@
     tried: frozenset[str],
     generator: random.Random,
     target_in_s: float,
+    *,
+    demand: selection.Demand,
 ) -> deployment.RegisteredServer | Unavailable:
     range_owner = finder.owners.find(target.service, target.key)
     if range_owner is None or not range_owner.ready:
@@ -270,8 +294,8 @@
     pause_s = finder.find_pause_s(entry.server)
     if pause_s > 0:
         return _refuse_paused(target, pause_s)
-    if not finder.has_capacity(entry.server, target_in_s):
-        wait = finder.create_wait(entry.server.name, (entry.server,), target_in_s)
+    if not finder.has_capacity(entry.server, target_in_s, demand.route):
+        wait = finder.create_wait(entry.server.name, (entry.server,), target_in_s, demand.route)
         return _refuse_busy(target, f"{entry.server.name} is", wait)
     return entry.server
 
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from goldcresthall.backend import exchange_metrics
     from goldcresthall.core import deployment_settings
+    from goldcresthall.core import identity
     from goldcresthall.kernel import cancellation
 
 MS_PER_S = 1_000
@@ -33,7 +34,8 @@
 # A server that names hours by mistake is asked again after some minutes.
 MAX_RETRY_AFTER_S = 300.0
 MAX_IDLE_CONNECTIONS = 4
-# Running, waiting and slots; on some services how long work takes now, in percent of the usual time.
+# Running, waiting and slots; on some services also the time that work takes now, in percent of the
+# usual one.
 LOAD_PATTERN: Final = re.compile(
     r"[ \t]*([0-9]{1,9})[ \t]*,[ \t]*([0-9]{1,9})[ \t]*,[ \t]*([0-9]{1,9})"
     r"(?:[ \t]*,[ \t]*([1-9][0-9]{0,5}))?[ \t]*"
@@ -86,6 +88,10 @@
         """Close all connections."""
         self._pool.close()
 
+    def has_idle(self, address: identity.Address) -> bool:
+        """Return whether there is an idle connection to a server's address."""
+        return self._pool.has_idle(address)
+
     def send(
         self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
     ) -> attempts.Attempt:
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -11,7 +11,6 @@
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.gateway import directory
-from goldcresthall.gateway import estimates
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
@@ -21,6 +20,7 @@
 from goldcresthall.ranges import grants
 from goldcresthall.ranges import lessor_contact
 from goldcresthall.ranges import lessor_context
+from goldcresthall.ranges import load_sources
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import ownership_tables
 from goldcresthall.ranges import publication
@@ -112,7 +112,7 @@
         self._store = self._kernel.find(names.STORE, client.StoreClient)
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
         self._owners = self._kernel.find(names.OWNERS, owners.Owners)
-        self._estimates = self._kernel.find(names.ESTIMATES, estimates.Estimates)
+        self._sources = load_sources.LoadSources.find(self._kernel)
         self._dialer = self._kernel.find(names.PEERS, reports.PeerDialer)
         self._context = lessor_context.LessorContext(
             self._store,
@@ -221,7 +221,7 @@
         self._followed = lessor
         self._contact.begin()
         follower = follower_state.FollowerState(
-            self._own, self._owners, self._directory, self._estimates
+            self._own, self._owners, self._directory, self._sources
         )
         connection = following.LessorConnection(self._dialer, lessor)
         try:
@@ -324,9 +324,9 @@
         return None
 
     def _serve(self, own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
-        self._responder.begin_term()
+        self._responder.begin_term(self._sources.model.table)
         publisher = publication.ViewPublisher(
-            own_term, self._responder, self._owners, self._estimates, self._directory
+            own_term, self._responder, self._owners, self._sources, self._directory
         )
         publishing = tasks.LoopTask("lessor-view", publisher.run)
         publishing.start()
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
     from goldcresthall.core import key_ranges
-    from goldcresthall.gateway import estimates
+    from goldcresthall.load import work_table
+    from goldcresthall.ranges import load_sources
 
 
 class FollowerState:
@@ -29,8 +30,8 @@
         Service that receives the replicated owners and counts requests per key.
     server_directory
         Directory that receives the relayed servers.
-    latency_estimates
-        Service-time samples of this instance.
+    sources
+        What this instance measured; its work model receives the relayed work table.
     """
 
     def __init__(
@@ -38,12 +39,13 @@
         reporter: key_ranges.LessorIdentity,
         owners_service: owners.Owners,
         server_directory: directory.Directory,
-        latency_estimates: estimates.Estimates,
+        sources: load_sources.LoadSources,
     ) -> None:
         self._reporter = reporter
         self._owners = owners_service
         self._directory = server_directory
-        self._estimates = latency_estimates
+        self._sources = sources
+        self._work_revision = row_changes.NO_REVISION
         self._view = owners.OwnersView()
         self._servers: tuple[deployment.RegisteredServer, ...] = ()
         self._servers_revision = row_changes.NO_REVISION
@@ -56,18 +58,20 @@
 
     def create_report(self) -> reports.Report:
         """Return a report with the counts and samples collected since the last one."""
-        self._estimates.retain(self._directory.servers.incarnations)
+        self._sources.retain(self._directory.servers.incarnations)
         return reports.Report(
             reporter=self._reporter,
             known_term=self._view.term,
             known_revision=self._view.revision,
             counts=self._owners.take_counts(),
-            samples=self._estimates.take_latency_samples(),
+            samples=self._sources.model.take_server_samples(),
             configuration=self._directory.latest_version,
             known_servers=self._servers_revision,
             known_peers=self._peers.revision,
             held_configuration=self._directory.held_version,
             draining_servers=self._directory.reported_draining,
+            route_samples=self._sources.model.take_route_samples(),
+            known_work=self._work_revision,
         )
 
     def apply_reply(self, reply: reports.Reply, asked_at_s: float) -> None:
@@ -85,6 +89,7 @@
         self._directory.observe_version(reply.configuration)
         if reply.owners is not None:
             self._apply_owners(reply.owners)
+        self._apply_work(reply.work)
         if reply.servers is not None:
             self._servers = row_changes.apply_changes(
                 self._servers, reply.servers, lambda server: server.name
@@ -97,6 +102,14 @@
             )
             self._directory.apply_relayed(self._servers, version)
 
+    def _apply_work(self, table: work_table.WorkTable | None) -> None:
+        """Apply a new work table; without one the lessor still has the table sent before."""
+        if table is not None:
+            self._sources.model.apply_table(table)
+            self._work_revision = table.revision
+        elif self._work_revision != row_changes.NO_REVISION:
+            self._sources.model.confirm_table()
+
     def _apply_owners(self, changes: reports.OwnerChanges) -> None:
         rows = row_changes.apply_changes(
             self._view.owners, changes.ranges, lambda range_owner: range_owner.start
--- a/src/goldcresthall/ranges/publication.py
+++ b/src/goldcresthall/ranges/publication.py
@@ -4,11 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from goldcresthall.core import row_changes
+
 if TYPE_CHECKING:
     from goldcresthall.gateway import directory
-    from goldcresthall.gateway import estimates
     from goldcresthall.kernel import tasks
+    from goldcresthall.load import work_table
     from goldcresthall.ranges import lessor
+    from goldcresthall.ranges import load_sources
     from goldcresthall.ranges import owners
     from goldcresthall.ranges import report_responder
 
@@ -31,10 +34,10 @@
         Replies to the instances that wait for changes.
     owners_service
         Owners by which this instance routes requests.
-    server_estimates
-        Service times measured by this instance.
+    sources
+        What this instance measured; its work model receives the combined work table.
     server_directory
-        Servers whose estimates are kept.
+        Servers of which observations are kept.
     """
 
     def __init__(
@@ -42,14 +45,15 @@
         own_term: lessor.LessorTerm,
         responder: report_responder.ReportResponder,
         owners_service: owners.Owners,
-        server_estimates: estimates.Estimates,
+        sources: load_sources.LoadSources,
         server_directory: directory.Directory,
     ) -> None:
         self._term = own_term
         self._responder = responder
         self._owners = owners_service
-        self._estimates = server_estimates
+        self._sources = sources
         self._directory = server_directory
+        self._applied_work: work_table.WorkTable | None = None
 
     def run(self, stop_signal: tasks.StopSignal) -> None:
         """Publish until asked to stop; a pause batches changes for all instances."""
@@ -72,10 +76,22 @@
 
     def _add_own_statistics(self, now_s: float) -> None:
         self._responder.update_peers()
-        self._estimates.retain(self._directory.servers.incarnations)
-        statistics = self._term.statistics
-        statistics.add(self._owners.take_counts(), now_s)
-        statistics.service_times.add(self._estimates.take_latency_samples(), now_s)
+        self._sources.retain(self._directory.servers.incarnations)
+        model = self._sources.model
+        self._term.statistics.add(self._owners.take_counts(), now_s)
+        self._responder.add_work(
+            self._term, model.take_server_samples(), model.take_route_samples()
+        )
+        self._apply_work(self._responder.work)
+
+    def _apply_work(self, table: work_table.WorkTable) -> None:
+        if table.revision == row_changes.NO_REVISION:
+            return
+        if table is self._applied_work:
+            self._sources.model.confirm_table()
+            return
+        self._applied_work = table
+        self._sources.model.apply_table(table)
 
 
 def find_publish_pause_s(reporters: int) -> float:
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -10,12 +10,15 @@
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import server_lists
+from goldcresthall.load import work_combiner
+from goldcresthall.load import work_table
 from goldcresthall.ranges import reports
 from goldcresthall.ranges import revision_history
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
     from goldcresthall.core import key_ranges
+    from goldcresthall.gateway import estimates
     from goldcresthall.kernel import clock
     from goldcresthall.ranges import lessor
     from goldcresthall.ranges import owners
@@ -66,6 +69,7 @@
         self._peers = reports.PeerList()
         self._owner_history = revision_history.RevisionHistory(_find_start)
         self._server_history = revision_history.RevisionHistory(_find_name)
+        self._work = work_combiner.WorkCombiner(self._find_service)
 
     def answer(self, own_term: lessor.LessorTerm, report: reports.Report) -> reports.Reply:
         """Process a report and reply on a change, at the latest after `REPORT_WAIT_S`."""
@@ -85,6 +89,7 @@
             servers_known=_describe_version(relayed, version, arrived_at_s),
             servers=self._find_server_changes(relayed, report),
             document=self._find_newer_document(report),
+            work=self._find_newer_work(report),
         )
 
     @property
@@ -92,8 +97,31 @@
         """Number of other instances that reported within `REPORTER_TIMEOUT_S`."""
         return max(0, len(self._peers.peers) - 1)
 
-    def begin_term(self) -> None:
-        """Begin a term: drop the reporters and owner revisions of earlier terms."""
+    @property
+    def work(self) -> work_table.WorkTable:
+        """Work measured by all instances in this term."""
+        return self._work.update_table(self._clock.read_s())
+
+    def add_work(
+        self,
+        own_term: lessor.LessorTerm,
+        samples: tuple[estimates.LatencySample, ...],
+        route_samples: tuple[work_table.RouteSample, ...],
+    ) -> None:
+        """Add the work that an instance measured."""
+        now_s = self._clock.read_s()
+        own_term.statistics.service_times.add(samples, now_s)
+        self._work.add(samples, route_samples, now_s)
+
+    def begin_term(self, inherited: work_table.WorkTable) -> None:
+        """Begin a term: drop the reporters, owner revisions and samples of earlier terms.
+
+        Parameters
+        ----------
+        inherited
+            Work table of the previous lessor.
+        """
+        self._work.begin_term(inherited)
         with self._lock:
             self._reporters.clear()
             self._owner_history = revision_history.RevisionHistory(_find_start)
@@ -104,7 +132,7 @@
         for incarnation in report.draining_servers:
             self._directory.record_draining(incarnation)
         own_term.statistics.add(report.counts, now_s)
-        own_term.statistics.service_times.add(report.samples, now_s)
+        self.add_work(own_term, report.samples, report.route_samples)
         peer = reports.Peer(report.reporter.incarnation.name, report.reporter.address)
         with self._lock:
             self._reporters[peer.name] = _Reporter(peer, now_s)
@@ -156,6 +184,15 @@
             return None
         return document
 
+    def _find_newer_work(self, report: reports.Report) -> work_table.WorkTable | None:
+        table = self.work
+        is_known = table.revision in {row_changes.NO_REVISION, report.known_work}
+        return None if is_known else table
+
+    def _find_service(self, incarnation: deployment.ServerIncarnation) -> str | None:
+        entry = self._directory.servers.find(incarnation)
+        return None if entry is None else entry.server.service
+
     def _read_relayed_servers(self, own_term: lessor.LessorTerm) -> server_lists.RelayedServers:
         return self._directory.relay() if own_term.has_store else server_lists.STALE_SERVERS
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -8,11 +8,14 @@
 
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
+from goldcresthall.gateway import apertures
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
+from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_finder
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.load import work_model
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
 from tests.fakes import clock
@@ -46,6 +49,7 @@
     directory: directory.Directory
     owners: owners.Owners
     estimates: estimates.Estimates
+    model: work_model.WorkModel
     finder: server_finder.ServerFinder
 
 
@@ -113,14 +117,17 @@
     server_directory = directory.Directory(built)
     key_owners = owners.Owners(built)
     server_estimates = estimates.Estimates(built)
-    for created in (server_directory, key_owners, server_estimates):
+    model = work_model.WorkModel(built)
+    for created in (server_directory, key_owners, server_estimates, model):
         created.start()
     finder = server_finder.ServerFinder(
         server_directory=server_directory,
         key_owners=key_owners,
         server_estimates=server_estimates,
-        failure_domain="near",
+        model=model,
+        selector=selection.Selector(server_estimates, model, lambda address: False, "near"),
+        instance_apertures=apertures.Apertures("one", "near"),
         drain_s=2.0,
         instance_counter=FourInstances(),
     )
-    return GatewayFixture(manual, server_directory, key_owners, server_estimates, finder)
+    return GatewayFixture(manual, server_directory, key_owners, server_estimates, model, finder)
--- a/tests/gateway/test_server_finder.py
+++ b/tests/gateway/test_server_finder.py
@@ -79,7 +79,7 @@
         assert find(gateway_fixture, POOL) == "one"
         gateway_fixture.estimates.start_attempt(server)
     assert find(gateway_fixture, POOL) == "queue_full"
-    gateway_fixture.estimates.finish_attempt(server, create_answered_attempt(1.0), 0.1)
+    gateway_fixture.estimates.finish_attempt(server, create_answered_attempt(1.0))
     assert find(gateway_fixture, POOL) == "one"
 
 
@@ -89,7 +89,7 @@
     server = conftest.create_server("one")
     gateway_fixture.directory.apply_full_list((server,))
     gateway_fixture.estimates.start_attempt(server)
-    gateway_fixture.estimates.finish_attempt(server, create_answered_attempt(19.0), 0.1)
+    gateway_fixture.estimates.finish_attempt(server, create_answered_attempt(19.0))
     assert find(gateway_fixture, POOL) == "queue_full"
     gateway_fixture.clock.advance(1.5)
     assert find(gateway_fixture, POOL) == "one"
@@ -113,7 +113,7 @@
     gateway_fixture.directory.apply_full_list((server,))
     assign_keys(gateway_fixture, "owner")
     gateway_fixture.estimates.start_attempt(server)
-    gateway_fixture.estimates.finish_attempt(server, overloaded, 0.01)
+    gateway_fixture.estimates.finish_attempt(server, overloaded)
     assert find(gateway_fixture, KEY) == "queue_full"
     gateway_fixture.clock.advance(0.8)
     assert find(gateway_fixture, KEY) == "owner"
@@ -132,7 +132,7 @@
         signals=attempts.ServerSignals(load=2.0),
     )
     gateway_fixture.estimates.start_attempt(server)
-    gateway_fixture.estimates.finish_attempt(server, shed, 0.01)
+    gateway_fixture.estimates.finish_attempt(server, shed)
     assert find(gateway_fixture, KEY) == "owner"
 
 
@@ -145,7 +145,7 @@
         outcomes.RefusalReason.CONNECT_FAILED, outcomes.Step.CONNECT, "refused"
     )
     gateway_fixture.estimates.start_attempt(servers[0])
-    gateway_fixture.estimates.finish_attempt(servers[0], refused, 0.001)
+    gateway_fixture.estimates.finish_attempt(servers[0], refused)
     assert {find(gateway_fixture, POOL) for _ in range(20)} == {"up"}
     assert find(gateway_fixture, POOL, frozenset({"up"})) == "down"
 
@@ -205,10 +205,10 @@
     gateway_fixture.directory.apply_full_list((server,))
     assign_keys(gateway_fixture, "one")
     gateway_fixture.estimates.start_attempt(server)
-    gateway_fixture.estimates.finish_attempt(server, create_answered_attempt(9.0), 0.4)
-    estimate = gateway_fixture.estimates.find(server)
-    response_time_s = estimate.find_response_time_s(8.0, server.slots)
-    assert response_time_s > 2 * estimate.service_time_s
+    gateway_fixture.estimates.finish_attempt(server, create_answered_attempt(9.0))
+    gateway_fixture.model.record("", server, create_answered_attempt(9.0), 0.4)
+    response_time_s = gateway_fixture.finder.find_response_time_s(server, 8.0)
+    assert response_time_s > 2 * gateway_fixture.model.expect_s("", server)
     assert find(gateway_fixture, target, target_in_s=response_time_s + 0.01) == "one"
     assert find(gateway_fixture, target, target_in_s=response_time_s - 0.01) == "queue_full"
 
@@ -230,10 +230,10 @@
     server = conftest.create_server("owner", "ledger")
     gateway_fixture.directory.apply_full_list((server,))
     assign_keys(gateway_fixture, "owner")
-    gateway_fixture.estimates._service_average_s["ledger"] = 0.1
+    gateway_fixture.model.record("lookups", server, create_answered_attempt(1.0), 0.1)
     shed = attempts.AttemptNotRun(outcomes.RefusalReason.SERVER_SHED, outcomes.Step.EXECUTE, "")
     gateway_fixture.estimates.start_attempt(server)
-    gateway_fixture.estimates.finish_attempt(server, shed, 0.01)
+    gateway_fixture.estimates.finish_attempt(server, shed)
     unavailable = gateway_fixture.finder.find(KEY, frozenset(), GENERATOR, target_in_s)
     assert isinstance(unavailable, server_finder.Unavailable)
     assert unavailable.wait is not None
@@ -251,7 +251,7 @@
     gateway_fixture.directory.apply_full_list(servers)
     examined: list[str] = []
 
-    def has_capacity(server: deployment.RegisteredServer, target_in_s: float) -> bool:
+    def has_capacity(server: deployment.RegisteredServer, target_in_s: float, route: str) -> bool:
         examined.append(server.name)
         return True
 
@@ -278,7 +278,7 @@
     endless = attempts.AttemptUnknown(
         outcomes.UnknownReason.ANSWER_TOO_LARGE, outcomes.Step.RECEIVE, "too large"
     )
-    gateway_fixture.estimates.finish_attempt(servers[0], endless, 0.1)
+    gateway_fixture.estimates.finish_attempt(servers[0], endless)
     gateway_fixture.clock.advance(estimates.ENDLESS_BODY_DEPRIORITIZATION_S - 0.1)
     assert {find(gateway_fixture, POOL) for _ in range(30)} == {"sound"}
 
@@ -298,7 +298,7 @@
         signals=attempts.ServerSignals(load=0.0, pause_s=2.0),
     )
     gateway_fixture.estimates.start_attempt(server)
-    gateway_fixture.estimates.finish_attempt(server, shed, 0.01)
+    gateway_fixture.estimates.finish_attempt(server, shed)
     gateway_fixture.clock.advance(0.5)
     unavailable = gateway_fixture.finder.find(target, frozenset(), random.Random(1))
     assert isinstance(unavailable, server_finder.Unavailable)
@@ -315,5 +315,5 @@
         outcomes.Answer(503, (), b""), attempts.ServerSignals(pause_s=2.0)
     )
     gateway_fixture.estimates.start_attempt(servers[0])
-    gateway_fixture.estimates.finish_attempt(servers[0], ran, 0.01)
+    gateway_fixture.estimates.finish_attempt(servers[0], ran)
     assert {find(gateway_fixture, POOL) for _ in range(30)} == {"sound"}
--- a/tests/gateway/test_signals_state_machine.py
+++ b/tests/gateway/test_signals_state_machine.py
@@ -74,7 +74,7 @@
         attempt: attempts.Attempt = attempts.AttemptAnswered(
             outcomes.Answer(status, (), b""), signals
         )
-        self.fixture.estimates.finish_attempt(server, attempt, 0.01)
+        self.fixture.estimates.finish_attempt(server, attempt)
         now_s = self.fixture.clock.read_s()
         if signals.pause_s:
             until_s = max(self.paused_until_s.get(server.incarnation, 0.0), now_s + pause_s)
--- a/tests/platform/test_request_client.py
+++ b/tests/platform/test_request_client.py
@@ -151,8 +151,10 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["", "3,2", "3,2,4,", "3,2,4,0", "3,2,4,1.5", "3,2,4,100,1", "3,-2,4", "+3,2,4", "3,2,x"]
-    + ["\u00b2,2,4", "\u0663,2,4", "3,2,4,100\n", "9999999999,2,4", "3,2,4;100"],
+    [
+        *("", "3,2", "3,2,4,", "3,2,4,0", "3,2,4,1.5", "3,2,4,100,1", "3,-2,4", "+3,2,4", "3,2,x"),
+        *("\u00b2,2,4", "\u0663,2,4", "3,2,4,100\n", "9999999999,2,4", "3,2,4;100"),
+    ],
 )
 def test_nothing_of_a_malformed_load_is_believed(text: str) -> None:
     """A superscript digit passed a check by ``isdigit`` and ended the decoding with an error."""
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -13,6 +13,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
+from goldcresthall.load import work_model
 from goldcresthall.peers import peer_metrics
 from goldcresthall.ranges import election
 from goldcresthall.ranges import owners
@@ -40,6 +41,7 @@
     server_estimates = estimates.Estimates(service_kernel)
     server_estimates.start()
     service_kernel.register(names.ESTIMATES, server_estimates)
+    service_kernel.register(names.WORK_MODEL, work_model.WorkModel(service_kernel))
     service_kernel.register(names.GRANTS, range_simulation.FakeGrantChannel(simulation))
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics.create_unregistered())
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -14,7 +14,9 @@
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.load import work_model
 from goldcresthall.ranges import follower_state
+from goldcresthall.ranges import load_sources
 from goldcresthall.ranges import membership
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import report_encoding
@@ -30,7 +32,7 @@
 
     owners: owners.Owners
     directory: directory.Directory
-    estimates: estimates.Estimates
+    sources: load_sources.LoadSources
 
 
 def create_instance_state(manual: clock.ManualClock) -> InstanceState:
@@ -39,11 +41,14 @@
     created = InstanceState(
         owners.Owners(service_kernel),
         directory.Directory(service_kernel),
-        estimates.Estimates(service_kernel),
+        load_sources.LoadSources(
+            estimates.Estimates(service_kernel), work_model.WorkModel(service_kernel)
+        ),
     )
     created.owners.start()
     created.directory.start()
-    created.estimates.start()
+    created.sources.estimates.start()
+    created.sources.model.start()
     return created
 
 
@@ -63,7 +68,7 @@
             identity.Incarnation("follower", "life"), identity.Address("127.0.0.1", 7_100)
         )
         self.state = follower_state.FollowerState(
-            reporter, self.follower.owners, self.follower.directory, self.follower.estimates
+            reporter, self.follower.owners, self.follower.directory, self.follower.sources
         )
 
     def report(self) -> reports.Reply:
@@ -171,14 +176,14 @@
 def test_report_discards_estimates_of_deregistered_servers(exchange: Exchange) -> None:
     exchange.report()
     server = next(iter(exchange.follower.directory.servers.by_name.values())).server
-    exchange.follower.estimates.start_attempt(server)
-    exchange.follower.estimates.cancel_attempt(server)
+    exchange.follower.sources.estimates.start_attempt(server)
+    exchange.follower.sources.estimates.cancel_attempt(server)
     exchange.report()
-    assert exchange.follower.estimates._estimates
+    assert exchange.follower.sources.estimates._estimates
     exchange.simulation.deregister_server(server.incarnation)
     exchange.report()
     exchange.report()
-    assert exchange.follower.estimates._estimates == {}
+    assert exchange.follower.sources.estimates._estimates == {}
 
 
 def test_age_of_a_relayed_list_counts_the_time_at_the_lessor_and_on_the_way(
