--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -192,7 +192,7 @@
 
     def _update_usual_load(self, server: deployment.RegisteredServer, external_load: float) -> None:
         per_slot = external_load / max(1, server.slots)
-        usual = self._usual_loads.get(server.service, per_slot)
+        usual = self._usual_loads.get(server.service, 0.0)
         self._usual_loads[server.service] = usual + USUAL_LOAD_EWMA_WEIGHT * (per_slot - usual)
 
 
--- a/src/goldcresthall/load/work_model.py
+++ b/src/goldcresthall/load/work_model.py
@@ -28,7 +28,7 @@
 # Without a relayed value a few samples of a factor are blended with its parent. A relayed value
 # stands for some hundred samples, which a few own ones must not outweigh.
 ALONE_PRIOR_WEIGHT = 4.0
-RELAYED_PRIOR_WEIGHT = 40.0
+RELAYED_PRIOR_WEIGHT = 100.0
 MAX_SERVER_WEIGHT = 20.0
 MAX_ROUTE_WEIGHT = 60.0
 MAX_SERVICE_WEIGHT = 200.0
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -60,12 +60,13 @@
     draining: bool = False,
     started_ms: int = 1,
     failure_domain: str = "near",
+    port: int = 9_000,
 ) -> deployment.RegisteredServer:
     """Return a registered server."""
     return deployment.RegisteredServer(
         incarnation=deployment.ServerIncarnation(name, started_ms),
         service=service,
-        address=identity.Address("127.0.0.1", 9_000),
+        address=identity.Address("127.0.0.1", port),
         failure_domain=failure_domain,
         slots=4,
         draining=draining,
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -6,15 +6,19 @@
 
 import pytest
 
+from goldcresthall.core import attempts
 from goldcresthall.core import configuration_documents
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
+from goldcresthall.core import outcomes
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.load import work_combiner
 from goldcresthall.load import work_model
+from goldcresthall.load import work_table
 from goldcresthall.ranges import follower_state
 from goldcresthall.ranges import load_sources
 from goldcresthall.ranges import membership
@@ -64,6 +68,10 @@
         self.responder = report_responder.ReportResponder(
             own, self.simulation.clock, self.simulation.directory, self.lessor_owners
         )
+        self.follow_again()
+
+    def follow_again(self) -> None:
+        """Start to follow, as after a change of the lessor."""
         reporter = key_ranges.LessorIdentity(
             identity.Incarnation("follower", "life"), identity.Address("127.0.0.1", 7_100)
         )
@@ -228,3 +236,49 @@
     simulation.advance(1.0)
     assert not simulation.servers[leaving].leases
     assert simulation.count_held() == len(range_simulation.SAMPLED_KEYS)
+
+
+def record_work(exchange: Exchange, work_s: float) -> None:
+    """Let the follower measure some requests at one server."""
+    server = next(iter(exchange.follower.directory.servers.by_name.values())).server
+    answered = attempts.AttemptAnswered(
+        outcomes.Answer(200, (), b""), attempts.ServerSignals(load=1.0, queued=0)
+    )
+    for _ in range(20):
+        exchange.follower.sources.model.record("reads", server, answered, work_s)
+    exchange.simulation.clock.advance(2.0 * work_combiner.MIN_TABLE_INTERVAL_S)
+    return server
+
+
+def test_measured_work_comes_back_in_the_lessors_table_once(exchange: Exchange) -> None:
+    exchange.report()
+    record_work(exchange, 0.5)
+    reply = exchange.report()
+    assert reply.work is not None
+    assert reply.work.routes[0].mean_s == pytest.approx(0.5)
+    assert exchange.follower.sources.model.table == reply.work
+    assert exchange.report().work is None
+
+
+def test_lessor_that_confirms_the_table_keeps_it_trusted(exchange: Exchange) -> None:
+    exchange.report()
+    record_work(exchange, 0.5)
+    table = exchange.report().work
+    for _ in range(20):
+        exchange.simulation.clock.advance(work_model.TABLE_TRUST_S)
+        exchange.report()
+    assert exchange.follower.sources.model.table == table
+
+
+def test_new_lessor_that_has_no_table_yet_does_not_confirm_the_earlier_one(
+    exchange: Exchange,
+) -> None:
+    exchange.report()
+    record_work(exchange, 0.5)
+    exchange.report()
+    exchange.responder.begin_term(work_table.WorkTable())
+    exchange.follow_again()
+    for _ in range(20):
+        exchange.simulation.clock.advance(work_model.TABLE_TRUST_S)
+        exchange.report()
+    assert exchange.follower.sources.model.table == work_table.WorkTable()
--- a/tests/ranges/test_report_responder.py
+++ b/tests/ranges/test_report_responder.py
@@ -10,6 +10,7 @@
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import estimates
 from goldcresthall.gateway import server_lists
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
@@ -147,3 +148,19 @@
     waiting.publish()
     thread.join(WAIT_S)
     assert replies[0].servers_known is None
+
+
+def test_changed_work_table_does_not_end_a_long_poll(waiting: Lessor) -> None:
+    """A table that changes each 0.4 s would make each instance report as often."""
+    thread, replies = start_report(waiting)
+    server = next(iter(waiting.simulation.servers))
+    samples = (estimates.LatencySample(server, 50, 5.0),)
+    waiting.responder.add_work(waiting.own_term, samples, ())
+    assert waiting.responder.work.revision == 0
+    waiting.publish()
+    thread.join(0.05)
+    assert not replies
+    waiting.simulation.directory.observe_version(9)
+    waiting.publish()
+    thread.join(WAIT_S)
+    assert replies[0].work == waiting.responder.work
