--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -6,12 +6,14 @@
 import functools
 import json
 import math
+import re
 from typing import TYPE_CHECKING
 from typing import Final
 
 from goldcresthall.backend import exceptions
 from goldcresthall.backend import exchange
 from goldcresthall.backend import exchange_pool
+from goldcresthall.backend import idle_survival
 from goldcresthall.backend import request_sender
 from goldcresthall.backend import response_memory
 from goldcresthall.backend import responses
@@ -22,6 +24,7 @@
 if TYPE_CHECKING:
     from goldcresthall.backend import exchange_metrics
     from goldcresthall.core import deployment_settings
+    from goldcresthall.core import identity
     from goldcresthall.kernel import cancellation
 
 MS_PER_S = 1_000
@@ -32,7 +35,13 @@
 # A server that names hours by mistake is asked again after some minutes.
 MAX_RETRY_AFTER_S = 300.0
 MAX_IDLE_CONNECTIONS = 4
-LOAD_FIELD_COUNT = 3
+# Running, waiting and slots; on some services also the time that work takes now, in percent of the
+# usual one.
+LOAD_PATTERN: Final = re.compile(
+    r"[ \t]*([0-9]{1,9})[ \t]*,[ \t]*([0-9]{1,9})[ \t]*,[ \t]*([0-9]{1,9})"
+    r"(?:[ \t]*,[ \t]*([1-9][0-9]{0,5}))?[ \t]*"
+)
+PERCENT = 100.0
 LEAVING: Final = "1"
 TRAFFIC: Final = "requests"
 
@@ -58,7 +67,12 @@
     def __init__(
         self, limits: response_memory.ResponseLimits, metrics: exchange_metrics.ExchangeMetrics
     ) -> None:
-        self._pool = exchange_pool.ExchangePool(limits, lambda: metrics.count_surplus(TRAFFIC))
+        self._pool = exchange_pool.ExchangePool(
+            limits,
+            lambda: metrics.count_surplus(TRAFFIC),
+            idle_survival.LEARNING,
+            lambda use: metrics.count_connection(TRAFFIC, use),
+        )
 
     @classmethod
     def from_config(
@@ -80,6 +94,10 @@
         """Close all connections."""
         self._pool.close()
 
+    def has_idle(self, address: identity.Address) -> bool:
+        """Return whether there is an idle connection to a server's address."""
+        return self._pool.has_idle(address)
+
     def send(
         self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
     ) -> attempts.Attempt:
@@ -118,9 +136,9 @@
 
 
 def _decode(response: exchange.RawResponse, request_id: str) -> attempts.Attempt:
-    signals = attempts.ServerSignals(
+    signals = dataclasses.replace(
+        parse_load(response.find(names.SERVER_LOAD)),
         draining=is_leaving(response),
-        load=_parse_load(response.find(names.SERVER_LOAD)),
         pause_s=_find_pause_s(response),
     )
     if _is_refusal(response):
@@ -175,7 +193,9 @@
     unknown = _describe_mismatch(f"status {response.status}, perhaps a copy of an earlier refusal")
     if response.find(names.REQUEST_ID):
         return unknown
-    return dataclasses.replace(unknown, signals=dataclasses.replace(signals, load=None))
+    return dataclasses.replace(
+        unknown, signals=dataclasses.replace(signals, load=None, queued=None, slowdown=None)
+    )
 
 
 def is_leaving(response: exchange.RawResponse) -> bool:
@@ -232,12 +252,20 @@
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TRUNCATED, error.step, str(error))
 
 
-def _parse_load(text: str | None) -> float | None:
-    """Return the sum of running and queued requests; the third number, the slots, is unused."""
-    parts = (text or "").split(",")
-    if len(parts) < LOAD_FIELD_COUNT or not all(part.strip().isdigit() for part in parts[:2]):
-        return None
-    return float(int(parts[0]) + int(parts[1]))
+def parse_load(text: str | None) -> attempts.ServerSignals:
+    """Return a server's load, its waiting requests and its slowdown from the load header.
+
+    Nothing is known from a header that is not three or four whole numbers.
+    """
+    match = LOAD_PATTERN.fullmatch(text) if text is not None else None
+    if match is None:
+        return attempts.NO_SIGNALS
+    running, queued, _, percent = match.groups()
+    return attempts.ServerSignals(
+        load=float(int(running) + int(queued)),
+        queued=int(queued),
+        slowdown=None if percent is None else int(percent) / PERCENT,
+    )
 
 
 def _find_pause_s(response: exchange.RawResponse) -> float:
