Measure the load of keys in seconds of work and move the excess

Loads were counted in requests, so that an order of four times the work of a read weighed the same, and a decayed count showed the first seconds of traffic at a fraction of their height. A shorter half-life alone was ruled out: at 8 requests per second and owner its noise alone starts moves.

tests/ranges/test_planner.py: plan_moves is in move_planner now, the assertions are the same. tests/ranges and tests/gateway pass.

--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -19,6 +19,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.kernel import task_health
+from goldcresthall.load import work_estimates
 from goldcresthall.observability import decisions
 from goldcresthall.observability import metrics
 from goldcresthall.observability import task_metrics
@@ -138,6 +139,7 @@
     )
     service_kernel.register(names.OWNERS, key_owners)
     service_kernel.register(names.ESTIMATES, estimates.Estimates(service_kernel))
+    service_kernel.register(names.WORK_MODEL, work_estimates.DefaultWorkEstimates())
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics(registry, "client"))
     )
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -23,6 +23,7 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.load import work_estimates
 from goldcresthall.observability import decisions
 from goldcresthall.observability import metrics
 from goldcresthall.ranges import owners
@@ -93,6 +94,7 @@
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
         self._owners = self._kernel.find(names.OWNERS, owners.Owners)
         self._estimates = self._kernel.find(names.ESTIMATES, estimates.Estimates)
+        self._work = self._kernel.find(names.WORK_MODEL, work_estimates.WorkEstimates)
         self._instance_counter = self._kernel.find(names.REPORTS, reports.InstanceCounter)
         self._sender = self._kernel.find(names.REQUEST_SENDER, request_sender.RequestSender)
         self._log = self._kernel.find(names.REQUEST_LOG, decisions.DecisionLog)
@@ -153,7 +155,8 @@
         self, request: requests.Request, plan: RoutingPlan, cancelled: cancellation.Cancellation
     ) -> request_progress.RequestProgress:
         self._budgets.find(plan.target.service).add_request(self._clock.read_s())
-        server_finder.count_request(plan.target, self._owners)
+        work_s = self._work.expect_work_s(plan.route.name)
+        server_finder.count_request(plan.target, self._owners, work_s)
         with self._waiting_places.create_place() as place:
             return self._run_attempts(request, plan, cancelled, place)
 
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -89,19 +89,19 @@
 
 
 @functools.singledispatch
-def count_request(target: Target, counter: owners.Owners) -> None:
-    """Count one request for its target's key, if it has one."""
+def count_request(target: Target, counter: owners.Owners, work_s: float) -> None:
+    """Count one request and its expected work in seconds for its target's key, if it has one."""
     raise NotImplementedError(type(target).__name__)
 
 
 @count_request.register
-def _(target: KeyTarget, counter: owners.Owners) -> None:
-    counter.count(target.service, target.key)
+def _(target: KeyTarget, counter: owners.Owners, work_s: float) -> None:
+    counter.count(target.service, target.key, work_s)
 
 
 @count_request.register
-def _(target: PoolTarget, counter: owners.Owners) -> None:
-    del target, counter
+def _(target: PoolTarget, counter: owners.Owners, work_s: float) -> None:
+    del target, counter, work_s
 
 
 class ServerFinder:
--- a/src/goldcresthall/ranges/candidates.py
+++ b/src/goldcresthall/ranges/candidates.py
@@ -12,8 +12,6 @@
     from goldcresthall.ranges import load_statistics
     from goldcresthall.ranges import server_backoff
 
-MIN_SERVICE_TIME_S = 0.001
-
 
 class CandidateLister:
     """Lists the servers of a service that neither drain nor fail nor back off.
@@ -60,13 +58,10 @@
             if server.incarnation not in failing
             and not self._backoff.is_backing_off(server.incarnation, now_s)
         ] or registered
-        times_s = self._statistics.service_times.estimate_times_s(
+        slowness = self._statistics.service_times.estimate_slowness(
             tuple(server.incarnation for server in usable), now_s
         )
         return tuple(
-            planner.Candidate(
-                server.incarnation,
-                server.slots / max(MIN_SERVICE_TIME_S, times_s[server.incarnation]),
-            )
+            planner.Candidate(server.incarnation, server.slots / slowness[server.incarnation])
             for server in usable
         )
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -57,11 +57,13 @@
     def create_report(self) -> reports.Report:
         """Return a report with the counts and samples collected since the last one."""
         self._estimates.retain(self._directory.servers.incarnations)
+        counts = self._owners.take_counts(self._directory.read_s())
         return reports.Report(
             reporter=self._reporter,
             known_term=self._view.term,
             known_revision=self._view.revision,
-            counts=self._owners.take_counts(),
+            counts=counts.keys,
+            key_work=counts.work,
             samples=self._estimates.take_latency_samples(),
             configuration=self._directory.latest_version,
             known_servers=self._servers_revision,
--- a/src/goldcresthall/ranges/load_statistics.py
+++ b/src/goldcresthall/ranges/load_statistics.py
@@ -1,30 +1,40 @@
-"""Request rates per key and mean service times per server, as decaying averages."""
+"""Work per key and mean service times per server, as decaying averages.
+
+The work of requests is in seconds on a server of usual speed, so that a rate is in seconds of work
+per second: the number of busy slots that it takes.
+"""
 
 from __future__ import annotations
 
 import bisect
+import collections
 import dataclasses
 import itertools
 from typing import TYPE_CHECKING
 
 from goldcresthall.core import key_ranges
+from goldcresthall.load import work_estimates
+from goldcresthall.ranges import decaying_sums
+from goldcresthall.ranges import shift_detection
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
     from goldcresthall.gateway import estimates
-    from goldcresthall.ranges import owners
+    from goldcresthall.load import work_table
+    from goldcresthall.ranges import request_counts
 
 RATE_HALF_LIFE_S = 3.0
 SERVICE_TIME_HALF_LIFE_S = 6.0
 PRIOR_SAMPLES = 4.0
-MIN_KEY_RATE_PER_S = 0.02
-SPREAD_RATE_PER_S = 0.2
-MAX_WEIGHT = 2.0**40
+MIN_KEY_RATE = 0.004
+SPREAD_RATE = 0.04
+# Bounds the effect of a few samples, and of waiting that was taken for work.
+MAX_SLOWNESS = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyRates:
-    """Request rates of the keys of a service in requests per second.
+    """Rates of the keys of a service in seconds of work per second.
 
     Attributes
     ----------
@@ -42,11 +52,11 @@
 
     @property
     def total(self) -> float:
-        """Requests per second over all keys."""
+        """Work per second over all keys."""
         return self.prefix_sums[-1] + self.base_rate * key_ranges.KEY_COUNT
 
     def sum_range(self, keys: key_ranges.KeyRange) -> float:
-        """Return the request rate of a range in requests per second."""
+        """Return the rate of a range in seconds of work per second."""
         low = bisect.bisect_left(self.keys, keys.first)
         high = bisect.bisect_right(self.keys, keys.last)
         return self.prefix_sums[high] - self.prefix_sums[low] + self.base_rate * keys.size
@@ -76,7 +86,7 @@
         )
 
     def find_hottest_key(self, keys: key_ranges.KeyRange) -> int:
-        """Return the key of a range with the highest request rate."""
+        """Return the key of a range with the highest rate."""
         low = bisect.bisect_left(self.keys, keys.first)
         high = bisect.bisect_right(self.keys, keys.last)
         if low == high:
@@ -95,49 +105,33 @@
 
 
 class KeyRateEstimator:
-    """Exponentially decaying request counts for each key of one service.
-
-    Instead of decaying all counts, later requests get a weight that grows with time.
-    """
+    """Work per second for each key of one service, from decaying sums of the reported work."""
 
     def __init__(self) -> None:
-        self._values: dict[int, float] = {}
-        self._weight = 1.0
-        self._updated_at_s: float | None = None
+        self._sums = decaying_sums.DecayingSums(RATE_HALF_LIFE_S)
+        self._recent = decaying_sums.DecayingSums(shift_detection.RECENT_HALF_LIFE_S)
 
-    def add(self, keys: tuple[int, ...], now_s: float) -> None:
-        """Count one request for each of the keys."""
-        self._advance_weight(now_s)
-        for key in keys:
-            self._values[key] = self._values.get(key, 0.0) + self._weight
+    def add(self, work_s: dict[int, float], now_s: float) -> None:
+        """Add seconds of work by key."""
+        self._sums.add(work_s, now_s)
+        self._recent.add(work_s, now_s)
 
     def estimate_rates(self, now_s: float) -> KeyRates:
-        """Return the request rates at `now_s`."""
-        self._advance_weight(now_s)
-        # At a steady rate r the decayed count converges to r * RATE_HALF_LIFE_S / ln 2.
-        scale = 0.693 / (RATE_HALF_LIFE_S * self._weight)
-        rates = {key: value * scale for key, value in self._values.items()}
-        kept = sorted(key for key, rate in rates.items() if rate > MIN_KEY_RATE_PER_S)
+        """Return the work per second at `now_s`."""
+        rates = shift_detection.apply_shifts(
+            self._sums.estimate_rates(now_s), self._recent.estimate_rates(now_s)
+        )
+        kept = sorted(key for key, rate in rates.items() if rate > MIN_KEY_RATE)
         prefix_sums = tuple(itertools.accumulate((rates[key] for key in kept), initial=0.0))
         total = sum(rates.values())
         # Spread evenly over all keys: the rates of rarely requested keys,
-        # `SPREAD_RATE_PER_S` and a tenth of the total.
-        base_rate = (
-            total - prefix_sums[-1] + SPREAD_RATE_PER_S + 0.1 * total
-        ) / key_ranges.KEY_COUNT
-        if len(self._values) > 2 * len(kept):
-            self._values = {key: self._values[key] for key in kept}
+        # `SPREAD_RATE` and a tenth of the total.
+        base_rate = (total - prefix_sums[-1] + SPREAD_RATE + 0.1 * total) / key_ranges.KEY_COUNT
+        if self._sums.size > 2 * len(kept):
+            self._sums.retain(set(kept))
+        self._recent.retain(set(rates))
         return KeyRates(tuple(kept), prefix_sums, base_rate)
 
-    def _advance_weight(self, now_s: float) -> None:
-        if self._updated_at_s is not None:
-            elapsed_s = max(0.0, now_s - self._updated_at_s)
-            self._weight *= 2.0 ** min(30.0, elapsed_s / RATE_HALF_LIFE_S)
-        self._updated_at_s = now_s
-        if self._weight > MAX_WEIGHT:
-            self._values = {key: value / self._weight for key, value in self._values.items()}
-            self._weight = 1.0
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _DecayedTimes:
@@ -171,12 +165,27 @@
         decayed = {incarnation: self._decay(incarnation, now_s) for incarnation in incarnations}
         count = sum(times.count for times in decayed.values())
         total_s = sum(times.total_s for times in decayed.values())
-        mean_s = total_s / count if count else 0.2
+        mean_s = total_s / count if count else work_estimates.DEFAULT_WORK_S
         return {
             incarnation: (times.total_s + PRIOR_SAMPLES * mean_s) / (times.count + PRIOR_SAMPLES)
             for incarnation, times in decayed.items()
         }
 
+    def estimate_slowness(
+        self, incarnations: tuple[deployment.ServerIncarnation, ...], now_s: float
+    ) -> dict[deployment.ServerIncarnation, float]:
+        """Return the time that work takes at each server, relative to the mean of the service."""
+        decayed = [self._decay(incarnation, now_s) for incarnation in incarnations]
+        count = sum(times.count for times in decayed)
+        total_s = sum(times.total_s for times in decayed)
+        if not count or not total_s:
+            return dict.fromkeys(incarnations, 1.0)
+        mean_s = total_s / count
+        return {
+            incarnation: min(MAX_SLOWNESS, max(1.0 / MAX_SLOWNESS, time_s / mean_s))
+            for incarnation, time_s in self.estimate_times_s(incarnations, now_s).items()
+        }
+
     def _decay(self, incarnation: deployment.ServerIncarnation, now_s: float) -> _DecayedTimes:
         previous = self._times.get(incarnation)
         if previous is None:
@@ -186,17 +195,36 @@
 
 
 class LoadStatistics:
-    """Request rates and service times of all keyed services, collected by the lessor."""
+    """Work per key and service times of all keyed services, collected by the lessor."""
 
     def __init__(self) -> None:
         self._keys: dict[str, KeyRateEstimator] = {}
         self.service_times = ServiceTimeEstimator()
 
-    def add(self, counted: tuple[owners.CountedKeys, ...], now_s: float) -> None:
-        """Add request counts from one instance."""
+    def add(
+        self,
+        counted: tuple[request_counts.CountedKeys, ...],
+        now_s: float,
+        key_work: tuple[work_table.KeyWork, ...] = (),
+    ) -> None:
+        """Add the work of requests from one instance.
+
+        Requests that it only counted, as an earlier release does, get the default work.
+        """
+        for row in key_work:
+            self._find_keys(row.service).add(dict(zip(row.keys, row.work_s, strict=False)), now_s)
+        with_work = {row.service for row in key_work}
         for counts in counted:
-            self._keys.setdefault(counts.service, KeyRateEstimator()).add(counts.keys, now_s)
+            if counts.service not in with_work:
+                requests = collections.Counter(counts.keys)
+                work_s = {
+                    key: count * work_estimates.DEFAULT_WORK_S for key, count in requests.items()
+                }
+                self._find_keys(counts.service).add(work_s, now_s)
 
     def estimate_rates(self, service: str, now_s: float) -> KeyRates:
-        """Return the request rates of a service's keys at `now_s`."""
-        return self._keys.setdefault(service, KeyRateEstimator()).estimate_rates(now_s)
+        """Return the work per second of a service's keys at `now_s`."""
+        return self._find_keys(service).estimate_rates(now_s)
+
+    def _find_keys(self, service: str) -> KeyRateEstimator:
+        return self._keys.setdefault(service, KeyRateEstimator())
--- a/src/goldcresthall/ranges/owners.py
+++ b/src/goldcresthall/ranges/owners.py
@@ -1,4 +1,4 @@
-"""The owners service: looks up the owner of a key and counts requests per key."""
+"""The owners service: looks up the owner of a key and counts the work requested per key."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.load import work_estimates
+from goldcresthall.ranges import request_counts
 
 if TYPE_CHECKING:
     from goldcresthall.kernel import kernel
 
-MAX_COUNTED_REQUESTS = 20_000
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnersView:
@@ -44,14 +44,6 @@
         return cls(table.term, table.revision, assigned)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CountedKeys:
-    """Requested keys of a service; a key appears once for each request."""
-
-    service: str
-    keys: tuple[int, ...]
-
-
 class Owners(service.Service):
     """The latest view of the owners, and the requests counted since the last report."""
 
@@ -62,7 +54,7 @@
         self._index: dict[str, tuple[list[int], list[key_ranges.RangeOwner]]] = {}
         self._serial = 0
         self._applied_at_s = 0.0
-        self._counts: dict[str, list[int]] = {}
+        self._counter = request_counts.RequestCounter()
 
     def start(self) -> None:
         """Look up the clock."""
@@ -120,15 +112,15 @@
         with self._changed:
             return self._changed.wait_for(lambda: self._serial > serial, timeout_s)
 
-    def count(self, service_name: str, key: int) -> None:
-        """Count one request for a key, up to `MAX_COUNTED_REQUESTS` per service and report."""
+    def count(
+        self, service_name: str, key: int, work_s: float = work_estimates.DEFAULT_WORK_S
+    ) -> None:
+        """Count one request for a key and the seconds of work expected of it."""
         with self._changed:
-            keys = self._counts.setdefault(service_name, [])
-            if len(keys) < MAX_COUNTED_REQUESTS:
-                keys.append(key)
+            self._counter.add(service_name, key, work_s)
 
-    def take_counts(self) -> tuple[CountedKeys, ...]:
+    def take_counts(self, now_s: float) -> request_counts.RequestCounts:
         """Return the requests counted since the last call and reset the counts."""
         with self._changed:
-            taken, self._counts = self._counts, {}
-        return tuple(CountedKeys(name, tuple(keys)) for name, keys in taken.items())
+            taken, self._counter = self._counter, request_counts.RequestCounter(now_s)
+        return taken.finish(now_s)
--- a/src/goldcresthall/ranges/publication.py
+++ b/src/goldcresthall/ranges/publication.py
@@ -74,7 +74,8 @@
         self._responder.update_peers()
         self._estimates.retain(self._directory.servers.incarnations)
         statistics = self._term.statistics
-        statistics.add(self._owners.take_counts(), now_s)
+        counts = self._owners.take_counts(now_s)
+        statistics.add(counts.keys, now_s, counts.work)
         statistics.service_times.add(self._estimates.take_latency_samples(), now_s)
 
 
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -12,11 +12,13 @@
 from goldcresthall.ranges import candidates
 from goldcresthall.ranges import load_statistics
 from goldcresthall.ranges import membership
+from goldcresthall.ranges import move_planner
 from goldcresthall.ranges import owner_reviews
 from goldcresthall.ranges import planner
 from goldcresthall.ranges import range_joins
 from goldcresthall.ranges import range_leases
 from goldcresthall.ranges import range_releases
+from goldcresthall.ranges import recent_moves
 from goldcresthall.ranges import server_backoff
 from goldcresthall.ranges import transitions
 
@@ -83,11 +85,12 @@
             context, leases, renewers, self._releases, self._backoff
         )
         self._membership = membership.MembershipMonitor()
+        self._recent_moves = recent_moves.RecentMoves()
         self._rebalanced_at_s = context.clock.read_s()
 
     @property
     def statistics(self) -> load_statistics.LoadStatistics:
-        """Request rates and service times reported to the lessor."""
+        """Work of keys and service times reported to the lessor."""
         return self._statistics
 
     def plan(self, constraints: PlanningConstraints) -> None:
@@ -108,7 +111,9 @@
         for name in configuration.keyed_services:
             self._add_missing_ranges(name)
             self._reviewer.review(name, now_s, constraints.predecessors_end_s)
-            self._place(name, now_s, is_rebalancing=is_rebalancing and may_release)
+            self._place(name, now_s)
+            if is_rebalancing and may_release:
+                self._move(name, now_s, may_split=constraints.may_split)
             if is_rebalancing:
                 self._join_calm(name, now_s, constraints)
 
@@ -130,12 +135,10 @@
     def _add_free(self, service: str, keys: key_ranges.KeyRange) -> None:
         self._leases.add(range_leases.RangeLease(service=service, keys=keys, owner=None))
 
-    def _place(self, service: str, now_s: float, *, is_rebalancing: bool) -> None:
-        leases = tuple(
-            lease for lease in self._leases.snapshot().leases.values() if lease.service == service
-        )
-        has_free = any(lease.phase is range_leases.LeasePhase.FREE for lease in leases)
-        if not has_free and not is_rebalancing:
+    def _place(self, service: str, now_s: float) -> None:
+        """Assign the free ranges of a service."""
+        leases = tuple(self._list_leases(service).values())
+        if not any(lease.phase is range_leases.LeasePhase.FREE for lease in leases):
             return
         listed = self._candidates.list(service, now_s)
         if not listed:
@@ -153,9 +156,20 @@
         )
         for placement in planner.place_free(free, loads, key_rates, len(listed)):
             self._set_target(placement)
-        if is_rebalancing:
-            for move in planner.plan_moves(leases, loads, key_rates):
-                self._start_move(move, key_rates.sum_range(move.keys))
+
+    def _move(self, service: str, now_s: float, *, may_split: bool) -> None:
+        """Move ranges away from overloaded servers and to underused ones."""
+        leases = tuple(self._list_leases(service).values())
+        listed = self._candidates.list(service, now_s)
+        if not listed or not any(lease.fence for lease in leases):
+            return
+        key_rates = self._statistics.estimate_rates(service, now_s)
+        loads = planner.PlannedLoads(listed, leases, key_rates)
+        constraints = move_planner.MoveConstraints(
+            self._recent_moves.find_settling(service, now_s), may_split
+        )
+        for move in move_planner.plan_moves(leases, loads, key_rates, constraints):
+            self._start_move(move, key_rates.sum_range(move.keys))
 
     def _join_calm(self, service: str, now_s: float, constraints: PlanningConstraints) -> None:
         """Join ranges that were split for load and are calm again."""
@@ -197,11 +211,12 @@
         if not lease.is_movable:
             return
         logging.info(
-            "moving range %s of service %s from %s to %s, %.1f requests/s",
+            "moving range %s of service %s from %s to %s, %.2f s of work/s",
             move.keys,
             move.service,
             lease.owner,
             move.target,
             rate,
         )
+        self._recent_moves.record(move.service, move.keys, self._context.clock.read_s())
         self._releases.start(part_id, lease, move.target)
--- a/src/goldcresthall/ranges/report_encoding.py
+++ b/src/goldcresthall/ranges/report_encoding.py
@@ -12,8 +12,8 @@
 from goldcresthall.gateway import estimates
 from goldcresthall.generated.lessor import ttypes
 from goldcresthall.ranges import load_encoding
-from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
+from goldcresthall.ranges import request_counts
 
 MS_PER_S = 1_000
 US_PER_S = 1_000_000
@@ -63,7 +63,7 @@
         known_term=received.known_term,
         known_revision=received.known_revision,
         counts=tuple(
-            owners.CountedKeys(row.service_name, tuple(row.keys)) for row in received.counts
+            request_counts.CountedKeys(row.service_name, tuple(row.keys)) for row in received.counts
         ),
         samples=tuple(
             estimates.LatencySample(
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -103,7 +103,7 @@
         self._directory.observe_version(report.configuration)
         for incarnation in report.draining_servers:
             self._directory.record_draining(incarnation)
-        own_term.statistics.add(report.counts, now_s)
+        own_term.statistics.add(report.counts, now_s, report.key_work)
         own_term.statistics.service_times.add(report.samples, now_s)
         peer = reports.Peer(report.reporter.incarnation.name, report.reporter.address)
         with self._lock:
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -20,7 +20,7 @@
 from goldcresthall.kernel import service
 from goldcresthall.load import server_news
 from goldcresthall.load import work_table
-from goldcresthall.ranges import owners
+from goldcresthall.ranges import request_counts
 
 ServerChanges = row_changes.RowChanges[deployment.RegisteredServer, str]
 RangeChanges = row_changes.RowChanges[key_ranges.RangeOwner, key_ranges.RangeStart]
@@ -85,7 +85,7 @@
     reporter: key_ranges.LessorIdentity
     known_term: int
     known_revision: int
-    counts: tuple[owners.CountedKeys, ...]
+    counts: tuple[request_counts.CountedKeys, ...]
     samples: tuple[estimates.LatencySample, ...]
     configuration: int
     known_servers: int = row_changes.NO_REVISION
--- /dev/null
+++ b/src/goldcresthall/ranges/shift_detection.py
@@ -0,0 +1,66 @@
+"""Detection of shifts: recent rates that differ from longer averages by more than noise.
+
+The longer average of each key gives the shape of the load with little noise, but it takes seconds
+to reach the height of a new hot spot. The recent rates reach it within a second, but the rate of a
+single key in them is mostly noise. A shift is therefore looked for in single keys first, then in
+blocks of neighbouring keys, whose sums have less noise, and last in all other keys together.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+
+RECENT_HALF_LIFE_S = 0.7
+BLOCK_BITS = 8
+# Noise of a sum is that of requests which arrive independently with about this much work each.
+REQUEST_WORK_S = 0.2
+MIN_DEVIATIONS = 4.0
+MIN_RATIO = 1.5
+
+
+def apply_shifts(rates: dict[int, float], recent: dict[int, float]) -> dict[int, float]:
+    """Return the rates of keys, scaled to the height of the recent ones where they shifted.
+
+    Parameters
+    ----------
+    rates, recent
+        Seconds of work per second by key, as a longer and as a recent average.
+    """
+    factors = {
+        key: _find_factor(rate, recent_rate)
+        for key, recent_rate in recent.items()
+        if (rate := rates.get(key, 0.0)) and _is_shift(rate, recent_rate)
+    }
+    blocks = _sum_blocks(rates, factors)
+    recent_blocks = _sum_blocks(recent, factors)
+    block_factors = {
+        block: _find_factor(rate, recent_blocks[block])
+        for block, rate in blocks.items()
+        if _is_shift(rate, recent_blocks[block])
+    }
+    rest = sum(rate for block, rate in blocks.items() if block not in block_factors)
+    recent_rest = sum(rate for block, rate in recent_blocks.items() if block not in block_factors)
+    rest_factor = _find_factor(rest, recent_rest) if _is_shift(rest, recent_rest) else 1.0
+    return {
+        key: rate * factors.get(key, block_factors.get(key >> BLOCK_BITS, rest_factor))
+        for key, rate in rates.items()
+    }
+
+
+def _sum_blocks(rates: dict[int, float], excluded: dict[int, float]) -> dict[int, float]:
+    sums: dict[int, float] = collections.defaultdict(float)
+    for key, rate in rates.items():
+        if key not in excluded:
+            sums[key >> BLOCK_BITS] += rate
+    return sums
+
+
+def _is_shift(rate: float, recent: float) -> bool:
+    higher, lower = max(rate, recent), min(rate, recent)
+    variance = higher * REQUEST_WORK_S * math.log(2.0) / (2.0 * RECENT_HALF_LIFE_S)
+    return higher >= MIN_RATIO * lower and (higher - lower) ** 2 > MIN_DEVIATIONS**2 * variance
+
+
+def _find_factor(rate: float, recent: float) -> float:
+    return recent / rate if rate else 1.0
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -15,8 +15,8 @@
 from goldcresthall.ranges import grants
 from goldcresthall.ranges import lessor
 from goldcresthall.ranges import lessor_context
-from goldcresthall.ranges import owners
 from goldcresthall.ranges import ownership_tables
+from goldcresthall.ranges import request_counts
 from goldcresthall.store import client
 from tests.fakes import clock
 from tests.fakes import store
@@ -453,5 +453,5 @@
     def count_requests(self, instance: Instance, keys: tuple[int, ...]) -> None:
         """Report one request for each of the keys to an instance's lessor."""
         if instance.own_term is not None:
-            counted = owners.CountedKeys(SERVICE, keys)
+            counted = request_counts.CountedKeys(SERVICE, keys)
             instance.own_term.statistics.add((counted,), self.clock.read_s())
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -7,6 +7,7 @@
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
 from goldcresthall.ranges import load_statistics
+from goldcresthall.ranges import move_planner
 from goldcresthall.ranges import planner
 from goldcresthall.ranges import range_leases
 
@@ -49,7 +50,7 @@
     )
     leases = create_leases()
     key_rates = create_rates(hot_rate)
-    return planner.plan_moves(
+    return move_planner.plan_moves(
         leases, planner.PlannedLoads(candidates, leases, key_rates), key_rates
     )
 
