--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -162,7 +162,8 @@
         self, request: requests.Request, plan: RoutingPlan, cancelled: cancellation.Cancellation
     ) -> request_progress.RequestProgress:
         self._budgets.find(plan.target.service).add_request(self._clock.read_s())
-        server_finder.count_request(plan.target, self._owners)
+        work_s = self._model.expect_work_s(plan.route.name)
+        server_finder.count_request(plan.target, self._owners, work_s)
         with self._waiting_places.create_place() as place:
             return self._run_attempts(request, plan, cancelled, place)
 
--- /dev/null
+++ b/src/goldcresthall/load/work_estimates.py
@@ -0,0 +1,18 @@
+"""Interface for the expected work of requests."""
+
+from __future__ import annotations
+
+import abc
+
+from goldcresthall.kernel import service
+
+# Expected before anything is measured.
+DEFAULT_WORK_S = 0.2
+
+
+class WorkEstimates(service.Service):
+    """Provides the expected work of a route's requests."""
+
+    @abc.abstractmethod
+    def expect_work_s(self, route: str) -> float:
+        """Return the seconds that a request of a route takes on a server of usual speed."""
--- a/src/goldcresthall/load/work_model.py
+++ b/src/goldcresthall/load/work_model.py
@@ -13,9 +13,9 @@
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
-from goldcresthall.kernel import service
 from goldcresthall.load import means
 from goldcresthall.load import measurements
+from goldcresthall.load import work_estimates
 from goldcresthall.load import work_table
 
 if TYPE_CHECKING:
@@ -24,7 +24,6 @@
 
 ValueType = TypeVar("ValueType")
 
-DEFAULT_WORK_S = 0.2
 # Without a relayed value a few samples of a factor are blended with its parent. A relayed value
 # stands for some hundred samples, which a few own ones must not outweigh.
 ALONE_PRIOR_WEIGHT = 4.0
@@ -72,7 +71,7 @@
 NO_TABLE = _Relayed(work_table.WorkTable(), {}, {}, 0.0)
 
 
-class WorkModel(service.Service):
+class WorkModel(work_estimates.WorkEstimates):
     """Expects the work of requests from own measurements and those relayed by the lessor.
 
     Each factor is the mean of this instance's few samples, blended with the relayed value. While
@@ -254,7 +253,7 @@
 
     def _find_work_s(self, route: str, service_name: str, now_s: float) -> float:
         average = self._services.get(service_name, NO_MEAN)
-        parent_s = average.value if average.weight else DEFAULT_WORK_S
+        parent_s = average.value if average.weight else work_estimates.DEFAULT_WORK_S
         own = self._routes.get(route, NO_MEAN)
         relayed = self._relayed
         relayed_s = relayed.routes.get(route)
--- a/src/goldcresthall/ranges/publication.py
+++ b/src/goldcresthall/ranges/publication.py
@@ -78,7 +78,8 @@
         self._responder.update_peers()
         self._sources.retain(self._directory.servers.incarnations)
         model = self._sources.model
-        self._term.statistics.add(self._owners.take_counts(), now_s)
+        counts = self._owners.take_counts(now_s)
+        self._term.statistics.add(counts.keys, now_s, counts.work)
         self._responder.add_work(
             self._term, model.take_server_samples(), model.take_route_samples()
         )
--- a/tests/load/test_work_model.py
+++ b/tests/load/test_work_model.py
@@ -13,6 +13,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.load import work_combiner
+from goldcresthall.load import work_estimates
 from goldcresthall.load import work_model
 from goldcresthall.load import work_table
 from tests.fakes import clock
@@ -148,13 +149,13 @@
 
 def test_without_samples_the_default_or_the_average_of_the_service_is_expected() -> None:
     model = create_model(clock.ManualClock())
-    assert model.expect_s("heavy", SERVERS[0]) == work_model.DEFAULT_WORK_S
-    assert model.expect_work_s("heavy") == work_model.DEFAULT_WORK_S
+    assert model.expect_s("heavy", SERVERS[0]) == work_estimates.DEFAULT_WORK_S
+    assert model.expect_work_s("heavy") == work_estimates.DEFAULT_WORK_S
     for _ in range(3):
         model.record("light", SERVERS[1], answer(), 0.1)
     assert model.expect_s("heavy", SERVERS[0]) == pytest.approx(0.1)
     ledger = conftest.create_server("other", "ledger")
-    assert model.expect_s("light-too", ledger) == work_model.DEFAULT_WORK_S
+    assert model.expect_s("light-too", ledger) == work_estimates.DEFAULT_WORK_S
 
 
 def test_reported_slowdown_counts_while_it_is_fresh() -> None:
