Leave servers that warm up out of the work samples and let old factors fade

Cause: a server measured while it was cold would be avoided as slow for minutes, and the factor that a new lessor inherits never faded for a server that nobody chose. The half-life of the combined means is 20 s.

--- a/src/goldcresthall/load/work_combiner.py
+++ b/src/goldcresthall/load/work_combiner.py
@@ -19,11 +19,12 @@
 
 KeyType = TypeVar("KeyType")
 
-# At ten samples a second for each server the mean of a half-life's samples is off by a few percent
-# only, so that few tables are sent for noise.
-HALF_LIFE_S = 30.0
+# At ten samples a second for each server the mean is off by a few percent only. With a longer one a
+# server that has recovered, and gets few requests, would be avoided for minutes.
+HALF_LIFE_S = 20.0
 PRIOR_SAMPLES = 6.0
-# A factor of the previous lessor's table stands for some hundred samples of its term.
+# A factor of the previous lessor's table stands for some hundred samples of its term, and decays as
+# they would.
 INHERITED_SAMPLES = 40.0
 MIN_ROUTE_SAMPLES = 5.0
 MIN_COUNT = 0.01
@@ -53,12 +54,12 @@
         self._find_service = find_service
         self._lock = threading.Lock()
         self._updated_at_s: float | None = None
-        self._reset(work_table.WorkTable())
+        self._reset(work_table.WorkTable(), 0.0)
 
-    def begin_term(self, inherited: work_table.WorkTable) -> None:
+    def begin_term(self, inherited: work_table.WorkTable, now_s: float) -> None:
         """Discard all samples; the factors of the previous lessor's table become the priors."""
         with self._lock:
-            self._reset(inherited)
+            self._reset(inherited, now_s)
 
     def add(
         self,
@@ -88,8 +89,11 @@
                 self._publish(self._estimate_factors(now_s), self._estimate_works_s(now_s), now_s)
             return self._table
 
-    def _reset(self, inherited: work_table.WorkTable) -> None:
-        self._priors = {row.server: row.factor for row in inherited.servers}
+    def _reset(self, inherited: work_table.WorkTable, now_s: float) -> None:
+        self._inherited = {
+            row.server: means.DecayingSum(INHERITED_SAMPLES, INHERITED_SAMPLES * row.factor, now_s)
+            for row in inherited.servers
+        }
         self._servers: dict[deployment.ServerIncarnation, means.DecayingSum] = {}
         self._routes: dict[str, means.DecayingSum] = {}
         self._published_servers: dict[deployment.ServerIncarnation, float] = {}
@@ -137,17 +141,20 @@
             if count < MIN_COUNT or total_s <= 0:
                 continue
             for server, times in servers.items():
-                factors[server] = self._blend(server, times, total_s / count)
+                factors[server] = self._blend(server, times, total_s / count, now_s)
         return factors
 
     def _blend(
-        self, server: deployment.ServerIncarnation, times: means.DecayingSum, mean_s: float
+        self,
+        server: deployment.ServerIncarnation,
+        times: means.DecayingSum,
+        mean_s: float,
+        now_s: float,
     ) -> float:
-        inherited = self._priors.get(server)
-        prior, weight = (
-            (1.0, PRIOR_SAMPLES) if inherited is None else (inherited, INHERITED_SAMPLES)
-        )
-        return (times.total / mean_s + prior * weight) / (times.count + weight)
+        """Return a server's factor, shrunk to 1.0 and to the one of the previous lessor."""
+        inherited = self._inherited.get(server, NO_SUM).decay(now_s, HALF_LIFE_S)
+        total = times.total / mean_s + inherited.total + PRIOR_SAMPLES
+        return total / (times.count + inherited.count + PRIOR_SAMPLES)
 
     def _estimate_works_s(self, now_s: float) -> dict[str, float]:
         works_s = {}
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -121,7 +121,7 @@
         inherited
             Work table of the previous lessor.
         """
-        self._work.begin_term(inherited)
+        self._work.begin_term(inherited, self._clock.read_s())
         with self._lock:
             self._reporters.clear()
             self._owner_history = revision_history.RevisionHistory(_find_start)
--- a/tests/load/test_work_model.py
+++ b/tests/load/test_work_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging as standard_logging
 import random
 import statistics
@@ -196,6 +197,25 @@
     assert means_s == pytest.approx([0.25, 0.25], rel=0.05)
 
 
+def test_work_of_a_server_that_warms_up_is_not_measured() -> None:
+    """A server would be avoided as slow for minutes after it was warm."""
+    manual = clock.ManualClock()
+    model = create_model(manual)
+    model.apply_table(work_table.WorkTable(1, (), (work_table.RouteWork("light", 0.1),)))
+    cold = dataclasses.replace(SERVERS[0], slow_start_remaining_s=8.0)
+    for _ in range(20):
+        model.record("light", cold, answer(), 0.5)
+        manual.advance(0.39)
+    assert model.take_server_samples() == ()
+    assert model.expect_s("light", cold) == pytest.approx(0.1)
+    manual.advance(0.21)
+    model.record("light", cold, answer(), 0.1)
+    assert len(model.take_server_samples()) == 1
+    cold_again = dataclasses.replace(cold, slow_start_remaining_s=9.0)
+    model.record("light", cold_again, answer(), 0.5)
+    assert model.take_server_samples() == ()
+
+
 def test_memory_is_bounded_by_the_registered_servers_and_the_known_routes() -> None:
     model = create_model(clock.ManualClock())
     for number in range(work_model.MAX_ROUTES + 50):
