--- a/src/goldcresthall/load/work_combiner.py
+++ b/src/goldcresthall/load/work_combiner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -18,17 +19,22 @@
 
 KeyType = TypeVar("KeyType")
 
-# At ten samples a second for each server the mean of a half-life's samples is off by a few percent
-# only, so that few tables are sent for noise.
-HALF_LIFE_S = 30.0
+# At ten samples a second for each server the mean is off by a few percent only. With a longer one a
+# server that has recovered, and gets few requests, would be avoided for minutes.
+HALF_LIFE_S = 20.0
 PRIOR_SAMPLES = 6.0
-# A factor of the previous lessor's table stands for some hundred samples of its term.
+# A factor of the previous lessor's table stands for some hundred samples of its term, and decays as
+# they would.
 INHERITED_SAMPLES = 40.0
 MIN_ROUTE_SAMPLES = 5.0
 MIN_COUNT = 0.01
 MIN_TABLE_INTERVAL_S = 0.4
-TOLERATED_RATIO = 1.1
+# A change of a tenth is within the noise of servers that get few requests, and may wait.
+SMALL_CHANGE_INTERVAL_S = 4.0
+SMALL_CHANGE_RATIO = 1.1
+LARGE_CHANGE_RATIO = 1.5
 MAX_ROUTES = 1_024
+MIN_VALUE = 1e-6
 
 NO_SUM = means.DecayingSum()
 
@@ -36,6 +42,8 @@
 class WorkCombiner:
     """Means over the samples of all instances, published when one changed by over a tenth.
 
+    Changes by over a half and new servers and routes are published without delay.
+
     Parameters
     ----------
     find_service
@@ -46,12 +54,12 @@
         self._find_service = find_service
         self._lock = threading.Lock()
         self._updated_at_s: float | None = None
-        self._reset(work_table.WorkTable())
+        self._reset(work_table.WorkTable(), 0.0)
 
-    def begin_term(self, inherited: work_table.WorkTable) -> None:
+    def begin_term(self, inherited: work_table.WorkTable, now_s: float) -> None:
         """Discard all samples; the factors of the previous lessor's table become the priors."""
         with self._lock:
-            self._reset(inherited)
+            self._reset(inherited, now_s)
 
     def add(
         self,
@@ -78,25 +86,36 @@
         with self._lock:
             if self._updated_at_s is None or now_s - self._updated_at_s >= MIN_TABLE_INTERVAL_S:
                 self._updated_at_s = now_s
-                self._publish(self._estimate_factors(now_s), self._estimate_works_s(now_s))
+                self._publish(self._estimate_factors(now_s), self._estimate_works_s(now_s), now_s)
             return self._table
 
-    def _reset(self, inherited: work_table.WorkTable) -> None:
-        self._priors = {row.server: row.factor for row in inherited.servers}
+    def _reset(self, inherited: work_table.WorkTable, now_s: float) -> None:
+        self._inherited = {
+            row.server: means.DecayingSum(INHERITED_SAMPLES, INHERITED_SAMPLES * row.factor, now_s)
+            for row in inherited.servers
+        }
         self._servers: dict[deployment.ServerIncarnation, means.DecayingSum] = {}
         self._routes: dict[str, means.DecayingSum] = {}
         self._published_servers: dict[deployment.ServerIncarnation, float] = {}
         self._published_routes: dict[str, float] = {}
         self._table = work_table.WorkTable()
         self._updated_at_s = None
+        self._published_at_s = -math.inf
 
     def _publish(
-        self, servers: dict[deployment.ServerIncarnation, float], routes: dict[str, float]
+        self,
+        servers: dict[deployment.ServerIncarnation, float],
+        routes: dict[str, float],
+        now_s: float,
     ) -> None:
-        if not _differ(servers, self._published_servers) and not _differ(
-            routes, self._published_routes
-        ):
+        change = max(
+            _find_change(servers, self._published_servers),
+            _find_change(routes, self._published_routes),
+        )
+        is_due = now_s - self._published_at_s >= SMALL_CHANGE_INTERVAL_S
+        if change <= (SMALL_CHANGE_RATIO if is_due else LARGE_CHANGE_RATIO):
             return
+        self._published_at_s = now_s
         self._published_servers, self._published_routes = servers, routes
         revision = max(self._table.revision, row_changes.NO_REVISION) + 1
         self._table = work_table.WorkTable(
@@ -122,17 +141,20 @@
             if count < MIN_COUNT or total_s <= 0:
                 continue
             for server, times in servers.items():
-                factors[server] = self._blend(server, times, total_s / count)
+                factors[server] = self._blend(server, times, total_s / count, now_s)
         return factors
 
     def _blend(
-        self, server: deployment.ServerIncarnation, times: means.DecayingSum, mean_s: float
+        self,
+        server: deployment.ServerIncarnation,
+        times: means.DecayingSum,
+        mean_s: float,
+        now_s: float,
     ) -> float:
-        inherited = self._priors.get(server)
-        prior, weight = (
-            (1.0, PRIOR_SAMPLES) if inherited is None else (inherited, INHERITED_SAMPLES)
-        )
-        return (times.total / mean_s + prior * weight) / (times.count + weight)
+        """Return a server's factor, shrunk to 1.0 and to the one of the previous lessor."""
+        inherited = self._inherited.get(server, NO_SUM).decay(now_s, HALF_LIFE_S)
+        total = times.total / mean_s + inherited.total + PRIOR_SAMPLES
+        return total / (times.count + inherited.count + PRIOR_SAMPLES)
 
     def _estimate_works_s(self, now_s: float) -> dict[str, float]:
         works_s = {}
@@ -148,9 +170,14 @@
         return works_s
 
 
-def _differ(current: dict[KeyType, float], published: dict[KeyType, float]) -> bool:
-    """Return whether keys differ or a value differs by more than the tolerated ratio."""
-    return current.keys() != published.keys() or any(
-        max(value, published[key]) > TOLERATED_RATIO * min(value, published[key])
-        for key, value in current.items()
+def _find_change(current: dict[KeyType, float], published: dict[KeyType, float]) -> float:
+    """Return the largest ratio between new and published values; infinite if the keys differ."""
+    if current.keys() != published.keys():
+        return math.inf
+    return max(
+        (
+            max(value, published[key]) / max(MIN_VALUE, min(value, published[key]))
+            for key, value in current.items()
+        ),
+        default=1.0,
     )
