Decode and follow cold-server limits and evacuations

Cause: docs/LOAD.md sections 3 to 5 need kinds of request, limits of cold servers and evacuated failure domains; none was decoded. Ruled out: dealing out permissions by the lessor (a message for each pair, none without a lessor); treating evacuated servers as draining (draining is for good).

--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -11,6 +11,7 @@
 from goldcresthall.callers import pipelined_frontend
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
+from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import gateway
@@ -100,7 +101,20 @@
     service_kernel.register(
         names.STORE, store_client.HttpStoreClient.from_config(instance_settings, calls)
     )
-    service_kernel.register(names.DIRECTORY, directory.Directory(service_kernel))
+    server_directory = directory.Directory(service_kernel)
+    service_kernel.register(names.DIRECTORY, server_directory)
+    metrics_service.register_gauge(
+        "evacuated_failure_domains",
+        "Failure domains that the operator evacuates.",
+        lambda: len(server_directory.evacuated.failure_domains),
+    )
+    cold_servers = cold_starts.ColdStarts.from_config(service_kernel, instance_settings)
+    service_kernel.register(names.COLD_STARTS, cold_servers)
+    metrics_service.register_gauge(
+        "cold_servers",
+        "Backend servers that are cold and have a limit of requests.",
+        lambda: cold_servers.cold_servers,
+    )
     service_kernel.register(
         names.WATCHERS,
         watchers.Watchers.from_config(
--- a/src/goldcresthall/core/outcomes.py
+++ b/src/goldcresthall/core/outcomes.py
@@ -37,6 +37,8 @@
     SERVER_SHED = "server_shed"
     SERVER_DRAINING = "server_draining"
     SERVER_PAUSED = "server_paused"
+    SERVER_COLD = "server_cold"
+    DOMAIN_EVACUATED = "domain_evacuated"
     QUEUE_FULL = "queue_full"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_EXPIRED = "deadline_expired"
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -8,9 +8,11 @@
 
 from absl import logging
 
+from goldcresthall.gateway import evacuations
 from goldcresthall.gateway import route_table
 from goldcresthall.gateway import server_history
 from goldcresthall.gateway import server_lists
+from goldcresthall.gateway import warm_ups
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
@@ -53,6 +55,9 @@
         self._expired_names: set[str] = set()
         self._store_recovered_at_s = 0.0
         self._history = server_history.ServerHistory()
+        self._warm_up_reports = warm_ups.WarmUpReports()
+        self._cold_limits = warm_ups.NO_LIMITS
+        self._evacuations = evacuations.EvacuationState()
         self._reported_draining: dict[deployment.ServerIncarnation, None] = {}
         self._relayed = server_lists.RelayedServers(0, ())
         self._version = server_lists.NO_LIST
@@ -144,6 +149,32 @@
         """The registered servers, and those kept after their entries expired in an outage."""
         return self._servers
 
+    @property
+    def cold_limits(self) -> dict[str, float]:
+        """Requests per second that a cold server bears, by service; only those with a limit."""
+        return self._cold_limits
+
+    @property
+    def evacuated(self) -> evacuations.EvacuatedDomains:
+        """The failure domains that the operator evacuates, as last known."""
+        return self._evacuations.latest
+
+    def is_evacuated(self, failure_domain: str) -> bool:
+        """Return whether the servers of a failure domain must get no requests."""
+        return failure_domain in self._evacuations.latest.failure_domains
+
+    def find_evacuated_since_s(self, failure_domain: str) -> float | None:
+        """Return the clock reading in seconds since which a failure domain is evacuated.
+
+        Returns `None` if it is not evacuated.
+        """
+        return self._evacuations.find_since_s(failure_domain)
+
+    def apply_evacuations(self, evacuated: evacuations.EvacuatedDomains) -> None:
+        """Replace the evacuations unless a later state of the store is known."""
+        with self._lock:
+            self._evacuations.apply(evacuated, self._clock.read_s())
+
     def apply_configuration(
         self,
         configuration: deployment.Configuration,
@@ -162,6 +193,7 @@
                 return False
             self._route_table = route_table.RouteTable(configuration.routes)
             self._configuration = configuration
+            self._cold_limits = warm_ups.find_cold_limits(configuration)
             self._document = document
             self._latest_version = max(self._latest_version, configuration.version)
         logging.info(
@@ -210,7 +242,7 @@
             by_name = dict(self._servers.by_name)
             for server in present:
                 self._expired_names.discard(server.name)
-                self._merge(by_name, server, now_s)
+                self._merge(by_name, server, now_s, is_relayed=False)
             self._expired_names.update(name for name in absent if name in by_name)
             self._remove_expired(by_name, now_s)
             self._applied_relay = None
@@ -321,7 +353,7 @@
                     if name in names_present
                 }
                 for server in present:
-                    self._merge(by_name, server, now_s)
+                    self._merge(by_name, server, now_s, is_relayed=True)
                 self._replace(by_name)
             self._applied_relay = present
             self._version = server_lists.ListVersion(version.position, known_at_s)
@@ -331,12 +363,19 @@
         by_name: dict[str, server_lists.DirectoryEntry],
         server: deployment.RegisteredServer,
         now_s: float,
+        *,
+        is_relayed: bool,
     ) -> None:
         """Add or replace a server's entry unless a later incarnation is known."""
         latest = self._history.observe(server, self._version.known_at_s)
         if latest is not None:
+            is_new = self._warm_up_reports.observe(server, is_relayed=is_relayed)
             by_name[server.name] = server_lists.update_entry(
-                by_name.get(server.name), server, latest.draining_since_s, now_s
+                by_name.get(server.name),
+                server,
+                latest.draining_since_s,
+                now_s,
+                has_warm_up_news=is_new and server.service in self._cold_limits,
             )
 
     def _replace(self, by_name: dict[str, server_lists.DirectoryEntry]) -> None:
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -11,10 +11,12 @@
 from goldcresthall.core import attempts
 from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
+from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import explanations
 from goldcresthall.gateway import request_progress
+from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import retry_budgets
 from goldcresthall.gateway import retry_policy
 from goldcresthall.gateway import route_table
@@ -71,6 +73,7 @@
         self._kernel = service_kernel
         self._failure_domain = instance_settings.failure_domain
         self._drain_s = instance_settings.drain_s
+        self._evacuation_s = instance_settings.evacuation_s
         self._generator = generator
         self._budgets = retry_budgets.RetryWindowBudgets(instance_settings.retries)
         self._round_robins = route_table.WeightedRoundRobins(generator)
@@ -96,6 +99,7 @@
         self._instance_counter = self._kernel.find(names.REPORTS, reports.InstanceCounter)
         self._sender = self._kernel.find(names.REQUEST_SENDER, request_sender.RequestSender)
         self._log = self._kernel.find(names.REQUEST_LOG, decisions.DecisionLog)
+        self._cold_starts = self._kernel.find(names.COLD_STARTS, cold_starts.ColdStarts)
         self._server_finder = server_finder.ServerFinder(
             server_directory=self._directory,
             key_owners=self._owners,
@@ -103,6 +107,9 @@
             failure_domain=self._failure_domain,
             drain_s=self._drain_s,
             instance_counter=self._instance_counter,
+            server_restrictions=restrictions.Restrictions(
+                self._directory, self._cold_starts, self._evacuation_s
+            ),
         )
 
     def stop(self) -> None:
@@ -175,15 +182,11 @@
                 plan.target, progress.tried, self._generator, target_in_s
             )
             if isinstance(selected, server_finder.Unavailable):
-                if selected.is_final:
-                    has_waited = False
-                elif selected.wait is not None:
-                    has_waited = self._wait_for_capacity(plan, selected.wait, place)
-                else:
-                    has_waited = self._wait_for_owner(plan, wait_budget, serial)
-                if not has_waited:
+                if not self._wait_for_server(plan, selected, wait_budget, serial, place):
                     return request_progress.apply_refusal(progress, selected.refused)
                 continue
+            if not self._cold_starts.try_take(selected):
+                continue
             place.leave()
             attempt = self._send_once(request, plan, selected, cancelled)
             progress = request_progress.record_attempt(progress, selected.name, attempt)
@@ -191,6 +194,21 @@
                 return progress
         return request_progress.apply_cancellation(progress)
 
+    def _wait_for_server(
+        self,
+        plan: RoutingPlan,
+        unavailable: server_finder.Unavailable,
+        wait_budget: retry_policy.WaitBudget,
+        serial: int,
+        place: waiting.WaitingPlace,
+    ) -> bool:
+        """Wait as an unavailable server calls for; return `False` if that is useless or over."""
+        if unavailable.is_final:
+            return False
+        if unavailable.wait is not None:
+            return self._wait_for_capacity(plan, unavailable.wait, place)
+        return self._wait_for_owner(plan, wait_budget, serial, unavailable.max_wait_s)
+
     def _wait_for_capacity(
         self, plan: RoutingPlan, wait: waiting.CapacityWait, place: waiting.WaitingPlace
     ) -> bool:
@@ -202,12 +220,16 @@
         return True
 
     def _wait_for_owner(
-        self, plan: RoutingPlan, wait_budget: retry_policy.WaitBudget, serial: int
+        self,
+        plan: RoutingPlan,
+        wait_budget: retry_policy.WaitBudget,
+        serial: int,
+        max_wait_s: float = math.inf,
     ) -> bool:
         """Wait for a newer view of the owners; return `False` if waiting is useless or over."""
         if not isinstance(plan.target, server_finder.KeyTarget):
             return False
-        remaining_s = wait_budget.find_remaining_s(self._clock.read_s())
+        remaining_s = wait_budget.find_remaining_s(self._clock.read_s(), max_wait_s)
         if remaining_s <= 0:
             return False
         self._owners.wait_for_newer(serial, min(remaining_s, retry_policy.RECHECK_INTERVAL_S))
--- a/src/goldcresthall/gateway/retry_policy.py
+++ b/src/goldcresthall/gateway/retry_policy.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import functools
+import math
 
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
@@ -29,9 +30,16 @@
     began_at_s: float
     available_s: float
 
-    def find_remaining_s(self, now_s: float) -> float:
-        """Return the seconds left to wait; negative once the limit has passed."""
-        return self.began_at_s + MAX_WAIT_FRACTION * self.available_s - now_s
+    def find_remaining_s(self, now_s: float, max_wait_s: float = math.inf) -> float:
+        """Return the seconds left to wait; negative once the limit has passed.
+
+        Parameters
+        ----------
+        max_wait_s
+            Seconds from the start of the budget after which no wait helps.
+        """
+        wait_s = min(MAX_WAIT_FRACTION * self.available_s, max_wait_s)
+        return self.began_at_s + wait_s - now_s
 
 
 @functools.singledispatch
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -14,6 +14,7 @@
 from goldcresthall.core import preset
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
+from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_lists
 from goldcresthall.gateway import waiting
@@ -57,11 +58,14 @@
         How a request may wait if candidates exist, but all are at their limit of requests.
     is_final
         Whether to refuse the request at once, because no wait would help it.
+    max_wait_s
+        Seconds since its arrival for which a request may wait for another owner.
     """
 
     refused: outcomes.Refused
     wait: waiting.CapacityWait | None = None
     is_final: bool = False
+    max_wait_s: float = math.inf
 
 
 def create_target(
@@ -116,12 +120,14 @@
         failure_domain: str,
         drain_s: float,
         instance_counter: reports.InstanceCounter,
+        server_restrictions: restrictions.Restrictions,
     ) -> None:
         self.directory = server_directory
         self.owners = key_owners
         self.estimates = server_estimates
         self.failure_domain = failure_domain
         self.drain_s = drain_s
+        self.restrictions = server_restrictions
         self._instance_counter = instance_counter
         self._divided: dict[str, selection.Candidates] = {}
 
@@ -192,6 +198,9 @@
         target_in_s
             Seconds until the request's latency target; negative once it has passed.
         """
+        refused = self.restrictions.refuse_service(target.service)
+        if refused is not None:
+            return Unavailable(refused, is_final=True)
         return _find_server(target, self, tried, generator, target_in_s)
 
 
@@ -221,7 +230,11 @@
         return is_candidate(entry) and finder.has_capacity(entry.server, target_in_s)
 
     def is_candidate(entry: server_lists.DirectoryEntry) -> bool:
-        return _is_candidate(entry, tried) and finder.find_pause_s(entry.server) <= 0
+        return (
+            _is_candidate(entry, tried)
+            and finder.find_pause_s(entry.server) <= 0
+            and finder.restrictions.allows(entry.server)
+        )
 
     def is_preferred(entry: server_lists.DirectoryEntry) -> bool:
         estimate = finder.estimates.find(entry.server)
@@ -239,6 +252,9 @@
         wait = finder.create_wait(target.service, servers, target_in_s)
         return _refuse_busy(target, f"{len(candidates)} servers are", wait)
     paused = [entry.server for entry in divided.entries if _is_candidate(entry, tried)]
+    refused = finder.restrictions.refuse_servers(tuple(paused))
+    if refused is not None:
+        return Unavailable(refused, is_final=True)
     if paused:
         return _refuse_paused(target, min(map(finder.find_pause_s, paused)))
     return Unavailable(
@@ -267,6 +283,9 @@
         return _refuse_no_owner(target, f"{range_owner.owner.name} is not registered")
     if _exceeds_drain_time(entry, finder):
         return _refuse_no_owner(target, f"{range_owner.owner.name} is draining")
+    refused = finder.restrictions.refuse_owner(entry)
+    if refused is not None:
+        return Unavailable(refused, max_wait_s=restrictions.MAX_COLD_WAIT_S)
     pause_s = finder.find_pause_s(entry.server)
     if pause_s > 0:
         return _refuse_paused(target, pause_s)
--- a/src/goldcresthall/gateway/server_lists.py
+++ b/src/goldcresthall/gateway/server_lists.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from goldcresthall.core import deployment
+from goldcresthall.gateway import warm_ups
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,13 +22,18 @@
         Clock reading in seconds since which it may have been draining: the time of the last list
         before the one that said so. `None` if it is not draining.
     first_seen_s
-        Clock reading in seconds at which this incarnation was first seen.
+        Clock reading in seconds at which this incarnation was first seen, or turned cold again.
     """
 
     server: deployment.RegisteredServer
     first_seen_s: float
     draining_since_s: float | None = None
 
+    @property
+    def warm_up(self) -> warm_ups.WarmUp:
+        """The server's present warm-up."""
+        return warm_ups.WarmUp(self.first_seen_s, self.server.slow_start_remaining_s)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerList:
@@ -89,6 +95,8 @@
     server: deployment.RegisteredServer,
     draining_since_s: float | None,
     now_s: float,
+    *,
+    has_warm_up_news: bool = False,
 ) -> DirectoryEntry:
     """Return a server's entry after news of it.
 
@@ -98,6 +106,8 @@
         Its entry until now; `None` if it has none.
     draining_since_s
         Clock reading in seconds since which it may have been draining; `None` if it is not.
+    has_warm_up_news
+        Whether its remaining slow-start time is a new report that must be followed.
     """
     is_draining = draining_since_s is not None
     server = dataclasses.replace(server, draining=is_draining)
@@ -114,10 +124,17 @@
         logging.info("server %s draining, step discover", server.incarnation)
     # The remaining slow-start time decreases with each refresh of the entry. The first
     # value, counted from `first_seen_s`, gives the end of the slow start.
-    server = dataclasses.replace(
-        server, slow_start_remaining_s=previous.server.slow_start_remaining_s
-    )
-    updated = DirectoryEntry(server, previous.first_seen_s, draining_since_s)
+    warm_up = previous.warm_up
+    if has_warm_up_news:
+        warm_up = warm_up.follow(server.slow_start_remaining_s, now_s)
+    if warm_up.known_at_s != previous.first_seen_s:
+        logging.info(
+            "server %s turned cold again, step discover, %.1f s left",
+            server.incarnation,
+            warm_up.remaining_s,
+        )
+    server = dataclasses.replace(server, slow_start_remaining_s=warm_up.remaining_s)
+    updated = DirectoryEntry(server, warm_up.known_at_s, draining_since_s)
     return previous if updated == previous else updated
 
 
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -10,6 +10,7 @@
 
 from goldcresthall.core import configuration_documents
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import evacuations
 from goldcresthall.gateway import server_lists
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
@@ -64,6 +65,13 @@
     def decode_server(self, record: client.KeyedRecord) -> deployment.RegisteredServer | None:
         """Return the server in a record, or `None` if it has no valid one."""
 
+    @abc.abstractmethod
+    def find_evacuated_domain(self, key: str) -> str | None:
+        """Return the failure domain that a key of the configuration's topic asks to evacuate.
+
+        Returns `None` for any other key.
+        """
+
 
 class Watchers(service.Service):
     """Watches the configuration by long polling and polls the servers at an interval.
@@ -128,6 +136,7 @@
 
     def _watch_configuration(self, stop_signal: tasks.StopSignal) -> None:
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.configuration_topic)
+        reader = evacuations.EvacuationReader(self._decoder.find_evacuated_domain)
         failures = 0
         wait_s = CONFIGURATION_LONG_POLL_S
         self._await_first_relay(stop_signal)
@@ -146,6 +155,7 @@
             _log_recovery("configuration", failures)
             failures = 0
             wait_s = POLL_AFTER_CHANGE_S if update.changed else CONFIGURATION_LONG_POLL_S
+            self._directory.apply_evacuations(reader.apply(update))
             self._apply_configuration(update.changed)
             if self._directory.configuration is None:
                 stop_signal.wait(BASE_BACKOFF_S)
@@ -233,6 +243,12 @@
         if isinstance(outcome, client.StoreFailed):
             logging.debug("configuration not read, step %s: %s", outcome.step, outcome.detail)
             return False
+        if outcome.is_caught_up:
+            update = topics.TopicUpdate(
+                outcome.records, True, self._clock.read_s(), outcome.end_offset
+            )
+            reader = evacuations.EvacuationReader(self._decoder.find_evacuated_domain)
+            self._directory.apply_evacuations(reader.apply(update))
         self._apply_configuration(outcome.records)
         return True
 
--- a/src/goldcresthall/platform/entries.py
+++ b/src/goldcresthall/platform/entries.py
@@ -8,13 +8,16 @@
 from goldcresthall.core import deployment
 from goldcresthall.platform import exceptions
 from goldcresthall.platform import fields
+from goldcresthall.platform import names
 
-IDEMPOTENT_TYPE: Final = "safe"
+IDEMPOTENT_TYPES: Final = ("safe", "download")
+AT_MOST_ONCE_TYPES: Final = ("unsafe", "upload")
 DRAINING_BY_STATE: Final = {"ready": False, "draining": True}
 DEFAULT_MAX_ATTEMPTS = 1
 DEFAULT_TIMEOUT_S = 30.0
 DEFAULT_CONNECTION_LIMIT = 100
 MAX_VERSION: Final = 2**32 - 1
+MAX_LOGGED_TYPE = 64
 
 
 def decode_configuration(content: bytes) -> deployment.Configuration:
@@ -41,6 +44,37 @@
     )
 
 
+def find_unknown_types(content: bytes) -> tuple[str, ...]:
+    """Return the types of routes in a configuration that are not known, each once.
+
+    Requests of such routes are executed at most once. A route without a type is not reported.
+
+    Raises
+    ------
+    MalformedEntryError
+        If the routes are not a list of objects.
+    """
+    known = (*IDEMPOTENT_TYPES, *AT_MOST_ONCE_TYPES)
+    routes = fields.read_list(fields.parse_object(content), "routes")
+    unknown = (route["type"] for route in routes if route.get("type", known[0]) not in known)
+    return tuple(dict.fromkeys(repr(kind)[:MAX_LOGGED_TYPE] for kind in unknown))
+
+
+def find_evacuated_domain(key: str) -> str | None:
+    """Return the failure domain that a key of the configuration's topic names to be evacuated.
+
+    Returns `None` for any other key.
+
+    Raises
+    ------
+    MalformedEntryError
+        If the key names no failure domain, or one that cannot be relayed.
+    """
+    if not key.startswith(names.EVACUATION_KEY_PREFIX):
+        return None
+    return fields.check_text(key.removeprefix(names.EVACUATION_KEY_PREFIX), "key")
+
+
 def decode_server(name: str, content: bytes) -> deployment.RegisteredServer:
     """Return a backend server from its entry.
 
@@ -86,6 +120,8 @@
         health_path=fields.read_text(document, "health_check"),
         connection_limit=max(1, fields.read_count(document, "max_conns", DEFAULT_CONNECTION_LIMIT)),
         keyed=document.get("sharded") is True,
+        slow_start_s=fields.read_number(document, "slow_start_s", 0.0),
+        cold_requests_per_s=fields.read_number(document, "warmup_per_s", 0.0),
     )
 
 
@@ -96,7 +132,7 @@
         host=fields.read_text(document, "host").lower(),
         path_prefix=fields.read_text(document, "path_prefix"),
         # `type` states whether requests may be retried, not what they contain.
-        idempotent=document.get("type") == IDEMPOTENT_TYPE,
+        idempotent=document.get("type") in IDEMPOTENT_TYPES,
         timeout_s=timeout_s or DEFAULT_TIMEOUT_S,
         target_latency_s=fields.read_number(document, "target_latency_s", timeout_s),
         priority=fields.read_count(document, "priority", 0),
--- a/src/goldcresthall/platform/names.py
+++ b/src/goldcresthall/platform/names.py
@@ -26,4 +26,5 @@
 
 CONFIGURATION_TOPIC: Final = "keyed.op"
 CONFIGURATION_KEY: Final = "config"
+EVACUATION_KEY_PREFIX: Final = "evacuate/"
 SERVERS_TOPIC: Final = "keyed.servers"
--- a/src/goldcresthall/platform/settings.py
+++ b/src/goldcresthall/platform/settings.py
@@ -69,6 +69,7 @@
     platform = reader.read("", lambda: fields.read_object(document, "platform"), {})
     limits = reader.read("", lambda: fields.read_object(document, "limits"), {})
     defaults = deployment_settings.RetryLimits()
+    cold_defaults = deployment_settings.ColdServerLimits()
 
     def bound(name: str, default: float) -> float:
         return float(
@@ -96,6 +97,11 @@
             slack=bound("budget_slack", defaults.slack),
         ),
         machine=_decode_machine(limits, reader),
+        cold_servers=deployment_settings.ColdServerLimits(
+            overshoot=bound("cold_overshoot", cold_defaults.overshoot),
+            slack=bound("cold_slack", cold_defaults.slack),
+        ),
+        evacuation_s=bound("evac_s", deployment_settings.DEFAULT_EVACUATION_S),
         max_record_bytes=reader.read(
             "platform.",
             lambda: fields.read_count(
--- a/src/goldcresthall/ranges/candidates.py
+++ b/src/goldcresthall/ranges/candidates.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from goldcresthall.ranges import cold_owners
 from goldcresthall.ranges import planner
 
 if TYPE_CHECKING:
@@ -16,7 +17,10 @@
 
 
 class CandidateLister:
-    """Lists the servers of a service that neither drain nor fail nor back off.
+    """Lists the servers of a service that may get ranges.
+
+    They neither drain nor fail nor back off, are not in an evacuated failure domain, and are not
+    cold unless nearly all of them are.
 
     Parameters
     ----------
@@ -41,14 +45,18 @@
         self._leases = leases
         self._backoff = backoff
         self._statistics = statistics
+        self._cold_servers = cold_owners.ColdServers(context)
 
     def list(self, service: str, now_s: float) -> tuple[planner.Candidate, ...]:
-        """Return the candidates; all registered servers that do not drain if none is usable."""
-        registered = [
-            entry.server
+        """Return the candidates; all registered servers that may get ranges if none is usable."""
+        entries = [
+            entry
             for entry in self._context.directory.servers.by_service.get(service, ())
             if entry.draining_since_s is None
+            and not self._context.directory.is_evacuated(entry.server.failure_domain)
         ]
+        cold = self._cold_servers.list_cold(service, entries, now_s)
+        registered = [entry.server for entry in entries if entry.server.incarnation not in cold]
         failing = {
             lease.owner
             for lease in self._leases.snapshot().leases.values()
@@ -63,10 +71,16 @@
         times_s = self._statistics.service_times.estimate_times_s(
             tuple(server.incarnation for server in usable), now_s
         )
-        return tuple(
-            planner.Candidate(
-                server.incarnation,
-                server.slots / max(MIN_SERVICE_TIME_S, times_s[server.incarnation]),
-            )
+        capacities = {
+            server.incarnation: server.slots / max(MIN_SERVICE_TIME_S, times_s[server.incarnation])
             for server in usable
+        }
+        limit = self._cold_servers.find_limit(service)
+        if limit:
+            for entry in entries:
+                incarnation = entry.server.incarnation
+                if incarnation in capacities and entry.warm_up.find_left_s(now_s) > 0:
+                    capacities[incarnation] = min(limit, capacities[incarnation])
+        return tuple(
+            planner.Candidate(incarnation, capacity) for incarnation, capacity in capacities.items()
         )
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -10,6 +10,7 @@
 
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
+from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import clock
@@ -113,6 +114,7 @@
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
         self._owners = self._kernel.find(names.OWNERS, owners.Owners)
         self._estimates = self._kernel.find(names.ESTIMATES, estimates.Estimates)
+        self._cold_starts = self._kernel.find(names.COLD_STARTS, cold_starts.ColdStarts)
         self._dialer = self._kernel.find(names.PEERS, reports.PeerDialer)
         self._context = lessor_context.LessorContext(
             self._store,
@@ -265,6 +267,11 @@
         if reply.is_lessor:
             follower.apply_reply(reply, asked_at_s)
             self._peers = follower.peers or self._peers
+            # A lessor without the store may have been replaced, and its list with it.
+            if reply.has_store:
+                self._cold_starts.apply_instances(
+                    tuple(peer.name for peer in follower.peers), asked_at_s
+                )
         return follow_step
 
     def _draw_takeover_delay_s(self) -> float:
@@ -326,7 +333,12 @@
     def _serve(self, own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
         self._responder.begin_term()
         publisher = publication.ViewPublisher(
-            own_term, self._responder, self._owners, self._estimates, self._directory
+            own_term,
+            self._responder,
+            self._owners,
+            self._estimates,
+            self._directory,
+            cold_servers=self._cold_starts,
         )
         publishing = tasks.LoopTask("lessor-view", publisher.run)
         publishing.start()
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -83,6 +83,8 @@
         if reply.document is not None:
             self._directory.receive_document(reply.document)
         self._directory.observe_version(reply.configuration)
+        if reply.evacuated is not None:
+            self._directory.apply_evacuations(reply.evacuated)
         if reply.owners is not None:
             self._apply_owners(reply.owners)
         if reply.servers is not None:
--- a/src/goldcresthall/ranges/owner_reviews.py
+++ b/src/goldcresthall/ranges/owner_reviews.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
     from goldcresthall.gateway import server_lists
+    from goldcresthall.ranges import cold_owners
     from goldcresthall.ranges import lease_renewal
     from goldcresthall.ranges import lease_table
     from goldcresthall.ranges import lessor_context
@@ -39,6 +40,8 @@
         Releases by owners that drain or left the list.
     backoff
         Servers that should get no range for some time.
+    cold_owners
+        Plans which ranges leave cold owners.
     """
 
     def __init__(
@@ -46,17 +49,27 @@
         context: lessor_context.LessorContext,
         leases: lease_table.LeaseTable,
         renewers: lease_renewal.LeaseRenewers,
+        *,
         releases: range_releases.RangeReleases,
         backoff: server_backoff.ServerBackoff,
+        cold_owners: cold_owners.ColdOwners,
     ) -> None:
         self._context = context
         self._leases = leases
         self._renewers = renewers
         self._releases = releases
         self._backoff = backoff
+        self._cold_owners = cold_owners
 
     def review(self, service: str, now_s: float, predecessors_end_s: float) -> None:
-        """Take ranges from restarted, draining, deregistered and unresponsive owners."""
+        """Take ranges from restarted, leaving, cold and unresponsive owners."""
+        self._review_owners(service, now_s, predecessors_end_s)
+        leases = self._leases.snapshot().leases
+        for lease_id in self._cold_owners.list_leaving(service, leases, now_s):
+            if leases[lease_id].is_granted and leases[lease_id].target is None:
+                self._releases.start(lease_id, leases[lease_id], None)
+
+    def _review_owners(self, service: str, now_s: float, predecessors_end_s: float) -> None:
         for lease_id, lease in self._leases.snapshot().leases.items():
             if lease.service == service and lease.owner is not None:
                 if lease.phase is range_leases.LeasePhase.EXPIRING:
@@ -91,7 +104,7 @@
             self._free_replaced(lease_id, lease, now_s)
         elif transitions.is_failing(lease, now_s) or self._has_no_address(owner, latest):
             self._expire(lease_id, lease, owner)
-        elif latest is None or latest.draining_since_s is not None:
+        elif latest is None or not self._may_own(latest):
             self._releases.start(lease_id, lease, None)
         elif lease.target is not None and not self._may_hold(lease.target):
             self._leases.update(lease_id, transitions.cancel_move)
@@ -101,9 +114,15 @@
             self._leases.update(lease_id, transitions.demand_fence)
 
     def _may_hold(self, target: deployment.ServerIncarnation) -> bool:
-        """Return whether the target of a move is still registered and does not drain."""
+        """Return whether the target of a move is still registered and may own ranges."""
         entry = self._context.directory.servers.find(target)
-        return entry is not None and entry.draining_since_s is None
+        return entry is not None and self._may_own(entry)
+
+    def _may_own(self, entry: server_lists.DirectoryEntry) -> bool:
+        """Return whether a server neither drains nor is in an evacuated failure domain."""
+        return entry.draining_since_s is None and not self._context.directory.is_evacuated(
+            entry.server.failure_domain
+        )
 
     def _find_restarted(
         self, owner: deployment.ServerIncarnation
--- a/src/goldcresthall/ranges/publication.py
+++ b/src/goldcresthall/ranges/publication.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from goldcresthall.gateway import cold_starts
     from goldcresthall.gateway import directory
     from goldcresthall.gateway import estimates
     from goldcresthall.kernel import tasks
@@ -35,6 +36,8 @@
         Service times measured by this instance.
     server_directory
         Servers whose estimates are kept.
+    cold_servers
+        Limits of this instance on requests to cold servers, for which it needs the instances.
     """
 
     def __init__(
@@ -44,12 +47,15 @@
         owners_service: owners.Owners,
         server_estimates: estimates.Estimates,
         server_directory: directory.Directory,
+        *,
+        cold_servers: cold_starts.ColdStarts,
     ) -> None:
         self._term = own_term
         self._responder = responder
         self._owners = owners_service
         self._estimates = server_estimates
         self._directory = server_directory
+        self._cold_starts = cold_servers
 
     def run(self, stop_signal: tasks.StopSignal) -> None:
         """Publish until asked to stop; a pause batches changes for all instances."""
@@ -71,7 +77,10 @@
         leases.record_publication(view.revision)
 
     def _add_own_statistics(self, now_s: float) -> None:
-        self._responder.update_peers()
+        listed = self._responder.update_peers()
+        if self._term.has_store and not self._term.is_over:
+            names = tuple(peer.name for peer in listed.peers)
+            self._cold_starts.apply_instances(names, now_s)
         self._estimates.retain(self._directory.servers.incarnations)
         statistics = self._term.statistics
         statistics.add(self._owners.take_counts(), now_s)
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -10,6 +10,7 @@
 
 from goldcresthall.core import key_ranges
 from goldcresthall.ranges import candidates
+from goldcresthall.ranges import cold_owners
 from goldcresthall.ranges import load_statistics
 from goldcresthall.ranges import membership
 from goldcresthall.ranges import owner_reviews
@@ -80,7 +81,12 @@
         )
         self._releases = range_releases.RangeReleases(context, leases, renewers)
         self._reviewer = owner_reviews.OwnerReviewer(
-            context, leases, renewers, self._releases, self._backoff
+            context,
+            leases,
+            renewers,
+            releases=self._releases,
+            backoff=self._backoff,
+            cold_owners=cold_owners.ColdOwners(context, self._candidates, self._statistics),
         )
         self._membership = membership.MembershipMonitor()
         self._rebalanced_at_s = context.clock.read_s()
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -9,6 +9,7 @@
 from goldcresthall.core import configuration_documents
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import evacuations
 from goldcresthall.gateway import server_lists
 from goldcresthall.ranges import reports
 from goldcresthall.ranges import revision_history
@@ -61,7 +62,7 @@
         self._owners = owners_service
         self._lock = threading.Lock()
         self._announced = threading.Condition(self._lock)
-        self._latest = (-1, row_changes.NO_REVISION, 0, 0)
+        self._latest: tuple[object, ...] = ()
         self._reporters: dict[str, _Reporter] = {}
         self._peers = reports.PeerList()
         self._owner_history = revision_history.RevisionHistory(_find_start)
@@ -85,6 +86,7 @@
             servers_known=_describe_version(relayed, version, arrived_at_s),
             servers=self._find_server_changes(relayed, report),
             document=self._find_newer_document(report),
+            evacuated=self._read_evacuated(),
         )
 
     @property
@@ -159,13 +161,18 @@
     def _read_relayed_servers(self, own_term: lessor.LessorTerm) -> server_lists.RelayedServers:
         return self._directory.relay() if own_term.has_store else server_lists.STALE_SERVERS
 
+    def _read_evacuated(self) -> evacuations.EvacuatedDomains | None:
+        evacuated = self._directory.evacuated
+        return None if evacuated == evacuations.NO_EVACUATIONS else evacuated
+
     def announce_changes(self, own_term: lessor.LessorTerm) -> None:
-        """End the long polls if the owners, the servers or the configuration changed."""
+        """End the long polls if anything changed that the replies contain."""
         latest = (
             self._owners.serial,
             self._read_relayed_servers(own_term).revision,
             self._directory.latest_version,
             self._directory.held_version,
+            self._directory.evacuated.failure_domains,
         )
         with self._announced:
             if latest != self._latest:
@@ -173,8 +180,13 @@
                 self._announced.notify_all()
 
     def _wait_for_changes(self, own_term: lessor.LessorTerm, report: reports.Report) -> None:
+        known = self._directory.evacuated.failure_domains
         with self._announced:
-            self._announced.wait_for(lambda: self._has_changes(own_term, report), REPORT_WAIT_S)
+            self._announced.wait_for(
+                lambda: self._directory.evacuated.failure_domains != known
+                or self._has_changes(own_term, report),
+                REPORT_WAIT_S,
+            )
 
     def _has_changes(self, own_term: lessor.LessorTerm, report: reports.Report) -> bool:
         view = self._owners.view
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -7,9 +7,12 @@
 import pytest
 
 from goldcresthall.core import deployment
+from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
+from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
+from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import server_finder
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
@@ -46,6 +49,7 @@
     directory: directory.Directory
     owners: owners.Owners
     estimates: estimates.Estimates
+    cold_starts: cold_starts.ColdStarts
     finder: server_finder.ServerFinder
 
 
@@ -113,7 +117,11 @@
     server_directory = directory.Directory(built)
     key_owners = owners.Owners(built)
     server_estimates = estimates.Estimates(built)
-    for created in (server_directory, key_owners, server_estimates):
+    built.register(names.DIRECTORY, server_directory)
+    cold_servers = cold_starts.ColdStarts(
+        built, "one", deployment_settings.ColdServerLimits(overshoot=1.5, slack=8.0)
+    )
+    for created in (server_directory, key_owners, server_estimates, cold_servers):
         created.start()
     finder = server_finder.ServerFinder(
         server_directory=server_directory,
@@ -122,5 +130,8 @@
         failure_domain="near",
         drain_s=2.0,
         instance_counter=FourInstances(),
+        server_restrictions=restrictions.Restrictions(server_directory, cold_servers, 5.0),
+    )
+    return GatewayFixture(
+        manual, server_directory, key_owners, server_estimates, cold_servers, finder
     )
-    return GatewayFixture(manual, server_directory, key_owners, server_estimates, finder)
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -24,6 +24,7 @@
 CONFIGURATION_TOPIC = "configuration"
 CONFIGURATION_KEY = "config"
 SERVERS_TOPIC = "servers"
+PREFIX = "evacuate/"
 TEST_TIMEOUT_S = 20.0
 CONFIGURATION_BOUND_S = 2.0
 
@@ -59,6 +60,10 @@
         """Return no server."""
         return None
 
+    def find_evacuated_domain(self, key: str) -> str | None:
+        """Return the failure domain of a key that has the prefix."""
+        return key.removeprefix(PREFIX) if key.startswith(PREFIX) else None
+
 
 class CountingStore(client.StoreClient):
     """A store with one configuration, which counts the reads of it."""
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -9,6 +9,7 @@
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
+from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
@@ -36,6 +37,11 @@
     service_kernel.register(names.CLOCK, simulation.clock)
     service_kernel.register(names.STORE, store.FakeStore(simulation.store))
     service_kernel.register(names.DIRECTORY, simulation.directory)
+    cold_servers = cold_starts.ColdStarts(
+        service_kernel, "one", deployment_settings.ColdServerLimits()
+    )
+    cold_servers.start()
+    service_kernel.register(names.COLD_STARTS, cold_servers)
     service_kernel.register(names.OWNERS, owners.Owners(service_kernel))
     server_estimates = estimates.Estimates(service_kernel)
     server_estimates.start()
