--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -71,6 +71,7 @@
     def __init__(self) -> None:
         self.version = 1
         self.newest_reads = 0
+        self.evacuated: tuple[str, ...] = ()
         self.polls = threading.Semaphore(0)
         self.waits_s: list[float] = []
 
@@ -86,8 +87,11 @@
             return client.Records((), 0)
         self.newest_reads += 1
         stored = str(self.version).encode()
-        record = client.KeyedRecord(CONFIGURATION_KEY, stored, self.version)
-        return client.Records((record,), self.version + 1)
+        records = tuple(
+            client.KeyedRecord(key, stored, self.version)
+            for key in (CONFIGURATION_KEY, *(f"{PREFIX}{name}" for name in self.evacuated))
+        )
+        return client.Records(records, self.version + 1)
 
     def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
         """Return no change."""
@@ -184,6 +188,15 @@
     assert document == relayed
 
 
+def test_evacuation_in_the_configurations_topic_is_applied() -> None:
+    watched = WatchedDirectory(rank=0)
+    watched.store.evacuated = ("near",)
+    watched.watchers.start()
+    assert watched.store.polls.acquire(timeout=TEST_TIMEOUT_S)
+    watched.watchers.stop()
+    assert watched.directory.evacuated.failure_domains == {"near"}
+
+
 def test_version_whose_relayed_document_is_damaged_is_read_from_the_store() -> None:
     watched = WatchedDirectory(rank=9)
     watched.run()
--- a/tests/platform/test_decoder.py
+++ b/tests/platform/test_decoder.py
@@ -35,6 +35,30 @@
     assert taken.name == "sound"
 
 
+def test_unknown_types_of_routes_are_logged_once_for_each_version(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A type that a later release adds must be noticed, but not each time it is read."""
+    created = decoder.PlatformDecoder(prometheus_client.CollectorRegistry())
+    with caplog.at_level(logging.WARNING):
+        assert created.decode_configuration(test_entries.encode_route(type="safe")) is not None
+        assert not caplog.records
+    streaming = json.loads(test_entries.encode_route(type="streaming"))
+    with caplog.at_level(logging.WARNING):
+        for version in ("2", "2", "3", "3"):
+            stored = json.dumps(streaming | {"version": version}).encode()
+            assert created.decode_configuration(stored) is not None
+    assert [record.getMessage().count("'streaming'") for record in caplog.records] == [1, 1]
+
+
+def test_malformed_evacuation_is_left_out(caplog: pytest.LogCaptureFixture) -> None:
+    created = decoder.PlatformDecoder(prometheus_client.CollectorRegistry())
+    assert created.find_evacuated_domain("evacuate/near") == "near"
+    with caplog.at_level(logging.WARNING):
+        assert created.find_evacuated_domain("evacuate/") is None
+    assert len(caplog.records) == 1
+
+
 def test_malformed_entry_is_counted_each_time_and_logged_once(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -83,6 +83,54 @@
     assert [part.weight for part in configuration.routes[0].weighted_services] == [90, 10]
 
 
+@pytest.mark.parametrize(
+    ("kind", "idempotent"),
+    [
+        ("safe", True),
+        ("download", True),
+        ("unsafe", False),
+        ("upload", False),
+        ("streaming", False),
+        (["safe"], False),
+        (None, False),
+    ],
+)
+def test_only_known_idempotent_types_may_be_executed_twice(
+    kind: object, *, idempotent: bool
+) -> None:
+    configuration = entries.decode_configuration(encode_route(type=kind))
+    assert configuration.routes[0].idempotent is idempotent
+
+
+def encode_route(**fields: object) -> bytes:
+    """Return a configuration whose route has the given fields besides the usual ones."""
+    return json.dumps(CONFIGURATION | {"routes": [CONFIGURATION["routes"][0] | fields]}).encode()
+
+
+def test_limits_of_cold_servers_are_decoded() -> None:
+    limited = CONFIGURATION["services"][0] | {"slow_start_s": 12.5, "warmup_per_s": 7.2}
+    document = CONFIGURATION | {"services": [limited, CONFIGURATION["services"][1]]}
+    first, second = entries.decode_configuration(json.dumps(document).encode()).services
+    assert (first.slow_start_s, first.cold_requests_per_s) == (12.5, 7.2)
+    assert (second.slow_start_s, second.cold_requests_per_s) == (0.0, 0.0)
+
+
+@pytest.mark.parametrize("field", ["slow_start_s", "warmup_per_s"])
+@pytest.mark.parametrize("value", ["7", None, -1, True, 10**309])
+def test_malformed_limit_of_cold_servers_is_an_error(field: str, value: object) -> None:
+    services = [CONFIGURATION["services"][0] | {field: value}, CONFIGURATION["services"][1]]
+    with pytest.raises(exceptions.MalformedEntryError, match=field):
+        entries.decode_configuration(json.dumps(CONFIGURATION | {"services": services}).encode())
+
+
+def test_key_of_an_evacuation_names_its_failure_domain() -> None:
+    assert entries.find_evacuated_domain("evacuate/near") == "near"
+    assert entries.find_evacuated_domain("config") is None
+    for malformed in ("evacuate/", "evacuate/\ud800", "evacuate/" + "z" * 2_000):
+        with pytest.raises(exceptions.MalformedEntryError):
+            entries.find_evacuated_domain(malformed)
+
+
 def test_key_that_cannot_be_relayed_is_an_error() -> None:
     with pytest.raises(exceptions.MalformedEntryError):
         entries.decode_server("\ud800", json.dumps(SERVER).encode())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from goldcresthall.core import deployment_settings
 from goldcresthall.platform import exceptions
 from goldcresthall.platform import settings
 
@@ -41,6 +42,32 @@
     assert decoded.retries.slack == 64
 
 
+def test_bounds_of_cold_servers_and_evacuations_are_read(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(
+        WHOLE.replace("truthful=true", 'cold_overshoot=1.5", "cold_slack=8", "evac_s=4')
+    )
+    decoded = settings.read_settings(str(path))
+    assert (decoded.cold_servers.overshoot, decoded.cold_servers.slack) == (1.5, 8.0)
+    assert decoded.evacuation_s == 4.0
+
+
+def test_settings_of_an_earlier_deployment_have_the_default_limits(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(WHOLE)
+    decoded = settings.read_settings(str(path))
+    assert decoded.cold_servers == deployment_settings.ColdServerLimits()
+    assert decoded.evacuation_s == deployment_settings.DEFAULT_EVACUATION_S
+
+
+@pytest.mark.parametrize("bound", ["cold_overshoot=much", "cold_slack=-1", "evac_s=nan"])
+def test_malformed_bound_is_an_error(tmp_path: pathlib.Path, bound: str) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(WHOLE.replace("truthful=true", bound))
+    with pytest.raises(exceptions.InvalidSettingsError, match=bound.partition("=")[0]):
+        settings.read_settings(str(path))
+
+
 def test_all_errors_are_reported_at_once(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "settings.toml"
     path.write_text('node_name = 3\nheartbeat_s = -1\n[platform]\naddress = "nowhere"\n')
