--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -68,6 +68,17 @@
         fences[server] = max(fence, fences.get(server, -1))
 
 
+def limit_cold_servers(rate_per_s: float) -> deployment.Configuration:
+    """Return a later configuration in which a cold server bears the given requests per second."""
+    limited = dataclasses.replace(CONFIGURATION.services[0], cold_requests_per_s=rate_per_s)
+    return dataclasses.replace(CONFIGURATION, version=2, services=(limited,))
+
+
+def find_failure_domain(name: str) -> str:
+    """Return the failure domain of a server: servers alternate between two."""
+    return "odd" if name[-1:] in "13579" else "even"
+
+
 def create_directory(simulated_clock: clock.ManualClock) -> directory.Directory:
     """Return a directory that knows the configuration and no server yet."""
     service_kernel = kernel.Kernel()
@@ -364,17 +375,21 @@
         return self.servers[incarnation]
 
     def register_server(
-        self, incarnation: deployment.ServerIncarnation, *, draining: bool = False
+        self,
+        incarnation: deployment.ServerIncarnation,
+        *,
+        draining: bool = False,
+        warm_up_s: float = 0.0,
     ) -> None:
         """Add a server to the directory or update its entry."""
         registered = deployment.RegisteredServer(
             incarnation=incarnation,
             service=SERVICE,
             address=identity.Address(incarnation.name, 9000),
-            failure_domain="domain",
+            failure_domain=find_failure_domain(incarnation.name),
             slots=4,
             draining=draining,
-            slow_start_remaining_s=0.0,
+            slow_start_remaining_s=warm_up_s,
         )
         self.last_registered[incarnation] = registered
         self.listed[incarnation.name] = registered
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -12,6 +12,7 @@
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
+from goldcresthall.gateway import evacuations
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.ranges import follower_state
@@ -128,6 +129,35 @@
     assert exchange.report().document is not None
 
 
+def test_evacuations_are_relayed_and_never_go_back(exchange: Exchange) -> None:
+    """A follower that reads the topic itself may know more than a lessor without the store."""
+    assert exchange.report().evacuated is None
+    later = evacuations.EvacuatedDomains(9, frozenset({"near"}))
+    exchange.simulation.directory.apply_evacuations(later)
+    exchange.report()
+    assert exchange.follower.directory.evacuated == later
+    ended = evacuations.EvacuatedDomains(12, frozenset())
+    exchange.follower.directory.apply_evacuations(ended)
+    exchange.report()
+    assert not exchange.follower.directory.is_evacuated("near")
+
+
+def test_server_that_turned_cold_again_is_cold_at_the_follower(exchange: Exchange) -> None:
+    """Its second warm-up may be as long as the first one."""
+    limited = range_simulation.limit_cold_servers(5.0)
+    for known in (exchange.simulation.directory, exchange.follower.directory):
+        known.apply_configuration(limited)
+    incarnation = next(iter(exchange.simulation.servers))
+    warm_ups = []
+    for remaining_s in (12.0, 6.0, 12.0):
+        exchange.simulation.register_server(incarnation, warm_up_s=remaining_s)
+        exchange.report()
+        entry = exchange.follower.directory.servers.by_name[incarnation.name]
+        warm_ups.append(round(entry.warm_up.find_left_s(exchange.simulation.clock.read_s())))
+        exchange.simulation.clock.advance(1.0)
+    assert warm_ups == [13, 12, 13]
+
+
 def test_lessor_without_fresh_servers_does_not_renew_the_relay(exchange: Exchange) -> None:
     exchange.report()
     assert exchange.follower.directory.is_relayed
--- a/tests/ranges/test_report_responder.py
+++ b/tests/ranges/test_report_responder.py
@@ -10,6 +10,7 @@
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import evacuations
 from goldcresthall.gateway import server_lists
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
@@ -128,6 +129,16 @@
     assert waiting.simulation.directory.relay() is relayed
 
 
+def test_evacuation_ends_a_long_poll(waiting: Lessor) -> None:
+    """All instances must know in time, also those that do not read the store."""
+    thread, replies = start_report(waiting)
+    evacuated = evacuations.EvacuatedDomains(3, frozenset({"near"}))
+    waiting.simulation.directory.apply_evacuations(evacuated)
+    waiting.publish()
+    thread.join(WAIT_S)
+    assert replies[0].evacuated == evacuated
+
+
 def test_newer_configuration_ends_a_long_poll(waiting: Lessor) -> None:
     thread, replies = start_report(waiting)
     waiting.simulation.directory.observe_version(9)
