Let a cold owner keep what it bears if the warm servers are overloaded

Cause: a cold owner with one large range gave up all of it, even if the warm servers could not take it. Ruled out: whole ranges only, since an owner often has a single one. The state machine of ranges also turns servers cold and evacuates domains. Run: tests/ranges passes.

--- a/src/goldcresthall/ranges/cold_owners.py
+++ b/src/goldcresthall/ranges/cold_owners.py
@@ -5,8 +5,10 @@
 import dataclasses
 import math
 from typing import TYPE_CHECKING
+from typing import Final
 
 from goldcresthall.core import deployment
+from goldcresthall.core import key_ranges
 
 if TYPE_CHECKING:
     from goldcresthall.gateway import server_lists
@@ -23,16 +25,32 @@
 MIN_COLD_S = 2.0
 # A plan stands for this long, because it costs a pass over the rates of all keys.
 PLAN_INTERVAL_S = 0.4
+# Less is not worth a range of its own.
+MIN_KEPT_RATE_PER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingRange:
+    """A range, or part of one, that leaves its cold owner."""
+
+    keys: key_ranges.KeyRange
+    owner: deployment.ServerIncarnation
+
+    def is_part_of(self, lease: range_leases.RangeLease) -> bool:
+        """Return whether a lease is on these keys, perhaps among others, with the same owner."""
+        return lease.owner == self.owner and (
+            lease.keys.first <= self.keys.first <= self.keys.last <= lease.keys.last
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Plan:
     made_at_s: float
     cold: frozenset[deployment.ServerIncarnation]
-    lease_ids: tuple[int, ...]
+    leaving: tuple[LeavingRange, ...]
 
 
-NO_PLAN = _Plan(-math.inf, frozenset(), ())
+NO_PLAN: Final = _Plan(-math.inf, frozenset(), ())
 
 
 class ColdServers:
@@ -96,30 +114,24 @@
         self._plans: dict[str, _Plan] = {}
 
     def list_leaving(
-        self, service: str, leases: dict[int, range_leases.RangeLease], now_s: float
-    ) -> tuple[int, ...]:
-        """Return the IDs of the leases that leave cold owners, in the order to release them.
-
-        Parameters
-        ----------
-        leases
-            All leases, by ID.
-        """
+        self, service: str, leases: tuple[range_leases.RangeLease, ...], now_s: float
+    ) -> tuple[LeavingRange, ...]:
+        """Return the ranges that leave cold owners, in the order to release them."""
         cold = self._list_cold(service, now_s)
         if not cold:
             self._plans.pop(service, None)
             return ()
-        owned = {
-            lease_id: lease
-            for lease_id, lease in leases.items()
-            if lease.service == service and lease.owner in cold
-        }
+        owned = tuple(
+            lease
+            for lease in leases
+            if lease.service == service and lease.owner in cold and lease.is_granted
+        )
         if not owned:
             return ()
         known = self._plans.get(service, NO_PLAN)
         if now_s - known.made_at_s >= PLAN_INTERVAL_S or known.cold != cold:
             known = self._plans[service] = _Plan(now_s, cold, self._plan(service, owned, now_s))
-        return tuple(lease_id for lease_id in known.lease_ids if lease_id in owned)
+        return known.leaving
 
     def _list_cold(self, service: str, now_s: float) -> frozenset[deployment.ServerIncarnation]:
         if not self._cold_servers.find_limit(service):
@@ -132,36 +144,45 @@
         return self._cold_servers.list_cold(service, entries, now_s + MIN_COLD_S)
 
     def _plan(
-        self,
-        service: str,
-        owned: dict[int, range_leases.RangeLease],
-        now_s: float,
-    ) -> tuple[int, ...]:
-        warm = self._lister.list(service, now_s)
+        self, service: str, owned: tuple[range_leases.RangeLease, ...], now_s: float
+    ) -> tuple[LeavingRange, ...]:
         key_rates = self._statistics.estimate_rates(service, now_s)
-        rates = {lease_id: key_rates.sum_range(lease.keys) for lease_id, lease in owned.items()}
-        hottest_first = sorted(rates, key=lambda lease_id: -rates[lease_id])
-        capacity = sum(candidate.capacity for candidate in warm)
-        if key_rates.total <= MAX_WARM_LOAD * capacity:
-            return tuple(hottest_first)
-        kept = self._list_kept(service, owned, rates)
-        return tuple(lease_id for lease_id in hottest_first if lease_id not in kept)
-
-    def _list_kept(
-        self,
-        service: str,
-        owned: dict[int, range_leases.RangeLease],
-        rates: dict[int, float],
-    ) -> set[int]:
-        """Return the least requested ranges of each owner, up to the rate that it bears."""
-        limit = self._cold_servers.find_limit(service)
-        left: dict[deployment.ServerIncarnation | None, float] = {}
-        kept: set[int] = set()
-        for lease_id in sorted(rates, key=rates.__getitem__):
-            owner = owned[lease_id].owner
-            rest = left.get(owner, limit) - rates[lease_id]
-            if rest < 0:
-                continue
-            left[owner] = rest
-            kept.add(lease_id)
-        return kept
+        capacity = sum(candidate.capacity for candidate in self._lister.list(service, now_s))
+        kept_rate = 0.0
+        if key_rates.total > MAX_WARM_LOAD * capacity:
+            kept_rate = self._cold_servers.find_limit(service)
+        leaving = _list_leaving(owned, kept_rate, key_rates)
+        return tuple(sorted(leaving, key=lambda part: -key_rates.sum_range(part.keys)))
+
+
+def _list_leaving(
+    owned: tuple[range_leases.RangeLease, ...],
+    kept_rate: float,
+    key_rates: load_statistics.KeyRates,
+) -> list[LeavingRange]:
+    """Return what each owner gives up so that it keeps at most `kept_rate` requests per second."""
+    left: dict[deployment.ServerIncarnation, float] = {}
+    leaving: list[LeavingRange] = []
+    for lease in sorted(owned, key=lambda lease: key_rates.sum_range(lease.keys)):
+        if lease.owner is None:
+            continue
+        rest = left.get(lease.owner, kept_rate)
+        keys = _find_surplus(lease, rest, key_rates)
+        kept = key_rates.sum_range(lease.keys)
+        if keys is not None:
+            kept -= key_rates.sum_range(keys)
+            leaving.append(LeavingRange(keys, lease.owner))
+        left[lease.owner] = rest - kept
+    return leaving
+
+
+def _find_surplus(
+    lease: range_leases.RangeLease, rate: float, key_rates: load_statistics.KeyRates
+) -> key_ranges.KeyRange | None:
+    """Return the part of a range beyond a rate in requests per second; `None` if there is none."""
+    if key_rates.sum_range(lease.keys) <= rate:
+        return None
+    first = key_rates.find_prefix_end(lease.keys, rate)
+    if rate < MIN_KEPT_RATE_PER_S or first <= lease.keys.first or not lease.is_movable:
+        return lease.keys
+    return key_ranges.KeyRange(first, lease.keys.last)
--- a/src/goldcresthall/ranges/owner_reviews.py
+++ b/src/goldcresthall/ranges/owner_reviews.py
@@ -64,10 +64,18 @@
     def review(self, service: str, now_s: float, predecessors_end_s: float) -> None:
         """Take ranges from restarted, leaving, cold and unresponsive owners."""
         self._review_owners(service, now_s, predecessors_end_s)
-        leases = self._leases.snapshot().leases
-        for lease_id in self._cold_owners.list_leaving(service, leases, now_s):
-            if leases[lease_id].is_granted and leases[lease_id].target is None:
-                self._releases.start(lease_id, leases[lease_id], None)
+        leases = tuple(self._leases.snapshot().leases.values())
+        for leaving in self._cold_owners.list_leaving(service, leases, now_s):
+            if any(leaving.is_part_of(lease) for lease in leases if lease.service == service):
+                self._release_cold(service, leaving)
+
+    def _release_cold(self, service: str, leaving: cold_owners.LeavingRange) -> None:
+        lease_id = self._leases.split(service, leaving.keys)
+        if lease_id is None:
+            return
+        lease = self._leases.snapshot().leases[lease_id]
+        if lease.owner == leaving.owner and lease.is_granted and lease.target is None:
+            self._releases.start(lease_id, lease, None)
 
     def _review_owners(self, service: str, now_s: float, predecessors_end_s: float) -> None:
         for lease_id, lease in self._leases.snapshot().leases.items():
--- a/tests/ranges/test_range_state_machine.py
+++ b/tests/ranges/test_range_state_machine.py
@@ -12,6 +12,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from goldcresthall.gateway import evacuations
 from goldcresthall.ranges import grants
 from goldcresthall.ranges import membership
 from goldcresthall.ranges import range_leases
@@ -34,6 +35,10 @@
     def __init__(self) -> None:
         super().__init__()
         self.simulation = range_simulation.RangeSimulation()
+        self.position = 0
+        limited = range_simulation.limit_cold_servers(5.0)
+        for instance in self.simulation.instances:
+            instance.directory.apply_configuration(limited)
         self.simulation.instances[0].take_over()
         self.simulation.advance(membership.STABILIZATION_WINDOW_S + 0.5)
 
@@ -112,6 +117,22 @@
             if incarnation.name == f"server-{index}" and server.is_up:
                 self.simulation.register_server(incarnation, draining=draining)
 
+    @stateful.rule(index=INDEXES, warm_up_s=strategies.sampled_from((0.0, 3.0, 12.0)))
+    def turn_cold(self, index: int, warm_up_s: float) -> None:
+        for incarnation, server in list(self.simulation.servers.items()):
+            if incarnation.name == f"server-{index}" and server.is_up:
+                self.simulation.register_server(incarnation, warm_up_s=warm_up_s)
+
+    @stateful.rule(
+        number=strategies.integers(0, 1),
+        failure_domains=strategies.frozensets(strategies.sampled_from(("odd", "even"))),
+    )
+    def evacuate(self, number: int, failure_domains: frozenset[str]) -> None:
+        self.position += 1
+        self.simulation.instances[number].directory.apply_evacuations(
+            evacuations.EvacuatedDomains(self.position, failure_domains)
+        )
+
     @stateful.rule(index=INDEXES)
     def deregister(self, index: int) -> None:
         for incarnation, server in list(self.simulation.servers.items()):
