--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -16,6 +16,7 @@
 from goldcresthall.gateway import apertures
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
+from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_lists
 from goldcresthall.gateway import waiting
@@ -62,11 +63,14 @@
         How a request may wait if candidates exist, but all are at their limit of requests.
     is_final
         Whether to refuse the request at once, because no wait would help it.
+    max_wait_s
+        Seconds since its arrival for which a request may wait for another owner.
     """
 
     refused: outcomes.Refused
     wait: waiting.CapacityWait | None = None
     is_final: bool = False
+    max_wait_s: float = math.inf
 
 
 def create_target(
@@ -123,6 +127,7 @@
         instance_apertures: apertures.Apertures,
         drain_s: float,
         instance_counter: reports.InstanceCounter,
+        server_restrictions: restrictions.Restrictions,
     ) -> None:
         self.directory = server_directory
         self.owners = key_owners
@@ -131,6 +136,7 @@
         self.selector = selector
         self._apertures = instance_apertures
         self.drain_s = drain_s
+        self.restrictions = server_restrictions
         self._instance_counter = instance_counter
 
     def has_capacity(
@@ -212,6 +218,9 @@
         demand
             What the request asks of its server.
         """
+        refused = self.restrictions.refuse_service(target.service)
+        if refused is not None:
+            return Unavailable(refused, is_final=True)
         return _find_server(target, self, tried, generator, target_in_s, demand=demand)
 
 
@@ -245,7 +254,11 @@
         return is_candidate(entry) and finder.has_capacity(entry.server, target_in_s, demand.route)
 
     def is_candidate(entry: server_lists.DirectoryEntry) -> bool:
-        return _is_candidate(entry, tried) and finder.find_pause_s(entry.server) <= 0
+        return (
+            _is_candidate(entry, tried)
+            and finder.find_pause_s(entry.server) <= 0
+            and finder.restrictions.allows(entry.server)
+        )
 
     def is_preferred(entry: server_lists.DirectoryEntry) -> bool:
         estimate = finder.estimates.find(entry.server)
@@ -261,6 +274,9 @@
         wait = finder.create_wait(target.service, servers, target_in_s, demand.route)
         return _refuse_busy(target, f"{len(candidates)} servers are", wait)
     paused = [entry.server for entry in view.everything.entries if _is_candidate(entry, tried)]
+    refused = finder.restrictions.refuse_servers(tuple(paused))
+    if refused is not None:
+        return Unavailable(refused, is_final=True)
     if paused:
         return _refuse_paused(target, min(map(finder.find_pause_s, paused)))
     return Unavailable(
@@ -291,6 +307,9 @@
         return _refuse_no_owner(target, f"{range_owner.owner.name} is not registered")
     if _exceeds_drain_time(entry, finder):
         return _refuse_no_owner(target, f"{range_owner.owner.name} is draining")
+    refused = finder.restrictions.refuse_owner(entry)
+    if refused is not None:
+        return Unavailable(refused, max_wait_s=restrictions.MAX_COLD_WAIT_S)
     pause_s = finder.find_pause_s(entry.server)
     if pause_s > 0:
         return _refuse_paused(target, pause_s)
--- a/src/goldcresthall/ranges/load_statistics.py
+++ b/src/goldcresthall/ranges/load_statistics.py
@@ -163,14 +163,21 @@
         samples of their own.
         """
         decayed = {incarnation: self._decay(incarnation, now_s) for incarnation in incarnations}
-        count = sum(times.count for times in decayed.values())
-        total_s = sum(times.total_s for times in decayed.values())
-        mean_s = total_s / count if count else work_estimates.DEFAULT_WORK_S
+        mean_s = self.estimate_mean_s(incarnations, now_s)
         return {
             incarnation: (times.total_s + PRIOR_SAMPLES * mean_s) / (times.count + PRIOR_SAMPLES)
             for incarnation, times in decayed.items()
         }
 
+    def estimate_mean_s(
+        self, incarnations: tuple[deployment.ServerIncarnation, ...], now_s: float
+    ) -> float:
+        """Return the mean service time in seconds over some servers of a service."""
+        decayed = [self._decay(incarnation, now_s) for incarnation in incarnations]
+        count = sum(times.count for times in decayed)
+        total_s = sum(times.total_s for times in decayed)
+        return total_s / count if count else work_estimates.DEFAULT_WORK_S
+
     def estimate_slowness(
         self, incarnations: tuple[deployment.ServerIncarnation, ...], now_s: float
     ) -> dict[deployment.ServerIncarnation, float]:
--- a/src/goldcresthall/ranges/publication.py
+++ b/src/goldcresthall/ranges/publication.py
@@ -7,6 +7,7 @@
 from goldcresthall.core import row_changes
 
 if TYPE_CHECKING:
+    from goldcresthall.gateway import cold_starts
     from goldcresthall.gateway import directory
     from goldcresthall.kernel import tasks
     from goldcresthall.load import work_table
@@ -38,6 +39,8 @@
         What this instance measured; its work model receives the combined work table.
     server_directory
         Servers of which observations are kept.
+    cold_servers
+        Limits of this instance on requests to cold servers, for which it needs the instances.
     """
 
     def __init__(
@@ -47,12 +50,15 @@
         owners_service: owners.Owners,
         sources: load_sources.LoadSources,
         server_directory: directory.Directory,
+        *,
+        cold_servers: cold_starts.ColdStarts,
     ) -> None:
         self._term = own_term
         self._responder = responder
         self._owners = owners_service
         self._sources = sources
         self._directory = server_directory
+        self._cold_starts = cold_servers
         self._applied_work: work_table.WorkTable | None = None
 
     def run(self, stop_signal: tasks.StopSignal) -> None:
@@ -75,7 +81,10 @@
         leases.record_publication(view.revision)
 
     def _add_own_statistics(self, now_s: float) -> None:
-        self._responder.update_peers()
+        listed = self._responder.update_peers()
+        if self._term.has_store and not self._term.is_over:
+            names = tuple(peer.name for peer in listed.peers)
+            self._cold_starts.apply_instances(names, now_s)
         self._sources.retain(self._directory.servers.incarnations)
         model = self._sources.model
         counts = self._owners.take_counts(now_s)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -7,10 +7,13 @@
 import pytest
 
 from goldcresthall.core import deployment
+from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
 from goldcresthall.gateway import apertures
+from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
+from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_finder
 from goldcresthall.kernel import kernel
@@ -50,6 +53,7 @@
     owners: owners.Owners
     estimates: estimates.Estimates
     model: work_model.WorkModel
+    cold_starts: cold_starts.ColdStarts
     finder: server_finder.ServerFinder
 
 
@@ -118,8 +122,12 @@
     server_directory = directory.Directory(built)
     key_owners = owners.Owners(built)
     server_estimates = estimates.Estimates(built)
+    built.register(names.DIRECTORY, server_directory)
+    cold_servers = cold_starts.ColdStarts(
+        built, "one", deployment_settings.ColdServerLimits(overshoot=1.5, slack=8.0)
+    )
     model = work_model.WorkModel(built)
-    for created in (server_directory, key_owners, server_estimates, model):
+    for created in (server_directory, key_owners, server_estimates, model, cold_servers):
         created.start()
     finder = server_finder.ServerFinder(
         server_directory=server_directory,
@@ -130,5 +138,8 @@
         instance_apertures=apertures.Apertures("one", "near"),
         drain_s=2.0,
         instance_counter=FourInstances(),
+        server_restrictions=restrictions.Restrictions(server_directory, cold_servers, 5.0),
+    )
+    return GatewayFixture(
+        manual, server_directory, key_owners, server_estimates, model, cold_servers, finder
     )
-    return GatewayFixture(manual, server_directory, key_owners, server_estimates, model, finder)
