Compute admission shares for overloaded ranges and move the densest parts

The lessor divides the capacity of an owner that is offered more than it can serve in time among its hot keys and the ranges between them, by max-min fairness, and sends the shares in its replies. Instances keep them for 2 s.

Whole ranges move only, once there are a quarter more than the limit for joins: test_table_stays_bounded had found 49 ranges and more with parts taken from inside.

tests/ranges, tests/gateway and tests/docs pass.

--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -7,6 +7,7 @@
 import threading
 
 from goldcresthall.admin import status_server
+from goldcresthall.admission import range_admissions
 from goldcresthall.backend import exchange_metrics
 from goldcresthall.callers import pipelined_frontend
 from goldcresthall.core import deployment_settings
@@ -138,6 +139,7 @@
         "ownership_ranges", "Ranges that have an owner.", lambda: len(key_owners.view.owners)
     )
     service_kernel.register(names.OWNERS, key_owners)
+    _register_range_admissions(service_kernel, metrics_service)
     service_kernel.register(names.ESTIMATES, estimates.Estimates(service_kernel))
     service_kernel.register(names.WORK_MODEL, work_estimates.DefaultWorkEstimates())
     service_kernel.register(
@@ -156,6 +158,19 @@
     )
 
 
+def _register_range_admissions(
+    service_kernel: kernel.Kernel, metrics_service: metrics.Metrics
+) -> None:
+    admissions = range_admissions.RangeAdmissions()
+    monotonic_clock = service_kernel.find(names.CLOCK, clock.Clock)
+    metrics_service.register_gauge(
+        "limited_ranges",
+        "Ranges to which not all requests are admitted.",
+        lambda: admissions.count_limited(monotonic_clock.read_s()),
+    )
+    service_kernel.register(names.RANGE_ADMISSIONS, admissions)
+
+
 def _register_frontends(
     service_kernel: kernel.Kernel,
     instance_settings: deployment_settings.DeploymentSettings,
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from goldcresthall.admission import range_admissions
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.gateway import directory
@@ -113,6 +114,9 @@
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
         self._owners = self._kernel.find(names.OWNERS, owners.Owners)
         self._estimates = self._kernel.find(names.ESTIMATES, estimates.Estimates)
+        self._admissions = self._kernel.find(
+            names.RANGE_ADMISSIONS, range_admissions.RangeAdmissions
+        )
         self._dialer = self._kernel.find(names.PEERS, reports.PeerDialer)
         self._context = lessor_context.LessorContext(
             self._store,
@@ -221,7 +225,7 @@
         self._followed = lessor
         self._contact.begin()
         follower = follower_state.FollowerState(
-            self._own, self._owners, self._directory, self._estimates
+            self._own, self._owners, self._directory, self._estimates, self._admissions
         )
         connection = following.LessorConnection(self._dialer, lessor)
         try:
@@ -326,7 +330,12 @@
     def _serve(self, own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
         self._responder.begin_term()
         publisher = publication.ViewPublisher(
-            own_term, self._responder, self._owners, self._estimates, self._directory
+            own_term=own_term,
+            responder=self._responder,
+            owners_service=self._owners,
+            server_estimates=self._estimates,
+            server_directory=self._directory,
+            admissions=self._admissions,
         )
         publishing = tasks.LoopTask("lessor-view", publisher.run)
         publishing.start()
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -11,6 +11,7 @@
 from goldcresthall.ranges import reports
 
 if TYPE_CHECKING:
+    from goldcresthall.admission import range_admissions
     from goldcresthall.core import deployment
     from goldcresthall.core import key_ranges
     from goldcresthall.gateway import estimates
@@ -31,6 +32,8 @@
         Directory that receives the relayed servers.
     latency_estimates
         Service-time samples of this instance.
+    admissions
+        Receives the shares of requests to admit to overloaded ranges.
     """
 
     def __init__(
@@ -39,11 +42,13 @@
         owners_service: owners.Owners,
         server_directory: directory.Directory,
         latency_estimates: estimates.Estimates,
+        admissions: range_admissions.RangeAdmissions,
     ) -> None:
         self._reporter = reporter
         self._owners = owners_service
         self._directory = server_directory
         self._estimates = latency_estimates
+        self._admissions = admissions
         self._view = owners.OwnersView()
         self._servers: tuple[deployment.RegisteredServer, ...] = ()
         self._servers_revision = row_changes.NO_REVISION
@@ -80,6 +85,7 @@
         asked_at_s
             Clock reading in seconds before the report was sent.
         """
+        self._admissions.replace(reply.admissions, self._directory.read_s())
         if reply.peers is not None:
             self._peers = reply.peers
         if reply.document is not None:
--- a/src/goldcresthall/ranges/hot_keys.py
+++ b/src/goldcresthall/ranges/hot_keys.py
@@ -36,6 +36,8 @@
     if loads.find_load(source) < MIN_SERVER_LOAD:
         return None
     destination = loads.find_most_spare()
+    if destination is None:
+        return None
     for lease in movable:
         key = key_rates.find_hottest_key(lease.keys)
         part = key_ranges.KeyRange(key, key)
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -18,6 +18,7 @@
 from goldcresthall.store import client
 
 if TYPE_CHECKING:
+    from goldcresthall.admission import range_admissions
     from goldcresthall.core import deployment
     from goldcresthall.kernel import tasks
     from goldcresthall.ranges import lessor_context
@@ -132,6 +133,11 @@
             bool(self.predecessors) and self._context.clock.read_s() < self._predecessors_end_at_s
         )
 
+    @property
+    def admissions(self) -> tuple[range_admissions.RangeAdmission, ...]:
+        """Ranges whose owners are overloaded, with the share of requests to admit."""
+        return self._rebalancer.admissions
+
     @property
     def statistics(self) -> load_statistics.LoadStatistics:
         """Request rates and service times reported in this term."""
--- a/src/goldcresthall/ranges/load_statistics.py
+++ b/src/goldcresthall/ranges/load_statistics.py
@@ -97,6 +97,34 @@
         )
         return self.keys[hottest]
 
+    def find_densest_part(
+        self, keys: key_ranges.KeyRange, amount: float
+    ) -> key_ranges.KeyRange | None:
+        """Return the shortest part of a range whose individual rates reach `amount`, if any."""
+        low = bisect.bisect_left(self.keys, keys.first)
+        high = bisect.bisect_right(self.keys, keys.last)
+        best: key_ranges.KeyRange | None = None
+        first = low
+        for last in range(low, high):
+            while self.prefix_sums[last + 1] - self.prefix_sums[first + 1] >= amount:
+                first += 1
+            if self.prefix_sums[last + 1] - self.prefix_sums[first] < amount:
+                continue
+            part = key_ranges.KeyRange(self.keys[first], self.keys[last])
+            if best is None or part.size < best.size:
+                best = part
+        return best
+
+    def list_hot_keys(self, keys: key_ranges.KeyRange, min_rate: float) -> tuple[int, ...]:
+        """Return the keys of a range with a rate above `min_rate`, ascending."""
+        low = bisect.bisect_left(self.keys, keys.first)
+        high = bisect.bisect_right(self.keys, keys.last)
+        return tuple(
+            self.keys[index]
+            for index in range(low, high)
+            if self.prefix_sums[index + 1] - self.prefix_sums[index] > min_rate
+        )
+
     def _refine(self, keys: key_ranges.KeyRange, low: int, index: int, amount: float) -> int:
         """Return the key at `index`, or an earlier one if base rates reach `amount` before it."""
         earlier_rate = self.prefix_sums[index] - self.prefix_sums[low]
--- a/src/goldcresthall/ranges/move_planner.py
+++ b/src/goldcresthall/ranges/move_planner.py
@@ -1,4 +1,4 @@
-"""Moves of ranges away from owners at which requests queue, and to servers with hardly any load.
+"""Moves of ranges away from owners at which requests queue, and to servers that have none.
 
 A server with three or four slots has a queue from a load of about 0.6 on; below, an uneven load
 costs nothing, while each move makes the moved keys slower for some seconds. So only the excess
@@ -27,18 +27,18 @@
 MIN_TOTAL_RATE = 0.4
 # Loads are fractions of a server's capacity. Moves from a server start above the higher ones and
 # bring it down to the lower ones, up to which they fill others: noise in between moves nothing.
-START_LOAD = 0.6
+START_LOAD = 0.65
 START_FACTOR = 1.2
 START_MARGIN = 0.1
 FILL_LOAD = 0.45
 FILL_FACTOR = 1.05
 # Above this load, keys move again although they moved recently.
-URGENT_LOAD = 1.0
-UNDERUSE_FACTOR = 0.3
+URGENT_LOAD = 0.8
+IDLE_FILL_FACTOR = 0.3
 MIN_MEAN_LOAD = 0.03
 MIN_MOVE_FRACTION = 0.05
-# Of its source's rate, so that no source gives all that an underused server lacks.
-UNDERUSE_MOVE_FRACTION = 0.25
+# Of its source's rate, so that no source gives all that an idle server lacks.
+IDLE_MOVE_FRACTION = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,12 +65,12 @@
     ----------
     settling
         Keys that moved recently.
-    may_split
-        Whether the recorded table is small enough for more ranges.
+    splits
+        How ranges may be split.
     """
 
     settling: recent_moves.SettlingKeys = recent_moves.NOTHING_SETTLES
-    may_split: bool = True
+    splits: range_parts.Splits = range_parts.Splits.ANYWHERE
 
 
 UNCONSTRAINED = MoveConstraints()
@@ -122,26 +122,22 @@
             if not self._add(source, self._find_relief(source)):
                 exhausted.add(source)
 
-    def fill_underused(self) -> None:
-        """Plan moves to servers with hardly any load, such as those that joined."""
+    def fill_idle(self) -> None:
+        """Plan moves to servers without any range, such as those that joined."""
+        used = {lease.target or lease.owner for lease in self._leases}
+        used |= {move.target for move in self._moves}
         exhausted: set[deployment.ServerIncarnation] = set()
-        while len(self._moves) < self._limit:
-            destination = self._loads.find_least_loaded()
+        while len(self._moves) < self._limit and self._mean > MIN_MEAN_LOAD:
+            destination = self._loads.find_most_spare(self._mean, used)
             source = self._loads.find_most_loaded(exhausted)
-            if source is None or not self._is_underused(destination, source):
+            if destination is None or source is None or self._loads.find_load(source) < self._mean:
                 return
-            if not self._add(source, self._find_share(source, destination)):
+            if self._add(source, self._find_share(source, destination)):
+                has_share = self._loads.find_load(destination) > IDLE_FILL_FACTOR * self._mean
+                used |= {destination} if has_share else set()
+            else:
                 exhausted.add(source)
 
-    def _is_underused(
-        self, destination: deployment.ServerIncarnation, source: deployment.ServerIncarnation
-    ) -> bool:
-        return (
-            self._mean > MIN_MEAN_LOAD
-            and self._loads.find_load(destination) < UNDERUSE_FACTOR * self._mean
-            and self._loads.find_load(source) > self._mean
-        )
-
     def _add(self, source: deployment.ServerIncarnation, move: planner.Placement | None) -> bool:
         if move is None:
             return False
@@ -154,13 +150,15 @@
 
     def _find_relief(self, source: deployment.ServerIncarnation) -> planner.Placement | None:
         movable = self._list_movable(source)
-        if not self._constraints.may_split:
+        if self._constraints.splits is range_parts.Splits.NONE:
             movable = tuple(lease for lease in movable if lease.keys.size == 1)
         hot_key_move = hot_keys.find_hot_key_move(source, movable, self._loads, self._key_rates)
         if hot_key_move is not None:
             return hot_key_move
         fill = self._move_loads.fill
         destination = self._loads.find_most_spare(fill)
+        if destination is None:
+            return None
         excess = -self._loads.find_room(source, fill)
         amount = min(excess, self._loads.find_room(destination, fill))
         return self._find_move(source, destination, amount)
@@ -170,7 +168,7 @@
     ) -> planner.Placement | None:
         rate = self._loads.find_load(source) * self._loads.find_capacity(source)
         amount = min(
-            max(-self._loads.find_room(source, self._mean), UNDERUSE_MOVE_FRACTION * rate),
+            max(-self._loads.find_room(source, self._mean), IDLE_MOVE_FRACTION * rate),
             self._loads.find_room(destination, self._mean),
         )
         return self._find_move(source, destination, amount)
@@ -193,7 +191,7 @@
             self._list_movable(source),
             wanted,
             self._key_rates,
-            may_split=self._constraints.may_split,
+            splits=self._constraints.splits,
         )
 
     def _list_movable(
@@ -218,14 +216,14 @@
     key_rates: load_statistics.KeyRates,
     constraints: MoveConstraints = UNCONSTRAINED,
 ) -> tuple[planner.Placement, ...]:
-    """Return moves from overloaded servers, and to underused ones.
+    """Return moves from overloaded servers, and to those without any range.
 
     Returns at most `MIN_MOVE_LIMIT` moves, or one for each `SERVERS_PER_MOVE` servers if that
-    is more, and no moves if no server is overloaded or underused, or the total rate is small.
+    is more, and no moves if the total rate is small.
     """
     if key_rates.prefix_sums[-1] < MIN_TOTAL_RATE:
         return ()
     plan = MovePlan(leases, loads, key_rates, constraints)
     plan.relieve_overloaded()
-    plan.fill_underused()
+    plan.fill_idle()
     return plan.moves
--- a/src/goldcresthall/ranges/planner.py
+++ b/src/goldcresthall/ranges/planner.py
@@ -11,6 +11,8 @@
 from goldcresthall.ranges import range_leases
 
 if TYPE_CHECKING:
+    import collections.abc
+
     from goldcresthall.ranges import load_statistics
 
 SPLIT_FACTOR = 1.2
@@ -95,11 +97,16 @@
         """Return the unused capacity of a server in seconds of work per second."""
         return self._capacity[incarnation] - self._rate[incarnation]
 
-    def find_most_spare(self, load: float = 1.0) -> deployment.ServerIncarnation:
-        """Return the server that takes the most work until it reaches a load."""
+    def find_most_spare(
+        self,
+        load: float = 1.0,
+        excluded: collections.abc.Set[deployment.ServerIncarnation | None] = frozenset(),
+    ) -> deployment.ServerIncarnation | None:
+        """Return the server outside `excluded` that takes the most work until it has a load."""
         return max(
-            self._rate,
+            (incarnation for incarnation in self._rate if incarnation not in excluded),
             key=lambda incarnation: (self.find_room(incarnation, load), incarnation),
+            default=None,
         )
 
     def find_room(self, incarnation: deployment.ServerIncarnation, load: float) -> float:
--- a/src/goldcresthall/ranges/publication.py
+++ b/src/goldcresthall/ranges/publication.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from goldcresthall.admission import range_admissions
     from goldcresthall.gateway import directory
     from goldcresthall.gateway import estimates
     from goldcresthall.kernel import tasks
@@ -35,21 +36,26 @@
         Service times measured by this instance.
     server_directory
         Servers whose estimates are kept.
+    admissions
+        Shares of requests that this instance admits to overloaded ranges.
     """
 
     def __init__(
         self,
+        *,
         own_term: lessor.LessorTerm,
         responder: report_responder.ReportResponder,
         owners_service: owners.Owners,
         server_estimates: estimates.Estimates,
         server_directory: directory.Directory,
+        admissions: range_admissions.RangeAdmissions,
     ) -> None:
         self._term = own_term
         self._responder = responder
         self._owners = owners_service
         self._estimates = server_estimates
         self._directory = server_directory
+        self._admissions = admissions
 
     def run(self, stop_signal: tasks.StopSignal) -> None:
         """Publish until asked to stop; a pause batches changes for all instances."""
@@ -71,6 +77,7 @@
         leases.record_publication(view.revision)
 
     def _add_own_statistics(self, now_s: float) -> None:
+        self._admissions.replace(self._term.admissions, now_s)
         self._responder.update_peers()
         self._estimates.retain(self._directory.servers.incarnations)
         statistics = self._term.statistics
--- a/src/goldcresthall/ranges/range_parts.py
+++ b/src/goldcresthall/ranges/range_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 from goldcresthall.core import deployment
@@ -16,7 +17,23 @@
 OVERSHOOT_FACTOR = 1.3
 # A moved key is slower for some seconds, so a part with few keys is preferred: all keys of the
 # service weigh as much as this multiple of the wanted amount.
-KEYS_WEIGHT = 4.0
+KEYS_WEIGHT = 10.0
+
+
+class Splits(enum.Enum):
+    """How a range may be split for a move, given the number of ranges that there are.
+
+    NONE
+        Only whole ranges move.
+    ENDS
+        A move takes an end of a range, which leaves one other part.
+    ANYWHERE
+        A move may take the part with the fewest keys, which may leave two others.
+    """
+
+    NONE = "none"
+    ENDS = "ends"
+    ANYWHERE = "anywhere"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,14 +58,13 @@
     wanted: WantedMove,
     key_rates: load_statistics.KeyRates,
     *,
-    may_split: bool = True,
+    splits: Splits,
 ) -> planner.Placement | None:
     """Return the move of the part of any of the leases that fits best, if any does."""
     best: planner.Placement | None = None
     best_cost = 0.0
     for lease in leases:
-        parts = _list_parts(lease.keys, wanted.amount, key_rates) if may_split else [lease.keys]
-        for part in parts:
+        for part in _list_parts(lease.keys, wanted.amount, key_rates, splits):
             rate = key_rates.sum_range(part)
             if rate > wanted.max_rate:
                 continue
@@ -78,10 +94,10 @@
 
 
 def _list_parts(
-    keys: key_ranges.KeyRange, amount: float, key_rates: load_statistics.KeyRates
+    keys: key_ranges.KeyRange, amount: float, key_rates: load_statistics.KeyRates, splits: Splits
 ) -> list[key_ranges.KeyRange]:
     total = key_rates.sum_range(keys)
-    if total <= OVERSHOOT_FACTOR * amount:
+    if splits is Splits.NONE or total <= OVERSHOOT_FACTOR * amount:
         return [keys]
     last = key_rates.find_prefix_end(keys, amount)
     first = key_rates.find_prefix_end(keys, total - amount) + 1
@@ -92,4 +108,6 @@
     parts += [
         key_ranges.KeyRange(start, keys.last) for start in starts if keys.first < start <= keys.last
     ]
+    if splits is Splits.ANYWHERE and (densest := key_rates.find_densest_part(keys, amount)):
+        parts.append(densest)
     return parts or [keys]
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -9,25 +9,31 @@
 from absl import logging
 
 from goldcresthall.core import key_ranges
+from goldcresthall.ranges import admission_log
 from goldcresthall.ranges import candidates
 from goldcresthall.ranges import load_statistics
 from goldcresthall.ranges import membership
 from goldcresthall.ranges import move_planner
+from goldcresthall.ranges import overload
 from goldcresthall.ranges import owner_reviews
 from goldcresthall.ranges import planner
 from goldcresthall.ranges import range_joins
 from goldcresthall.ranges import range_leases
+from goldcresthall.ranges import range_parts
 from goldcresthall.ranges import range_releases
 from goldcresthall.ranges import recent_moves
 from goldcresthall.ranges import server_backoff
 from goldcresthall.ranges import transitions
 
 if TYPE_CHECKING:
+    from goldcresthall.admission import range_admissions
     from goldcresthall.ranges import lease_renewal
     from goldcresthall.ranges import lease_table
     from goldcresthall.ranges import lessor_context
 
 REBALANCE_INTERVAL_S = 0.4
+# At the start of a term, the first reports cover different times.
+ADMISSION_DELAY_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +92,9 @@
         )
         self._membership = membership.MembershipMonitor()
         self._recent_moves = recent_moves.RecentMoves()
+        self._admissions: dict[str, tuple[range_admissions.RangeAdmission, ...]] = {}
+        self._admission_logs: dict[str, admission_log.AdmissionLog] = {}
+        self._limits_after_s = context.clock.read_s() + ADMISSION_DELAY_S
         self._rebalanced_at_s = context.clock.read_s()
 
     @property
@@ -93,6 +102,11 @@
         """Work of keys and service times reported to the lessor."""
         return self._statistics
 
+    @property
+    def admissions(self) -> tuple[range_admissions.RangeAdmission, ...]:
+        """Ranges of all services whose owners are overloaded."""
+        return tuple(row for rows in self._admissions.values() for row in rows)
+
     def plan(self, constraints: PlanningConstraints) -> None:
         """Take ranges from lost and draining owners, assign free ranges and plan moves."""
         configuration = self._context.directory.configuration
@@ -116,6 +130,7 @@
                 self._move(name, now_s, may_split=constraints.may_split)
             if is_rebalancing:
                 self._join_calm(name, now_s, constraints)
+                self._limit(name, now_s)
 
     def _add_missing_ranges(self, service: str) -> None:
         """Add free ranges for keys that no lease covers."""
@@ -158,7 +173,7 @@
             self._set_target(placement)
 
     def _move(self, service: str, now_s: float, *, may_split: bool) -> None:
-        """Move ranges away from overloaded servers and to underused ones."""
+        """Move ranges away from overloaded servers and to idle ones."""
         leases = tuple(self._list_leases(service).values())
         listed = self._candidates.list(service, now_s)
         if not listed or not any(lease.fence for lease in leases):
@@ -166,11 +181,24 @@
         key_rates = self._statistics.estimate_rates(service, now_s)
         loads = planner.PlannedLoads(listed, leases, key_rates)
         constraints = move_planner.MoveConstraints(
-            self._recent_moves.find_settling(service, now_s), may_split
+            self._recent_moves.find_settling(service, now_s),
+            _choose_splits(len(leases), len(listed), may_split=may_split),
         )
         for move in move_planner.plan_moves(leases, loads, key_rates, constraints):
             self._start_move(move, key_rates.sum_range(move.keys))
 
+    def _limit(self, service: str, now_s: float) -> None:
+        """Compute which share of the requests for overloaded ranges fits."""
+        if now_s < self._limits_after_s:
+            return
+        rows = overload.find_admissions(
+            tuple(self._list_leases(service).values()),
+            self._candidates.list(service, now_s),
+            self._statistics.estimate_rates(service, now_s),
+        )
+        self._admissions[service] = rows
+        self._admission_logs.setdefault(service, admission_log.AdmissionLog(service)).record(rows)
+
     def _join_calm(self, service: str, now_s: float, constraints: PlanningConstraints) -> None:
         """Join ranges that were split for load and are calm again."""
         leases = self._list_leases(service)
@@ -220,3 +248,12 @@
         )
         self._recent_moves.record(move.service, move.keys, self._context.clock.read_s())
         self._releases.start(part_id, lease, move.target)
+
+
+def _choose_splits(ranges: int, servers: int, *, may_split: bool) -> range_parts.Splits:
+    limit = range_joins.find_range_limit(servers)
+    if not may_split or ranges > range_joins.CONSOLIDATION_FACTOR * limit:
+        return range_parts.Splits.NONE
+    if ranges > limit:
+        return range_parts.Splits.ENDS
+    return range_parts.Splits.ANYWHERE
--- a/src/goldcresthall/ranges/recent_moves.py
+++ b/src/goldcresthall/ranges/recent_moves.py
@@ -6,8 +6,8 @@
 
 from goldcresthall.core import key_ranges
 
-# A moved key is slower for 2 s, and the load of its new owner is known after about as long.
-SETTLING_S = 4.0
+# A moved key is slower for that time, and the load of its new owner is known after about as long.
+SETTLING_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -85,6 +85,7 @@
             servers_known=_describe_version(relayed, version, arrived_at_s),
             servers=self._find_server_changes(relayed, report),
             document=self._find_newer_document(report),
+            admissions=own_term.admissions,
         )
 
     @property
--- a/src/goldcresthall/ranges/shift_detection.py
+++ b/src/goldcresthall/ranges/shift_detection.py
@@ -16,7 +16,7 @@
 # Noise of a sum is that of requests which arrive independently with about this much work each.
 REQUEST_WORK_S = 0.2
 MIN_DEVIATIONS = 4.0
-MIN_RATIO = 1.5
+MIN_RATIO = 1.2
 
 
 def apply_shifts(rates: dict[int, float], recent: dict[int, float]) -> dict[int, float]:
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from goldcresthall.admission import range_admissions
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
@@ -40,6 +41,7 @@
     server_estimates = estimates.Estimates(service_kernel)
     server_estimates.start()
     service_kernel.register(names.ESTIMATES, server_estimates)
+    service_kernel.register(names.RANGE_ADMISSIONS, range_admissions.RangeAdmissions())
     service_kernel.register(names.GRANTS, range_simulation.FakeGrantChannel(simulation))
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics.create_unregistered())
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from goldcresthall.admission import range_admissions
 from goldcresthall.core import configuration_documents
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
@@ -62,8 +63,13 @@
         reporter = key_ranges.LessorIdentity(
             identity.Incarnation("follower", "life"), identity.Address("127.0.0.1", 7_100)
         )
+        self.admissions = range_admissions.RangeAdmissions()
         self.state = follower_state.FollowerState(
-            reporter, self.follower.owners, self.follower.directory, self.follower.estimates
+            reporter,
+            self.follower.owners,
+            self.follower.directory,
+            self.follower.estimates,
+            self.admissions,
         )
 
     def report(self) -> reports.Reply:
