--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -84,6 +84,7 @@
         asked_at_s
             Clock reading in seconds before the report was sent.
         """
+        self._sources.admissions.replace(reply.admissions, self._directory.read_s())
         if reply.peers is not None:
             self._peers = reply.peers
         if reply.document is not None:
--- a/src/goldcresthall/ranges/load_sources.py
+++ b/src/goldcresthall/ranges/load_sources.py
@@ -1,10 +1,12 @@
-"""What an instance knows of the load of servers, as it reports it to the lessor."""
+"""Services of an instance that tell the lessor of load, or follow what it tells of it."""
 
 from __future__ import annotations
 
 import dataclasses
 from typing import TYPE_CHECKING
 
+from goldcresthall.admission import range_admissions
+from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import names
 from goldcresthall.load import work_model
@@ -16,10 +18,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadSources:
-    """The services of one instance that observe backend servers."""
+    """The services of one instance that observe backend servers or limit what they get."""
 
     estimates: estimates.Estimates
     model: work_model.WorkModel
+    admissions: range_admissions.RangeAdmissions
+    cold_starts: cold_starts.ColdStarts
 
     @classmethod
     def find(cls, service_kernel: kernel.Kernel) -> LoadSources:
@@ -27,6 +31,8 @@
         return cls(
             service_kernel.find(names.ESTIMATES, estimates.Estimates),
             service_kernel.find(names.WORK_MODEL, work_model.WorkModel),
+            service_kernel.find(names.RANGE_ADMISSIONS, range_admissions.RangeAdmissions),
+            service_kernel.find(names.COLD_STARTS, cold_starts.ColdStarts),
         )
 
     def retain(self, incarnations: frozenset[deployment.ServerIncarnation]) -> None:
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -92,6 +92,7 @@
             document=self._find_newer_document(report),
             work=self._find_newer_work(report),
             evacuated=self._read_evacuated(),
+            admissions=own_term.admissions,
         )
 
     @property
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -6,12 +6,15 @@
 
 import pytest
 
+from goldcresthall.admission import range_admissions
 from goldcresthall.core import attempts
 from goldcresthall.core import configuration_documents
+from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.core import outcomes
 from goldcresthall.core import row_changes
+from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import evacuations
@@ -47,7 +50,12 @@
         owners.Owners(service_kernel),
         directory.Directory(service_kernel),
         load_sources.LoadSources(
-            estimates.Estimates(service_kernel), work_model.WorkModel(service_kernel)
+            estimates.Estimates(service_kernel),
+            work_model.WorkModel(service_kernel),
+            range_admissions.RangeAdmissions(),
+            cold_starts.ColdStarts(
+                service_kernel, "follower", deployment_settings.ColdServerLimits()
+            ),
         ),
     )
     created.owners.start()
