--- a/src/goldcresthall/core/outcomes.py
+++ b/src/goldcresthall/core/outcomes.py
@@ -38,6 +38,8 @@
     SERVER_DRAINING = "server_draining"
     SERVER_PAUSED = "server_paused"
     QUEUE_FULL = "queue_full"
+    OVERLOADED = "overloaded"
+    CIRCUIT_OPEN = "circuit_open"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_EXPIRED = "deadline_expired"
     IDEMPOTENCY_KEY_MISSING = "idempotency_key_missing"
