--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -7,6 +7,8 @@
 import threading
 
 from goldcresthall.admin import status_server
+from goldcresthall.admission import range_admissions
+from goldcresthall.admission import server_circuits
 from goldcresthall.backend import exchange_metrics
 from goldcresthall.callers import pipelined_frontend
 from goldcresthall.core import deployment_settings
@@ -138,6 +140,10 @@
     )
     service_kernel.register(names.OWNERS, key_owners)
     service_kernel.register(names.ESTIMATES, estimates.Estimates(service_kernel))
+    service_kernel.register(names.RANGE_ADMISSIONS, range_admissions.RangeAdmissions())
+    service_kernel.register(
+        names.SERVER_CIRCUITS, server_circuits.ServerCircuits.from_config(service_kernel)
+    )
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics(registry, "client"))
     )
--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -204,6 +204,8 @@
                 else:
                     view = view[sent:]
         except OSError as error:
+            if len(view) == len(data):
+                raise exceptions.NotSentError(outcomes.Step.SEND, str(error)) from error
             raise exceptions.ConnectionLostError(outcomes.Step.SEND, str(error)) from error
         return True
 
--- /dev/null
+++ b/src/goldcresthall/gateway/alternatives.py
@@ -0,0 +1,50 @@
+"""Whether another server than a suspected one can run a request, by the kind of target."""
+
+from __future__ import annotations
+
+import functools
+
+from goldcresthall.core import deployment
+from goldcresthall.gateway import server_finder
+
+
+@functools.singledispatch
+def has_alternative(
+    target: server_finder.Target,
+    finder: server_finder.ServerFinder,
+    server: deployment.RegisteredServer,
+    tried: frozenset[str],
+) -> bool:
+    """Return whether a server other than a suspected one can run a request now."""
+    raise NotImplementedError(type(target).__name__)
+
+
+@has_alternative.register
+def _(
+    target: server_finder.PoolTarget,
+    finder: server_finder.ServerFinder,
+    server: deployment.RegisteredServer,
+    tried: frozenset[str],
+) -> bool:
+    excluded = tried | {server.name}
+    return any(
+        server_finder.is_listed_candidate(entry, excluded)
+        and finder.find_pause_s(entry.server) <= 0
+        and finder.circuits.find_open(entry.server.incarnation) is None
+        and finder.has_capacity(entry.server, 0.0)
+        for entry in finder.divide(target.service).entries
+    )
+
+
+@has_alternative.register
+def _(
+    target: server_finder.KeyTarget,
+    finder: server_finder.ServerFinder,
+    server: deployment.RegisteredServer,
+    tried: frozenset[str],
+) -> bool:
+    # Only the owner may run the request, so a retry helps only once the key has another one.
+    range_owner = finder.owners.find(target.service, target.key)
+    if range_owner is None or not range_owner.ready or range_owner.owner == server.incarnation:
+        return False
+    return finder.circuits.find_open(range_owner.owner) is None
--- /dev/null
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -0,0 +1,208 @@
+"""Runs the attempts of requests at servers, and observes what they tell of the servers."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+from typing import TYPE_CHECKING
+
+from goldcresthall.core import attempts
+from goldcresthall.core import outcomes
+from goldcresthall.core import preset
+from goldcresthall.gateway import alternatives
+from goldcresthall.gateway import early_retries
+from goldcresthall.gateway import target_keys
+from goldcresthall.kernel import cancellation
+from goldcresthall.observability import metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from goldcresthall.backend import request_sender
+    from goldcresthall.core import deployment
+    from goldcresthall.core import requests
+    from goldcresthall.gateway import expected_work
+    from goldcresthall.gateway import request_progress
+    from goldcresthall.gateway import retry_budgets
+    from goldcresthall.gateway import routing_plans
+    from goldcresthall.gateway import server_finder
+    from goldcresthall.gateway import waiting
+    from goldcresthall.kernel import clock
+    from goldcresthall.ranges import reports
+
+RESPONSE_MARGIN_S = 0.004
+
+
+class AttemptRunner:
+    """Sends requests to servers, one attempt at a time."""
+
+    def __init__(
+        self,
+        *,
+        finder: server_finder.ServerFinder,
+        sender: request_sender.RequestSender,
+        work: expected_work.ExpectedWork,
+        places: waiting.WaitingPlaces,
+        budgets: retry_budgets.RetryWindowBudgets,
+        watches: early_retries.EarlyRetries,
+        instance_counter: reports.InstanceCounter,
+        monotonic_clock: clock.Clock,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._finder = finder
+        self._directory = finder.directory
+        self._estimates = finder.estimates
+        self._circuits = finder.circuits
+        self._sender = sender
+        self._work = work
+        self._places = places
+        self._budgets = budgets
+        self._watches = watches
+        self._instance_counter = instance_counter
+        self._clock = monotonic_clock
+        self._metrics = counters
+
+    def run(
+        self,
+        request: requests.Request,
+        plan: routing_plans.RoutingPlan,
+        server: deployment.RegisteredServer,
+        progress: request_progress.RequestProgress,
+        cancelled: cancellation.Cancellation,
+    ) -> attempts.Attempt:
+        """Send a request to a server once and return the result."""
+        began_at_s = self._clock.read_s()
+        self._estimates.start_attempt(server)
+        try:
+            attempt = self._send(request, plan, server, progress, cancelled)
+        except BaseException:
+            self._cancel(plan, server)
+            raise
+        if cancelled.is_cancelled:
+            self._cancel(plan, server)
+        else:
+            duration_s = self._clock.read_s() - began_at_s
+            self._estimates.finish_attempt(server, attempt, duration_s)
+            self._places.free(target_keys.find_queue(plan.target, server))
+            work_s = self._work.expect_s(plan.route.name, server)
+            self._circuits.record_attempt(server.incarnation, attempt, began_at_s, work_s)
+        self._observe_signals(server, attempt.signals)
+        return attempt
+
+    def find_remaining_s(self, plan: routing_plans.RoutingPlan) -> float:
+        """Return the seconds until an attempt of a request must end."""
+        return plan.deadline_s - self._clock.read_s() - RESPONSE_MARGIN_S
+
+    def _cancel(self, plan: routing_plans.RoutingPlan, server: deployment.RegisteredServer) -> None:
+        self._estimates.cancel_attempt(server)
+        self._places.free(target_keys.find_queue(plan.target, server))
+
+    def _send(
+        self,
+        request: requests.Request,
+        plan: routing_plans.RoutingPlan,
+        server: deployment.RegisteredServer,
+        progress: request_progress.RequestProgress,
+        cancelled: cancellation.Cancellation,
+    ) -> attempts.Attempt:
+        dispatch = self._create_dispatch(request, plan, server)
+        if not plan.route.idempotent or progress.sent + 1 >= plan.route.max_attempts:
+            return self._sender.send(dispatch, cancelled)
+        work_s = self._work.expect_s(plan.route.name, server)
+        check_s = early_retries.find_check_s(self._clock.read_s(), work_s)
+        latest_s = early_retries.find_latest_s(plan.target_at_s, plan.work_s)
+        if check_s >= latest_s:
+            return self._sender.send(dispatch, cancelled)
+        with _link(cancelled) as attempt_cancelled:
+            watch = early_retries.AttemptWatch(
+                latest_s,
+                functools.partial(self._should_give_up, plan, server, progress),
+                attempt_cancelled.cancel,
+            )
+            self._watches.add(check_s, watch)
+            try:
+                attempt = self._sender.send(dispatch, attempt_cancelled)
+            finally:
+                watch.is_over = True
+        if watch.is_given_up and _was_cancelled(attempt) and not cancelled.is_cancelled:
+            return attempts.AttemptUnknown(
+                outcomes.UnknownReason.ANSWER_TIMEOUT,
+                outcomes.Step.RECEIVE,
+                "given up early, since the server is suspected to have lost the request",
+            )
+        return attempt
+
+    def _should_give_up(
+        self,
+        plan: routing_plans.RoutingPlan,
+        server: deployment.RegisteredServer,
+        progress: request_progress.RequestProgress,
+    ) -> bool:
+        """Return whether a server is suspected and another one can run the request in time.
+
+        Slow work at a server that is not suspected is left alone: the server would go on with
+        the work of the ended attempt, and the retry would add to its load.
+        """
+        if self._circuits.find_open(server.incarnation) is None:
+            return False
+        budget = self._budgets.find(plan.target.service)
+        instances = self._instance_counter.live_instances
+        if not budget.allows_retry(self._clock.read_s(), instances):
+            return False
+        return alternatives.has_alternative(plan.target, self._finder, server, progress.tried)
+
+    def _observe_signals(
+        self, server: deployment.RegisteredServer, signals: attempts.ServerSignals
+    ) -> None:
+        if signals.pause_s:
+            self._metrics.count_signal(metrics.ServerSignal.RETRY_AFTER)
+        if signals.draining:
+            self._metrics.count_signal(metrics.ServerSignal.DRAINING)
+            self._directory.record_draining(server.incarnation)
+
+    def _create_dispatch(
+        self,
+        request: requests.Request,
+        plan: routing_plans.RoutingPlan,
+        server: deployment.RegisteredServer,
+    ) -> attempts.Dispatch:
+        configuration = self._directory.configuration
+        limit = 1
+        if configuration is not None:
+            for spec in configuration.services:
+                if spec.name == server.service:
+                    limit = spec.connection_limit
+        return attempts.Dispatch(
+            request_id=request.request_id,
+            server=preset.BackendServer(
+                name=server.name,
+                address=server.address,
+                failure_domain=server.failure_domain,
+                draining=server.draining,
+            ),
+            connection_limit=max(1, limit // self._instance_counter.live_instances),
+            method=request.method,
+            target=request.raw_target,
+            headers=request.headers,
+            body=request.body,
+            timeout_s=self.find_remaining_s(plan),
+            idempotent=plan.route.idempotent,
+        )
+
+
+@contextlib.contextmanager
+def _link(cancelled: cancellation.Cancellation) -> Iterator[cancellation.Cancellation]:
+    """Return the cancellation of one attempt, which ends with that of its request."""
+    attempt_cancelled = cancellation.Cancellation()
+    cancelled.call_at_end(attempt_cancelled.end)
+    interrupt: Callable[[], None] = attempt_cancelled.cancel
+    with cancelled.call_on_cancel(interrupt):
+        yield attempt_cancelled
+
+
+def _was_cancelled(attempt: attempts.Attempt) -> bool:
+    return (
+        isinstance(attempt, attempts.AttemptUnknown)
+        and attempt.reason is outcomes.UnknownReason.CALLER_LEFT
+    )
--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -99,7 +99,6 @@
     def __init__(self, service_kernel: kernel.Kernel) -> None:
         self._kernel = service_kernel
         self._lock = threading.Lock()
-        self._attempt_ended = threading.Condition(self._lock)
         self._estimates: dict[deployment.ServerIncarnation, Estimate] = {}
         self._samples: dict[deployment.ServerIncarnation, LatencySample] = {}
         self._service_average_s: dict[str, float] = {}
@@ -138,7 +137,6 @@
             self._estimates[server.incarnation] = self._update(
                 server, estimate, attempt, duration_s, now_s
             )
-            self._attempt_ended.notify_all()
 
     def cancel_attempt(self, server: deployment.RegisteredServer) -> None:
         """Count the end of a cancelled attempt, which does not change the estimates."""
@@ -147,12 +145,6 @@
             self._estimates[server.incarnation] = dataclasses.replace(
                 estimate, outstanding=max(0, estimate.outstanding - 1)
             )
-            self._attempt_ended.notify_all()
-
-    def await_attempt_end(self, timeout_s: float) -> None:
-        """Wait until any attempt ends, for at most `timeout_s` seconds."""
-        with self._attempt_ended:
-            self._attempt_ended.wait(timeout_s)
 
     def take_latency_samples(self) -> tuple[LatencySample, ...]:
         """Return the latency samples collected since the last call."""
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -7,56 +7,45 @@
 import random
 from typing import TYPE_CHECKING
 
+from goldcresthall.admission import range_admissions
+from goldcresthall.admission import server_circuits
+from goldcresthall.admission import share_admission
 from goldcresthall.backend import request_sender
-from goldcresthall.core import attempts
-from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
+from goldcresthall.gateway import attempt_runner
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import early_retries
 from goldcresthall.gateway import estimates
-from goldcresthall.gateway import explanations
+from goldcresthall.gateway import expected_work
+from goldcresthall.gateway import outcome_reporter
 from goldcresthall.gateway import request_progress
 from goldcresthall.gateway import retry_budgets
 from goldcresthall.gateway import retry_policy
 from goldcresthall.gateway import route_table
+from goldcresthall.gateway import routing_plans
 from goldcresthall.gateway import server_finder
+from goldcresthall.gateway import target_keys
 from goldcresthall.gateway import waiting
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.kernel import tasks
 from goldcresthall.observability import decisions
 from goldcresthall.observability import metrics
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
 
 if TYPE_CHECKING:
+    from goldcresthall.core import attempts
+    from goldcresthall.core import deployment
     from goldcresthall.core import deployment_settings
     from goldcresthall.core import requests
     from goldcresthall.kernel import cancellation
     from goldcresthall.kernel import kernel
 
-RESPONSE_MARGIN_S = 0.004
 MIN_ATTEMPT_S = 0.01
-NO_CONFIGURATION_RETRY_AFTER_S = 0.5
-EXPIRED_RETRY_AFTER_S = 0.3
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RoutingPlan:
-    """Where a request goes and its deadline, from the configuration in force.
-
-    Attributes
-    ----------
-    deadline_s
-        Clock reading in seconds by which the caller must have a response.
-    target_at_s
-        Clock reading in seconds of the route's latency target for the request.
-    """
-
-    route: deployment.HostRoute
-    target: server_finder.Target
-    configuration: int
-    deadline_s: float
-    target_at_s: float
+# A request whose wait for an owner was in vain meets a slow move or a lost owner.
+SLOW_MOVE_S = 1.0
 
 
 class Gateway(service.Service):
@@ -74,8 +63,9 @@
         self._generator = generator
         self._budgets = retry_budgets.RetryWindowBudgets(instance_settings.retries)
         self._round_robins = route_table.WeightedRoundRobins(generator)
-        self._waiting_places = waiting.WaitingPlaces()
+        self._admission = share_admission.ShareAdmission(generator)
         self._drain_deadline_s = math.inf
+        self._early_retry_task: tasks.Task | None = None
 
     @classmethod
     def from_config(
@@ -94,8 +84,14 @@
         self._owners = self._kernel.find(names.OWNERS, owners.Owners)
         self._estimates = self._kernel.find(names.ESTIMATES, estimates.Estimates)
         self._instance_counter = self._kernel.find(names.REPORTS, reports.InstanceCounter)
-        self._sender = self._kernel.find(names.REQUEST_SENDER, request_sender.RequestSender)
-        self._log = self._kernel.find(names.REQUEST_LOG, decisions.DecisionLog)
+        self._reporter = outcome_reporter.OutcomeReporter(
+            log=self._kernel.find(names.REQUEST_LOG, decisions.DecisionLog),
+            counters=self._metrics,
+            key_owners=self._owners,
+            monotonic_clock=self._clock,
+            generator=self._generator,
+        )
+        self._shares = self._kernel.find(names.RANGE_ADMISSIONS, range_admissions.RangeAdmissions)
         self._server_finder = server_finder.ServerFinder(
             server_directory=self._directory,
             key_owners=self._owners,
@@ -103,10 +99,28 @@
             failure_domain=self._failure_domain,
             drain_s=self._drain_s,
             instance_counter=self._instance_counter,
+            circuits=self._kernel.find(names.SERVER_CIRCUITS, server_circuits.ServerCircuits),
         )
+        self._work = expected_work.ExpectedWork(self._estimates)
+        self._places = waiting.WaitingPlaces(self._clock)
+        watches = early_retries.EarlyRetries(self._clock)
+        self._runner = attempt_runner.AttemptRunner(
+            finder=self._server_finder,
+            sender=self._kernel.find(names.REQUEST_SENDER, request_sender.RequestSender),
+            work=self._work,
+            places=self._places,
+            budgets=self._budgets,
+            watches=watches,
+            instance_counter=self._instance_counter,
+            monotonic_clock=self._clock,
+            counters=self._metrics,
+        )
+        self._early_retry_task = tasks.start_loop("early-retries", watches.run)
 
     def stop(self) -> None:
-        """Do nothing; the front end waits for requests in progress."""
+        """Stop the task that ends lost attempts; the front end waits for requests in progress."""
+        if self._early_retry_task is not None:
+            self._early_retry_task.stop()
 
     def start_draining(self, remaining_s: float) -> None:
         """Limit the deadline of all requests from now on to `remaining_s` seconds from now."""
@@ -118,21 +132,31 @@
         """Handle a request and return its outcome before its deadline."""
         plan = self._create_plan(request)
         if isinstance(plan, outcomes.Refused):
-            self._report_outcome(request, None, plan, ())
-            return plan
-        progress = self._send_with_retries(request, plan, cancelled)
+            return self._reporter.finish(request, None, plan)
+        target_keys.count_request(plan.target, self._owners)
+        now_s = self._clock.read_s()
+        share = self._shares.find_share(
+            plan.target.service, target_keys.find_key(plan.target), now_s
+        )
+        if not self._admission.admits(
+            plan.target.service, plan.route.priority, plan.work_s, share, now_s
+        ):
+            return self._reporter.finish(request, plan, _refuse_overloaded(plan), share=share)
+        self._budgets.find(plan.target.service).add_request(now_s)
+        with self._places.create_place(plan.route.priority, plan.target_at_s) as place:
+            progress = self._run_attempts(request, plan, cancelled, place)
         outcome = progress.outcome or _refuse_expired(plan)
-        self._report_outcome(request, plan, outcome, progress.attempt_descriptions)
-        return outcome
+        return self._reporter.finish(request, plan, outcome, progress.attempt_descriptions)
 
-    def _create_plan(self, request: requests.Request) -> RoutingPlan | outcomes.Refused:
+    def _create_plan(
+        self, request: requests.Request
+    ) -> routing_plans.RoutingPlan | outcomes.Refused:
         configuration = self._directory.configuration
         if configuration is None:
             return outcomes.Refused(
                 outcomes.RefusalReason.NO_PRESET,
                 outcomes.Step.ROUTE,
                 "",
-                retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S,
             )
         route = self._directory.route_table.match(request.host, request.path)
         if route is None:
@@ -147,105 +171,108 @@
             latest_s = min(latest_s, request.deadline_s)
         deadline_s = min(latest_s, self._drain_deadline_s)
         target_at_s = request.received_at_s + route.target_latency_s
-        return RoutingPlan(route, target, configuration.version, deadline_s, target_at_s)
-
-    def _send_with_retries(
-        self, request: requests.Request, plan: RoutingPlan, cancelled: cancellation.Cancellation
-    ) -> request_progress.RequestProgress:
-        self._budgets.find(plan.target.service).add_request(self._clock.read_s())
-        server_finder.count_request(plan.target, self._owners)
-        with self._waiting_places.create_place() as place:
-            return self._run_attempts(request, plan, cancelled, place)
+        work_s = self._work.expect_work_s(route.name)
+        return routing_plans.RoutingPlan(
+            route, target, configuration.version, deadline_s, target_at_s, work_s
+        )
 
     def _run_attempts(
         self,
         request: requests.Request,
-        plan: RoutingPlan,
+        plan: routing_plans.RoutingPlan,
         cancelled: cancellation.Cancellation,
         place: waiting.WaitingPlace,
     ) -> request_progress.RequestProgress:
-        wait_budget = retry_policy.WaitBudget(self._clock.read_s(), self._find_remaining_s(plan))
+        wait_budget = retry_policy.WaitBudget(
+            self._runner.find_remaining_s(plan), plan.route.target_latency_s
+        )
         progress = request_progress.RequestProgress()
         while not cancelled.is_cancelled:
-            if self._find_remaining_s(plan) < MIN_ATTEMPT_S:
+            if self._runner.find_remaining_s(plan) < MIN_ATTEMPT_S:
                 return progress
             serial = self._owners.serial
-            target_in_s = plan.target_at_s - self._clock.read_s()
-            selected = self._server_finder.find(
-                plan.target, progress.tried, self._generator, target_in_s
-            )
+            selected = self._select_server(plan, progress, place)
             if isinstance(selected, server_finder.Unavailable):
-                if selected.is_final:
-                    has_waited = False
-                elif selected.wait is not None:
-                    has_waited = self._wait_for_capacity(plan, selected.wait, place)
-                else:
-                    has_waited = self._wait_for_owner(plan, wait_budget, serial)
-                if not has_waited:
-                    return request_progress.apply_refusal(progress, selected.refused)
+                refused = self._wait(plan, selected, place, wait_budget, serial)
+                if refused is not None:
+                    return request_progress.apply_refusal(progress, refused)
                 continue
             place.leave()
-            attempt = self._send_once(request, plan, selected, cancelled)
+            attempt = self._runner.run(request, plan, selected, progress, cancelled)
             progress = request_progress.record_attempt(progress, selected.name, attempt)
             if not self._prepare_retry(plan, progress, attempt, wait_budget, serial):
                 return progress
         return request_progress.apply_cancellation(progress)
 
+    def _select_server(
+        self,
+        plan: routing_plans.RoutingPlan,
+        progress: request_progress.RequestProgress,
+        place: waiting.WaitingPlace,
+    ) -> deployment.RegisteredServer | server_finder.Unavailable:
+        """Return a server with capacity that no earlier or more urgent request waits for."""
+        place.look()
+        target_in_s = plan.target_at_s - self._clock.read_s()
+        selected = self._server_finder.find(
+            plan.target, progress.tried, self._generator, target_in_s
+        )
+        if isinstance(selected, server_finder.Unavailable):
+            return selected
+        queue = target_keys.find_queue(plan.target, selected)
+        if place.may_go(queue):
+            return selected
+        return self._server_finder.create_queued(queue, selected, target_in_s)
+
+    def _wait(
+        self,
+        plan: routing_plans.RoutingPlan,
+        unavailable: server_finder.Unavailable,
+        place: waiting.WaitingPlace,
+        wait_budget: retry_policy.WaitBudget,
+        serial: int,
+    ) -> outcomes.Refused | None:
+        """Wait for capacity or an owner; return the refusal if that is useless or over."""
+        if unavailable.is_final:
+            return unavailable.refused
+        if unavailable.wait is not None:
+            has_waited = self._wait_for_capacity(plan, unavailable.wait, place)
+            return None if has_waited else unavailable.refused
+        place.leave()
+        if self._wait_for_owner(plan, wait_budget, serial):
+            return None
+        if isinstance(plan.target, server_finder.KeyTarget):
+            return dataclasses.replace(unavailable.refused, retry_after_s=SLOW_MOVE_S)
+        return unavailable.refused
+
     def _wait_for_capacity(
-        self, plan: RoutingPlan, wait: waiting.CapacityWait, place: waiting.WaitingPlace
+        self,
+        plan: routing_plans.RoutingPlan,
+        wait: waiting.CapacityWait,
+        place: waiting.WaitingPlace,
     ) -> bool:
-        """Wait until an attempt ends; return `False` if the target can no longer be met."""
+        """Wait for a free place; return `False` if the target can no longer be met."""
         remaining_s = plan.target_at_s - wait.service_time_s - self._clock.read_s()
         if remaining_s <= 0 or not place.enter(wait):
             return False
-        self._estimates.await_attempt_end(min(remaining_s, retry_policy.RECHECK_INTERVAL_S))
-        return True
+        ended = place.await_turn(retry_policy.RECHECK_INTERVAL_S, remaining_s)
+        return ended is waiting.WaitEnd.TURN
 
     def _wait_for_owner(
-        self, plan: RoutingPlan, wait_budget: retry_policy.WaitBudget, serial: int
+        self, plan: routing_plans.RoutingPlan, wait_budget: retry_policy.WaitBudget, serial: int
     ) -> bool:
         """Wait for a newer view of the owners; return `False` if waiting is useless or over."""
-        if not isinstance(plan.target, server_finder.KeyTarget):
-            return False
-        remaining_s = wait_budget.find_remaining_s(self._clock.read_s())
-        if remaining_s <= 0:
+        if not isinstance(plan.target, server_finder.KeyTarget) or wait_budget.left_s <= 0:
             return False
-        self._owners.wait_for_newer(serial, min(remaining_s, retry_policy.RECHECK_INTERVAL_S))
-        return True
-
-    def _send_once(
-        self,
-        request: requests.Request,
-        plan: RoutingPlan,
-        server: deployment.RegisteredServer,
-        cancelled: cancellation.Cancellation,
-    ) -> attempts.Attempt:
-        self._estimates.start_attempt(server)
         began_at_s = self._clock.read_s()
-        try:
-            attempt = self._sender.send(self._create_dispatch(request, plan, server), cancelled)
-        except BaseException:
-            self._estimates.cancel_attempt(server)
-            raise
-        if cancelled.is_cancelled:
-            self._estimates.cancel_attempt(server)
-        else:
-            self._estimates.finish_attempt(server, attempt, self._clock.read_s() - began_at_s)
-        self._observe_signals(server, attempt.signals)
-        return attempt
-
-    def _observe_signals(
-        self, server: deployment.RegisteredServer, signals: attempts.ServerSignals
-    ) -> None:
-        if signals.pause_s:
-            self._metrics.count_signal(metrics.ServerSignal.RETRY_AFTER)
-        if signals.draining:
-            self._metrics.count_signal(metrics.ServerSignal.DRAINING)
-            self._directory.record_draining(server.incarnation)
+        self._owners.wait_for_newer(
+            serial, min(wait_budget.left_s, retry_policy.RECHECK_INTERVAL_S)
+        )
+        wait_budget.spend(self._clock.read_s() - began_at_s)
+        return True
 
     def _prepare_retry(
         self,
-        plan: RoutingPlan,
+        plan: routing_plans.RoutingPlan,
         progress: request_progress.RequestProgress,
         attempt: attempts.Attempt,
         wait_budget: retry_policy.WaitBudget,
@@ -267,64 +294,19 @@
             return True
         return not is_keyed or self._wait_for_owner(plan, wait_budget, serial)
 
-    def _create_dispatch(
-        self, request: requests.Request, plan: RoutingPlan, server: deployment.RegisteredServer
-    ) -> attempts.Dispatch:
-        configuration = self._directory.configuration
-        limit = 1
-        if configuration is not None:
-            for spec in configuration.services:
-                if spec.name == server.service:
-                    limit = spec.connection_limit
-        return attempts.Dispatch(
-            request_id=request.request_id,
-            server=server_finder.create_backend_server(server),
-            connection_limit=max(1, limit // self._instance_counter.live_instances),
-            method=request.method,
-            target=request.raw_target,
-            headers=request.headers,
-            body=request.body,
-            timeout_s=self._find_remaining_s(plan),
-            idempotent=plan.route.idempotent,
-        )
-
-    def _find_remaining_s(self, plan: RoutingPlan) -> float:
-        return plan.deadline_s - self._clock.read_s() - RESPONSE_MARGIN_S
-
-    def _report_outcome(
-        self,
-        request: requests.Request,
-        plan: RoutingPlan | None,
-        outcome: outcomes.Outcome,
-        attempt_descriptions: tuple[str, ...],
-    ) -> None:
-        duration_s = self._clock.read_s() - request.received_at_s
-        self._metrics.count_outcome(outcome, duration_s)
-        explanation = explanations.explain(outcome)
-        self._log.record(
-            decisions.RequestDecision(
-                request_id=request.request_id,
-                route=plan.route.name if plan else "",
-                service=plan.target.service if plan else "",
-                key=request.key,
-                configuration=plan.configuration if plan else 0,
-                owners_term=self._owners.view.term,
-                owners_age_ms=int(self._owners.age_s * 1_000),
-                tried=attempt_descriptions,
-                outcome=explanation.outcome,
-                reason=explanation.reason,
-                step=explanation.step,
-                peer=explanation.peer,
-                detail=explanation.detail,
-                duration_ms=int(duration_s * 1_000),
-            )
-        )
 
-
-def _refuse_expired(plan: RoutingPlan) -> outcomes.Refused:
+def _refuse_expired(plan: routing_plans.RoutingPlan) -> outcomes.Refused:
     return outcomes.Refused(
         outcomes.RefusalReason.DEADLINE_EXPIRED,
         outcomes.Step.SEND,
         plan.target.service,
-        retry_after_s=EXPIRED_RETRY_AFTER_S,
+    )
+
+
+def _refuse_overloaded(plan: routing_plans.RoutingPlan) -> outcomes.Refused:
+    return outcomes.Refused(
+        outcomes.RefusalReason.OVERLOADED,
+        outcomes.Step.ADMIT,
+        plan.target.service,
+        "the owner of the key can serve a part of its requests only",
     )
--- a/src/goldcresthall/gateway/retry_budgets.py
+++ b/src/goldcresthall/gateway/retry_budgets.py
@@ -42,16 +42,22 @@
             Whether the retry is allowed.
         """
         with self._lock:
-            self._drop_expired(self._requests, now_s)
-            self._drop_expired(self._retries, now_s)
-            allowed = self._limits.ratio * len(self._requests) + self._limits.slack / max(
-                1, instances
-            )
-            if len(self._retries) + 1 > math.floor(allowed * USABLE_BUDGET_FRACTION):
+            if not self._has_retry(now_s, instances):
                 return False
             self._retries.append(now_s)
             return True
 
+    def allows_retry(self, now_s: float, instances: int) -> bool:
+        """Return whether `take_retry` would allow a retry now."""
+        with self._lock:
+            return self._has_retry(now_s, instances)
+
+    def _has_retry(self, now_s: float, instances: int) -> bool:
+        self._drop_expired(self._requests, now_s)
+        self._drop_expired(self._retries, now_s)
+        allowed = self._limits.ratio * len(self._requests) + self._limits.slack / max(1, instances)
+        return len(self._retries) + 1 <= math.floor(allowed * USABLE_BUDGET_FRACTION)
+
     def _drop_expired(self, times: collections.deque[float], now_s: float) -> None:
         while times and times[0] < now_s - self._limits.window_s:
             times.popleft()
--- a/src/goldcresthall/gateway/retry_policy.py
+++ b/src/goldcresthall/gateway/retry_policy.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import functools
 
 from goldcresthall.core import attempts
@@ -11,27 +10,38 @@
 
 RECHECK_INTERVAL_S = 0.1
 MAX_WAIT_FRACTION = 0.7
+# A usual move of a range takes 0.1 to 0.3 s. A lost owner's range is free only after seconds, and
+# the time of a request that is held and then refused is a cost to its caller.
+MOVE_WAIT_S = 0.3
+MAX_WAIT_TARGET_FRACTION = 0.25
 MIN_SERVER_ERROR_STATUS = 500
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
 class WaitBudget:
     """Limit on the time that a request waits for a usable owner of its key.
 
-    Attributes
+    Only the waits count, not the attempts between them.
+
+    Parameters
     ----------
-    began_at_s
-        Clock reading in seconds at which the budget starts.
     available_s
-        Seconds from then until attempts must end.
+        Seconds from now until attempts must end.
+    target_latency_s
+        Latency target of the request's route in seconds.
     """
 
-    began_at_s: float
-    available_s: float
+    def __init__(self, available_s: float, target_latency_s: float) -> None:
+        useful_s = max(MOVE_WAIT_S, MAX_WAIT_TARGET_FRACTION * target_latency_s)
+        self._left_s = min(useful_s, MAX_WAIT_FRACTION * available_s)
+
+    @property
+    def left_s(self) -> float:
+        """Seconds left to wait; not positive once the limit has passed."""
+        return self._left_s
 
-    def find_remaining_s(self, now_s: float) -> float:
-        """Return the seconds left to wait; negative once the limit has passed."""
-        return self.began_at_s + MAX_WAIT_FRACTION * self.available_s - now_s
+    def spend(self, waited_s: float) -> None:
+        """Count a wait."""
+        self._left_s -= waited_s
 
 
 @functools.singledispatch
@@ -63,6 +73,9 @@
 
 def was_sent(attempt: attempts.Attempt) -> bool:
     """Return whether the request may have reached a server in an attempt."""
-    return not (
-        isinstance(attempt, attempts.AttemptNotRun) and attempt.step is outcomes.Step.CONNECT
+    if not isinstance(attempt, attempts.AttemptNotRun):
+        return True
+    return (
+        attempt.step is not outcomes.Step.CONNECT
+        and attempt.reason is not outcomes.RefusalReason.CONNECT_FAILED
     )
--- /dev/null
+++ b/src/goldcresthall/gateway/routing_plans.py
@@ -0,0 +1,30 @@
+"""Where a request goes and by when, from the configuration in force."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from goldcresthall.core import deployment
+from goldcresthall.gateway import server_finder
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingPlan:
+    """Where a request goes and its deadline, from the configuration in force.
+
+    Attributes
+    ----------
+    deadline_s
+        Clock reading in seconds by which the caller must have a response.
+    target_at_s
+        Clock reading in seconds of the route's latency target for the request.
+    work_s
+        Expected seconds of work on a server of usual speed.
+    """
+
+    route: deployment.HostRoute
+    target: server_finder.Target
+    configuration: int
+    deadline_s: float
+    target_at_s: float
+    work_s: float
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -7,22 +7,23 @@
 import math
 import random
 import zlib
+from typing import TYPE_CHECKING
 
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
 from goldcresthall.core import outcomes
-from goldcresthall.core import preset
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_lists
+from goldcresthall.gateway import server_refusals
 from goldcresthall.gateway import waiting
-from goldcresthall.ranges import owners
-from goldcresthall.ranges import reports
 
-NO_SERVER_RETRY_AFTER_S = 0.5
-NO_OWNER_RETRY_AFTER_S = 0.5
-BUSY_RETRY_AFTER_S = 0.5
+if TYPE_CHECKING:
+    from goldcresthall.admission import server_circuits
+    from goldcresthall.ranges import owners
+    from goldcresthall.ranges import reports
+
 MAX_OWNER_DRAIN_FRACTION = 0.25
 MAX_OUTSTANDING_PER_SLOT = 5
 MAX_LOAD_PER_SLOT = 4
@@ -78,32 +79,6 @@
     return KeyTarget(service, zlib.crc32(path.encode()) % key_ranges.KEY_COUNT)
 
 
-def create_backend_server(server: deployment.RegisteredServer) -> preset.BackendServer:
-    """Return a registered server in the form that dispatches use."""
-    return preset.BackendServer(
-        name=server.name,
-        address=server.address,
-        failure_domain=server.failure_domain,
-        draining=server.draining,
-    )
-
-
-@functools.singledispatch
-def count_request(target: Target, counter: owners.Owners) -> None:
-    """Count one request for its target's key, if it has one."""
-    raise NotImplementedError(type(target).__name__)
-
-
-@count_request.register
-def _(target: KeyTarget, counter: owners.Owners) -> None:
-    counter.count(target.service, target.key)
-
-
-@count_request.register
-def _(target: PoolTarget, counter: owners.Owners) -> None:
-    del target, counter
-
-
 class ServerFinder:
     """Finds the server for the next attempt, by the kind of target."""
 
@@ -116,12 +91,14 @@
         failure_domain: str,
         drain_s: float,
         instance_counter: reports.InstanceCounter,
+        circuits: server_circuits.ServerCircuits,
     ) -> None:
         self.directory = server_directory
         self.owners = key_owners
         self.estimates = server_estimates
         self.failure_domain = failure_domain
         self.drain_s = drain_s
+        self.circuits = circuits
         self._instance_counter = instance_counter
         self._divided: dict[str, selection.Candidates] = {}
 
@@ -154,6 +131,18 @@
         """Return the seconds for which a server wants no request; not positive if it does."""
         return self.estimates.find(server).paused_until_s - self.directory.read_s()
 
+    def find_queue_s(self, server: deployment.RegisteredServer) -> float:
+        """Return the seconds after which a busy server is expected to take another request."""
+        estimate = self.estimates.find(server)
+        load = estimate.find_load(self.directory.read_s())
+        queued_s = estimate.find_response_time_s(load, server.slots) - estimate.service_time_s
+        return min(estimates.REPORTED_LOAD_DECAY_S, max(queued_s, estimate.service_time_s))
+
+    def try_probe(self, server: deployment.RegisteredServer) -> bool:
+        """Return whether one request may be sent to a server whose circuit is open."""
+        instances = self._instance_counter.live_instances
+        return self.circuits.try_probe(server.incarnation, instances)
+
     def divide(self, service: str) -> selection.Candidates:
         """Return the servers of a service, divided by failure domain."""
         entries = self.directory.servers.by_service.get(service, ())
@@ -178,6 +167,28 @@
         share = slots / max(1, self._instance_counter.live_instances)
         return waiting.CapacityWait(queue, round(share * usable_s / service_time_s), service_time_s)
 
+    def create_busy(
+        self,
+        service: str,
+        servers: tuple[deployment.RegisteredServer, ...],
+        queue: str,
+        target_in_s: float,
+    ) -> Unavailable:
+        """Return that all usable servers are busy, with the queue in which to wait for them."""
+        room_in_s = min(map(self.find_queue_s, servers))
+        subject = f"{queue} is" if len(servers) == 1 else f"{len(servers)} servers are"
+        refused = server_refusals.refuse_busy(service, subject, room_in_s)
+        return Unavailable(refused, self.create_wait(queue, servers, target_in_s))
+
+    def create_queued(
+        self, queue: str, server: deployment.RegisteredServer, target_in_s: float
+    ) -> Unavailable:
+        """Return that a request must wait behind others, although a server has capacity."""
+        servers: tuple[deployment.RegisteredServer, ...] = (server,)
+        if queue != server.name:
+            servers = tuple(entry.server for entry in self.divide(server.service).entries)
+        return self.create_busy(server.service, servers, queue, target_in_s)
+
     def find(
         self,
         target: Target,
@@ -217,38 +228,36 @@
     now_s = finder.directory.read_s()
     divided = finder.divide(target.service)
 
-    def is_usable(entry: server_lists.DirectoryEntry) -> bool:
-        return is_candidate(entry) and finder.has_capacity(entry.server, target_in_s)
+    def has_room(entry: server_lists.DirectoryEntry) -> bool:
+        return finder.has_capacity(entry.server, target_in_s)
 
     def is_candidate(entry: server_lists.DirectoryEntry) -> bool:
-        return _is_candidate(entry, tried) and finder.find_pause_s(entry.server) <= 0
+        return is_listed_candidate(entry, tried) and finder.find_pause_s(entry.server) <= 0
+
+    def is_sound(entry: server_lists.DirectoryEntry) -> bool:
+        return is_candidate(entry) and finder.circuits.find_open(entry.server.incarnation) is None
 
     def is_preferred(entry: server_lists.DirectoryEntry) -> bool:
         estimate = finder.estimates.find(entry.server)
-        return estimate.deprioritized_until_s <= now_s and is_usable(entry)
+        return estimate.deprioritized_until_s <= now_s and is_sound(entry) and has_room(entry)
 
     sample = selection.draw_sample(divided, is_preferred, generator)
-    sample = sample or selection.draw_sample(divided, is_usable, generator)
+    if not sample:
+        # Suspected servers are used only while all others are unusable, not while they are busy.
+        sound = [entry for entry in divided.entries if is_sound(entry)]
+        candidates = sound or [entry for entry in divided.entries if is_candidate(entry)]
+        is_allowed = is_sound if sound else is_candidate
+        sample = selection.draw_sample(
+            divided, lambda entry: is_allowed(entry) and has_room(entry), generator
+        )
     if sample:
         return selection.select_server(
             sample, finder.estimates, finder.failure_domain, now_s, generator
         )
-    candidates = [entry for entry in divided.entries if is_candidate(entry)]
     if candidates:
         servers = tuple(entry.server for entry in candidates)
-        wait = finder.create_wait(target.service, servers, target_in_s)
-        return _refuse_busy(target, f"{len(candidates)} servers are", wait)
-    paused = [entry.server for entry in divided.entries if _is_candidate(entry, tried)]
-    if paused:
-        return _refuse_paused(target, min(map(finder.find_pause_s, paused)))
-    return Unavailable(
-        outcomes.Refused(
-            outcomes.RefusalReason.NO_SERVER_AVAILABLE,
-            outcomes.Step.CHOOSE_SERVER,
-            target.service,
-            retry_after_s=NO_SERVER_RETRY_AFTER_S,
-        )
-    )
+        return finder.create_busy(target.service, servers, target.service, target_in_s)
+    return _refuse_unusable(target, finder, tried)
 
 
 @_find_server.register
@@ -269,14 +278,47 @@
         return _refuse_no_owner(target, f"{range_owner.owner.name} is draining")
     pause_s = finder.find_pause_s(entry.server)
     if pause_s > 0:
-        return _refuse_paused(target, pause_s)
+        return Unavailable(server_refusals.refuse_paused(target.service, pause_s), is_final=True)
+    suspected = _check_circuit(target, entry, finder)
+    if suspected is not None:
+        return suspected
     if not finder.has_capacity(entry.server, target_in_s):
-        wait = finder.create_wait(entry.server.name, (entry.server,), target_in_s)
-        return _refuse_busy(target, f"{entry.server.name} is", wait)
+        return finder.create_busy(target.service, (entry.server,), entry.server.name, target_in_s)
     return entry.server
 
 
-def _is_candidate(entry: server_lists.DirectoryEntry, tried: frozenset[str]) -> bool:
+def _refuse_unusable(
+    target: PoolTarget, finder: ServerFinder, tried: frozenset[str]
+) -> Unavailable:
+    """Return the refusal for a service whose servers are all paused, draining or tried."""
+    entries = finder.divide(target.service).entries
+    paused = [entry.server for entry in entries if is_listed_candidate(entry, tried)]
+    if not paused:
+        return Unavailable(server_refusals.refuse_no_server(target.service))
+    pause_s = min(map(finder.find_pause_s, paused))
+    return Unavailable(server_refusals.refuse_paused(target.service, pause_s), is_final=True)
+
+
+def _check_circuit(
+    target: KeyTarget, entry: server_lists.DirectoryEntry, finder: ServerFinder
+) -> Unavailable | None:
+    """Return why the owner of a key may not get a request that is no probe; `None` if it may."""
+    owner = entry.server.incarnation
+    circuit = finder.circuits.find_open(owner)
+    if circuit is None:
+        return None
+    if entry.draining_since_s is not None:
+        # Its ranges are being moved; the next owner is known sooner than for a failed one.
+        return _refuse_no_owner(target, f"{owner.name} is draining and lost")
+    if finder.try_probe(entry.server):
+        return None
+    room_in_s = circuit.room_at_s - finder.directory.read_s()
+    refused = server_refusals.refuse_suspected(target.service, owner.name, room_in_s)
+    return Unavailable(refused, is_final=True)
+
+
+def is_listed_candidate(entry: server_lists.DirectoryEntry, tried: frozenset[str]) -> bool:
+    """Return whether a server of a pool may get a request by its entry and earlier attempts."""
     return entry.draining_since_s is None and entry.server.name not in tried
 
 
@@ -287,35 +329,5 @@
     return finder.directory.read_s() - since_s > MAX_OWNER_DRAIN_FRACTION * finder.drain_s
 
 
-def _refuse_busy(target: Target, subject: str, wait: waiting.CapacityWait) -> Unavailable:
-    refused = outcomes.Refused(
-        outcomes.RefusalReason.QUEUE_FULL,
-        outcomes.Step.ADMIT,
-        target.service,
-        f"{subject} at the limit of requests",
-        retry_after_s=BUSY_RETRY_AFTER_S,
-    )
-    return Unavailable(refused, wait)
-
-
-def _refuse_paused(target: Target, pause_s: float) -> Unavailable:
-    refused = outcomes.Refused(
-        outcomes.RefusalReason.SERVER_PAUSED,
-        outcomes.Step.CHOOSE_SERVER,
-        target.service,
-        "all usable servers asked for a pause",
-        retry_after_s=pause_s,
-    )
-    return Unavailable(refused, is_final=True)
-
-
 def _refuse_no_owner(target: KeyTarget, detail: str) -> Unavailable:
-    return Unavailable(
-        outcomes.Refused(
-            outcomes.RefusalReason.NO_OWNER,
-            outcomes.Step.FIND_OWNER,
-            target.service,
-            detail,
-            retry_after_s=NO_OWNER_RETRY_AFTER_S,
-        )
-    )
+    return Unavailable(server_refusals.refuse_no_owner(target.service, detail))
--- /dev/null
+++ b/src/goldcresthall/gateway/target_keys.py
@@ -0,0 +1,58 @@
+"""What targets name: the key that is counted and the queue in which requests wait."""
+
+from __future__ import annotations
+
+import functools
+
+from goldcresthall.core import deployment
+from goldcresthall.core import key_ranges
+from goldcresthall.gateway import server_finder
+from goldcresthall.ranges import owners
+
+
+@functools.singledispatch
+def count_request(target: server_finder.Target, counter: owners.Owners) -> None:
+    """Count one request for its target's key, if it has one."""
+    raise NotImplementedError(type(target).__name__)
+
+
+@count_request.register
+def _(target: server_finder.KeyTarget, counter: owners.Owners) -> None:
+    counter.count(target.service, target.key)
+
+
+@count_request.register
+def _(target: server_finder.PoolTarget, counter: owners.Owners) -> None:
+    del target, counter
+
+
+@functools.singledispatch
+def find_key(target: server_finder.Target) -> int:
+    """Return the key of a target, or the first one if the service is not keyed."""
+    raise NotImplementedError(type(target).__name__)
+
+
+@find_key.register
+def _(target: server_finder.KeyTarget) -> int:
+    return target.key
+
+
+@find_key.register
+def _(target: server_finder.PoolTarget) -> int:
+    return key_ranges.FIRST_KEY
+
+
+@functools.singledispatch
+def find_queue(target: server_finder.Target, server: deployment.RegisteredServer) -> str:
+    """Return the name of the queue in which a request waits for a server."""
+    raise NotImplementedError(type(target).__name__)
+
+
+@find_queue.register
+def _(target: server_finder.KeyTarget, server: deployment.RegisteredServer) -> str:
+    return server.name
+
+
+@find_queue.register
+def _(target: server_finder.PoolTarget, server: deployment.RegisteredServer) -> str:
+    return target.service
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -6,6 +6,7 @@
 import functools
 import json
 import math
+import time
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -85,6 +86,7 @@
     ) -> attempts.Attempt:
         """Send one request to one server; cancellation aborts it."""
         request = _encode(dispatch)
+        ends_at_s = time.monotonic() + dispatch.timeout_s
         try:
             response = self._pool.send(
                 dispatch.server.address,
@@ -95,6 +97,8 @@
                 max_idle=min(MAX_IDLE_CONNECTIONS, dispatch.connection_limit),
                 # Without an id, only a new connection tells the response from a copy.
                 new_connection=not dispatch.idempotent or not dispatch.request_id,
+                # A request sent without time left could only end with an unknown outcome.
+                may_send=lambda: time.monotonic() < ends_at_s,
                 is_due=lambda received: _is_due(received, dispatch.request_id),
             )
         except exceptions.ExchangeError as error:
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from goldcresthall.admission import server_circuits
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
 from goldcresthall.gateway import directory
@@ -113,6 +114,7 @@
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
         self._owners = self._kernel.find(names.OWNERS, owners.Owners)
         self._estimates = self._kernel.find(names.ESTIMATES, estimates.Estimates)
+        self._circuits = self._kernel.find(names.SERVER_CIRCUITS, server_circuits.ServerCircuits)
         self._dialer = self._kernel.find(names.PEERS, reports.PeerDialer)
         self._context = lessor_context.LessorContext(
             self._store,
@@ -125,7 +127,7 @@
             self._own.address, self._clock, self._dialer, self._generator
         )
         self._responder = report_responder.ReportResponder(
-            self._own, self._clock, self._directory, self._owners
+            self._own, self._clock, self._directory, self._owners, self._circuits
         )
         self._task.start()
         self._predecessor_task.start()
@@ -221,7 +223,7 @@
         self._followed = lessor
         self._contact.begin()
         follower = follower_state.FollowerState(
-            self._own, self._owners, self._directory, self._estimates
+            self._own, self._owners, self._directory, self._estimates, self._circuits
         )
         connection = following.LessorConnection(self._dialer, lessor)
         try:
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -11,6 +11,7 @@
 from goldcresthall.ranges import reports
 
 if TYPE_CHECKING:
+    from goldcresthall.admission import server_circuits
     from goldcresthall.core import deployment
     from goldcresthall.core import key_ranges
     from goldcresthall.gateway import estimates
@@ -31,6 +32,8 @@
         Directory that receives the relayed servers.
     latency_estimates
         Service-time samples of this instance.
+    circuits
+        Servers at which requests were lost, here and at other instances.
     """
 
     def __init__(
@@ -39,11 +42,13 @@
         owners_service: owners.Owners,
         server_directory: directory.Directory,
         latency_estimates: estimates.Estimates,
+        circuits: server_circuits.ServerCircuits,
     ) -> None:
         self._reporter = reporter
         self._owners = owners_service
         self._directory = server_directory
         self._estimates = latency_estimates
+        self._circuits = circuits
         self._view = owners.OwnersView()
         self._servers: tuple[deployment.RegisteredServer, ...] = ()
         self._servers_revision = row_changes.NO_REVISION
@@ -68,6 +73,7 @@
             known_peers=self._peers.revision,
             held_configuration=self._directory.held_version,
             draining_servers=self._directory.reported_draining,
+            full_servers=self._circuits.list_observed(),
         )
 
     def apply_reply(self, reply: reports.Reply, asked_at_s: float) -> None:
@@ -83,6 +89,7 @@
         if reply.document is not None:
             self._directory.receive_document(reply.document)
         self._directory.observe_version(reply.configuration)
+        self._circuits.apply_news(reply.full_servers)
         if reply.owners is not None:
             self._apply_owners(reply.owners)
         if reply.servers is not None:
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -6,6 +6,7 @@
 import threading
 from typing import TYPE_CHECKING
 
+from goldcresthall.admission import lost_server_relay
 from goldcresthall.core import configuration_documents
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
@@ -14,6 +15,7 @@
 from goldcresthall.ranges import revision_history
 
 if TYPE_CHECKING:
+    from goldcresthall.admission import server_circuits
     from goldcresthall.core import deployment
     from goldcresthall.core import key_ranges
     from goldcresthall.kernel import clock
@@ -46,6 +48,8 @@
         Directory whose servers and configuration version go into the replies.
     owners_service
         Latest owners.
+    circuits
+        Servers at which this instance lost requests; it gets the reports of the others.
     """
 
     def __init__(
@@ -54,11 +58,14 @@
         monotonic_clock: clock.Clock,
         server_directory: directory.Directory,
         owners_service: owners.Owners,
+        circuits: server_circuits.ServerCircuits,
     ) -> None:
         self._own = own
         self._clock = monotonic_clock
         self._directory = server_directory
         self._owners = owners_service
+        self._circuits = circuits
+        self._lost_servers = lost_server_relay.LostServerRelay()
         self._lock = threading.Lock()
         self._announced = threading.Condition(self._lock)
         self._latest = (-1, row_changes.NO_REVISION, 0, 0)
@@ -85,6 +92,9 @@
             servers_known=_describe_version(relayed, version, arrived_at_s),
             servers=self._find_server_changes(relayed, report),
             document=self._find_newer_document(report),
+            full_servers=self._lost_servers.find_for(
+                report.reporter.incarnation.name, self._clock.read_s()
+            ),
         )
 
     @property
@@ -105,10 +115,18 @@
             self._directory.record_draining(incarnation)
         own_term.statistics.add(report.counts, now_s)
         own_term.statistics.service_times.add(report.samples, now_s)
+        self._exchange_lost_servers(report, now_s)
         peer = reports.Peer(report.reporter.incarnation.name, report.reporter.address)
         with self._lock:
             self._reporters[peer.name] = _Reporter(peer, now_s)
 
+    def _exchange_lost_servers(self, report: reports.Report, now_s: float) -> None:
+        """Keep an instance's news and this one's own, and apply those of the others here."""
+        own_name = self._own.incarnation.name
+        self._lost_servers.add(report.reporter.incarnation.name, report.full_servers, now_s)
+        self._lost_servers.add(own_name, self._circuits.list_observed(), now_s)
+        self._circuits.apply_news(self._lost_servers.find_for(own_name, now_s))
+
     def update_peers(self) -> reports.PeerList:
         """Drop expired reporters and return the peer list; a change increments its revision."""
         own = reports.Peer(self._own.incarnation.name, self._own.address)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 import pytest
 
+from goldcresthall.admission import server_circuits
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
 from goldcresthall.gateway import directory
@@ -13,6 +15,7 @@
 from goldcresthall.gateway import server_finder
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.observability import metrics
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
 from tests.fakes import clock
@@ -46,6 +49,7 @@
     directory: directory.Directory
     owners: owners.Owners
     estimates: estimates.Estimates
+    circuits: server_circuits.ServerCircuits
     finder: server_finder.ServerFinder
 
 
@@ -113,7 +117,9 @@
     server_directory = directory.Directory(built)
     key_owners = owners.Owners(built)
     server_estimates = estimates.Estimates(built)
-    for created in (server_directory, key_owners, server_estimates):
+    built.register(names.METRICS, metrics.Metrics())
+    circuits = server_circuits.ServerCircuits(built, random.Random(1))
+    for created in (server_directory, key_owners, server_estimates, circuits):
         created.start()
     finder = server_finder.ServerFinder(
         server_directory=server_directory,
@@ -122,5 +128,6 @@
         failure_domain="near",
         drain_s=2.0,
         instance_counter=FourInstances(),
+        circuits=circuits,
     )
-    return GatewayFixture(manual, server_directory, key_owners, server_estimates, finder)
+    return GatewayFixture(manual, server_directory, key_owners, server_estimates, circuits, finder)
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from goldcresthall.admission import server_circuits
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
@@ -13,6 +14,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
+from goldcresthall.observability import metrics
 from goldcresthall.peers import peer_metrics
 from goldcresthall.ranges import election
 from goldcresthall.ranges import owners
@@ -40,6 +42,10 @@
     server_estimates = estimates.Estimates(service_kernel)
     server_estimates.start()
     service_kernel.register(names.ESTIMATES, server_estimates)
+    service_kernel.register(names.METRICS, metrics.Metrics())
+    circuits = server_circuits.ServerCircuits.from_config(service_kernel)
+    circuits.start()
+    service_kernel.register(names.SERVER_CIRCUITS, circuits)
     service_kernel.register(names.GRANTS, range_simulation.FakeGrantChannel(simulation))
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics.create_unregistered())
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 import pytest
 
+from goldcresthall.admission import server_circuits
 from goldcresthall.core import configuration_documents
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
@@ -14,6 +16,7 @@
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.observability import metrics
 from goldcresthall.ranges import follower_state
 from goldcresthall.ranges import membership
 from goldcresthall.ranges import owners
@@ -31,19 +34,23 @@
     owners: owners.Owners
     directory: directory.Directory
     estimates: estimates.Estimates
+    circuits: server_circuits.ServerCircuits
 
 
 def create_instance_state(manual: clock.ManualClock) -> InstanceState:
     service_kernel = kernel.Kernel()
     service_kernel.register(names.CLOCK, manual)
+    service_kernel.register(names.METRICS, metrics.Metrics())
     created = InstanceState(
         owners.Owners(service_kernel),
         directory.Directory(service_kernel),
         estimates.Estimates(service_kernel),
+        server_circuits.ServerCircuits(service_kernel, random.Random(1)),
     )
     created.owners.start()
     created.directory.start()
     created.estimates.start()
+    created.circuits.start()
     return created
 
 
@@ -54,16 +61,26 @@
         self.simulation = range_simulation.RangeSimulation(server_count=6)
         self.simulation.instances[0].take_over()
         self.follower = create_instance_state(self.simulation.clock)
-        self.lessor_owners = create_instance_state(self.simulation.clock).owners
+        lessor_state = create_instance_state(self.simulation.clock)
+        self.lessor_owners = lessor_state.owners
+        self.lessor_circuits = lessor_state.circuits
         own = self.simulation.instances[0].own
         self.responder = report_responder.ReportResponder(
-            own, self.simulation.clock, self.simulation.directory, self.lessor_owners
+            own,
+            self.simulation.clock,
+            self.simulation.directory,
+            self.lessor_owners,
+            self.lessor_circuits,
         )
         reporter = key_ranges.LessorIdentity(
             identity.Incarnation("follower", "life"), identity.Address("127.0.0.1", 7_100)
         )
         self.state = follower_state.FollowerState(
-            reporter, self.follower.owners, self.follower.directory, self.follower.estimates
+            reporter,
+            self.follower.owners,
+            self.follower.directory,
+            self.follower.estimates,
+            self.follower.circuits,
         )
 
     def report(self) -> reports.Reply:
--- a/tests/ranges/test_report_responder.py
+++ b/tests/ranges/test_report_responder.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from goldcresthall.admission import server_circuits
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
@@ -13,6 +14,7 @@
 from goldcresthall.gateway import server_lists
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.observability import metrics
 from goldcresthall.ranges import lessor
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import report_responder
@@ -35,8 +37,11 @@
         service_kernel.register(names.CLOCK, self.simulation.clock)
         self.owners = owners.Owners(service_kernel)
         self.owners.start()
+        service_kernel.register(names.METRICS, metrics.Metrics())
+        self.circuits = server_circuits.ServerCircuits.from_config(service_kernel)
+        self.circuits.start()
         self.responder = report_responder.ReportResponder(
-            first.own, self.simulation.clock, self.simulation.directory, self.owners
+            first.own, self.simulation.clock, self.simulation.directory, self.owners, self.circuits
         )
 
     def publish(self) -> None:
