--- a/src/goldcresthall/admission/range_admissions.py
+++ b/src/goldcresthall/admission/range_admissions.py
@@ -10,6 +10,7 @@
 from goldcresthall.kernel import service
 
 MAX_AGE_S = 2.0
+ALL_REQUESTS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,10 +80,10 @@
         received = self._received
         shares = received.services.get(service_name)
         if shares is None or now_s - received.known_at_s > MAX_AGE_S:
-            return 1.0
+            return ALL_REQUESTS
         index = bisect.bisect_right(shares.first_keys, key) - 1
         if index < 0 or not shares.rows[index].keys.contains(key):
-            return 1.0
+            return ALL_REQUESTS
         return shares.rows[index].share
 
     def count_limited(self, now_s: float) -> int:
--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -8,6 +8,7 @@
 
 from goldcresthall.admin import status_server
 from goldcresthall.admission import range_admissions
+from goldcresthall.admission import server_circuits
 from goldcresthall.backend import exchange_metrics
 from goldcresthall.callers import pipelined_frontend
 from goldcresthall.core import deployment_settings
@@ -159,6 +160,9 @@
     model = work_model.WorkModel(service_kernel)
     registry.register(work_metrics.WorkCollector(model))
     service_kernel.register(names.WORK_MODEL, model)
+    service_kernel.register(
+        names.SERVER_CIRCUITS, server_circuits.ServerCircuits.from_config(service_kernel)
+    )
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics(registry, "client"))
     )
--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -99,7 +99,6 @@
     def __init__(self, service_kernel: kernel.Kernel) -> None:
         self._kernel = service_kernel
         self._lock = threading.Lock()
-        self._attempt_ended = threading.Condition(self._lock)
         self._estimates: dict[deployment.ServerIncarnation, Estimate] = {}
         self._service_loads: dict[str, float] = {}
 
@@ -144,7 +143,6 @@
             estimate = self._estimates[server.incarnation]
             estimate = dataclasses.replace(estimate, outstanding=max(0, estimate.outstanding - 1))
             self._estimates[server.incarnation] = self._update(server, estimate, attempt, now_s)
-            self._attempt_ended.notify_all()
 
     def cancel_attempt(self, server: deployment.RegisteredServer) -> None:
         """Count the end of a cancelled attempt, which does not change the estimates."""
@@ -153,12 +151,6 @@
             self._estimates[server.incarnation] = dataclasses.replace(
                 estimate, outstanding=max(0, estimate.outstanding - 1)
             )
-            self._attempt_ended.notify_all()
-
-    def await_attempt_end(self, timeout_s: float) -> None:
-        """Wait until any attempt ends, for at most `timeout_s` seconds."""
-        with self._attempt_ended:
-            self._attempt_ended.wait(timeout_s)
 
     def retain(self, incarnations: frozenset[deployment.ServerIncarnation]) -> None:
         """Discard the estimates of all other servers, unless in use or paused."""
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -125,7 +125,7 @@
             self._own.address, self._clock, self._dialer, self._generator
         )
         self._responder = report_responder.ReportResponder(
-            self._own, self._clock, self._directory, self._owners
+            self._own, self._clock, self._directory, self._owners, self._sources.circuits
         )
         self._task.start()
         self._predecessor_task.start()
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -72,6 +72,7 @@
             known_peers=self._peers.revision,
             held_configuration=self._directory.held_version,
             draining_servers=self._directory.reported_draining,
+            full_servers=self._sources.circuits.list_observed(),
             route_samples=self._sources.model.take_route_samples(),
             known_work=self._work_revision,
         )
@@ -92,6 +93,7 @@
         self._directory.observe_version(reply.configuration)
         if reply.evacuated is not None:
             self._directory.apply_evacuations(reply.evacuated)
+        self._sources.circuits.apply_news(reply.full_servers)
         if reply.owners is not None:
             self._apply_owners(reply.owners)
         self._apply_work(reply.work)
--- a/src/goldcresthall/ranges/load_sources.py
+++ b/src/goldcresthall/ranges/load_sources.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from goldcresthall.admission import range_admissions
+from goldcresthall.admission import server_circuits
 from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import names
@@ -24,6 +25,7 @@
     model: work_model.WorkModel
     admissions: range_admissions.RangeAdmissions
     cold_starts: cold_starts.ColdStarts
+    circuits: server_circuits.ServerCircuits
 
     @classmethod
     def find(cls, service_kernel: kernel.Kernel) -> LoadSources:
@@ -33,6 +35,7 @@
             service_kernel.find(names.WORK_MODEL, work_model.WorkModel),
             service_kernel.find(names.RANGE_ADMISSIONS, range_admissions.RangeAdmissions),
             service_kernel.find(names.COLD_STARTS, cold_starts.ColdStarts),
+            service_kernel.find(names.SERVER_CIRCUITS, server_circuits.ServerCircuits),
         )
 
     def retain(self, incarnations: frozenset[deployment.ServerIncarnation]) -> None:
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 import pytest
 
+from goldcresthall.admission import server_circuits
 from goldcresthall.core import deployment
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
@@ -19,6 +21,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.load import work_model
+from goldcresthall.observability import metrics
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import reports
 from tests.fakes import clock
@@ -54,6 +57,7 @@
     estimates: estimates.Estimates
     model: work_model.WorkModel
     cold_starts: cold_starts.ColdStarts
+    circuits: server_circuits.ServerCircuits
     finder: server_finder.ServerFinder
 
 
@@ -127,7 +131,9 @@
         built, "one", deployment_settings.ColdServerLimits(overshoot=1.5, slack=8.0)
     )
     model = work_model.WorkModel(built)
-    for created in (server_directory, key_owners, server_estimates, model, cold_servers):
+    built.register(names.METRICS, metrics.Metrics())
+    circuits = server_circuits.ServerCircuits(built, random.Random(1))
+    for created in (server_directory, key_owners, server_estimates, model, cold_servers, circuits):
         created.start()
     finder = server_finder.ServerFinder(
         server_directory=server_directory,
@@ -139,7 +145,15 @@
         drain_s=2.0,
         instance_counter=FourInstances(),
         server_restrictions=restrictions.Restrictions(server_directory, cold_servers, 5.0),
+        circuits=circuits,
     )
     return GatewayFixture(
-        manual, server_directory, key_owners, server_estimates, model, cold_servers, finder
+        manual,
+        server_directory,
+        key_owners,
+        server_estimates,
+        model,
+        cold_servers,
+        circuits,
+        finder,
     )
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -7,6 +7,7 @@
 import pytest
 
 from goldcresthall.admission import range_admissions
+from goldcresthall.admission import server_circuits
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
@@ -16,6 +17,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
 from goldcresthall.load import work_model
+from goldcresthall.observability import metrics
 from goldcresthall.peers import peer_metrics
 from goldcresthall.ranges import election
 from goldcresthall.ranges import owners
@@ -50,6 +52,10 @@
     service_kernel.register(names.ESTIMATES, server_estimates)
     service_kernel.register(names.WORK_MODEL, work_model.WorkModel(service_kernel))
     service_kernel.register(names.RANGE_ADMISSIONS, range_admissions.RangeAdmissions())
+    service_kernel.register(names.METRICS, metrics.Metrics())
+    circuits = server_circuits.ServerCircuits.from_config(service_kernel)
+    circuits.start()
+    service_kernel.register(names.SERVER_CIRCUITS, circuits)
     service_kernel.register(names.GRANTS, range_simulation.FakeGrantChannel(simulation))
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics.create_unregistered())
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 import pytest
 
 from goldcresthall.admission import range_admissions
+from goldcresthall.admission import server_circuits
 from goldcresthall.core import attempts
 from goldcresthall.core import configuration_documents
 from goldcresthall.core import deployment_settings
@@ -23,6 +25,7 @@
 from goldcresthall.load import work_combiner
 from goldcresthall.load import work_model
 from goldcresthall.load import work_table
+from goldcresthall.observability import metrics
 from goldcresthall.ranges import follower_state
 from goldcresthall.ranges import load_sources
 from goldcresthall.ranges import membership
@@ -46,6 +49,7 @@
 def create_instance_state(manual: clock.ManualClock) -> InstanceState:
     service_kernel = kernel.Kernel()
     service_kernel.register(names.CLOCK, manual)
+    service_kernel.register(names.METRICS, metrics.Metrics())
     created = InstanceState(
         owners.Owners(service_kernel),
         directory.Directory(service_kernel),
@@ -56,12 +60,14 @@
             cold_starts.ColdStarts(
                 service_kernel, "follower", deployment_settings.ColdServerLimits()
             ),
+            server_circuits.ServerCircuits(service_kernel, random.Random(1)),
         ),
     )
     created.owners.start()
     created.directory.start()
     created.sources.estimates.start()
     created.sources.model.start()
+    created.sources.circuits.start()
     return created
 
 
@@ -72,10 +78,16 @@
         self.simulation = range_simulation.RangeSimulation(server_count=6)
         self.simulation.instances[0].take_over()
         self.follower = create_instance_state(self.simulation.clock)
-        self.lessor_owners = create_instance_state(self.simulation.clock).owners
+        lessor_state = create_instance_state(self.simulation.clock)
+        self.lessor_owners = lessor_state.owners
+        self.lessor_circuits = lessor_state.sources.circuits
         own = self.simulation.instances[0].own
         self.responder = report_responder.ReportResponder(
-            own, self.simulation.clock, self.simulation.directory, self.lessor_owners
+            own,
+            self.simulation.clock,
+            self.simulation.directory,
+            self.lessor_owners,
+            self.lessor_circuits,
         )
         self.follow_again()
 
