End long polls on the configuration in time for an evacuation

Cause: a long poll of 15 s that is not woken, or whose response is lost, would keep the lessor, and all that it relays to, from an evacuation for as long. Ruled out: a new field in reports (the encoding is settled); shorter polls for all deployments (each call has a price), so only if the settings name evac_s. Run: tests/gateway, platform, docs and ranges pass.

--- a/src/goldcresthall/core/deployment_settings.py
+++ b/src/goldcresthall/core/deployment_settings.py
@@ -120,6 +120,8 @@
         Limits on requests to cold backend servers.
     evacuation_s
         Time after which nothing may reach the servers of an evacuated failure domain.
+    may_evacuate
+        Whether the platform sets that time, so that evacuations are to be expected.
     max_record_bytes
         Size in bytes of the largest record that the store takes.
     is_first_start
@@ -138,5 +140,6 @@
     machine: MachineLimits = MachineLimits()
     cold_servers: ColdServerLimits = ColdServerLimits()
     evacuation_s: float = DEFAULT_EVACUATION_S
+    may_evacuate: bool = False
     max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES
     is_first_start: bool = False
--- a/src/goldcresthall/gateway/restrictions.py
+++ b/src/goldcresthall/gateway/restrictions.py
@@ -52,10 +52,10 @@
     def refuse_service(self, service: str) -> outcomes.Refused | None:
         """Return a refusal if all servers of a service are in evacuated failure domains."""
         evacuated = self._directory.evacuated.failure_domains
-        entries = self._directory.servers.by_service.get(service, ())
-        if not evacuated or not entries:
+        if not evacuated:
             return None
-        if any(entry.server.failure_domain not in evacuated for entry in entries):
+        entries = self._directory.servers.by_service.get(service, ())
+        if not entries or any(entry.server.failure_domain not in evacuated for entry in entries):
             return None
         return _refuse_evacuated(service, "all servers are in evacuated failure domains")
 
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -26,6 +26,8 @@
     from goldcresthall.kernel import kernel
 
 CONFIGURATION_LONG_POLL_S = 15.0
+# A long poll that is not woken, or whose response is lost, must end in time for an evacuation.
+EVACUATION_POLL_FRACTION = 0.3
 # Versions come in quick succession, and a poll that begins as one is written may not be woken.
 POLL_AFTER_CHANGE_S = 0.6
 VERSION_CHECK_INTERVAL_S = 5.0
@@ -86,6 +88,8 @@
         Decoder of the platform's records.
     first_relay_wait_s
         Seconds after the start in which the lessor may relay both before they are read.
+    configuration_poll_s
+        Longest duration in seconds of a long poll on the configuration.
     """
 
     def __init__(
@@ -93,10 +97,12 @@
         service_kernel: kernel.Kernel,
         decoder: EntryDecoder,
         first_relay_wait_s: float = 0.0,
+        configuration_poll_s: float = CONFIGURATION_LONG_POLL_S,
     ) -> None:
         self._kernel = service_kernel
         self._decoder = decoder
         self._first_relay_wait_s = first_relay_wait_s
+        self._configuration_poll_s = configuration_poll_s
         self._configuration_task = tasks.LoopTask("configuration", self._watch_configuration)
         self._servers_task = tasks.LoopTask("servers", self._watch_servers)
         self._catch_up_task = tasks.LoopTask("configuration-catch-up", self._catch_up)
@@ -113,10 +119,14 @@
         A machine that meets the lessor's requirements reads the store at once, because the others
         wait for the lessor.
         """
-        if settings.machine.meets_lessor_requirements:
-            return cls(service_kernel, decoder)
         wait_s = FIRST_START_RELAY_WAIT_S if settings.is_first_start else FIRST_RELAY_WAIT_S
-        return cls(service_kernel, decoder, wait_s)
+        if settings.machine.meets_lessor_requirements:
+            wait_s = 0.0
+        poll_s = CONFIGURATION_LONG_POLL_S
+        if settings.may_evacuate:
+            bounded_s = EVACUATION_POLL_FRACTION * settings.evacuation_s
+            poll_s = min(poll_s, max(POLL_AFTER_CHANGE_S, bounded_s))
+        return cls(service_kernel, decoder, wait_s, poll_s)
 
     def start(self) -> None:
         """Start the tasks."""
@@ -138,7 +148,7 @@
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.configuration_topic)
         reader = evacuations.EvacuationReader(self._decoder.find_evacuated_domain)
         failures = 0
-        wait_s = CONFIGURATION_LONG_POLL_S
+        wait_s = self._configuration_poll_s
         self._await_first_relay(stop_signal)
         while not stop_signal.is_set:
             if self._is_configuration_relayed():
@@ -154,7 +164,7 @@
                 continue
             _log_recovery("configuration", failures)
             failures = 0
-            wait_s = POLL_AFTER_CHANGE_S if update.changed else CONFIGURATION_LONG_POLL_S
+            wait_s = POLL_AFTER_CHANGE_S if update.changed else self._configuration_poll_s
             self._directory.apply_evacuations(reader.apply(update))
             self._apply_configuration(update.changed)
             if self._directory.configuration is None:
--- a/src/goldcresthall/platform/settings.py
+++ b/src/goldcresthall/platform/settings.py
@@ -102,6 +102,7 @@
             slack=bound("cold_slack", cold_defaults.slack),
         ),
         evacuation_s=bound("evac_s", deployment_settings.DEFAULT_EVACUATION_S),
+        may_evacuate="evac_s" in bounds,
         max_record_bytes=reader.read(
             "platform.",
             lambda: fields.read_count(
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -8,6 +8,8 @@
 import pytest
 
 from goldcresthall.core import configuration_documents
+from goldcresthall.core import deployment_settings
+from goldcresthall.core import identity
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import server_lists
 from goldcresthall.gateway import watchers
@@ -121,7 +123,7 @@
     """A directory with its watchers over a store; the lessor's relay is renewed by hand."""
 
     def __init__(self, rank: int, first_relay_wait_s: float = 0.0) -> None:
-        service_kernel = kernel.Kernel()
+        service_kernel = self.kernel = kernel.Kernel()
         self.clock = clock.ManualClock()
         self.store = CountingStore()
         instances: reports.InstanceCounter = RankedInstance(rank)
@@ -197,6 +199,38 @@
     assert watched.directory.evacuated.failure_domains == {"near"}
 
 
+@pytest.mark.parametrize(
+    ("may_evacuate", "evacuation_s", "poll_s"),
+    [(False, 5.0, watchers.CONFIGURATION_LONG_POLL_S), (True, 5.0, 1.5), (True, 0.0, 0.6)],
+)
+def test_long_polls_end_in_time_for_an_evacuation(
+    *, may_evacuate: bool, evacuation_s: float, poll_s: float
+) -> None:
+    """A long poll that began as the record was written is not woken by it."""
+    watched = WatchedDirectory(rank=0)
+    address = identity.Address("127.0.0.1", 7_000)
+    settings = deployment_settings.DeploymentSettings(
+        name="one",
+        failure_domain="near",
+        listen=deployment_settings.DeploymentListen(
+            callers=address, readiness=address, peers=address
+        ),
+        store=address,
+        heartbeat_s=1.0,
+        max_lease_s=10.0,
+        drain_s=2.0,
+        grace_s=6.0,
+        evacuation_s=evacuation_s,
+        may_evacuate=may_evacuate,
+    )
+    created = watchers.Watchers.from_config(watched.kernel, Decoder(), settings)
+    created.start()
+    for _ in range(2):
+        assert watched.store.polls.acquire(timeout=TEST_TIMEOUT_S)
+    created.stop()
+    assert watched.store.waits_s[1] == pytest.approx(poll_s)
+
+
 def test_version_whose_relayed_document_is_damaged_is_read_from_the_store() -> None:
     watched = WatchedDirectory(rank=9)
     watched.run()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -49,7 +49,7 @@
     )
     decoded = settings.read_settings(str(path))
     assert (decoded.cold_servers.overshoot, decoded.cold_servers.slack) == (1.5, 8.0)
-    assert decoded.evacuation_s == 4.0
+    assert (decoded.evacuation_s, decoded.may_evacuate) == (4.0, True)
 
 
 def test_settings_of_an_earlier_deployment_have_the_default_limits(tmp_path: pathlib.Path) -> None:
@@ -58,6 +58,7 @@
     decoded = settings.read_settings(str(path))
     assert decoded.cold_servers == deployment_settings.ColdServerLimits()
     assert decoded.evacuation_s == deployment_settings.DEFAULT_EVACUATION_S
+    assert not decoded.may_evacuate
 
 
 @pytest.mark.parametrize("bound", ["cold_overshoot=much", "cold_slack=-1", "evac_s=nan"])
