Show evacuations and cold servers with instances as processes

Cause: the directed tests run each part alone; the relay, the release and the gateway together had no test. The stand-in server's failure domain and warm-up time can be set.

--- a/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
@@ -117,6 +117,8 @@
         self.history = server_faults.ResponseHistory()
         self.fault = server_faults.ServerFault()
         self.extra_work_s = 0.0
+        self.failure_domain = "domain-a"
+        self.warm_up_s = 0.0
         self._running: set[_RunningWork] = set()
         self._lease_ends_s: dict[int, float] = {}
         self._held_grants: dict[int, _HeldGrant] = {}
@@ -147,11 +149,11 @@
         entry = {
             "service": self._service,
             "address": f"127.0.0.1:{port or self.port}",
-            "zone": "domain-a",
+            "zone": self.failure_domain,
             "version": "v1",
             "slots": 4,
             "state": state,
-            "warmup_left_s": 0,
+            "warmup_left_s": self.warm_up_s,
             "seq": 1,
             "born": self._started_ms,
         }
--- a/tests/features/deployment.feature
+++ b/tests/features/deployment.feature
@@ -62,3 +62,23 @@
     When an instance other than the lessor gets SIGTERM
     And a server of ledger drains
     Then requests to the draining instance for every sampled key of ledger succeed
+
+  Scenario: Keys and requests leave an evacuated failure domain
+    Given a deployment of 2 instances, 3 servers of keyed ledger and 2 servers of unkeyed agenda
+    And every sampled key of ledger has one holder
+    And the last server of each service is in failure domain domain-b
+    When failure domain domain-b is evacuated
+    Then it holds no sampled key and the others hold all within 5 s
+    And 20 orders for agenda succeed and run on the first server only
+    And 40 requests for keys of ledger succeed
+    When the evacuation of domain-b ends
+    And the first server of agenda drains
+    Then orders for agenda run on the last server within 5 s
+
+  Scenario: Keys leave a server that turned cold
+    Given a deployment of 2 instances, 3 servers of keyed ledger and 2 servers of unkeyed agenda
+    And every sampled key of ledger has one holder
+    When a configuration limits the requests to cold servers
+    And a server of ledger turns cold
+    Then it holds no sampled key and the others hold all within 5 s
+    And 40 requests for keys of ledger succeed
--- a/tests/features/deployment_system.py
+++ b/tests/features/deployment_system.py
@@ -83,6 +83,7 @@
         self.keyed: list[deployment_server.DeploymentServer] = []
         self.unkeyed: list[deployment_server.DeploymentServer] = []
         self.instances: list[InstanceProcess] = []
+        self.service_fields: dict[str, object] = {}
         self._version = 1
 
     def start(self, instances: int, keyed: int, unkeyed: int) -> None:
@@ -96,9 +97,7 @@
         for number in range(instances):
             self.instances.append(self._start_instance(number))
         for number in range(instances):
-            self._wait_until(
-                lambda index=number: self.read_readiness(index) == 200, START_TIMEOUT_S
-            )
+            self.wait_until(lambda index=number: self.read_readiness(index) == 200, START_TIMEOUT_S)
 
     def stop(self) -> None:
         """Kill the instances, after a delay in which they write their logs; stop the stand-ins."""
@@ -120,6 +119,8 @@
             *(create_route(f"extra{path}", path, "agenda", "unsafe") for path in extra_paths),
         ]
         services = [create_service("ledger", sharded=True), create_service("agenda")]
+        for service in services:
+            service |= self.service_fields
         document = {
             "version": f"{self._version:08x}",
             "routes": routes,
@@ -154,7 +155,7 @@
         key: int | None = None,
     ) -> None:
         """Repeat a request until it returns a status."""
-        self._wait_until(lambda: self.send(index, method, path, key).status == status, timeout_s)
+        self.wait_until(lambda: self.send(index, method, path, key).status == status, timeout_s)
 
     def read_readiness(self, index: int) -> int:
         """Return the status of the readiness endpoint; 0 without a response."""
@@ -197,7 +198,7 @@
                 return False
             return all(self._count_holders(key, holders) == 1 for key in SAMPLED_KEYS)
 
-        self._wait_until(is_held, timeout_s)
+        self.wait_until(is_held, timeout_s)
 
     def check_single_holder(self, duration_s: float) -> None:
         """Check throughout a period that each sampled key has exactly one holder."""
@@ -210,7 +211,7 @@
     def _count_holders(self, key: int, servers: list[deployment_server.DeploymentServer]) -> int:
         return sum(server.holds(key) for server in servers)
 
-    def _wait_until(self, condition: Callable[[], bool], timeout_s: float) -> None:
+    def wait_until(self, condition: Callable[[], bool], timeout_s: float) -> None:
         deadline_s = time.monotonic() + timeout_s
         while not condition():
             assert time.monotonic() < deadline_s, f"condition not met within {timeout_s} s"
--- a/tests/features/test_deployment.py
+++ b/tests/features/test_deployment.py
@@ -111,6 +111,65 @@
     return draining_server
 
 
+@given("the last server of each service is in failure domain domain-b")
+def _(deployment: deployment_system.DeploymentHarness) -> None:
+    for server in (deployment.keyed[-1], deployment.unkeyed[-1]):
+        server.failure_domain = "domain-b"
+        server.register()
+
+
+@when(
+    parsers.parse("failure domain {failure_domain} is evacuated"), target_fixture="draining_server"
+)
+def _(
+    deployment: deployment_system.DeploymentHarness, failure_domain: str
+) -> deployment_server.DeploymentServer:
+    deployment.store.put("keyed.op", f"evacuate/{failure_domain}", {})
+    return deployment.keyed[-1]
+
+
+@when(parsers.parse("the evacuation of {failure_domain} ends"))
+def _(deployment: deployment_system.DeploymentHarness, failure_domain: str) -> None:
+    deployment.store.put("keyed.op", f"evacuate/{failure_domain}", None)
+
+
+@then(parsers.parse("{count:d} orders for agenda succeed and run on the first server only"))
+def _(deployment: deployment_system.DeploymentHarness, count: int) -> None:
+    answers = [deployment.send(number, "POST", "/agenda/visit") for number in range(count)]
+    assert [answer.status for answer in answers] == [200] * count
+    assert not deployment.unkeyed[-1].executed_requests
+
+
+@when("the first server of agenda drains")
+def _(deployment: deployment_system.DeploymentHarness) -> None:
+    deployment.unkeyed[0].register("draining")
+
+
+@then(parsers.parse("orders for agenda run on the last server within {seconds:d} s"))
+def _(deployment: deployment_system.DeploymentHarness, seconds: int) -> None:
+    deployment.wait_until(
+        lambda: deployment.send(0, "POST", "/agenda/visit").status == 200
+        and bool(deployment.unkeyed[-1].executed_requests),
+        float(seconds),
+    )
+
+
+@when("a configuration limits the requests to cold servers")
+def _(deployment: deployment_system.DeploymentHarness) -> None:
+    deployment.service_fields = {"slow_start_s": 30.0, "warmup_per_s": 5.0}
+    deployment.publish(extra_paths=("/new/",))
+    for number in range(2):
+        deployment.wait_until_status(number, "POST", "/new/", 200, timeout_s=2.0)
+
+
+@when("a server of ledger turns cold", target_fixture="draining_server")
+def _(deployment: deployment_system.DeploymentHarness) -> deployment_server.DeploymentServer:
+    cold_server = deployment.keyed[-1]
+    cold_server.warm_up_s = 30.0
+    cold_server.register()
+    return cold_server
+
+
 @then(parsers.parse("it holds no sampled key and the others hold all within {seconds:d} s"))
 def _(
     deployment: deployment_system.DeploymentHarness,
