--- a/src/goldcresthall/gateway/restrictions.py
+++ b/src/goldcresthall/gateway/restrictions.py
@@ -43,6 +43,12 @@
         self._cold_servers = cold_servers
         self._max_owner_s = MAX_OWNER_EVACUATION_FRACTION * evacuation_s
 
+    def restricts(self, service: str) -> bool:
+        """Return whether any server of a service may be restricted now."""
+        return bool(self._directory.evacuated.failure_domains) or (
+            service in self._directory.cold_limits
+        )
+
     def allows(self, server: deployment.RegisteredServer) -> bool:
         """Return whether a server of a pool may get a request now."""
         return not self._directory.is_evacuated(
@@ -52,10 +58,10 @@
     def refuse_service(self, service: str) -> outcomes.Refused | None:
         """Return a refusal if all servers of a service are in evacuated failure domains."""
         evacuated = self._directory.evacuated.failure_domains
-        entries = self._directory.servers.by_service.get(service, ())
-        if not evacuated or not entries:
+        if not evacuated:
             return None
-        if any(entry.server.failure_domain not in evacuated for entry in entries):
+        entries = self._directory.servers.by_service.get(service, ())
+        if not entries or any(entry.server.failure_domain not in evacuated for entry in entries):
             return None
         return _refuse_evacuated(service, "all servers are in evacuated failure domains")
 
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -259,6 +259,7 @@
 ) -> deployment.RegisteredServer | Unavailable:
     now_s = finder.directory.read_s()
     view = finder.find_view(target.service)
+    is_restricted = finder.restrictions.restricts(target.service)
 
     def has_room(entry: server_lists.DirectoryEntry) -> bool:
         return finder.has_capacity(entry.server, target_in_s, demand.route)
@@ -267,7 +268,7 @@
         return (
             is_listed_candidate(entry, tried)
             and finder.find_pause_s(entry.server) <= 0
-            and finder.restrictions.allows(entry.server)
+            and (not is_restricted or finder.restrictions.allows(entry.server))
         )
 
     def is_sound(entry: server_lists.DirectoryEntry) -> bool:
@@ -336,10 +337,12 @@
 ) -> Unavailable:
     """Return the refusal for a service whose servers are all paused, draining or tried."""
     entries = finder.find_view(target.service).everything.entries
-    paused = [entry.server for entry in entries if is_listed_candidate(entry, tried)]
-    refused = finder.restrictions.refuse_servers(tuple(paused))
-    if refused is not None:
-        return Unavailable(refused, is_final=True)
+    left = tuple(entry.server for entry in entries if is_listed_candidate(entry, tried))
+    if finder.restrictions.restricts(target.service):
+        refused = finder.restrictions.refuse_servers(left)
+        if refused is not None:
+            return Unavailable(refused, is_final=True)
+    paused = [server for server in left if finder.restrictions.allows(server)]
     if not paused:
         return Unavailable(server_refusals.refuse_no_server(target.service))
     pause_s = min(map(finder.find_pause_s, paused))
