--- a/src/goldcresthall/load/measurements.py
+++ b/src/goldcresthall/load/measurements.py
@@ -8,7 +8,7 @@
 from goldcresthall.core import attempts
 
 MIN_SERVER_ERROR_STATUS = 500
-QUEUED_WEIGHT = 0.25
+BUSY_WEIGHT = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,10 +29,11 @@
 def measure(attempt: attempts.Attempt, duration_s: float, slots: int) -> Measurement | None:
     """Return the work of a request that took `duration_s` seconds; `None` if it is unknown.
 
-    A response that leaves nobody waiting behind it has most likely not waited itself, so its
-    duration is all work. If some wait, as many presumably waited before it, each for a share of
-    the slots; the division by that share is right on average only, so the result counts less. It
-    is not left out: the servers that always have a queue are the slow ones, which would then
+    A response from a server with a free slot has most likely not waited, so its duration is all
+    work. At a full server it may have waited although nobody waits behind it: a short request
+    does so more often behind long ones. If some wait, as many presumably waited before it, each
+    for a share of the slots. Both are right on average at best, so such responses count less.
+    They are not left out: the servers that are always full are the slow ones, which would then
     never be known as such. A response from a machine that is slowed down at the moment counts
     less in the same proportion, since the slowdown may have begun or ended in the meantime.
     """
@@ -44,7 +45,8 @@
     if attempt.answer.status >= MIN_SERVER_ERROR_STATUS or duration_s <= 0.0:
         return None
     queued = attempt.signals.queued or 0
-    weight = QUEUED_WEIGHT if queued else 1.0
+    load = attempt.signals.load or 0.0
+    weight = BUSY_WEIGHT if queued or load >= slots else 1.0
     work_s = duration_s / (1.0 + queued / max(1, slots))
     slowdown = attempt.signals.slowdown or 1.0
     return Measurement(work_s / slowdown, weight / max(1.0, slowdown))
--- a/tests/load/test_measurements.py
+++ b/tests/load/test_measurements.py
@@ -22,9 +22,10 @@
     ("signals", "work_s", "weight"),
     [
         ({}, 0.6, 1.0),
-        ({"load": 4.0, "queued": 0}, 0.6, 1.0),
+        ({"load": 3.0, "queued": 0}, 0.6, 1.0),
+        ({"load": 4.0, "queued": 0}, 0.6, 0.25),
         ({"load": 12.0, "queued": 8}, 0.2, 0.25),
-        ({"load": 4.0, "queued": 0, "slowdown": 3.0}, 0.2, 1 / 3),
+        ({"load": 3.0, "queued": 0, "slowdown": 3.0}, 0.2, 1 / 3),
     ],
 )
 def test_queueing_and_slowdown_are_taken_out_of_the_work(
