--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -64,8 +64,13 @@
         return self._memory.used_bytes
 
     def has_idle(self, address: identity.Address) -> bool:
-        """Return whether there is an idle connection to an address, which may be closed by now."""
-        return bool(self._idle.get(address))
+        """Return whether there is an idle connection to an address that may still be used."""
+        with self._lock:
+            pool = self._idle.get(address)
+            if not pool:
+                return False
+            latest = pool[-1]
+        return latest.idle_s <= self._survival.find_limit_s(address, latest.max_idle_s)
 
     def send(
         self,
--- a/tests/backend/test_idle_survival.py
+++ b/tests/backend/test_idle_survival.py
@@ -162,6 +162,7 @@
 
     assert send() == b"true"
     assert pool.has_idle(forgetful.server.address)
+    assert not pool.has_idle(ADDRESSES[0])
     if learns:
         assert send() == b"true"
     else:
