Send again on a new connection only within the retry budget

Cause: a server that resets because it is overloaded could have seen the request, so the second sending may be an arrival that counts. The sender now asks before it.

--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -84,6 +84,7 @@
         new_connection: bool,
         may_send: Callable[[], bool] | None = None,
         is_due: Callable[[exchange.RawResponse], bool] | None = None,
+        may_resend: Callable[[], bool] = lambda: False,
     ) -> exchange.RawResponse:
         """Send a request to an address and return the complete response.
 
@@ -101,6 +102,9 @@
         is_due
             Tells whether a response can be the one to this request. If not, another one may
             follow it, so the connection is closed.
+        may_resend
+            Asked before the request is sent once more, on a new connection, because the server
+            reset the reused one at once.
 
         Raises
         ------
@@ -122,7 +126,7 @@
 
         reused = None if new_connection else self._acquire(address)
         if reused is not None:
-            response = self._try_reused(address, reused, exchange_on, cancelled)
+            response = self._try_reused(address, reused, exchange_on, cancelled, may_resend)
             if response is not None:
                 return response
         opened = self._open(address, ends_at_s)
@@ -147,11 +151,12 @@
         reused: exchange.Connection,
         exchange_on: Callable[[exchange.Connection], exchange.RawResponse],
         cancelled: cancellation.Cancellation,
+        may_resend: Callable[[], bool],
     ) -> exchange.RawResponse | None:
-        """Return the response on an idle connection, or `None` if the server had forgotten it.
+        """Return the response on an idle connection, or `None` if the request is to be sent again.
 
-        A request that was reset at once did not run. It is sent again without another attempt,
-        so that the server does not count as overloaded.
+        That is so if the server reset the connection at once, because it had forgotten it. An
+        attempt that failed would make the server count as overloaded.
         """
         self._count_use(exchange_metrics.ConnectionUse.REUSED)
         idle_s, began_at_s = reused.idle_s, time.monotonic()
@@ -165,7 +170,8 @@
             if not idle_survival.is_sign_of_loss(error, self._survival):
                 raise
             self._survival.record_failure(address, idle_s)
-            if has_timed_out or time.monotonic() - began_at_s > idle_survival.STALE_WITHIN_S:
+            is_late = time.monotonic() - began_at_s > idle_survival.STALE_WITHIN_S
+            if has_timed_out or is_late or not may_resend():
                 raise
             self._count_use(exchange_metrics.ConnectionUse.FORGOTTEN)
             return None
--- a/src/goldcresthall/backend/idle_survival.py
+++ b/src/goldcresthall/backend/idle_survival.py
@@ -52,8 +52,8 @@
     stated_fraction
         Fraction of the idle timeout that a server states.
     learns
-        Whether failures shorten the limits, and a request that arrived on a forgotten connection
-        is sent again on a new one.
+        Whether failures shorten the limits, and a request may be sent again on a new connection
+        if the server had forgotten the reused one.
     """
 
     longest_s: float
--- a/src/goldcresthall/backend/request_sender.py
+++ b/src/goldcresthall/backend/request_sender.py
@@ -8,6 +8,8 @@
 from goldcresthall.kernel import service
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from goldcresthall.core import attempts
     from goldcresthall.core import identity
     from goldcresthall.kernel import cancellation
@@ -18,9 +20,19 @@
 
     @abc.abstractmethod
     def send(
-        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
+        self,
+        dispatch: attempts.Dispatch,
+        cancelled: cancellation.Cancellation,
+        may_resend: Callable[[], bool],
     ) -> attempts.Attempt:
-        """Send one request to one server; cancellation aborts it."""
+        """Send one request to one server; cancellation aborts it.
+
+        Parameters
+        ----------
+        may_resend
+            Asked before an idempotent request is sent once more, on a new connection, because its
+            server reset the reused one at once.
+        """
 
     @abc.abstractmethod
     def has_idle(self, address: identity.Address) -> bool:
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -233,7 +233,11 @@
         self._estimates.start_attempt(server)
         began_at_s = self._clock.read_s()
         try:
-            attempt = self._sender.send(self._create_dispatch(request, plan, server), cancelled)
+            attempt = self._sender.send(
+                self._create_dispatch(request, plan, server),
+                cancelled,
+                lambda: self._take_retry(plan),
+            )
         except BaseException:
             self._estimates.cancel_attempt(server)
             raise
@@ -270,8 +274,7 @@
         if retry_policy.was_sent(attempt):
             if progress.sent >= plan.route.max_attempts:
                 return False
-            budget = self._budgets.find(plan.target.service)
-            if not budget.take_retry(self._clock.read_s(), self._instance_counter.live_instances):
+            if not self._take_retry(plan):
                 self._metrics.count_retry_denied(reason)
                 return False
         self._metrics.count_retry(reason)
@@ -279,6 +282,10 @@
             return True
         return not is_keyed or self._wait_for_owner(plan, wait_budget, serial)
 
+    def _take_retry(self, plan: RoutingPlan) -> bool:
+        budget = self._budgets.find(plan.target.service)
+        return budget.take_retry(self._clock.read_s(), self._instance_counter.live_instances)
+
     def _create_dispatch(
         self, request: requests.Request, plan: RoutingPlan, server: deployment.RegisteredServer
     ) -> attempts.Dispatch:
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -22,6 +22,8 @@
 from goldcresthall.platform import names
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from goldcresthall.backend import exchange_metrics
     from goldcresthall.core import deployment_settings
     from goldcresthall.core import identity
@@ -99,7 +101,10 @@
         return self._pool.has_idle(address)
 
     def send(
-        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
+        self,
+        dispatch: attempts.Dispatch,
+        cancelled: cancellation.Cancellation,
+        may_resend: Callable[[], bool],
     ) -> attempts.Attempt:
         """Send one request to one server; cancellation aborts it."""
         request = _encode(dispatch)
@@ -114,6 +119,7 @@
                 # Without an id, only a new connection tells the response from a copy.
                 new_connection=not dispatch.idempotent or not dispatch.request_id,
                 is_due=lambda received: _is_due(received, dispatch.request_id),
+                may_resend=may_resend,
             )
         except exceptions.ExchangeError as error:
             if cancelled.is_cancelled:
--- a/tests/backend/test_idle_survival.py
+++ b/tests/backend/test_idle_survival.py
@@ -137,9 +137,9 @@
     created.server.stop()
 
 
-@pytest.mark.parametrize("learns", [True, False])
-def test_request_on_a_forgotten_connection_is_sent_again_only_by_a_pool_that_learns(
-    forgetful: ForgetfulServer, *, learns: bool
+@pytest.mark.parametrize(("learns", "may_resend"), [(True, True), (True, False), (False, True)])
+def test_request_on_a_forgotten_connection_is_sent_again_only_if_pool_and_budget_allow(
+    forgetful: ForgetfulServer, *, learns: bool, may_resend: bool
 ) -> None:
     """Its owner counted as overloaded after the loss; a grant must never be sent twice unseen."""
     uses: list[exchange_metrics.ConnectionUse] = []
@@ -158,17 +158,18 @@
             cancellation.Cancellation(),
             max_idle=1,
             new_connection=False,
+            may_resend=lambda: may_resend,
         ).body
 
     assert send() == b"true"
     assert pool.has_idle(forgetful.server.address)
     assert not pool.has_idle(ADDRESSES[0])
-    if learns:
+    if learns and may_resend:
         assert send() == b"true"
     else:
         with pytest.raises(exceptions.ConnectionLostError):
             send()
     use = exchange_metrics.ConnectionUse
-    again = [use.FORGOTTEN, use.OPENED] if learns else []
+    again = [use.FORGOTTEN, use.OPENED] if learns and may_resend else []
     assert uses == [use.OPENED, use.REUSED, *again]
     pool.close()
