--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -108,13 +108,14 @@
         cancelled: cancellation.Cancellation,
     ) -> attempts.Attempt:
         dispatch = self._create_dispatch(request, plan, server)
+        take_retry = functools.partial(self._take_retry, plan)
         if not plan.route.idempotent or progress.sent + 1 >= plan.route.max_attempts:
-            return self._sender.send(dispatch, cancelled)
+            return self._sender.send(dispatch, cancelled, take_retry)
         work_s = self._model.expect_s(plan.route.name, server)
         check_s = early_retries.find_check_s(self._clock.read_s(), work_s)
         latest_s = early_retries.find_latest_s(plan.target_at_s, plan.work_s)
         if check_s >= latest_s:
-            return self._sender.send(dispatch, cancelled)
+            return self._sender.send(dispatch, cancelled, take_retry)
         with _link(cancelled) as attempt_cancelled:
             watch = early_retries.AttemptWatch(
                 latest_s,
@@ -123,7 +124,7 @@
             )
             self._watches.add(check_s, watch)
             try:
-                attempt = self._sender.send(dispatch, attempt_cancelled)
+                attempt = self._sender.send(dispatch, attempt_cancelled, take_retry)
             finally:
                 watch.is_over = True
         if watch.is_given_up and _was_cancelled(attempt) and not cancelled.is_cancelled:
@@ -134,6 +135,10 @@
             )
         return attempt
 
+    def _take_retry(self, plan: routing_plans.RoutingPlan) -> bool:
+        budget = self._budgets.find(plan.target.service)
+        return budget.take_retry(self._clock.read_s(), self._instance_counter.live_instances)
+
     def _should_give_up(
         self,
         plan: routing_plans.RoutingPlan,
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -310,8 +310,7 @@
         if retry_policy.was_sent(attempt):
             if progress.sent >= plan.route.max_attempts:
                 return False
-            budget = self._budgets.find(plan.target.service)
-            if not budget.take_retry(self._clock.read_s(), self._instance_counter.live_instances):
+            if not self._take_retry(plan):
                 self._metrics.count_retry_denied(reason)
                 return False
         self._metrics.count_retry(reason)
