Follow rises of the load at their height and allow for noise in plans

A shift that exceeds the noise is now seen at the height that it will reach: the ratio of a short and a long average tells how long ago it began. A load must be above the start by more than its noise; in the first second, noise alone moved large ranges.

tests/ranges, tests/gateway, tests/admission and tests/docs pass.

--- a/src/goldcresthall/ranges/decaying_sums.py
+++ b/src/goldcresthall/ranges/decaying_sums.py
@@ -61,6 +61,10 @@
         scale = math.log(2.0) / (self._half_life_s * self._weight * reached)
         return {key: value * scale for key, value in self._sums.items()}
 
+    def find_span_s(self, now_s: float) -> float:
+        """Return the seconds of even weight with as much noise as the rates at `now_s`."""
+        return min(max(MIN_SPAN_S, now_s - self._began_at_s), 2.0 * self._half_life_s / math.log(2))
+
     def retain(self, keys: set[int]) -> None:
         """Discard the sums of all other keys."""
         self._sums = {key: value for key, value in self._sums.items() if key in keys}
--- a/src/goldcresthall/ranges/load_statistics.py
+++ b/src/goldcresthall/ranges/load_statistics.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 from goldcresthall.core import key_ranges
@@ -23,7 +24,6 @@
     from goldcresthall.load import work_table
     from goldcresthall.ranges import request_counts
 
-RATE_HALF_LIFE_S = 3.0
 SERVICE_TIME_HALF_LIFE_S = 6.0
 PRIOR_SAMPLES = 4.0
 MIN_KEY_RATE = 0.004
@@ -44,11 +44,14 @@
         Prefix sums of their rates; one longer than `keys`.
     base_rate
         Rate added to every key, so that large ranges of rarely used keys have a cost.
+    span_s
+        Seconds of even weight with as much noise as the average behind the rates.
     """
 
     keys: tuple[int, ...]
     prefix_sums: tuple[float, ...]
     base_rate: float
+    span_s: float = math.inf
 
     @property
     def total(self) -> float:
@@ -61,6 +64,10 @@
         high = bisect.bisect_right(self.keys, keys.last)
         return self.prefix_sums[high] - self.prefix_sums[low] + self.base_rate * keys.size
 
+    def find_noise(self, rate: float) -> float:
+        """Return the standard deviation of the estimate of a rate."""
+        return math.sqrt(rate * shift_detection.REQUEST_WORK_S / self.span_s)
+
     def find_prefix_end(self, keys: key_ranges.KeyRange, amount: float) -> int:
         """Return the last key of the shortest prefix of a range whose rate reaches `amount`."""
         low = bisect.bisect_left(self.keys, keys.first)
@@ -136,7 +143,7 @@
     """Work per second for each key of one service, from decaying sums of the reported work."""
 
     def __init__(self) -> None:
-        self._sums = decaying_sums.DecayingSums(RATE_HALF_LIFE_S)
+        self._sums = decaying_sums.DecayingSums(shift_detection.RATE_HALF_LIFE_S)
         self._recent = decaying_sums.DecayingSums(shift_detection.RECENT_HALF_LIFE_S)
 
     def add(self, work_s: dict[int, float], now_s: float) -> None:
@@ -158,7 +165,7 @@
         if self._sums.size > 2 * len(kept):
             self._sums.retain(set(kept))
         self._recent.retain(set(rates))
-        return KeyRates(tuple(kept), prefix_sums, base_rate)
+        return KeyRates(tuple(kept), prefix_sums, base_rate, self._sums.find_span_s(now_s))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/ranges/move_planner.py
+++ b/src/goldcresthall/ranges/move_planner.py
@@ -27,11 +27,14 @@
 MIN_TOTAL_RATE = 0.4
 # Loads are fractions of a server's capacity. Moves from a server start above the higher ones and
 # bring it down to the lower ones, up to which they fill others: noise in between moves nothing.
-START_LOAD = 0.65
+START_LOAD = 0.6
 START_FACTOR = 1.2
 START_MARGIN = 0.1
 FILL_LOAD = 0.45
 FILL_FACTOR = 1.05
+# By so many standard deviations of the estimate, the load must be above the start: in the first
+# second, the noise alone would start moves.
+NOISE_DEVIATIONS = 0.75
 # Above this load, keys move again although they moved recently.
 URGENT_LOAD = 0.8
 IDLE_FILL_FACTOR = 0.3
@@ -119,9 +122,21 @@
             source = self._loads.find_most_loaded(exhausted)
             if source is None or self._loads.find_load(source) <= self._move_loads.start:
                 return
+            if not self._is_overloaded(source):
+                exhausted.add(source)
+                continue
             if not self._add(source, self._find_relief(source)):
                 exhausted.add(source)
 
+    def _is_overloaded(self, source: deployment.ServerIncarnation) -> bool:
+        """Return whether the load is above the start by more than its noise."""
+        capacity = self._loads.find_capacity(source)
+        rate = self._loads.find_load(source) * capacity
+        return (
+            rate - NOISE_DEVIATIONS * self._key_rates.find_noise(rate)
+            > self._move_loads.start * capacity
+        )
+
     def fill_idle(self) -> None:
         """Plan moves to servers without any range, such as those that joined."""
         used = {lease.target or lease.owner for lease in self._leases}
--- a/src/goldcresthall/ranges/shift_detection.py
+++ b/src/goldcresthall/ranges/shift_detection.py
@@ -1,7 +1,7 @@
 """Detection of shifts: recent rates that differ from longer averages by more than noise.
 
 The longer average of each key gives the shape of the load with little noise, but it takes seconds
-to reach the height of a new hot spot. The recent rates reach it within a second, but the rate of a
+to reach the height of a new hot spot. The recent rates reach it sooner, but the rate of a
 single key in them is mostly noise. A shift is therefore looked for in single keys first, then in
 blocks of neighbouring keys, whose sums have less noise, and last in all other keys together.
 """
@@ -11,17 +11,22 @@
 import collections
 import math
 
+RATE_HALF_LIFE_S = 3.0
 RECENT_HALF_LIFE_S = 0.7
 BLOCK_BITS = 8
 # Noise of a sum is that of requests which arrive independently with about this much work each.
 REQUEST_WORK_S = 0.2
 MIN_DEVIATIONS = 4.0
 MIN_RATIO = 1.2
+# Ages of a rise in seconds for which its height is computed; younger ones are mostly noise.
+RISE_AGES_S = tuple(0.1 * tenths for tenths in range(7, 40))
 
 
 def apply_shifts(rates: dict[int, float], recent: dict[int, float]) -> dict[int, float]:
     """Return the rates of keys, scaled to the height of the recent ones where they shifted.
 
+    From the ratio of both averages follows how long ago a rise was, and what the recent one lacks.
+
     Parameters
     ----------
     rates, recent
@@ -63,4 +68,24 @@
 
 
 def _find_factor(rate: float, recent: float) -> float:
-    return recent / rate if rate else 1.0
+    if not rate:
+        return 1.0
+    ratio = recent / rate
+    return ratio * next((gain for age_ratio, gain in _RISES if ratio >= age_ratio), 1.0)
+
+
+def _list_rises() -> tuple[tuple[float, float], ...]:
+    """Return the ratio of the averages at each age of a rise, and what the recent one lacks.
+
+    That holds for a rise from zero. For one from a higher rate the ratio is lower, which makes the
+    result lower as well.
+    """
+    rises = []
+    for age_s in RISE_AGES_S:
+        reached = 1.0 - 0.5 ** (age_s / RATE_HALF_LIFE_S)
+        recent_reached = 1.0 - 0.5 ** (age_s / RECENT_HALF_LIFE_S)
+        rises.append((recent_reached / reached, 1.0 / recent_reached))
+    return tuple(rises)
+
+
+_RISES = _list_rises()
