--- a/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
@@ -91,6 +91,8 @@
         The responses to commands so far.
     extra_work_s
         Added to the run time of each request, in seconds.
+    min_body_bytes
+        Responses to requests are filled up to this size.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self.history = server_faults.ResponseHistory()
         self.fault = server_faults.ServerFault()
         self.extra_work_s = 0.0
+        self.min_body_bytes = 0
         self._running: set[_RunningWork] = set()
         self._lease_ends_s: dict[int, float] = {}
         self._held_grants: dict[int, _HeldGrant] = {}
@@ -305,7 +308,7 @@
             ("Goldcresthall-Response-Signature", f"signed-by-{self._name}"),
             ("Goldcresthall-Server-Load", "1,0,4"),
         )
-        body = f"{self._name} ran {request_id}".encode()
+        body = f"{self._name} ran {request_id}".encode().ljust(self.min_body_bytes)
         self._record_response(request_id, 200, f"signed-by-{self._name}", body)
         return web.Response(200, body, headers)
 
--- a/tests/features/deployment_system.py
+++ b/tests/features/deployment_system.py
@@ -42,7 +42,8 @@
 readiness = "127.0.0.1:{readiness}"
 admin = "127.0.0.1:{admin}"
 [limits]
-memory_mb = 300
+memory_mb = {memory_mb}
+max_fds = {max_fds}
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -74,11 +75,21 @@
     peers: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits of the machine of each instance, and those that the operator sets for callers."""
+
+    memory_mb: int = 300
+    max_fds: int = 4_100
+    max_body_bytes: int = 67_108_864
+
+
 class DeploymentHarness:
     """Starts a deployment, injects faults into it and observes it."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, limits: Limits | None = None) -> None:
         self._folder = folder
+        self._limits = limits or Limits()
         self.store = deployment_store.StoreStandIn()
         self.keyed: list[deployment_server.DeploymentServer] = []
         self.unkeyed: list[deployment_server.DeploymentServer] = []
@@ -124,7 +135,7 @@
             "version": f"{self._version:08x}",
             "routes": routes,
             "services": services,
-            "limits": {"idle_timeout_s": 15},
+            "limits": {"idle_timeout_s": 15, "max_body_bytes": self._limits.max_body_bytes},
         }
         self.store.put("keyed.op", "config", document)
 
@@ -235,6 +246,8 @@
             peers=peers,
             admin=admin,
             store=self.store.port,
+            memory_mb=self._limits.memory_mb,
+            max_fds=self._limits.max_fds,
         )
         path = self._folder / f"instance-{number}.toml"
         path.write_text(text)
