Count requests, responses and what waits to be written in one ledger

Bodies of many connections took memory without a bound: the first 64 KiB of each were not counted, refused bodies lived as long as the traceback of their refusal, and requests read ahead had no bound over all connections. glibc kept freed bodies in the heaps of the threads.

One ledger now counts all of it. Shares keep room for small and ordinary requests; incomplete bodies that are silent or large are reclaimed first. Connections have a bound from max_fds and memory_mb. A body ends by its progress and not after 30 s. Bodies are sent without a copy, and a response is sent without the connection's lock. Ruled out as the cause of the remaining growth: the ledger's own total (16 MB counted, 94 MB resident before the allocator was configured).

Tests changed: test_connections builds its connection with a ledger and sets the limits of sending where they are now; same conditions and results.

--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -15,10 +15,12 @@
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import gateway
 from goldcresthall.gateway import watchers
+from goldcresthall.kernel import allocator
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.kernel import task_health
+from goldcresthall.memory import ledger
 from goldcresthall.observability import decisions
 from goldcresthall.observability import metrics
 from goldcresthall.observability import task_metrics
@@ -75,6 +77,7 @@
         cls, instance_settings: deployment_settings.DeploymentSettings
     ) -> DeploymentInstance:
         """Construct an instance and register its services in startup order."""
+        allocator.configure()
         threading.stack_size(THREAD_STACK_BYTES)
         service_kernel = kernel.Kernel()
         incarnation = identity.Incarnation.create(instance_settings.name)
@@ -96,6 +99,13 @@
     service_kernel.register(
         names.REQUEST_LOG, decisions.DecisionLog.from_config(service_kernel, instance_settings.name)
     )
+    memory_ledger = ledger.MemoryLedger(instance_settings.machine.ledger_bytes)
+    service_kernel.register(names.MEMORY, memory_ledger)
+    metrics_service.register_gauge(
+        "memory_ledger_bytes",
+        "Memory that requests, responses and what waits to be written hold.",
+        lambda: memory_ledger.used_bytes,
+    )
     calls = store_metrics.StoreMetrics(metrics_service.registry)
     service_kernel.register(
         names.STORE, store_client.HttpStoreClient.from_config(instance_settings, calls)
@@ -121,7 +131,9 @@
     )
     service_kernel.register(
         names.REQUEST_SENDER,
-        request_client.PlatformRequestSender.from_config(instance_settings, exchanges),
+        request_client.PlatformRequestSender.from_config(
+            instance_settings, exchanges, service_kernel.find(names.MEMORY, ledger.MemoryLedger)
+        ),
     )
 
 
--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import io
 import itertools
 import select
 import socket
@@ -15,6 +16,7 @@
 import h11
 
 from goldcresthall.backend import exceptions
+from goldcresthall.backend import request_writer
 from goldcresthall.backend import response_framing
 from goldcresthall.core import outcomes
 
@@ -28,7 +30,6 @@
 EARLY_RESET_WAIT_S = 0.005
 MS_PER_S = 1_000
 RECEIVE_BYTES = 65_536
-HEADER_LIMIT_BYTES = 65_536
 MAX_IDLE_S = 4.0
 KEEP_ALIVE_FRACTION = 0.5
 MAX_RESPONSES_READ = 4
@@ -163,8 +164,8 @@
         ends_at_s = time.monotonic() + timeout_s
         self._is_reusable = False
         expected = _find_header(request.headers, id_header)
-        parser, data = _encode(request)
-        is_sent = self._send(data, ends_at_s)
+        parser, message = request_writer.encode(request)
+        is_sent = request_writer.send(self._socket, message, ends_at_s)
         for _ in range(MAX_RESPONSES_READ):
             response = self._receive(parser, ends_at_s, reservation)
             echoed = response.find(id_header)
@@ -174,7 +175,7 @@
             reservation.release()
             if not self._is_persistent:
                 break
-            parser, _ = _encode(request)
+            parser, _ = request_writer.encode(request)
         raise exceptions.TruncatedError(outcomes.Step.RECEIVE, "no response to this request")
 
     def interrupt(self) -> None:
@@ -186,42 +187,6 @@
         """Close the connection."""
         self._socket.close()
 
-    def _send(self, data: bytes, ends_at_s: float) -> bool:
-        """Send a request; return `False` if a response began before it was sent completely.
-
-        A server may respond to a long body before it has read all of it. The rest is then not
-        sent, so the connection cannot be used again.
-        """
-        try:
-            self._socket.settimeout(0.0)
-            view = memoryview(data)
-            while view:
-                sent = self._send_some(view)
-                if sent is None:
-                    events = self._wait_writable(ends_at_s)
-                    if events & select.POLLIN:
-                        return False
-                else:
-                    view = view[sent:]
-        except OSError as error:
-            raise exceptions.ConnectionLostError(outcomes.Step.SEND, str(error)) from error
-        return True
-
-    def _send_some(self, data: memoryview) -> int | None:
-        try:
-            return self._socket.send(data)
-        except BlockingIOError:
-            return None
-
-    def _wait_writable(self, ends_at_s: float) -> int:
-        """Wait until more can be sent or a response begins; return the events of the poll."""
-        poll = select.poll()
-        poll.register(self._socket, select.POLLIN | select.POLLOUT)
-        ready = poll.poll(max(0.0, ends_at_s - time.monotonic()) * MS_PER_S)
-        if not ready:
-            raise exceptions.TimedOutError(outcomes.Step.SEND, "timed out")
-        return ready[0][1]
-
     def _receive(
         self,
         parser: h11.Connection,
@@ -251,7 +216,8 @@
         framing: response_framing.FramingTally,
     ) -> RawResponse:
         head: h11.Response | None = None
-        body = bytearray()
+        # Its value is the buffer itself; joining parts would hold the body twice.
+        body = io.BytesIO()
         for event in self._read_events(parser, ends_at_s, framing):
             if isinstance(event, h11.Response):
                 head = event
@@ -263,9 +229,9 @@
                         else exceptions.TooLargeError
                     )
                     raise error_type(outcomes.Step.RECEIVE, "no memory for the response")
-                body += event.data
+                body.write(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _create_response(head, bytes(body))
+                return _create_response(head, body.getvalue())
         raise exceptions.ConnectionLostError(outcomes.Step.RECEIVE, "closed before the response")
 
     def _read_events(
@@ -329,28 +295,6 @@
     return remaining_s
 
 
-def _encode(request: RawRequest) -> tuple[h11.Connection, bytes]:
-    """Return a parser that expects the response to a request, and the request's bytes."""
-    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
-    data = parser.send(_create_head(request)) or b""
-    if request.body:
-        data += parser.send(h11.Data(data=request.body)) or b""
-    data += parser.send(h11.EndOfMessage()) or b""
-    return parser, data
-
-
-def _create_head(request: RawRequest) -> h11.Request:
-    headers = [
-        (header.name.encode("latin-1"), header.value.encode("latin-1"))
-        for header in request.headers
-    ]
-    if request.body:
-        headers.append((b"Content-Length", str(len(request.body)).encode()))
-    elif request.method not in {"GET", "HEAD"}:
-        headers.append((b"Content-Length", b"0"))
-    return h11.Request(method=request.method, target=request.target, headers=headers)
-
-
 def _create_response(head: h11.Response, body: bytes) -> RawResponse:
     headers = tuple(
         outcomes.Header(name.decode("latin-1"), value.decode("latin-1"))
--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -19,6 +19,7 @@
 
     from goldcresthall.core import identity
     from goldcresthall.kernel import cancellation
+    from goldcresthall.memory import ledger
 
 IDLE_SWEEP_INTERVAL_S = 5.0
 LOG_INTERVAL_S = 1
@@ -34,15 +35,18 @@
     count_surplus
         Called for each kept connection that is closed because bytes came on it that belong to no
         response.
+    memory_ledger
+        Counts the bodies of all responses.
     """
 
     def __init__(
         self,
         limits: response_memory.ResponseLimits,
         count_surplus: Callable[[], None] = lambda: None,
+        memory_ledger: ledger.MemoryLedger | None = None,
     ) -> None:
         self._count_surplus = count_surplus
-        self._memory = response_memory.ResponseMemory(limits)
+        self._memory = response_memory.ResponseMemory(limits, memory_ledger)
         self._lock = threading.Lock()
         self._idle: dict[identity.Address, collections.deque[exchange.Connection]] = {}
         self._swept_at_s = time.monotonic()
--- a/src/goldcresthall/backend/response_memory.py
+++ b/src/goldcresthall/backend/response_memory.py
@@ -1,4 +1,8 @@
-"""Bounds on the memory that response bodies take until they are written to the callers."""
+"""Bounds on the memory that response bodies take until they are written to the callers.
+
+Every byte counts in the ledger of the process. Within it, large bodies have a total of their own,
+so that servers that respond without end leave memory for requests.
+"""
 
 from __future__ import annotations
 
@@ -7,9 +11,13 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from goldcresthall.memory import holders
+
 if TYPE_CHECKING:
     from types import TracebackType
 
+    from goldcresthall.memory import ledger
+
 # Received whatever the total is, so that ordinary responses arrive beside bodies without end.
 UNCOUNTED_BODY_BYTES: Final = 65_536
 
@@ -32,10 +40,19 @@
 
 
 class ResponseMemory:
-    """The memory for the response bodies of all connections."""
+    """The memory for the response bodies of all connections.
 
-    def __init__(self, limits: ResponseLimits) -> None:
+    Parameters
+    ----------
+    memory_ledger
+        Counts every body; `None` if the bodies are too small to be counted.
+    """
+
+    def __init__(
+        self, limits: ResponseLimits, memory_ledger: ledger.MemoryLedger | None = None
+    ) -> None:
         self._limits = limits
+        self._ledger = memory_ledger
         self._lock = threading.Lock()
         self._incoming_bytes = 0
         self._waiting_bytes = 0
@@ -47,7 +64,8 @@
 
     def create_reservation(self) -> BodyReservation:
         """Return an empty reservation for one body."""
-        return BodyReservation(self, self._limits.max_body_bytes)
+        account = None if self._ledger is None else self._ledger.open(holders.ResponseHolder())
+        return BodyReservation(self, self._limits.max_body_bytes, account)
 
     def has_room_without_waiting(self, count: int) -> bool:
         """Return whether only the bodies that wait for their callers leave no room for more."""
@@ -84,8 +102,11 @@
 class BodyReservation:
     """The memory of one response body; leaving the context releases it."""
 
-    def __init__(self, memory: ResponseMemory, max_body_bytes: int) -> None:
+    def __init__(
+        self, memory: ResponseMemory, max_body_bytes: int, account: ledger.Account | None = None
+    ) -> None:
         self._memory = memory
+        self._account = account
         self._max_body_bytes = max_body_bytes
         self._size_bytes = 0
         self._taken_bytes = 0
@@ -94,7 +115,7 @@
 
     @property
     def is_held_up(self) -> bool:
-        """Whether bytes were refused only because complete bodies wait for their callers."""
+        """Whether bytes were refused only because of what other bodies hold."""
         return self._is_held_up
 
     def __enter__(self) -> BodyReservation:
@@ -115,6 +136,9 @@
         self._size_bytes += count
         if self._size_bytes > self._max_body_bytes:
             return False
+        if self._account is not None and not self._account.take(count):
+            self._is_held_up = True
+            return False
         missing = self._size_bytes - UNCOUNTED_BODY_BYTES - self._taken_bytes
         if missing <= 0:
             return True
@@ -134,4 +158,6 @@
         """Release what was taken; the reservation is empty again."""
         self._memory.release(self._taken_bytes)
         self._memory.stop_waiting(self._waiting_bytes)
+        if self._account is not None:
+            self._account.release()
         self._size_bytes = self._taken_bytes = self._waiting_bytes = 0
--- a/src/goldcresthall/callers/exceptions.py
+++ b/src/goldcresthall/callers/exceptions.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from goldcresthall.callers import refusals
+
 
 class CallerDisconnectedError(Exception):
     """The caller closed the connection, or the connection timed out."""
@@ -12,8 +17,17 @@
 
 
 class BadRequestError(Exception):
-    """The caller sent a malformed or oversized request; `status` is the response's."""
+    """A request was refused before it was complete.
+
+    Attributes
+    ----------
+    status
+        Status of the response.
+    reason
+        Reason under which it is counted.
+    """
 
-    def __init__(self, status: int, detail: str) -> None:
+    def __init__(self, status: int, detail: str, reason: refusals.Reason) -> None:
         super().__init__(detail)
         self.status = status
+        self.reason = reason
--- a/src/goldcresthall/callers/pipelined_frontend.py
+++ b/src/goldcresthall/callers/pipelined_frontend.py
@@ -9,9 +9,10 @@
 
 from absl import logging
 
-from goldcresthall.backend import response_memory
+from goldcresthall.callers import connection_limit
 from goldcresthall.callers import connections
 from goldcresthall.callers import exceptions
+from goldcresthall.callers import refusals
 from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
 from goldcresthall.gateway import directory
@@ -20,6 +21,8 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.memory import ledger
+from goldcresthall.observability import metrics
 
 if TYPE_CHECKING:
     from goldcresthall.callers import codec
@@ -28,6 +31,8 @@
 
 LISTEN_BACKLOG = 512
 IDLE_CHECK_INTERVAL_S = 0.05
+# Connections that were closed to make room still count until their task has ended.
+ACCEPTED_OVER_LIMIT = 1 / 8
 
 
 class PipelinedFrontend(service.Service):
@@ -42,10 +47,8 @@
         self._kernel = service_kernel
         self._address = instance_settings.listen.callers
         self._codec = caller_codec
-        memory_bytes = instance_settings.machine.request_memory_bytes
-        self._memory = response_memory.ResponseMemory(
-            response_memory.ResponseLimits(memory_bytes, memory_bytes)
-        )
+        self._max_connections = instance_settings.machine.max_caller_connections
+        self._refusals = refusals.RefusalLog()
         self._lock = threading.Lock()
         self._connections: set[connections.CallerConnection] = set()
         self._is_draining = False
@@ -56,6 +59,8 @@
         self._clock = self._kernel.find(names.CLOCK, clock.Clock)
         self._directory = self._kernel.find(names.DIRECTORY, directory.Directory)
         self._gateway = self._kernel.find(names.GATEWAY, gateway.Gateway)
+        self._memory = self._kernel.find(names.MEMORY, ledger.MemoryLedger)
+        self._refusals.register(self._kernel.find(names.METRICS, metrics.Metrics).registry)
         self._listener = socket.create_server(
             (self._address.host, self._address.port), backlog=LISTEN_BACKLOG
         )
@@ -117,13 +122,33 @@
             self._add_connection(accepted)
 
     def _add_connection(self, accepted: socket.socket) -> None:
-        connection = connections.CallerConnection(accepted, self._memory)
+        if not self._make_room():
+            accepted.close()
+            self._refusals.count(refusals.Reason.CONNECTION_LIMIT, "all connections are in use")
+            return
+        connection = connections.CallerConnection(accepted, self._memory, self._refusals)
         with self._lock:
             self._connections.add(connection)
             if self._is_draining:
                 connection.start_draining()
         tasks.Task("caller", lambda _: self._serve(connection)).start()
 
+    def _make_room(self) -> bool:
+        """Close another connection at the limit; return whether one more may be accepted."""
+        with self._lock:
+            if len(self._connections) < self._max_connections:
+                return True
+            open_connections = tuple(self._connections)
+        if len(open_connections) >= self._max_connections * (1 + ACCEPTED_OVER_LIMIT):
+            return False
+        chosen = connection_limit.choose((each, each.activity) for each in open_connections)
+        if chosen is None or not chosen.close_idle():
+            return False
+        self._refusals.count(
+            refusals.Reason.CONNECTION_REPLACED, f"{len(open_connections)} connections are open"
+        )
+        return True
+
     def _serve(self, connection: connections.CallerConnection) -> None:
         try:
             while True:
@@ -133,7 +158,6 @@
                     connection.await_responses()
                     return
         except exceptions.BadRequestError as error:
-            logging.info("request rejected, step decode, status %d: %s", error.status, error)
             connection.reject(error)
             connection.await_responses()
         except exceptions.ConnectionDrainingError:
--- a/src/goldcresthall/core/deployment_settings.py
+++ b/src/goldcresthall/core/deployment_settings.py
@@ -13,7 +13,12 @@
 DEFAULT_EVACUATION_S = 5.0
 RESPONSE_MEMORY_FRACTION = 1 / 8
 MAX_BODY_MEMORY_FRACTION = 1 / 32
-REQUEST_MEMORY_FRACTION = 1 / 4
+LEDGER_FRACTION = 0.3
+# One thread with its stack, and the buffers of its connection.
+CONNECTION_BYTES = 32_768
+CONNECTION_MEMORY_FRACTION = 1 / 8
+CALLER_DESCRIPTOR_FRACTION = 1 / 2
+DEFAULT_MAX_FDS = 1_024
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,11 +49,14 @@
         Bandwidth of the machine's network link in megabits per second.
     memory_mb
         Memory limit in megabytes; the process is killed beyond it.
+    max_fds
+        Number of descriptors that the process may have open.
     """
 
     cores: float = 1.0
     link_mbps: float = 1_000.0
     memory_mb: int = 300
+    max_fds: int = DEFAULT_MAX_FDS
 
     @property
     def response_memory_bytes(self) -> int:
@@ -56,9 +64,16 @@
         return int(self.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_FRACTION)
 
     @property
-    def request_memory_bytes(self) -> int:
-        """Memory in bytes for the bodies of all requests in progress."""
-        return int(self.memory_mb * BYTES_PER_MB * REQUEST_MEMORY_FRACTION)
+    def ledger_bytes(self) -> int:
+        """Memory in bytes for all requests, responses and what waits to be written."""
+        return int(self.memory_mb * BYTES_PER_MB * LEDGER_FRACTION)
+
+    @property
+    def max_caller_connections(self) -> int:
+        """Number of callers' connections that descriptors and memory suffice for."""
+        memory_bytes = self.memory_mb * BYTES_PER_MB * CONNECTION_MEMORY_FRACTION
+        by_memory = int(memory_bytes / CONNECTION_BYTES)
+        return max(1, min(by_memory, int(self.max_fds * CALLER_DESCRIPTOR_FRACTION)))
 
     @property
     def max_body_bytes(self) -> int:
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -23,6 +23,7 @@
     from goldcresthall.backend import exchange_metrics
     from goldcresthall.core import deployment_settings
     from goldcresthall.kernel import cancellation
+    from goldcresthall.memory import ledger
 
 MS_PER_S = 1_000
 MIN_ERROR_STATUS = 400
@@ -53,25 +54,33 @@
         Limits on the bodies of responses.
     metrics
         Counts surplus responses.
+    memory_ledger
+        Counts the bodies of all responses.
     """
 
     def __init__(
-        self, limits: response_memory.ResponseLimits, metrics: exchange_metrics.ExchangeMetrics
+        self,
+        limits: response_memory.ResponseLimits,
+        metrics: exchange_metrics.ExchangeMetrics,
+        memory_ledger: ledger.MemoryLedger | None = None,
     ) -> None:
-        self._pool = exchange_pool.ExchangePool(limits, lambda: metrics.count_surplus(TRAFFIC))
+        self._pool = exchange_pool.ExchangePool(
+            limits, lambda: metrics.count_surplus(TRAFFIC), memory_ledger
+        )
 
     @classmethod
     def from_config(
         cls,
         instance_settings: deployment_settings.DeploymentSettings,
         metrics: exchange_metrics.ExchangeMetrics,
+        memory_ledger: ledger.MemoryLedger,
     ) -> PlatformRequestSender:
         """Return the sender of an instance, with limits that fit its machine's memory."""
         machine = instance_settings.machine
         limits = response_memory.ResponseLimits(
             machine.max_body_bytes, machine.response_memory_bytes
         )
-        return cls(limits, metrics)
+        return cls(limits, metrics, memory_ledger)
 
     def start(self) -> None:
         """Do nothing; connections are opened when needed."""
--- a/src/goldcresthall/platform/settings.py
+++ b/src/goldcresthall/platform/settings.py
@@ -126,6 +126,11 @@
             lambda: fields.read_count(limits, "memory_mb", defaults.memory_mb),
             defaults.memory_mb,
         ),
+        max_fds=reader.read(
+            "limits.",
+            lambda: fields.read_count(limits, "max_fds", defaults.max_fds),
+            defaults.max_fds,
+        ),
     )
 
 
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -11,18 +11,21 @@
 
 import pytest
 
-from goldcresthall.backend import response_memory
 from goldcresthall.callers import codec
 from goldcresthall.callers import connections
 from goldcresthall.callers import exceptions
+from goldcresthall.callers import refusals
+from goldcresthall.callers import response_order
 from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
+from goldcresthall.memory import ledger
+from goldcresthall.memory import progress
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 LIMITS = deployment.CallerLimits(header_bytes=1_024, body_bytes=100)
-MEMORY = response_memory.ResponseLimits(1_000_000, 1_000_000)
+MEMORY_BYTES = 1_400_000
 REQUEST = b"GET /page/%d HTTP/1.1\r\nHost: a.example\r\n\r\n"
 
 
@@ -32,7 +35,9 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         caller = socket.create_connection(listener.getsockname(), timeout=5)
         accepted, _ = listener.accept()
-    connection = connections.CallerConnection(accepted, response_memory.ResponseMemory(MEMORY))
+    connection = connections.CallerConnection(
+        accepted, ledger.MemoryLedger(MEMORY_BYTES), refusals.RefusalLog()
+    )
     yield caller, connection
     connection.abandon()
     caller.close()
@@ -215,7 +220,7 @@
     pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Responses behind one that the caller did not read were once kept until it left."""
-    monkeypatch.setattr(connections, "SEND_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(response_order, "SEND_LIMITS", progress.ProgressLimits(0.1))
     caller, connection = pair
     caller.sendall(REQUEST % 1 + REQUEST % 2)
     first = connection.receive(LIMITS)
@@ -245,11 +250,11 @@
     """A caller's chunks of one byte once took a core until the limit of its body."""
     caller, connection = pair
     head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-    receive_bytes = connection._receive_bytes
+    receive = connection._caller.receive
     received: list[int] = []
 
-    def count_bytes(ends_at_s: float | None, limits: deployment.CallerLimits) -> bytes:
-        data = receive_bytes(ends_at_s, limits)
+    def count_bytes(timeout_s: float) -> bytes:
+        data = receive(timeout_s)
         received.append(len(data))
         return data
 
@@ -259,7 +264,7 @@
             while True:
                 caller.sendall(b"1\r\na\r\n" * 1_000)
 
-    monkeypatch.setattr(connection, "_receive_bytes", count_bytes)
+    monkeypatch.setattr(connection._caller, "receive", count_bytes)
     sender = threading.Thread(target=send_without_end, daemon=True)
     sender.start()
     with pytest.raises(exceptions.BadRequestError) as raised:
--- a/tests/callers/test_pipelined_frontend.py
+++ b/tests/callers/test_pipelined_frontend.py
@@ -9,11 +9,13 @@
 
 from goldcresthall.callers import connections
 from goldcresthall.callers import pipelined_frontend
+from goldcresthall.callers import refusals
 from goldcresthall.core import deployment
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import tasks
+from goldcresthall.memory import ledger
 from goldcresthall.platform import caller_codec
 from tests.fakes import clock
 
@@ -54,7 +56,10 @@
     created = []
     for _ in range(3):
         accepted, caller = _connect()
-        created.append((caller, connections.CallerConnection(accepted, front._memory)))
+        connection = connections.CallerConnection(
+            accepted, ledger.MemoryLedger(1_000_000), refusals.RefusalLog()
+        )
+        created.append((caller, connection))
     yield created
     for caller, connection in created:
         caller.close()
--- /dev/null
+++ b/tests/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `goldcresthall.memory`."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -26,6 +26,7 @@
 admin = "10.1.0.15:8649"
 [limits]
 memory_mb = 300
+max_fds = 4100
 [platform]
 address = "10.200.1.7:8642"
 """
@@ -39,6 +40,8 @@
     assert str(decoded.listen.peers) == "10.1.0.15:7620"
     assert str(decoded.store) == "10.200.1.7:8642"
     assert decoded.retries.slack == 64
+    assert decoded.machine.max_fds == 4_100
+    assert decoded.machine.max_caller_connections == 1_144
 
 
 def test_all_errors_are_reported_at_once(tmp_path: pathlib.Path) -> None:
