Give up unread responses when memory is short, and keep no body that is not counted

An idle connection kept the body of its last request, and a task that sent the responses behind its own kept its request; neither was counted any more. Both now let go of it. Ruled out: the gateway keeps no request after its outcome.

--- a/src/goldcresthall/backend/response_memory.py
+++ b/src/goldcresthall/backend/response_memory.py
@@ -144,6 +144,8 @@
             return True
         if not self._memory.take(missing):
             self._is_held_up = self._memory.has_room_without_waiting(missing)
+            if self._is_held_up and self._account is not None:
+                self._account.note_shortage()
             return False
         self._taken_bytes += missing
         return True
--- a/src/goldcresthall/callers/caller_socket.py
+++ b/src/goldcresthall/callers/caller_socket.py
@@ -15,6 +15,8 @@
 from goldcresthall.memory import progress
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from goldcresthall.backend import outgoing
 
 # Each block exists up to three times while it is parsed, on every connection.
@@ -26,6 +28,9 @@
 # A caller on a slow link takes this long to acknowledge the responses before a refused body.
 LINGER_S = 5.0
 LINGER_POLL_S = 0.05
+# A caller on a slow link may take nothing for some seconds.
+UNREAD_S = 5.0
+SHORTAGE_POLL_S = 1.0
 
 
 class CallerSocket:
@@ -35,7 +40,6 @@
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = accepted
-        self.sent_at_s: float | None = None
 
     def wait_readable(self, timeout_s: float, *, only_hangup: bool = False) -> bool:
         """Wait for input or the end of the connection; return whether there is any.
@@ -76,10 +80,16 @@
             raise exceptions.CallerDisconnectedError("closed")
         return data
 
-    def send(self, message: outgoing.OutgoingMessage, limits: progress.ProgressLimits) -> bool:
+    def send(
+        self,
+        message: outgoing.OutgoingMessage,
+        limits: progress.ProgressLimits,
+        is_memory_short: Callable[[], bool],
+    ) -> bool:
         """Send a message; return whether the caller took it within the limits.
 
-        A caller that reads slowly is waited for as long as it reads.
+        A caller that reads slowly is waited for as long as it reads. While memory is short, a
+        caller that reads nothing for some seconds is given up, for what it holds.
 
         Raises
         ------
@@ -91,15 +101,12 @@
             try:
                 sent = message.send_some(self._socket)
             except BlockingIOError:
-                self.sent_at_s = self.sent_at_s or time.monotonic()
-                if not self._wait_writable(pace.ends_at_s - time.monotonic()):
+                if not self._wait_writable(pace, is_memory_short):
                     return False
                 continue
             except OSError as error:
                 raise exceptions.CallerDisconnectedError(str(error)) from error
-            now_s = time.monotonic()
-            pace.add(sent, now_s)
-            self.sent_at_s = None if message.is_sent else now_s
+            pace.add(sent, time.monotonic())
         return True
 
     def shutdown(self, how: int) -> None:
@@ -141,10 +148,16 @@
             return 0
         return count[0]
 
-    def _wait_writable(self, timeout_s: float) -> bool:
+    def _wait_writable(self, pace: progress.Progress, is_memory_short: Callable[[], bool]) -> bool:
+        began_at_s = time.monotonic()
         poll = select.poll()
         try:
             poll.register(self._socket, select.POLLOUT)
-            return timeout_s > 0 and bool(poll.poll(timeout_s * MS_PER_S))
-        except (OSError, ValueError):
-            return False
+            while (remaining_s := pace.ends_at_s - time.monotonic()) > 0:
+                if poll.poll(min(remaining_s, SHORTAGE_POLL_S) * MS_PER_S):
+                    return True
+                if time.monotonic() - began_at_s >= UNREAD_S and is_memory_short():
+                    return False
+        except (OSError, ValueError) as error:
+            raise exceptions.CallerDisconnectedError(str(error)) from error
+        return False
--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -63,7 +63,9 @@
     ) -> None:
         self._refusal_log = refusal_log
         self._caller = caller_socket.CallerSocket(accepted)
-        self._responses = response_order.ResponseOrder(self._caller, refusal_log.count)
+        self._responses = response_order.ResponseOrder(
+            self._caller, refusal_log.count, lambda: memory.is_short
+        )
         self._reader = request_reader.RequestReader(self._caller, self._responses, memory)
         self._served_count = 0
 
@@ -125,7 +127,17 @@
 
     def respond(self, pending: response_order.PendingResponse, response: codec.RawResponse) -> None:
         """Submit a response; it is sent after all earlier responses."""
-        self._responses.respond(pending, response)
+        pending.response = response
+        del response
+        self.send_due()
+
+    def send_due(self) -> None:
+        """Send the submitted responses whose turn it is.
+
+        The task of one request may send the responses to later ones, which their caller may read
+        slowly. It should hold neither its request nor its response any more.
+        """
+        self._responses.send_due()
 
     def reject(self, error: exceptions.BadRequestError) -> None:
         """Respond to a refused request after all earlier ones, and close the connection."""
--- a/src/goldcresthall/callers/pipelined_frontend.py
+++ b/src/goldcresthall/callers/pipelined_frontend.py
@@ -153,8 +153,11 @@
         try:
             while True:
                 received = connection.receive(self._find_limits())
+                has_more = received.has_more
                 self._start_request(connection, received)
-                if not received.has_more:
+                # Otherwise an idle connection would keep the body of its last request.
+                del received
+                if not has_more:
                     connection.await_responses()
                     return
         except exceptions.BadRequestError as error:
@@ -173,7 +176,11 @@
         self, connection: connections.CallerConnection, received: connections.ReceivedRequest
     ) -> None:
         received_at_s = self._clock.read_s()
-        tasks.Task("request", lambda _: self._handle(connection, received, received_at_s)).start()
+        # The task takes the request out, so that nothing else holds its body.
+        waiting = [received]
+        tasks.Task(
+            "request", lambda _: self._handle(connection, waiting.pop(), received_at_s)
+        ).start()
 
     def _handle(
         self,
@@ -181,6 +188,14 @@
         received: connections.ReceivedRequest,
         received_at_s: float,
     ) -> None:
+        pending = received.pending
+        pending.response = self._create_response(received, received_at_s)
+        del received
+        connection.send_due()
+
+    def _create_response(
+        self, received: connections.ReceivedRequest, received_at_s: float
+    ) -> codec.RawResponse:
         decoded = self._codec.decode(received.request, received_at_s)
         request_id = ""
         if isinstance(decoded, outcomes.Refused):
@@ -194,7 +209,7 @@
                 outcome = outcomes.OutcomeUnknown(
                     outcomes.UnknownReason.CONNECTION_LOST, outcomes.Step.SEND, "", str(error)
                 )
-        connection.respond(received.pending, self._codec.encode(outcome, request_id))
+        return self._codec.encode(outcome, request_id)
 
     def _find_limits(self) -> deployment.CallerLimits:
         configuration = self._directory.configuration
--- a/src/goldcresthall/callers/response_order.py
+++ b/src/goldcresthall/callers/response_order.py
@@ -45,14 +45,18 @@
     ----------
     count_refusal
         Called if the caller does not read a response.
+    is_memory_short
+        Asked while a caller reads nothing.
     """
 
     def __init__(
         self,
         caller: caller_socket.CallerSocket,
         count_refusal: Callable[[refusals.Reason, str], None],
+        is_memory_short: Callable[[], bool],
     ) -> None:
         self._caller = caller
+        self._is_memory_short = is_memory_short
         self._count_refusal = count_refusal
         self._changed = threading.Condition(threading.Lock())
         self._pending: collections.deque[PendingResponse] = collections.deque()
@@ -114,12 +118,6 @@
                 raise exceptions.ConnectionDrainingError
             self._pending.append(pending)
 
-    def respond(self, pending: PendingResponse, response: codec.RawResponse) -> None:
-        """Submit a response; it is sent after all earlier responses."""
-        with self._changed:
-            pending.response = response
-        self._send_due()
-
     def respond_last(self, response: codec.RawResponse) -> None:
         """Submit a response that no request is pending for, and close the connection after it."""
         pending = PendingResponse(h11.Connection(h11.SERVER))
@@ -127,7 +125,7 @@
         pending.response = response
         with self._changed:
             self._pending.append(pending)
-        self._send_due()
+        self.send_due()
 
     def close_after_pending(self) -> bool:
         """Close the connection after the pending responses; return whether there are any."""
@@ -142,7 +140,8 @@
             self._changed.wait_for(lambda: not self._pending or self._is_closed)
             if self._is_closed:
                 raise exceptions.CallerDisconnectedError("closed")
-        if not self._caller.send(outgoing.OutgoingMessage((data,)), SEND_LIMITS):
+        message = outgoing.OutgoingMessage((data,))
+        if not self._caller.send(message, SEND_LIMITS, self._is_memory_short):
             raise exceptions.CallerDisconnectedError("an interim response was not read")
 
     def abandon(self) -> None:
@@ -161,7 +160,7 @@
             self._changed.wait_for(lambda: not self._is_sending)
         self._caller.close()
 
-    def _send_due(self) -> None:
+    def send_due(self) -> None:
         """Send the responses that are due, unless another task does so.
 
         The lock is not held while a response is sent, as a caller may read slowly.
@@ -200,12 +199,14 @@
         is_sent = False
         with contextlib.suppress(exceptions.CallerDisconnectedError):
             # The reading task detects the same failure and cancels the requests in progress.
-            is_sent = self._caller.send(_encode(pending), SEND_LIMITS)
+            is_sent = self._caller.send(_encode(pending), SEND_LIMITS, self._is_memory_short)
             if not is_sent:
                 self._count_refusal(refusals.Reason.RESPONSE_UNREAD, "a response was not read")
         with self._changed:
             if self._pending and self._pending[0] is pending:
                 self._pending.popleft()
+            # A task that sends the responses behind this one must not keep its memory.
+            pending.response = None
             self._is_closed = self._is_closed or not is_sent or pending.closes
             self._changed.notify_all()
         pending.cancelled.end()
--- a/src/goldcresthall/memory/ledger.py
+++ b/src/goldcresthall/memory/ledger.py
@@ -17,6 +17,7 @@
 # Reclaimed memory is free once the reader of its body has noticed, and a response that is complete
 # usually leaves within this time.
 WAIT_S: Final = 1.0
+SHORTAGE_S: Final = 2.0
 
 
 class MemoryLedger(service.Service):
@@ -49,6 +50,12 @@
         self._waiting = 0
         self._account_count = 0
         self._incomplete: dict[int, Account] = {}
+        self._short_until_s = 0.0
+
+    @property
+    def is_short(self) -> bool:
+        """Whether there was no room for something within the last `SHORTAGE_S` seconds."""
+        return self._read_s() < self._short_until_s
 
     @property
     def used_bytes(self) -> int:
@@ -91,6 +98,10 @@
                 self._incomplete[account.number] = account
             return True
 
+    def note_shortage(self) -> None:
+        """Record that there was no room for something."""
+        self._short_until_s = self._read_s() + SHORTAGE_S
+
     def try_take(self, account: Account, count: int) -> bool:
         """Count more bytes for an account if there is room now; return whether there was."""
         with self._changed:
@@ -128,6 +139,7 @@
         size_bytes = account.held_bytes + count
         if account.is_reclaimed or not self.could_hold(account.kind, size_bytes):
             return False
+        self.note_shortage()
         self._reclaim(account, count)
         is_worth_waiting = holders.goes_first(account.kind) or any(
             each.is_reclaimed for each in self._incomplete.values()
@@ -198,6 +210,10 @@
         """Count more bytes if there is room now; return whether there was."""
         return self._ledger.try_take(self, count)
 
+    def note_shortage(self) -> None:
+        """Record that there was no room for more, for a reason of its owner."""
+        self._ledger.note_shortage()
+
     def complete(self) -> None:
         """Keep the memory until it is released."""
         self._ledger.complete(self)
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from goldcresthall.callers import caller_socket
 from goldcresthall.callers import codec
 from goldcresthall.callers import connections
 from goldcresthall.callers import exceptions
@@ -18,6 +19,7 @@
 from goldcresthall.callers import response_order
 from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
+from goldcresthall.memory import holders
 from goldcresthall.memory import ledger
 from goldcresthall.memory import progress
 
@@ -303,3 +305,148 @@
     with pytest.raises(exceptions.BadRequestError) as raised:
         connection.receive(limits)
     assert raised.value.status == 503
+
+
+def test_body_over_the_limit_is_rejected_by_its_declared_length(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    """The limit was once noticed only after as many bytes had been read and kept."""
+    caller, connection = pair
+    caller.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n")
+    with pytest.raises(exceptions.BadRequestError) as raised:
+        connection.receive(LIMITS)
+    assert raised.value.status == 413
+
+
+def test_body_within_the_limit_that_memory_cannot_hold_is_refused_as_not_run(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    """Another instance may have the memory, so that 413 would be wrong."""
+    caller, connection = pair
+    limits = dataclasses.replace(LIMITS, body_bytes=10 * MEMORY_BYTES)
+    caller.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % MEMORY_BYTES)
+    with pytest.raises(exceptions.BadRequestError) as raised:
+        connection.receive(limits)
+    assert raised.value.status == 503
+
+
+def test_incomplete_body_whose_memory_is_reclaimed_is_refused_as_not_run(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    limits = dataclasses.replace(LIMITS, body_bytes=MEMORY_BYTES)
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n"
+    threading.Thread(target=lambda: caller.sendall(head + bytes(890_000)), daemon=True).start()
+    memory = connection._reader._memory
+    arriving = memory.open(holders.RequestHolder())
+    taken: list[bool] = []
+
+    def take_when_held() -> None:
+        while memory.used_bytes < 890_000:
+            time.sleep(0.01)
+        taken.append(arriving.take(600_000))
+
+    taker = threading.Thread(target=take_when_held, daemon=True)
+    taker.start()
+    with pytest.raises(exceptions.BadRequestError) as raised:
+        connection.receive(limits)
+    taker.join(timeout=10)
+    assert (raised.value.status, taken) == (503, [True])
+
+
+def test_refused_body_does_not_cut_the_earlier_response(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    """Closing with unread input once reset the connection while the response was on its way."""
+    caller, connection = pair
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    caller.sendall(REQUEST % 1)
+    first = connection.receive(LIMITS)
+    caller.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9999999\r\n\r\n" + bytes(99_999))
+    with pytest.raises(exceptions.BadRequestError) as raised:
+        connection.receive(LIMITS)
+    body = bytes(300_000) + b"end"
+
+    def end_connection() -> None:
+        connection.reject(raised.value)
+        connection.await_responses()
+        connection.abandon()
+
+    threads = [
+        threading.Thread(target=lambda: connection.respond(first.pending, create_response(body))),
+        threading.Thread(target=end_connection),
+    ]
+    for thread in threads:
+        thread.start()
+    data = read_until(caller, b"HTTP/1.1 413")
+    assert body in data
+    for thread in threads:
+        thread.join(timeout=10)
+
+
+def test_response_that_is_read_slowly_does_not_hold_up_the_end_of_the_instance(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    """The lock of a connection was once held while a response was sent."""
+    caller, connection = pair
+    caller.sendall(REQUEST % 1)
+    first = connection.receive(LIMITS)
+    sender = threading.Thread(
+        target=lambda: connection.respond(first.pending, create_response(bytes(64 * 1_048_576)))
+    )
+    sender.start()
+    read_until(caller, b"200")
+    assert not connection.close_idle()
+    assert not connection.is_idle
+    connection.abandon()
+    sender.join(timeout=10)
+    assert not sender.is_alive()
+
+
+def test_response_that_is_read_slowly_is_not_cut(
+    pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A total of 10 s once ended responses that a caller was still reading."""
+    monkeypatch.setattr(
+        response_order, "SEND_LIMITS", progress.ProgressLimits(max_pause_s=1.0, window_s=1.0)
+    )
+    caller, connection = pair
+    caller.sendall(REQUEST % 1)
+    first = connection.receive(LIMITS)
+    size = 32 * 1_048_576
+    sender = threading.Thread(
+        target=lambda: connection.respond(first.pending, create_response(bytes(size)))
+    )
+    sender.start()
+    received = 0
+    for _ in range(16):
+        received += len(caller.recv(size // 16, socket.MSG_WAITALL))
+        time.sleep(0.15)
+    while received < size:
+        received += len(caller.recv(size))
+    sender.join(timeout=10)
+    assert not sender.is_alive()
+
+
+def test_caller_that_leaves_within_a_body_leaves_no_memory_counted(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    caller.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n" + bytes(99))
+    caller.close()
+    with pytest.raises(exceptions.CallerDisconnectedError):
+        connection.receive(LIMITS)
+    assert connection._reader._memory.used_bytes == 0
+
+
+def test_response_that_nobody_reads_is_given_up_while_memory_is_short(
+    pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(caller_socket, "UNREAD_S", 0.0)
+    monkeypatch.setattr(caller_socket, "SHORTAGE_POLL_S", 0.05)
+    caller, connection = pair
+    caller.sendall(REQUEST % 1)
+    first = connection.receive(LIMITS)
+    connection._reader._memory.note_shortage()
+    connection.respond(first.pending, create_response(bytes(64 * 1_048_576)))
+    assert connection.is_idle
