--- a/tests/backend/test_exchange.py
+++ b/tests/backend/test_exchange.py
@@ -328,6 +328,26 @@
     assert not pool._idle
 
 
+def test_response_of_a_server_that_resets_a_long_body_is_taken(
+    servers: list[ScriptedServer],
+) -> None:
+    """A refusal as not executed was once lost if the connection ended while the body was sent."""
+
+    def respond_and_reset(connection: socket.socket) -> None:
+        connection.recv(1_024)
+        connection.sendall(create_response("mine", b"early"))
+
+    server = ScriptedServer(respond_and_reset)
+    servers.append(server)
+    connected = socket.create_connection(dataclasses.astuple(server.address))
+    upload = dataclasses.replace(REQUEST, method="POST", body=b"x" * LONG_BODY_BYTES)
+    reservation = response_memory.ResponseMemory(LIMITS).create_reservation()
+    response = exchange.Connection(connected).exchange(
+        upload, ID_HEADER, TEST_TIMEOUT_S, reservation
+    )
+    assert response.body == b"early"
+
+
 def test_body_that_the_server_does_not_read_ends_at_the_deadline(
     servers: list[ScriptedServer],
 ) -> None:
--- a/tests/backend/test_response_memory.py
+++ b/tests/backend/test_response_memory.py
@@ -6,6 +6,8 @@
 from hypothesis import strategies
 
 from goldcresthall.backend import response_memory
+from goldcresthall.memory import holders
+from goldcresthall.memory import ledger
 
 FREE = response_memory.UNCOUNTED_BODY_BYTES
 LIMITS = response_memory.ResponseLimits(max_body_bytes=10 * FREE, total_bytes=12 * FREE)
@@ -73,3 +75,27 @@
         assert first.add(LIMITS.max_body_bytes)
         assert not second.add(LIMITS.max_body_bytes)
         assert not second.is_held_up
+
+
+def test_every_byte_counts_in_the_ledger_until_the_body_is_written() -> None:
+    """The first part of each body was once not counted, so that many bodies had no bound."""
+    memory_ledger = ledger.MemoryLedger(20 * FREE, wait_s=0.0)
+    memory = response_memory.ResponseMemory(LIMITS, memory_ledger)
+    with memory.create_reservation() as reservation:
+        assert reservation.add(FREE)
+        reservation.start_waiting()
+        assert memory_ledger.used_bytes == FREE
+        assert memory_ledger.open(holders.RequestHolder()).take(FREE)
+    assert memory_ledger.used_bytes == FREE
+
+
+def test_server_is_not_blamed_if_requests_leave_no_memory_for_its_response() -> None:
+    memory_ledger = ledger.MemoryLedger(2 * FREE, wait_s=0.0)
+    others = memory_ledger.open(holders.RequestHolder())
+    assert others.take(2 * FREE)
+    others.complete()
+    memory = response_memory.ResponseMemory(LIMITS, memory_ledger)
+    with memory.create_reservation() as reservation:
+        assert not reservation.add(FREE)
+        assert reservation.is_held_up
+    assert memory_ledger.is_short
