--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -21,6 +21,7 @@
 
     from goldcresthall.core import identity
     from goldcresthall.kernel import cancellation
+    from goldcresthall.memory import ledger
 
 IDLE_SWEEP_INTERVAL_S = 5.0
 LOG_INTERVAL_S = 1
@@ -40,6 +41,8 @@
         For how long idle connections are kept.
     count_use
         Called for each connection that is opened or reused.
+    memory_ledger
+        Counts the bodies of all responses.
     """
 
     def __init__(
@@ -48,12 +51,13 @@
         count_surplus: Callable[[], None] = lambda: None,
         policy: idle_survival.ReusePolicy = idle_survival.CAUTIOUS,
         count_use: Callable[[exchange_metrics.ConnectionUse], None] = lambda use: None,
+        memory_ledger: ledger.MemoryLedger | None = None,
     ) -> None:
         self._count_surplus = count_surplus
         self._policy = policy
         self._count_use = count_use
         self._survival = idle_survival.IdleSurvival()
-        self._memory = response_memory.ResponseMemory(limits)
+        self._memory = response_memory.ResponseMemory(limits, memory_ledger)
         self._lock = threading.Lock()
         self._idle: dict[identity.Address, collections.deque[exchange.Connection]] = {}
         self._swept_at_s = time.monotonic()
--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -108,7 +108,7 @@
         cancelled: cancellation.Cancellation,
     ) -> attempts.Attempt:
         dispatch = self._create_dispatch(request, plan, server)
-        take_retry = functools.partial(self._take_retry, plan)
+        take_retry = functools.partial(self.take_retry, plan)
         if not plan.route.idempotent or progress.sent + 1 >= plan.route.max_attempts:
             return self._sender.send(dispatch, cancelled, take_retry)
         work_s = self._model.expect_s(plan.route.name, server)
@@ -135,7 +135,8 @@
             )
         return attempt
 
-    def _take_retry(self, plan: routing_plans.RoutingPlan) -> bool:
+    def take_retry(self, plan: routing_plans.RoutingPlan) -> bool:
+        """Spend one retry of the service's budget if this instance's share allows it."""
         budget = self._budgets.find(plan.target.service)
         return budget.take_retry(self._clock.read_s(), self._instance_counter.live_instances)
 
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -310,7 +310,7 @@
         if retry_policy.was_sent(attempt):
             if progress.sent >= plan.route.max_attempts:
                 return False
-            if not self._take_retry(plan):
+            if not self._runner.take_retry(plan):
                 self._metrics.count_retry_denied(reason)
                 return False
         self._metrics.count_retry(reason)
