Keep room in queues for more urgent requests, with tests of the gateway

Cause: a less urgent route with a later latency target joined queues that were already too long for urgent requests, so urgent ones were refused more often.

test_server_finder.py: the fake of has_capacity takes the new parameter. A wait for an owner of less than 1 ms is over; with a rounding remainder of 1e-17 s the new test of the wait never ended.

--- a/src/goldcresthall/admission/retry_after.py
+++ b/src/goldcresthall/admission/retry_after.py
@@ -40,6 +40,15 @@
     outcomes.RefusalReason.SHUTTING_DOWN: OTHER_INSTANCE_S,
 }
 
+# A retry of these would be refused again.
+PERMANENT: Final = frozenset(
+    {
+        outcomes.RefusalReason.MALFORMED_REQUEST,
+        outcomes.RefusalReason.REQUEST_TOO_LARGE,
+        outcomes.RefusalReason.UNKNOWN_ROUTE,
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Refusal:
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -158,7 +158,8 @@
                 outcomes.Step.ROUTE,
                 "",
             )
-        route = self._directory.route_table.match(request.host, request.path)
+        table = self._directory.route_table
+        route = table.match(request.host, request.path)
         if route is None:
             return outcomes.Refused(
                 outcomes.RefusalReason.UNKNOWN_ROUTE, outcomes.Step.ROUTE, request.host
@@ -173,7 +174,13 @@
         target_at_s = request.received_at_s + route.target_latency_s
         work_s = self._work.expect_work_s(route.name)
         return routing_plans.RoutingPlan(
-            route, target, configuration.version, deadline_s, target_at_s, work_s
+            route,
+            target,
+            configuration.version,
+            deadline_s,
+            target_at_s,
+            work_s,
+            table.find_queue_limit(route),
         )
 
     def _run_attempts(
@@ -212,9 +219,10 @@
     ) -> deployment.RegisteredServer | server_finder.Unavailable:
         """Return a server with capacity that no earlier or more urgent request waits for."""
         place.look()
-        target_in_s = plan.target_at_s - self._clock.read_s()
+        limit = plan.queue_limit
+        target_in_s = min(plan.target_at_s - self._clock.read_s(), limit.max_response_s)
         selected = self._server_finder.find(
-            plan.target, progress.tried, self._generator, target_in_s
+            plan.target, progress.tried, self._generator, target_in_s, queue_fraction=limit.fraction
         )
         if isinstance(selected, server_finder.Unavailable):
             return selected
--- a/src/goldcresthall/gateway/outcome_reporter.py
+++ b/src/goldcresthall/gateway/outcome_reporter.py
@@ -59,7 +59,7 @@
         share
             Share of the requests for its range that the range's owner can serve.
         """
-        if isinstance(outcome, outcomes.Refused):
+        if isinstance(outcome, outcomes.Refused) and outcome.reason not in retry_after.PERMANENT:
             outcome = self._add_retry_after(request, plan, outcome, share)
         self._report_outcome(request, plan, outcome, attempt_descriptions)
         return outcome
--- a/src/goldcresthall/gateway/retry_policy.py
+++ b/src/goldcresthall/gateway/retry_policy.py
@@ -14,6 +14,7 @@
 # the time of a request that is held and then refused is a cost to its caller.
 MOVE_WAIT_S = 0.3
 MAX_WAIT_TARGET_FRACTION = 0.25
+MIN_WAIT_S = 0.001
 MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -36,8 +37,8 @@
 
     @property
     def left_s(self) -> float:
-        """Seconds left to wait; not positive once the limit has passed."""
-        return self._left_s
+        """Seconds left to wait; 0 once the limit has passed."""
+        return self._left_s if self._left_s >= MIN_WAIT_S else 0.0
 
     def spend(self, waited_s: float) -> None:
         """Count a wait."""
--- a/src/goldcresthall/gateway/route_table.py
+++ b/src/goldcresthall/gateway/route_table.py
@@ -7,6 +7,8 @@
 import threading
 from typing import TYPE_CHECKING
 
+from goldcresthall.admission import queue_limits
+
 if TYPE_CHECKING:
     import random
 
@@ -23,6 +25,7 @@
             sorted(by_length, key=lambda route: route.host), key=lambda route: route.host
         ):
             self._by_host[host] = tuple(group)
+        self._queue_limits = queue_limits.find_queue_limits(routes)
 
     def match(self, host: str, path: str) -> deployment.HostRoute | None:
         """Return the route of a request, or `None` if no route matches."""
@@ -31,6 +34,10 @@
                 return route
         return None
 
+    def find_queue_limit(self, route: deployment.HostRoute) -> queue_limits.QueueLimit:
+        """Return how far the requests of a route may fill the queues of servers."""
+        return self._queue_limits.get(route.name, queue_limits.NO_LIMIT)
+
 
 class WeightedRoundRobin:
     """Smooth weighted round robin over the services of one traffic split.
--- a/src/goldcresthall/gateway/routing_plans.py
+++ b/src/goldcresthall/gateway/routing_plans.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from goldcresthall.admission import queue_limits
 from goldcresthall.core import deployment
 from goldcresthall.gateway import server_finder
 
@@ -20,6 +21,8 @@
         Clock reading in seconds of the route's latency target for the request.
     work_s
         Expected seconds of work on a server of usual speed.
+    queue_limit
+        How far the request may fill the queues of servers.
     """
 
     route: deployment.HostRoute
@@ -28,3 +31,4 @@
     deadline_s: float
     target_at_s: float
     work_s: float
+    queue_limit: queue_limits.QueueLimit = queue_limits.NO_LIMIT
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -102,7 +102,12 @@
         self._instance_counter = instance_counter
         self._divided: dict[str, selection.Candidates] = {}
 
-    def has_capacity(self, server: deployment.RegisteredServer, target_in_s: float) -> bool:
+    def has_capacity(
+        self,
+        server: deployment.RegisteredServer,
+        target_in_s: float,
+        queue_fraction: float = 1.0,
+    ) -> bool:
         """Return whether a server has capacity for another request from this instance.
 
         This instance's share of the server's queue must not be used up, and the server's
@@ -114,6 +119,8 @@
         ----------
         target_in_s
             Seconds until the request's latency target; negative once it has passed.
+        queue_fraction
+            Part of the server's load limit up to which the request may join its queue.
         """
         limit = math.ceil(
             MAX_OUTSTANDING_PER_SLOT * server.slots / self._instance_counter.live_instances
@@ -125,7 +132,8 @@
         if load < server.slots:
             return True
         response_time_s = estimate.find_response_time_s(load, server.slots)
-        return load < MAX_LOAD_PER_SLOT * server.slots and response_time_s <= target_in_s
+        max_load = MAX_LOAD_PER_SLOT * server.slots * queue_fraction
+        return load < max_load and response_time_s <= target_in_s
 
     def find_pause_s(self, server: deployment.RegisteredServer) -> float:
         """Return the seconds for which a server wants no request; not positive if it does."""
@@ -195,6 +203,8 @@
         tried: frozenset[str],
         generator: random.Random,
         target_in_s: float = math.inf,
+        *,
+        queue_fraction: float = 1.0,
     ) -> deployment.RegisteredServer | Unavailable:
         """Return the server for the next attempt, or why none is usable.
 
@@ -202,8 +212,12 @@
         ----------
         target_in_s
             Seconds until the request's latency target; negative once it has passed.
+        queue_fraction
+            Part of a server's load limit up to which the request may join its queue.
         """
-        return _find_server(target, self, tried, generator, target_in_s)
+        return _find_server(
+            target, self, tried, generator, target_in_s, queue_fraction=queue_fraction
+        )
 
 
 @functools.singledispatch
@@ -213,6 +227,8 @@
     tried: frozenset[str],
     generator: random.Random,
     target_in_s: float,
+    *,
+    queue_fraction: float,
 ) -> deployment.RegisteredServer | Unavailable:
     raise NotImplementedError(type(target).__name__)
 
@@ -224,12 +240,14 @@
     tried: frozenset[str],
     generator: random.Random,
     target_in_s: float,
+    *,
+    queue_fraction: float,
 ) -> deployment.RegisteredServer | Unavailable:
     now_s = finder.directory.read_s()
     divided = finder.divide(target.service)
 
     def has_room(entry: server_lists.DirectoryEntry) -> bool:
-        return finder.has_capacity(entry.server, target_in_s)
+        return finder.has_capacity(entry.server, target_in_s, queue_fraction)
 
     def is_candidate(entry: server_lists.DirectoryEntry) -> bool:
         return is_listed_candidate(entry, tried) and finder.find_pause_s(entry.server) <= 0
@@ -267,6 +285,8 @@
     tried: frozenset[str],
     generator: random.Random,
     target_in_s: float,
+    *,
+    queue_fraction: float,
 ) -> deployment.RegisteredServer | Unavailable:
     range_owner = finder.owners.find(target.service, target.key)
     if range_owner is None or not range_owner.ready:
@@ -282,7 +302,7 @@
     suspected = _check_circuit(target, entry, finder)
     if suspected is not None:
         return suspected
-    if not finder.has_capacity(entry.server, target_in_s):
+    if not finder.has_capacity(entry.server, target_in_s, queue_fraction):
         return finder.create_busy(target.service, (entry.server,), entry.server.name, target_in_s)
     return entry.server
 
--- /dev/null
+++ b/tests/gateway/test_gateway.py
@@ -0,0 +1,374 @@
+"""Tests of the gateway's path from a request to its outcome, with a sender that is scripted."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from goldcresthall.admission import range_admissions
+from goldcresthall.admission import server_circuits
+from goldcresthall.backend import request_sender
+from goldcresthall.core import attempts
+from goldcresthall.core import deployment
+from goldcresthall.core import deployment_settings
+from goldcresthall.core import identity
+from goldcresthall.core import key_ranges
+from goldcresthall.core import outcomes
+from goldcresthall.core import requests
+from goldcresthall.gateway import gateway
+from goldcresthall.kernel import cancellation
+from goldcresthall.kernel import kernel
+from goldcresthall.kernel import names
+from goldcresthall.load import server_news
+from goldcresthall.observability import decisions
+from goldcresthall.observability import metrics
+from goldcresthall.platform import caller_codec
+from goldcresthall.ranges import owners
+from tests.gateway import conftest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from tests.fakes import clock
+
+ALL_KEYS = key_ranges.KeyRange(key_ranges.FIRST_KEY, key_ranges.LAST_KEY)
+OK = attempts.AttemptAnswered(outcomes.Answer(200, (), b""))
+NOT_CONNECTED = attempts.AttemptNotRun(
+    outcomes.RefusalReason.CONNECT_FAILED, outcomes.Step.CONNECT, "timed out"
+)
+NOT_SENT = attempts.AttemptNotRun(
+    outcomes.RefusalReason.CONNECT_FAILED, outcomes.Step.SEND, "reset before the first byte"
+)
+SHED = attempts.AttemptNotRun(
+    outcomes.RefusalReason.SERVER_SHED,
+    outcomes.Step.EXECUTE,
+    "status 503",
+    signals=attempts.ServerSignals(load=0.0),
+)
+LOST = attempts.AttemptUnknown(
+    outcomes.UnknownReason.CONNECTION_LOST, outcomes.Step.RECEIVE, "reset"
+)
+
+
+class ScriptedSender(request_sender.RequestSender):
+    """Returns attempts from a script, the last one again and again, after a time."""
+
+    def __init__(self, manual: clock.ManualClock) -> None:
+        self.clock = manual
+        self.script: list[attempts.Attempt] = [OK]
+        self.duration_s = 0.01
+        self.sent_to: list[str] = []
+        self.on_send: Callable[[], None] = lambda: None
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def send(
+        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
+    ) -> attempts.Attempt:
+        """Return the next attempt of the script."""
+        self.sent_to.append(dispatch.server.name)
+        self.clock.advance(self.duration_s)
+        self.on_send()
+        if cancelled.is_cancelled:
+            return attempts.AttemptUnknown(
+                outcomes.UnknownReason.CALLER_LEFT, outcomes.Step.RECEIVE, "cancelled"
+            )
+        return self.script.pop(0) if len(self.script) > 1 else self.script[0]
+
+
+class Setup:
+    """A gateway with a keyed and a pool service, a manual clock and a scripted sender."""
+
+    def __init__(self) -> None:
+        fixture = conftest.create_gateway_fixture()
+        self.clock, self.directory = fixture.clock, fixture.directory
+        self.circuits = fixture.circuits
+        self.owners = fixture.owners
+        self.shares = range_admissions.RangeAdmissions()
+        self.sender = ScriptedSender(self.clock)
+        built = kernel.Kernel()
+        built.register(names.CLOCK, self.clock)
+        built.register(names.METRICS, metrics.Metrics())
+        built.register(names.DIRECTORY, fixture.directory)
+        built.register(names.OWNERS, fixture.owners)
+        built.register(names.ESTIMATES, fixture.estimates)
+        built.register(names.REPORTS, conftest.FourInstances())
+        built.register(names.REQUEST_SENDER, self.sender)
+        built.register(names.REQUEST_LOG, decisions.DecisionLog.from_config(built, "one"))
+        built.register(names.RANGE_ADMISSIONS, self.shares)
+        built.register(names.SERVER_CIRCUITS, fixture.circuits)
+        address = identity.Address("127.0.0.1", 7_000)
+        listen = deployment_settings.DeploymentListen(
+            callers=address, readiness=address, peers=address
+        )
+        settings = deployment_settings.DeploymentSettings(
+            name="one",
+            failure_domain="near",
+            listen=listen,
+            store=address,
+            heartbeat_s=0.9,
+            max_lease_s=3.0,
+            drain_s=2.0,
+            grace_s=5.0,
+        )
+        self.gateway = gateway.Gateway(built, settings, random.Random(1))
+        self.gateway.start()
+
+    def configure(self, *routes: deployment.HostRoute) -> None:
+        configuration = dataclasses.replace(conftest.create_configuration(1), routes=routes)
+        self.directory.apply_configuration(configuration)
+
+    def register(self, *servers: deployment.RegisteredServer) -> None:
+        self.directory.apply_full_list(servers)
+
+    def assign_keys(self, owner: str) -> None:
+        incarnation = deployment.ServerIncarnation(owner, 1)
+        owned = key_ranges.RangeOwner("ledger", ALL_KEYS, incarnation, True)
+        view = self.owners.view
+        self.owners.apply(owners.OwnersView(1, view.revision + 1, (owned,)))
+
+    def handle(self, path: str = "/ledger/1", key: str = "7") -> outcomes.Outcome:
+        request = requests.Request(
+            request_id="r",
+            service="",
+            host="a.example",
+            method="GET",
+            path=path,
+            raw_target=path,
+            key=key,
+            received_at_s=self.clock.read_s(),
+        )
+        return self.gateway.handle(request, cancellation.Cancellation())
+
+
+def create_route(
+    name: str, *services: deployment.WeightedService, **changes: object
+) -> deployment.HostRoute:
+    route = conftest.create_route(name, f"/{name}/", *services)
+    return dataclasses.replace(route, **changes)  # type: ignore[arg-type]
+
+
+@pytest.fixture
+def setup() -> Iterator[Setup]:
+    """Provide a gateway with one owner of all keys and one server of the pool."""
+    created = Setup()
+    created.configure(
+        create_route("ledger", deployment.WeightedService("ledger", 1.0)),
+        create_route("urgent", deployment.WeightedService("ledger", 1.0), priority=0),
+        create_route("agenda", deployment.WeightedService("agenda", 1.0), max_attempts=3),
+    )
+    created.register(
+        conftest.create_server("owner", "ledger"),
+        conftest.create_server("one"),
+        conftest.create_server("two"),
+    )
+    created.assign_keys("owner")
+    yield created
+    created.gateway.stop()
+
+
+def expect_refused(outcome: outcomes.Outcome, reason: outcomes.RefusalReason) -> float:
+    """Return the time to retry of a refusal, which the caller sees as a 503."""
+    assert isinstance(outcome, outcomes.Refused)
+    assert outcome.reason is reason
+    assert caller_codec.PlatformCallerCodec().encode(outcome, "r").status == 503
+    assert outcome.retry_after_s is not None
+    return outcome.retry_after_s
+
+
+def test_requests_beyond_the_share_are_refused_at_once_and_urgent_ones_admitted(
+    setup: Setup,
+) -> None:
+    rows = (range_admissions.RangeAdmission("ledger", key_ranges.KeyRange(7, 7), 0.65),)
+    refused = {"/ledger/1": 0, "/urgent/1": 0}
+    for _ in range(300):
+        setup.shares.replace(rows, setup.clock.read_s())
+        for path in refused:
+            outcome = setup.handle(path)
+            if isinstance(outcome, outcomes.Refused):
+                expect_refused(outcome, outcomes.RefusalReason.OVERLOADED)
+                refused[path] += 1
+    assert refused["/urgent/1"] <= 6
+    assert 0.6 < refused["/ledger/1"] / 300 < 0.8
+    assert len(setup.sender.sent_to) == 600 - sum(refused.values())
+
+
+def test_other_keys_and_old_rows_limit_no_request(setup: Setup) -> None:
+    row = range_admissions.RangeAdmission("ledger", key_ranges.KeyRange(7, 7), 0.0)
+    setup.shares.replace((row,), setup.clock.read_s())
+    assert isinstance(setup.handle(key="8"), outcomes.Answered)
+    expect_refused(setup.handle(key="7"), outcomes.RefusalReason.OVERLOADED)
+    setup.clock.advance(range_admissions.MAX_ROWS_AGE_S + 0.1)
+    assert isinstance(setup.handle(key="7"), outcomes.Answered)
+
+
+def test_times_to_retry_differ(setup: Setup) -> None:
+    row = range_admissions.RangeAdmission("ledger", ALL_KEYS, 0.0)
+    setup.shares.replace((row,), setup.clock.read_s())
+    times_s = {expect_refused(setup.handle(), outcomes.RefusalReason.OVERLOADED) for _ in range(9)}
+    assert len(times_s) == 9
+
+
+@pytest.mark.parametrize("failure", [NOT_CONNECTED, NOT_SENT])
+def test_request_of_which_no_byte_left_is_refused(
+    setup: Setup, failure: attempts.AttemptNotRun
+) -> None:
+    """The caller may repeat an order only if it is told that the order was not run."""
+    setup.sender.script = [failure]
+    setup.sender.duration_s = 0.3
+    expect_refused(
+        setup.handle("/agenda/1"),
+        outcomes.RefusalReason.NO_SERVER_AVAILABLE,
+    )
+    assert len(setup.sender.sent_to) == 2
+
+
+def test_request_whose_deadline_passes_between_failed_connects_is_refused(setup: Setup) -> None:
+    setup.sender.script = [NOT_CONNECTED]
+    setup.sender.duration_s = 1.0
+    expect_refused(setup.handle("/agenda/1"), outcomes.RefusalReason.CONNECT_FAILED)
+
+
+def test_request_with_one_unknown_attempt_stays_unknown(setup: Setup) -> None:
+    setup.sender.script = [LOST, NOT_CONNECTED]
+    outcome = setup.handle("/agenda/1")
+    assert isinstance(outcome, outcomes.OutcomeUnknown)
+    assert len(setup.sender.sent_to) == 2
+
+
+def test_request_for_an_owner_that_refused_a_connection_is_refused_at_once(
+    setup: Setup, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was held for 0.7 of its time, although the keys of a lost owner are free only later."""
+    monkeypatch.setattr(setup.owners, "wait_for_newer", lambda *_: False)
+    setup.sender.script = [NOT_CONNECTED, OK]
+    retry_after_s = expect_refused(setup.handle(), outcomes.RefusalReason.CIRCUIT_OPEN)
+    assert retry_after_s >= server_circuits.LOST_OWNER_S - 0.1
+    setup.assign_keys("owner-2")
+    setup.register(conftest.create_server("owner-2", "ledger"))
+    assert isinstance(setup.handle(), outcomes.Answered)
+
+
+def test_request_whose_owner_moves_right_after_a_refused_connection_is_served(
+    setup: Setup, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    setup.register(
+        conftest.create_server("owner", "ledger"), conftest.create_server("owner-2", "ledger")
+    )
+    monkeypatch.setattr(setup.owners, "wait_for_newer", lambda *_: setup.assign_keys("owner-2"))
+    setup.sender.script = [NOT_CONNECTED, OK]
+    assert isinstance(setup.handle(), outcomes.Answered)
+    assert setup.sender.sent_to == ["owner", "owner-2"]
+
+
+def test_request_waits_for_a_move_but_not_for_a_lost_owner(
+    setup: Setup, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A usual move takes 0.1 to 0.3 s; a refusal after a longer wait is a cost to the caller."""
+    setup.register(conftest.create_server("owner-2", "ledger"))
+    monkeypatch.setattr(
+        setup.owners, "wait_for_newer", lambda _, timeout_s: setup.clock.advance(timeout_s)
+    )
+    began_at_s = setup.clock.read_s()
+    expect_refused(setup.handle(), outcomes.RefusalReason.NO_OWNER)
+    assert setup.clock.read_s() - began_at_s == pytest.approx(0.3)
+
+
+def test_owner_that_two_instances_report_gets_only_probes(setup: Setup) -> None:
+    owner = deployment.ServerIncarnation("owner", 1)
+    setup.circuits.apply_news((server_news.FullServer(owner, 0.1),) * 2)
+    setup.sender.duration_s = 0.0
+    setup.sender.script = [LOST]
+    handled = [setup.handle() for _ in range(50)]
+    refused = [outcome for outcome in handled if isinstance(outcome, outcomes.Refused)]
+    assert len(refused) >= 49
+    setup.clock.advance(1.0)
+    setup.sender.script = [OK]
+    assert isinstance(setup.handle(), outcomes.Answered)
+
+
+def test_pool_server_that_two_instances_report_is_avoided(setup: Setup) -> None:
+    reported = deployment.ServerIncarnation("one", 1)
+    setup.circuits.apply_news((server_news.FullServer(reported, 0.1),) * 2)
+    for _ in range(20):
+        setup.handle("/agenda/1")
+    assert set(setup.sender.sent_to) == {"two"}
+    setup.register(conftest.create_server("one"))
+    assert isinstance(setup.handle("/agenda/1"), outcomes.Answered)
+
+
+def test_attempt_at_a_suspected_server_is_given_up_for_another_one(setup: Setup) -> None:
+    """Reads lost at a silent server were held until the deadline."""
+    setup.configure()
+    setup.directory._configuration = None
+    setup.configure(
+        create_route(
+            "agenda",
+            deployment.WeightedService("agenda", 1.0),
+            target_latency_s=5.0,
+            timeout_s=9.0,
+        )
+    )
+    setup.sender.duration_s = 1.0
+
+    def suspect() -> None:
+        server = deployment.ServerIncarnation(setup.sender.sent_to[-1], 1)
+        if len(setup.sender.sent_to) == 1:
+            setup.circuits.apply_news((server_news.FullServer(server, 0.1),) * 2)
+            setup.gateway._runner._watches.check()
+
+    setup.sender.on_send = suspect
+    outcome = setup.handle("/agenda/1")
+    assert isinstance(outcome, outcomes.Answered)
+    assert sorted(setup.sender.sent_to) == ["one", "two"]
+
+
+def test_slow_attempt_at_a_server_that_is_not_suspected_is_left_alone(setup: Setup) -> None:
+    """The server would go on with work that was given up, and the retry would add to its load."""
+    setup.sender.duration_s = 0.25
+    setup.sender.on_send = setup.gateway._runner._watches.check
+    assert isinstance(setup.handle("/agenda/1"), outcomes.Answered)
+    assert len(setup.sender.sent_to) == 1
+
+
+def configure_split(setup: Setup, **weights: float) -> None:
+    setup.directory._configuration = None
+    parts = tuple(deployment.WeightedService(name, weight) for name, weight in weights.items())
+    setup.configure(create_route("split", *parts))
+
+
+def test_part_of_a_split_with_weight_zero_gets_nothing(setup: Setup) -> None:
+    configure_split(setup, ledger=0.0, agenda=1.0)
+    for _ in range(30):
+        assert isinstance(setup.handle("/split/1"), outcomes.Answered)
+    assert "owner" not in setup.sender.sent_to
+
+
+def test_requests_of_a_full_part_of_a_split_are_refused_and_not_moved(setup: Setup) -> None:
+    configure_split(setup, ledger=1.0, agenda=1.0)
+    setup.shares.replace(
+        (range_admissions.RangeAdmission("ledger", ALL_KEYS, 0.0),), setup.clock.read_s()
+    )
+    setup.sender.duration_s = 0.0
+    handled = [setup.handle("/split/1") for _ in range(40)]
+    assert sum(isinstance(outcome, outcomes.Refused) for outcome in handled) == 20
+    assert len(setup.sender.sent_to) == 20
+    assert "owner" not in setup.sender.sent_to
+
+
+def test_requests_of_a_split_with_all_parts_full_are_refused(setup: Setup) -> None:
+    configure_split(setup, ledger=1.0, agenda=1.0)
+    rows = tuple(
+        range_admissions.RangeAdmission(name, ALL_KEYS, 0.0) for name in ("ledger", "agenda")
+    )
+    setup.shares.replace(rows, setup.clock.read_s())
+    for _ in range(10):
+        expect_refused(setup.handle("/split/1"), outcomes.RefusalReason.OVERLOADED)
--- a/tests/gateway/test_server_finder.py
+++ b/tests/gateway/test_server_finder.py
@@ -251,7 +251,9 @@
     gateway_fixture.directory.apply_full_list(servers)
     examined: list[str] = []
 
-    def has_capacity(server: deployment.RegisteredServer, target_in_s: float) -> bool:
+    def has_capacity(
+        server: deployment.RegisteredServer, target_in_s: float, queue_fraction: float
+    ) -> bool:
         examined.append(server.name)
         return True
 
