--- a/tests/backend/test_exchange.py
+++ b/tests/backend/test_exchange.py
@@ -548,3 +548,27 @@
     for cancelled in (waiting[1], last):
         cancelled.end()
     assert pool.used_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("body_bytes", "is_read", "error"),
+    [(0, False, exceptions.NotSentError), (LONG_BODY_BYTES, True, exceptions.ConnectionLostError)],
+)
+def test_only_a_send_that_fails_before_its_first_byte_counts_as_not_sent(
+    body_bytes: int, is_read: bool, error: type[exceptions.ExchangeError]
+) -> None:
+    """A request that was never sent is refused; one of which a part left stays unknown."""
+    own, peer = socket.socketpair()
+    closer = threading.Thread(target=lambda: (is_read and peer.recv(1), peer.close()))
+    closer.start()
+    if not is_read:
+        closer.join()
+    memory = response_memory.ResponseMemory(LIMITS)
+    used = exchange.Connection(own)
+    sent = dataclasses.replace(REQUEST, method="POST", body=b"x" * body_bytes)
+    with pytest.raises(exceptions.ExchangeError) as raised:
+        used.exchange(sent, ID_HEADER, TEST_TIMEOUT_S, memory.create_reservation())
+    closer.join()
+    used.close()
+    assert raised.type is error
+    assert raised.value.step is outcomes.Step.SEND
--- a/tests/platform/test_request_client.py
+++ b/tests/platform/test_request_client.py
@@ -29,6 +29,14 @@
     assert not retry_policy.was_sent(attempt)
 
 
+def test_request_that_failed_before_its_first_byte_was_not_run() -> None:
+    """It was reported as unknown, so that an order could not be repeated."""
+    error = exceptions.NotSentError(outcomes.Step.SEND, "broken pipe")
+    attempt = request_client._describe_failure(error)
+    assert isinstance(attempt, attempts.AttemptNotRun)
+    assert not retry_policy.was_sent(attempt)
+
+
 def create_raw_response(status: int, *headers: tuple[str, str]) -> exchange.RawResponse:
     fixed = (("Goldcresthall-Request-Id", "mine"), ("Goldcresthall-Response-Signature", "1f"))
     named = tuple(outcomes.Header(name, value) for name, value in (*fixed, *headers))
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -8,14 +8,17 @@
 import pytest
 
 from goldcresthall.admission import server_circuits
+from goldcresthall.core import attempts
 from goldcresthall.core import configuration_documents
 from goldcresthall.core import identity
 from goldcresthall.core import key_ranges
+from goldcresthall.core import outcomes
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.load import server_news
 from goldcresthall.observability import metrics
 from goldcresthall.ranges import follower_state
 from goldcresthall.ranges import membership
@@ -240,3 +243,48 @@
     simulation.advance(1.0)
     assert not simulation.servers[leaving].leases
     assert simulation.count_held() == len(range_simulation.SAMPLED_KEYS)
+
+
+def test_servers_lost_at_two_other_instances_are_avoided_by_a_follower(
+    exchange: Exchange,
+) -> None:
+    """Each instance had to lose its own requests to a full server before."""
+    server = next(iter(exchange.simulation.servers))
+    now_s = exchange.simulation.clock.read_s()
+    lost = attempts.AttemptNotRun(
+        outcomes.RefusalReason.CONNECT_FAILED, outcomes.Step.CONNECT, "timed out"
+    )
+    exchange.lessor_circuits.record_attempt(server, lost, now_s, 0.1)
+    reply = exchange.report()
+    assert [row.server for row in reply.full_servers] == [server]
+    assert exchange.follower.circuits.find_open(server) is None
+    own_term = exchange.simulation.instances[0].own_term
+    assert own_term is not None
+    other = dataclasses.replace(
+        exchange.state.create_report(),
+        reporter=key_ranges.LessorIdentity(
+            identity.Incarnation("other", "life"), identity.Address("127.0.0.1", 7_101)
+        ),
+        full_servers=(server_news.FullServer(server, 0.1),),
+    )
+    exchange.responder.answer(own_term, other)
+    exchange.report()
+    assert exchange.follower.circuits.find_open(server) is not None
+
+
+def test_lessor_avoids_a_server_that_two_followers_report(exchange: Exchange) -> None:
+    """The lessor sends requests too, but no report."""
+    server = next(iter(exchange.simulation.servers))
+    own_term = exchange.simulation.instances[0].own_term
+    assert own_term is not None
+    for number, name in enumerate(("one", "two")):
+        assert exchange.lessor_circuits.find_open(server) is None
+        report = dataclasses.replace(
+            exchange.state.create_report(),
+            reporter=key_ranges.LessorIdentity(
+                identity.Incarnation(name, "life"), identity.Address("127.0.0.1", 7_200 + number)
+            ),
+            full_servers=(server_news.FullServer(server, 0.1),),
+        )
+        exchange.responder.answer(own_term, report)
+    assert exchange.lessor_circuits.find_open(server) is not None
