--- a/src/goldcresthall/gateway/retry_policy.py
+++ b/src/goldcresthall/gateway/retry_policy.py
@@ -15,6 +15,7 @@
 # the time of a request that is held and then refused is a cost to its caller.
 MOVE_WAIT_S = 0.3
 MAX_WAIT_TARGET_FRACTION = 0.25
+MIN_WAIT_S = 0.001
 MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -37,14 +38,15 @@
         self._spent_s = 0.0
 
     def find_left_s(self, max_wait_s: float = math.inf) -> float:
-        """Return the seconds left to wait; not positive once the limit has passed.
+        """Return the seconds left to wait; 0 once the limit has passed.
 
         Parameters
         ----------
         max_wait_s
             Seconds after which no wait helps, counted over all waits.
         """
-        return min(self._available_s, max_wait_s) - self._spent_s
+        left_s = min(self._available_s, max_wait_s) - self._spent_s
+        return left_s if left_s >= MIN_WAIT_S else 0.0
 
     def spend(self, waited_s: float) -> None:
         """Count a wait."""
--- a/src/goldcresthall/gateway/selection.py
+++ b/src/goldcresthall/gateway/selection.py
@@ -43,11 +43,14 @@
         Name of its route; empty if unknown, for the average of the service.
     uses_idle
         Whether it may be sent on an idle connection.
+    queue_fraction
+        Part of a server's load limit up to which the request may join its queue.
     """
 
     route: str = ""
     body_bytes: int = 0
     uses_idle: bool = True
+    queue_fraction: float = 1.0
 
 
 UNKNOWN_DEMAND: Final = Demand()
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -114,7 +114,10 @@
         self._instance_counter = instance_counter
 
     def has_capacity(
-        self, server: deployment.RegisteredServer, target_in_s: float, route: str = ""
+        self,
+        server: deployment.RegisteredServer,
+        target_in_s: float,
+        demand: selection.Demand = selection.UNKNOWN_DEMAND,
     ) -> bool:
         """Return whether a server has capacity for another request from this instance.
 
@@ -127,6 +130,8 @@
         ----------
         target_in_s
             Seconds until the request's latency target; negative once it has passed.
+        demand
+            What the request asks of the server.
         """
         limit = math.ceil(
             MAX_OUTSTANDING_PER_SLOT * server.slots / self._instance_counter.live_instances
@@ -137,8 +142,9 @@
             return False
         if load < server.slots:
             return True
-        response_time_s = self.find_response_time_s(server, load, route)
-        return load < MAX_LOAD_PER_SLOT * server.slots and response_time_s <= target_in_s
+        response_time_s = self.find_response_time_s(server, load, demand.route)
+        max_load = MAX_LOAD_PER_SLOT * server.slots * demand.queue_fraction
+        return load < max_load and response_time_s <= target_in_s
 
     def find_response_time_s(
         self, server: deployment.RegisteredServer, load: float, route: str = ""
@@ -262,7 +268,7 @@
     is_restricted = finder.restrictions.restricts(target.service)
 
     def has_room(entry: server_lists.DirectoryEntry) -> bool:
-        return finder.has_capacity(entry.server, target_in_s, demand.route)
+        return finder.has_capacity(entry.server, target_in_s, demand)
 
     def is_candidate(entry: server_lists.DirectoryEntry) -> bool:
         return (
@@ -325,7 +331,7 @@
     suspected = _check_circuit(target, entry, finder)
     if suspected is not None:
         return suspected
-    if not finder.has_capacity(entry.server, target_in_s, demand.route):
+    if not finder.has_capacity(entry.server, target_in_s, demand):
         return finder.create_busy(
             target.service, (entry.server,), entry.server.name, target_in_s, demand.route
         )
--- a/tests/gateway/test_server_finder.py
+++ b/tests/gateway/test_server_finder.py
@@ -251,7 +251,9 @@
     gateway_fixture.directory.apply_full_list(servers)
     examined: list[str] = []
 
-    def has_capacity(server: deployment.RegisteredServer, target_in_s: float, route: str) -> bool:
+    def has_capacity(
+        server: deployment.RegisteredServer, target_in_s: float, demand: selection.Demand
+    ) -> bool:
         examined.append(server.name)
         return True
 
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -22,6 +22,7 @@
 from goldcresthall.gateway import evacuations
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.load import server_news
 from goldcresthall.load import work_combiner
 from goldcresthall.load import work_model
 from goldcresthall.load import work_table
@@ -332,3 +333,48 @@
         exchange.simulation.clock.advance(work_model.TABLE_TRUST_S)
         exchange.report()
     assert exchange.follower.sources.model.table == work_table.WorkTable()
+
+
+def test_servers_lost_at_two_other_instances_are_avoided_by_a_follower(
+    exchange: Exchange,
+) -> None:
+    """Each instance had to lose its own requests to a full server before."""
+    server = next(iter(exchange.simulation.servers))
+    now_s = exchange.simulation.clock.read_s()
+    lost = attempts.AttemptNotRun(
+        outcomes.RefusalReason.CONNECT_FAILED, outcomes.Step.CONNECT, "timed out"
+    )
+    exchange.lessor_circuits.record_attempt(server, lost, now_s, 0.1)
+    reply = exchange.report()
+    assert [row.server for row in reply.full_servers] == [server]
+    assert exchange.follower.sources.circuits.find_open(server) is None
+    own_term = exchange.simulation.instances[0].own_term
+    assert own_term is not None
+    other = dataclasses.replace(
+        exchange.state.create_report(),
+        reporter=key_ranges.LessorIdentity(
+            identity.Incarnation("other", "life"), identity.Address("127.0.0.1", 7_101)
+        ),
+        full_servers=(server_news.FullServer(server, 0.1),),
+    )
+    exchange.responder.answer(own_term, other)
+    exchange.report()
+    assert exchange.follower.sources.circuits.find_open(server) is not None
+
+
+def test_lessor_avoids_a_server_that_two_followers_report(exchange: Exchange) -> None:
+    """The lessor sends requests too, but no report."""
+    server = next(iter(exchange.simulation.servers))
+    own_term = exchange.simulation.instances[0].own_term
+    assert own_term is not None
+    for number, name in enumerate(("one", "two")):
+        assert exchange.lessor_circuits.find_open(server) is None
+        report = dataclasses.replace(
+            exchange.state.create_report(),
+            reporter=key_ranges.LessorIdentity(
+                identity.Incarnation(name, "life"), identity.Address("127.0.0.1", 7_200 + number)
+            ),
+            full_servers=(server_news.FullServer(server, 0.1),),
+        )
+        exchange.responder.answer(own_term, report)
+    assert exchange.lessor_circuits.find_open(server) is not None
