Reduce the processor time of admission for each request

The watch of an attempt needed a cancellation of its own, and each suspected-server lookup hashed a server.

Now an attempt is given up by interrupting its connection, answers are recorded by name, and nothing is looked up while no server is suspected and nobody waits.

--- a/src/goldcresthall/admission/server_circuits.py
+++ b/src/goldcresthall/admission/server_circuits.py
@@ -82,7 +82,7 @@
         self._lock = threading.Lock()
         self._own: dict[deployment.ServerIncarnation, _Evidence] = {}
         self._reported_at_s: dict[deployment.ServerIncarnation, list[float]] = {}
-        self._answered_sent_at_s: dict[deployment.ServerIncarnation, float] = {}
+        self._answered_sent_at_s: dict[str, float] = {}
         self._next_probe_s: dict[deployment.ServerIncarnation, float] = {}
 
     @classmethod
@@ -109,25 +109,40 @@
     def stop(self) -> None:
         """Do nothing; there is nothing to stop."""
 
-    def record_attempt(
+    @property
+    def is_quiet(self) -> bool:
+        """Whether no server is suspected at all."""
+        return not self._own and not self._reported_at_s
+
+    def record_answer(self, server: deployment.ServerIncarnation, sent_at_s: float) -> None:
+        """Record a response of a server to an attempt that began at `sent_at_s`."""
+        if sent_at_s > self._answered_sent_at_s.get(server.name, 0.0):
+            self._answered_sent_at_s[server.name] = sent_at_s
+            if len(self._answered_sent_at_s) > MAX_TRACKED_SERVERS:
+                self._forget_oldest_answer()
+        if self._own:
+            with self._lock:
+                own = self._own.get(server)
+                if own is not None and sent_at_s > own.sent_at_s:
+                    del self._own[server]
+
+    def record_failure(
         self,
         server: deployment.ServerIncarnation,
         attempt: attempts.Attempt,
         sent_at_s: float,
         work_s: float,
     ) -> None:
-        """Record the end of an attempt that began at `sent_at_s`.
+        """Record an attempt without a response that began at `sent_at_s`.
 
         Parameters
         ----------
         work_s
             Expected work in seconds; a shorter wait for an answer proves nothing.
         """
-        now_s = self._clock.read_s()
         if not _is_lost(attempt):
-            if has_answered(attempt):
-                self._record_answer(server, sent_at_s)
             return
+        now_s = self._clock.read_s()
         is_unreachable = isinstance(attempt, attempts.AttemptNotRun)
         if not is_unreachable and now_s - sent_at_s < MIN_LOST_WORK_FACTOR * work_s:
             return
@@ -165,10 +180,10 @@
 
     def find_open(self, server: deployment.ServerIncarnation) -> Circuit | None:
         """Return a server's circuit, or `None` if it is closed."""
-        if not self._own and not self._reported_at_s:
+        if self.is_quiet:
             return None
         now_s = self._clock.read_s()
-        answered_at_s = self._answered_sent_at_s.get(server, 0.0)
+        answered_at_s = self._answered_sent_at_s.get(server.name, 0.0)
         own = self._own.get(server)
         if own is not None and own.seen_at_s + OPEN_S > now_s:
             until_s = own.seen_at_s + OPEN_S
@@ -204,14 +219,9 @@
         self._probes.inc()
         return True
 
-    def _record_answer(self, server: deployment.ServerIncarnation, sent_at_s: float) -> None:
+    def _forget_oldest_answer(self) -> None:
         with self._lock:
-            if sent_at_s > self._answered_sent_at_s.get(server, 0.0):
-                self._answered_sent_at_s[server] = sent_at_s
-                _limit_size(self._answered_sent_at_s)
-            own = self._own.get(server)
-            if own is not None and sent_at_s > own.sent_at_s:
-                del self._own[server]
+            self._answered_sent_at_s.pop(next(iter(self._answered_sent_at_s)), None)
 
     def _record_loss(
         self,
@@ -222,7 +232,7 @@
         is_unreachable: bool,
     ) -> None:
         with self._lock:
-            if self._answered_sent_at_s.get(server, 0.0) > sent_at_s:
+            if self._answered_sent_at_s.get(server.name, 0.0) > sent_at_s:
                 # The server answered a later request, so it is neither silent nor full now.
                 return
             earlier = self._own.get(server)
--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -2,23 +2,20 @@
 
 from __future__ import annotations
 
-import contextlib
+import dataclasses
 import functools
 from typing import TYPE_CHECKING
 
+from goldcresthall.admission import server_circuits
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
 from goldcresthall.gateway import alternatives
 from goldcresthall.gateway import early_retries
 from goldcresthall.gateway import target_keys
-from goldcresthall.kernel import cancellation
 from goldcresthall.observability import metrics
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Iterator
-
     from goldcresthall.backend import request_sender
     from goldcresthall.core import deployment
     from goldcresthall.core import requests
@@ -28,6 +25,7 @@
     from goldcresthall.gateway import routing_plans
     from goldcresthall.gateway import server_finder
     from goldcresthall.gateway import waiting
+    from goldcresthall.kernel import cancellation
     from goldcresthall.kernel import clock
     from goldcresthall.ranges import reports
 
@@ -85,11 +83,23 @@
             duration_s = self._clock.read_s() - began_at_s
             self._estimates.finish_attempt(server, attempt, duration_s)
             self._places.free(target_keys.find_queue(plan.target, server))
-            work_s = self._work.expect_s(plan.route.name, server)
-            self._circuits.record_attempt(server.incarnation, attempt, began_at_s, work_s)
+            self._record(plan, server, attempt, began_at_s)
         self._observe_signals(server, attempt.signals)
         return attempt
 
+    def _record(
+        self,
+        plan: routing_plans.RoutingPlan,
+        server: deployment.RegisteredServer,
+        attempt: attempts.Attempt,
+        began_at_s: float,
+    ) -> None:
+        if server_circuits.has_answered(attempt):
+            self._circuits.record_answer(server.incarnation, began_at_s)
+        else:
+            work_s = self._work.expect_s(plan.route.name, server)
+            self._circuits.record_failure(server.incarnation, attempt, began_at_s, work_s)
+
     def find_remaining_s(self, plan: routing_plans.RoutingPlan) -> float:
         """Return the seconds until an attempt of a request must end."""
         return plan.deadline_s - self._clock.read_s() - RESPONSE_MARGIN_S
@@ -114,22 +124,21 @@
         latest_s = early_retries.find_latest_s(plan.target_at_s, plan.work_s)
         if check_s >= latest_s:
             return self._sender.send(dispatch, cancelled)
-        with _link(cancelled) as attempt_cancelled:
-            watch = early_retries.AttemptWatch(
-                latest_s,
-                functools.partial(self._should_give_up, plan, server, progress),
-                attempt_cancelled.cancel,
-            )
-            self._watches.add(check_s, watch)
-            try:
-                attempt = self._sender.send(dispatch, attempt_cancelled)
-            finally:
-                watch.is_over = True
-        if watch.is_given_up and _was_cancelled(attempt) and not cancelled.is_cancelled:
-            return attempts.AttemptUnknown(
-                outcomes.UnknownReason.ANSWER_TIMEOUT,
-                outcomes.Step.RECEIVE,
-                "given up early, since the server is suspected to have lost the request",
+        watch = early_retries.AttemptWatch(
+            latest_s,
+            functools.partial(self._should_give_up, plan, server, progress),
+            cancelled.interrupt,
+        )
+        self._watches.add(check_s, watch)
+        try:
+            attempt = self._sender.send(dispatch, cancelled)
+        finally:
+            watch.finish()
+        if watch.is_given_up and isinstance(attempt, attempts.AttemptUnknown):
+            return dataclasses.replace(
+                attempt,
+                reason=outcomes.UnknownReason.ANSWER_TIMEOUT,
+                detail="given up early, since the server is suspected to have lost the request",
             )
         return attempt
 
@@ -189,20 +198,3 @@
             timeout_s=self.find_remaining_s(plan),
             idempotent=plan.route.idempotent,
         )
-
-
-@contextlib.contextmanager
-def _link(cancelled: cancellation.Cancellation) -> Iterator[cancellation.Cancellation]:
-    """Return the cancellation of one attempt, which ends with that of its request."""
-    attempt_cancelled = cancellation.Cancellation()
-    cancelled.call_at_end(attempt_cancelled.end)
-    interrupt: Callable[[], None] = attempt_cancelled.cancel
-    with cancelled.call_on_cancel(interrupt):
-        yield attempt_cancelled
-
-
-def _was_cancelled(attempt: attempts.Attempt) -> bool:
-    return (
-        isinstance(attempt, attempts.AttemptUnknown)
-        and attempt.reason is outcomes.UnknownReason.CALLER_LEFT
-    )
--- a/src/goldcresthall/gateway/early_retries.py
+++ b/src/goldcresthall/gateway/early_retries.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-import dataclasses
 import heapq
 import itertools
 import threading
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from goldcresthall.kernel import clock
     from goldcresthall.kernel import tasks
 
@@ -24,25 +24,47 @@
 IDLE_PAUSE_S = 0.5
 
 
-@dataclasses.dataclass(slots=True, eq=False)
 class AttemptWatch:
     """An attempt in progress.
 
-    Attributes
+    Parameters
     ----------
     latest_s
         Clock reading in seconds after which a retry could no longer meet the target.
     should_end
         Whether the server is suspected to have lost the request and a retry can be sent.
     end
-        Ends the attempt.
+        Interrupts the attempt.
     """
 
-    latest_s: float
-    should_end: Callable[[], bool]
-    end: Callable[[], None]
-    is_over: bool = False
-    is_given_up: bool = False
+    __slots__ = ("_end", "_is_over", "_lock", "is_given_up", "latest_s", "should_end")
+
+    def __init__(
+        self, latest_s: float, should_end: Callable[[], bool], end: Callable[[], None]
+    ) -> None:
+        self.latest_s = latest_s
+        self.should_end = should_end
+        self.is_given_up = False
+        self._end = end
+        self._lock = threading.Lock()
+        self._is_over = False
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the attempt has ended."""
+        return self._is_over
+
+    def finish(self) -> None:
+        """Record that the attempt has ended, so that the next one is not interrupted."""
+        with self._lock:
+            self._is_over = True
+
+    def give_up(self) -> None:
+        """Interrupt the attempt unless it has ended."""
+        with self._lock:
+            if not self._is_over:
+                self.is_given_up = True
+                self._end()
 
 
 def find_check_s(began_at_s: float, work_s: float) -> float:
@@ -89,8 +111,7 @@
             if watch.is_over or now_s > watch.latest_s:
                 continue
             if watch.should_end():
-                watch.is_given_up = True
-                watch.end()
+                watch.give_up()
             else:
                 self.add(now_s + RECHECK_S, watch)
 
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -224,7 +224,7 @@
         selected = self._server_finder.find(
             plan.target, progress.tried, self._generator, target_in_s, queue_fraction=limit.fraction
         )
-        if isinstance(selected, server_finder.Unavailable):
+        if isinstance(selected, server_finder.Unavailable) or self._places.is_idle:
             return selected
         queue = target_keys.find_queue(plan.target, selected)
         if place.may_go(queue):
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -245,6 +245,7 @@
 ) -> deployment.RegisteredServer | Unavailable:
     now_s = finder.directory.read_s()
     divided = finder.divide(target.service)
+    is_quiet = finder.circuits.is_quiet
 
     def has_room(entry: server_lists.DirectoryEntry) -> bool:
         return finder.has_capacity(entry.server, target_in_s, queue_fraction)
@@ -253,7 +254,9 @@
         return is_listed_candidate(entry, tried) and finder.find_pause_s(entry.server) <= 0
 
     def is_sound(entry: server_lists.DirectoryEntry) -> bool:
-        return is_candidate(entry) and finder.circuits.find_open(entry.server.incarnation) is None
+        return is_candidate(entry) and (
+            is_quiet or finder.circuits.find_open(entry.server.incarnation) is None
+        )
 
     def is_preferred(entry: server_lists.DirectoryEntry) -> bool:
         estimate = finder.estimates.find(entry.server)
--- a/src/goldcresthall/gateway/waiting.py
+++ b/src/goldcresthall/gateway/waiting.py
@@ -203,6 +203,11 @@
         """Number of places that became free so far."""
         return self._freed_count
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request waits."""
+        return not self._queues
+
     def create_place(self, priority: int, target_at_s: float) -> WaitingPlace:
         """Return a place for one request.
 
--- a/src/goldcresthall/kernel/cancellation.py
+++ b/src/goldcresthall/kernel/cancellation.py
@@ -34,6 +34,13 @@
         for interrupt in interrupts:
             interrupt()
 
+    def interrupt(self) -> None:
+        """Interrupt the blocking calls in progress without cancelling the work."""
+        with self._lock:
+            interrupts = tuple(self._interrupts)
+        for interrupt in interrupts:
+            interrupt()
+
     def end(self) -> None:
         """Release what was kept for the result, once it was handed over or nobody wants it."""
         with self._lock:
--- a/tests/gateway/test_early_retries.py
+++ b/tests/gateway/test_early_retries.py
@@ -47,7 +47,8 @@
 
 def test_attempt_that_is_over_is_not_ended() -> None:
     watched = Watched()
-    watched.is_suspected = watched.watch.is_over = True
+    watched.is_suspected = True
+    watched.watch.finish()
     watched.check_at(2.0)
     assert watched.asked == watched.ended == 0
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -76,11 +76,11 @@
         """Return the next attempt of the script."""
         self.sent_to.append(dispatch.server.name)
         self.clock.advance(self.duration_s)
-        self.on_send()
-        if cancelled.is_cancelled:
-            return attempts.AttemptUnknown(
-                outcomes.UnknownReason.CALLER_LEFT, outcomes.Step.RECEIVE, "cancelled"
-            )
+        interrupted: list[bool] = []
+        with cancelled.call_on_cancel(lambda: interrupted.append(True)):
+            self.on_send()
+        if interrupted:
+            return LOST
         return self.script.pop(0) if len(self.script) > 1 else self.script[0]
 
 
@@ -329,6 +329,7 @@
     outcome = setup.handle("/agenda/1")
     assert isinstance(outcome, outcomes.Answered)
     assert sorted(setup.sender.sent_to) == ["one", "two"]
+    assert outcome.tries == 2
 
 
 def test_slow_attempt_at_a_server_that_is_not_suspected_is_left_alone(setup: Setup) -> None:
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -254,7 +254,7 @@
     lost = attempts.AttemptNotRun(
         outcomes.RefusalReason.CONNECT_FAILED, outcomes.Step.CONNECT, "timed out"
     )
-    exchange.lessor_circuits.record_attempt(server, lost, now_s, 0.1)
+    exchange.lessor_circuits.record_failure(server, lost, now_s, 0.1)
     reply = exchange.report()
     assert [row.server for row in reply.full_servers] == [server]
     assert exchange.follower.circuits.find_open(server) is None
