--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -266,6 +266,7 @@
     now_s = finder.directory.read_s()
     view = finder.find_view(target.service)
     is_restricted = finder.restrictions.restricts(target.service)
+    is_quiet = finder.circuits.is_quiet
 
     def has_room(entry: server_lists.DirectoryEntry) -> bool:
         return finder.has_capacity(entry.server, target_in_s, demand)
@@ -278,7 +279,9 @@
         )
 
     def is_sound(entry: server_lists.DirectoryEntry) -> bool:
-        return is_candidate(entry) and finder.circuits.find_open(entry.server.incarnation) is None
+        return is_candidate(entry) and (
+            is_quiet or finder.circuits.find_open(entry.server.incarnation) is None
+        )
 
     def is_preferred(entry: server_lists.DirectoryEntry) -> bool:
         estimate = finder.estimates.find(entry.server)
