--- a/src/goldcresthall/ranges/candidates.py
+++ b/src/goldcresthall/ranges/candidates.py
@@ -39,7 +39,6 @@
         backoff: server_backoff.ServerBackoff,
         statistics: load_statistics.LoadStatistics,
     ) -> None:
-        self._context = context
         self._leases = leases
         self._backoff = backoff
         self._statistics = statistics
@@ -47,14 +46,12 @@
 
     def list(self, service: str, now_s: float) -> tuple[planner.Candidate, ...]:
         """Return the candidates; all registered servers that may get ranges if none is usable."""
-        entries = [
-            entry
-            for entry in self._context.directory.servers.by_service.get(service, ())
-            if entry.draining_since_s is None
-            and not self._context.directory.is_evacuated(entry.server.failure_domain)
+        assignable = self._cold_servers.list_assignable(service, now_s)
+        registered = [
+            entry.server
+            for entry in assignable.entries
+            if entry.server.incarnation not in assignable.cold
         ]
-        cold = self._cold_servers.list_cold(service, entries, now_s)
-        registered = [entry.server for entry in entries if entry.server.incarnation not in cold]
         failing = {
             lease.owner
             for lease in self._leases.snapshot().leases.values()
@@ -74,7 +71,7 @@
         }
         limit = self._cold_servers.find_capacity(service, now_s)
         if limit:
-            for entry in entries:
+            for entry in assignable.entries:
                 incarnation = entry.server.incarnation
                 if incarnation in capacities and entry.warm_up.find_left_s(now_s) > 0:
                     capacities[incarnation] = min(limit, capacities[incarnation])
--- a/src/goldcresthall/ranges/cold_owners.py
+++ b/src/goldcresthall/ranges/cold_owners.py
@@ -9,9 +9,9 @@
 
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
+from goldcresthall.gateway import server_lists
 
 if TYPE_CHECKING:
-    from goldcresthall.gateway import server_lists
     from goldcresthall.ranges import candidates
     from goldcresthall.ranges import lessor_context
     from goldcresthall.ranges import load_statistics
@@ -23,12 +23,30 @@
 MAX_WARM_LOAD = 0.85
 # A range is not moved for a warm-up that ends before the move pays off.
 MIN_COLD_S = 2.0
+# An owner keeps what it has until its rate exceeds what it bears by this factor: with noisy rates
+# it would otherwise give up a small part with each plan.
+KEEP_FACTOR = 1.25
 # A plan stands for this long, because it costs a pass over the rates of all keys.
 PLAN_INTERVAL_S = 0.4
 # Seconds of work per second; less is not worth a range of its own.
 MIN_KEPT_RATE = 0.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AssignableServers:
+    """The servers of a service that neither drain nor are in an evacuated failure domain.
+
+    Attributes
+    ----------
+    cold
+        Those that should own no ranges because they are cold. There are none if nearly all are
+        cold, because the few warm ones could not hold all ranges.
+    """
+
+    entries: tuple[server_lists.DirectoryEntry, ...]
+    cold: frozenset[deployment.ServerIncarnation]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeavingRange:
     """A range, or part of one, that leaves its cold owner."""
@@ -47,10 +65,11 @@
 class _Plan:
     made_at_s: float
     cold: frozenset[deployment.ServerIncarnation]
+    may_split: bool
     leaving: tuple[LeavingRange, ...]
 
 
-NO_PLAN: Final = _Plan(-math.inf, frozenset(), ())
+NO_PLAN: Final = _Plan(-math.inf, frozenset(), False, ())
 
 
 class ColdServers:
@@ -83,20 +102,21 @@
         work_s = self._statistics.service_times.estimate_mean_s(incarnations, now_s)
         return self.find_limit(service) * work_s
 
-    def list_cold(
-        self, service: str, entries: list[server_lists.DirectoryEntry], now_s: float
-    ) -> frozenset[deployment.ServerIncarnation]:
-        """Return the servers that should own no ranges because they are cold.
-
-        There are none if nearly all are cold, because the few warm ones could not hold all ranges.
-        """
+    def list_assignable(self, service: str, now_s: float) -> AssignableServers:
+        """Return the servers that may own ranges, and which of them should not for being cold."""
+        entries = tuple(
+            entry
+            for entry in self._directory.servers.by_service.get(service, ())
+            if entry.draining_since_s is None
+            and not self._directory.is_evacuated(entry.server.failure_domain)
+        )
         if not self.find_limit(service):
-            return frozenset()
+            return AssignableServers(entries, frozenset())
         cold = frozenset(
             entry.server.incarnation for entry in entries if entry.warm_up.find_left_s(now_s) > 0
         )
         has_warm = len(entries) - len(cold) >= max(1.0, MIN_WARM_FRACTION * len(entries))
-        return cold if has_warm else frozenset()
+        return AssignableServers(entries, cold if has_warm else frozenset())
 
 
 class ColdOwners:
@@ -128,9 +148,20 @@
         self._plans: dict[str, _Plan] = {}
 
     def list_leaving(
-        self, service: str, leases: tuple[range_leases.RangeLease, ...], now_s: float
+        self,
+        service: str,
+        leases: tuple[range_leases.RangeLease, ...],
+        now_s: float,
+        *,
+        may_split: bool,
     ) -> tuple[LeavingRange, ...]:
-        """Return the ranges that leave cold owners, in the order to release them."""
+        """Return the ranges that leave cold owners, in the order to release them.
+
+        Parameters
+        ----------
+        may_split
+            Whether a part of a range may leave; otherwise only whole ranges do.
+        """
         cold = self._list_cold(service, now_s)
         if not cold:
             self._plans.pop(service, None)
@@ -143,60 +174,79 @@
         if not owned:
             return ()
         known = self._plans.get(service, NO_PLAN)
-        if now_s - known.made_at_s >= PLAN_INTERVAL_S or known.cold != cold:
-            known = self._plans[service] = _Plan(now_s, cold, self._plan(service, owned, now_s))
+        is_due = now_s - known.made_at_s >= PLAN_INTERVAL_S
+        if is_due or (known.cold, known.may_split) != (cold, may_split):
+            leaving = self._plan(service, owned, now_s, may_split=may_split)
+            known = self._plans[service] = _Plan(now_s, cold, may_split, leaving)
         return known.leaving
 
     def _list_cold(self, service: str, now_s: float) -> frozenset[deployment.ServerIncarnation]:
-        if not self._cold_servers.find_limit(service):
-            return frozenset()
-        entries = [
-            entry
-            for entry in self._directory.servers.by_service.get(service, ())
-            if not self._directory.is_evacuated(entry.server.failure_domain)
-        ]
-        return self._cold_servers.list_cold(service, entries, now_s + MIN_COLD_S)
+        """Return the cold servers without those that are nearly warm."""
+        assignable = self._cold_servers.list_assignable(service, now_s)
+        return frozenset(
+            entry.server.incarnation
+            for entry in assignable.entries
+            if entry.server.incarnation in assignable.cold
+            and entry.warm_up.find_left_s(now_s) > MIN_COLD_S
+        )
 
     def _plan(
-        self, service: str, owned: tuple[range_leases.RangeLease, ...], now_s: float
+        self,
+        service: str,
+        owned: tuple[range_leases.RangeLease, ...],
+        now_s: float,
+        *,
+        may_split: bool,
     ) -> tuple[LeavingRange, ...]:
         key_rates = self._statistics.estimate_rates(service, now_s)
         capacity = sum(candidate.capacity for candidate in self._lister.list(service, now_s))
         kept_rate = 0.0
         if key_rates.total > MAX_WARM_LOAD * capacity:
             kept_rate = self._cold_servers.find_capacity(service, now_s)
-        leaving = _list_leaving(owned, kept_rate, key_rates)
+        leaving = list_surplus(owned, kept_rate, key_rates, may_split=may_split)
         return tuple(sorted(leaving, key=lambda part: -key_rates.sum_range(part.keys)))
 
 
-def _list_leaving(
+def list_surplus(
     owned: tuple[range_leases.RangeLease, ...],
     kept_rate: float,
     key_rates: load_statistics.KeyRates,
+    *,
+    may_split: bool,
 ) -> list[LeavingRange]:
-    """Return what each owner gives up to keep at most `kept_rate` seconds of work per second."""
-    left: dict[deployment.ServerIncarnation, float] = {}
+    """Return what each owner gives up to keep at most `kept_rate` seconds of work per second.
+
+    An owner whose rate exceeds that by less than `KEEP_FACTOR` gives up nothing.
+    """
+    by_owner: dict[deployment.ServerIncarnation, list[range_leases.RangeLease]] = {}
+    for lease in owned:
+        if lease.owner is not None:
+            by_owner.setdefault(lease.owner, []).append(lease)
     leaving: list[LeavingRange] = []
-    for lease in sorted(owned, key=lambda lease: key_rates.sum_range(lease.keys)):
-        if lease.owner is None:
+    for owner, leases in by_owner.items():
+        rest = kept_rate
+        if sum(key_rates.sum_range(lease.keys) for lease in leases) <= KEEP_FACTOR * rest:
             continue
-        rest = left.get(lease.owner, kept_rate)
-        keys = _find_surplus(lease, rest, key_rates)
-        kept = key_rates.sum_range(lease.keys)
-        if keys is not None:
-            kept -= key_rates.sum_range(keys)
-            leaving.append(LeavingRange(keys, lease.owner))
-        left[lease.owner] = rest - kept
+        for lease in sorted(leases, key=lambda lease: key_rates.sum_range(lease.keys)):
+            keys = _find_surplus(lease.keys, rest, key_rates, may_split=may_split)
+            rest -= key_rates.sum_range(lease.keys)
+            if keys is not None:
+                rest += key_rates.sum_range(keys)
+                leaving.append(LeavingRange(keys, owner))
     return leaving
 
 
 def _find_surplus(
-    lease: range_leases.RangeLease, rate: float, key_rates: load_statistics.KeyRates
+    keys: key_ranges.KeyRange,
+    rate: float,
+    key_rates: load_statistics.KeyRates,
+    *,
+    may_split: bool,
 ) -> key_ranges.KeyRange | None:
     """Return the part of a range beyond a rate in seconds of work per second, or `None`."""
-    if key_rates.sum_range(lease.keys) <= rate:
+    if key_rates.sum_range(keys) <= rate:
         return None
-    first = key_rates.find_prefix_end(lease.keys, rate)
-    if rate < MIN_KEPT_RATE or first <= lease.keys.first or not lease.is_movable:
-        return lease.keys
-    return key_ranges.KeyRange(first, lease.keys.last)
+    first = key_rates.find_prefix_end(keys, rate)
+    if rate < MIN_KEPT_RATE or first <= keys.first or not may_split:
+        return keys
+    return key_ranges.KeyRange(first, keys.last)
--- a/src/goldcresthall/ranges/lease_table.py
+++ b/src/goldcresthall/ranges/lease_table.py
@@ -141,7 +141,9 @@
     def split(self, service: str, part: key_ranges.KeyRange) -> int | None:
         """Split a lease so that `part` has a lease of its own, and return its ID.
 
-        Returns `None` if no lease covers all of `part` or a grant for it is in flight.
+        Returns `None` if no lease covers all of `part`, a grant for it is in flight, or it is being
+        released or running out: the end of a release is recorded under the lease's ID, and the
+        parts would have no owner until the end of the term.
         """
         with self._lock:
             lease_id = self._find_covering(service, part)
@@ -248,7 +250,7 @@
     def _find_covering(self, service: str, part: key_ranges.KeyRange) -> int | None:
         for lease_id, lease in self._leases.items():
             covers_part = lease.keys.first <= part.first and part.last <= lease.keys.last
-            if lease.service == service and covers_part and not lease.in_flight:
+            if lease.service == service and covers_part and lease.is_divisible:
                 return lease_id
         return None
 
--- a/src/goldcresthall/ranges/owner_reviews.py
+++ b/src/goldcresthall/ranges/owner_reviews.py
@@ -61,21 +61,27 @@
         self._backoff = backoff
         self._cold_owners = cold_owners
 
-    def review(self, service: str, now_s: float, predecessors_end_s: float) -> None:
+    def review(
+        self, service: str, now_s: float, predecessors_end_s: float, *, may_split: bool
+    ) -> None:
         """Take ranges from restarted, leaving, cold and unresponsive owners."""
         self._review_owners(service, now_s, predecessors_end_s)
-        leases = tuple(self._leases.snapshot().leases.values())
-        for leaving in self._cold_owners.list_leaving(service, leases, now_s):
-            if any(leaving.is_part_of(lease) for lease in leases if lease.service == service):
-                self._release_cold(service, leaving)
-
-    def _release_cold(self, service: str, leaving: cold_owners.LeavingRange) -> None:
-        lease_id = self._leases.split(service, leaving.keys)
-        if lease_id is None:
-            return
-        lease = self._leases.snapshot().leases[lease_id]
-        if lease.owner == leaving.owner and lease.is_granted and lease.target is None:
-            self._releases.start(lease_id, lease, None)
+        if self._releases.may_begin:
+            self._release_cold(service, now_s, may_split=may_split)
+
+    def _release_cold(self, service: str, now_s: float, *, may_split: bool) -> None:
+        leases = tuple(
+            lease
+            for lease in self._leases.snapshot().leases.values()
+            if lease.service == service and lease.is_granted and lease.target is None
+        )
+        for leaving in self._cold_owners.list_leaving(service, leases, now_s, may_split=may_split):
+            if not any(leaving.is_part_of(lease) for lease in leases):
+                continue
+            lease_id = self._leases.split(service, leaving.keys)
+            if lease_id is not None:
+                lease = self._leases.snapshot().leases[lease_id]
+                self._releases.start(lease_id, lease, None, is_optional=True)
 
     def _review_owners(self, service: str, now_s: float, predecessors_end_s: float) -> None:
         for lease_id, lease in self._leases.snapshot().leases.items():
--- a/src/goldcresthall/ranges/range_leases.py
+++ b/src/goldcresthall/ranges/range_leases.py
@@ -103,6 +103,12 @@
         """Whether grants and renewals are sent to the owner."""
         return self.phase in {LeasePhase.GRANTING, LeasePhase.HELD}
 
+    @property
+    def is_divisible(self) -> bool:
+        """Whether the lease may be replaced by leases on parts of its range."""
+        is_ending = self.phase in {LeasePhase.RELEASING, LeasePhase.EXPIRING}
+        return not self.in_flight and not is_ending
+
     @property
     def awaits_proof(self) -> bool:
         """Whether the next grant must prove that the owner knows the fencing token."""
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -130,7 +130,9 @@
             self._rebalanced_at_s = now_s
         for name in configuration.keyed_services:
             self._add_missing_ranges(name)
-            self._reviewer.review(name, now_s, constraints.predecessors_end_s)
+            self._reviewer.review(
+                name, now_s, constraints.predecessors_end_s, may_split=constraints.may_split
+            )
             self._place(name, now_s)
             if is_rebalancing and may_release:
                 self._move(name, now_s, may_split=constraints.may_split)
--- a/src/goldcresthall/ranges/range_releases.py
+++ b/src/goldcresthall/ranges/range_releases.py
@@ -53,16 +53,30 @@
         self._may_begin = may_begin
         self._predecessors_end_s = predecessors_end_s
 
+    @property
+    def may_begin(self) -> bool:
+        """Whether releases may begin now."""
+        return self._may_begin
+
     def start(
         self,
         lease_id: int,
         lease: range_leases.RangeLease,
         target: deployment.ServerIncarnation | None,
+        *,
+        is_optional: bool = False,
     ) -> None:
         """Request the release of a range from its owner.
 
         If a grant may still be executed, the owner must acknowledge a higher fencing token first;
         until then it keeps the range. The caller requests the release again in the next step.
+
+        Parameters
+        ----------
+        target
+            Server that gets the range next; `None` if it is chosen after the release.
+        is_optional
+            Whether the owner stays and goes on serving the range if it acknowledges nothing.
         """
         if not self._may_begin:
             return
@@ -70,7 +84,9 @@
         # server that had started again, which may execute it later.
         is_unproven = lease.unproven or lease.latest_arrival_at_s < self._predecessors_end_s
         if lease.unanswered or is_unproven:
-            self._demand_proof(lease_id, lease, target)
+            self._demand_proof(
+                lease_id, lease, target, is_optional=is_optional or target is not None
+            )
             return
         begin = functools.partial(transitions.begin_release, target)
         if not self._leases.update(lease_id, begin):
@@ -83,14 +99,17 @@
         lease_id: int,
         lease: range_leases.RangeLease,
         target: deployment.ServerIncarnation | None,
+        *,
+        is_optional: bool,
     ) -> None:
         """Demand that the owner acknowledges a higher token, before the range is released.
 
         An owner that leaves may reject new connections until its end. Instances send it nothing
-        more by then, so its lease rather runs out from now on.
+        more by then, so its lease rather runs out from now on. One that stays, such as a cold
+        one, keeps the range until the next attempt.
         """
         now_s = self._context.clock.read_s()
-        if target is None and now_s < lease.proof_after_s:
+        if not is_optional and now_s < lease.proof_after_s:
             self._leases.update(lease_id, transitions.begin_expiry)
             return
         demand = functools.partial(transitions.demand_proof, target, now_s)
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -266,6 +266,14 @@
         self.is_frozen = False
         self.sees_changes = True
         self.directory = create_directory(simulation.clock)
+        self.context = lessor_context.LessorContext(
+            self.store,
+            self.channel,
+            self.directory,
+            simulation.clock,
+            self._start_task,
+            self._start_task,
+        )
 
     def take_over(self, suspended_s: float = 0.0) -> None:
         """Become the lessor unless the store fails or another instance wrote first.
@@ -291,16 +299,8 @@
         if not isinstance(written, client.Written):
             return
         self._simulation.clock.advance(suspended_s)
-        context = lessor_context.LessorContext(
-            self.store,
-            self.channel,
-            self.directory,
-            self._simulation.clock,
-            self._start_task,
-            self._start_task,
-        )
         stored = key_ranges.StoredTable(written.offset, table)
-        self.own_term = lessor.LessorTerm(context, self.own, stored, MAX_LEASE_S, began_at_s)
+        self.own_term = lessor.LessorTerm(self.context, self.own, stored, MAX_LEASE_S, began_at_s)
 
     def step(self) -> None:
         """Run one step of the lessor's task, its releases and its renewal tasks."""
--- a/tests/ranges/test_lease_table.py
+++ b/tests/ranges/test_lease_table.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 
+import pytest
+
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
 from goldcresthall.ranges import grants
@@ -82,6 +85,18 @@
     assert shown == [(0, 9, "first"), (20, 99, "first"), (100, 199, "second")]
 
 
+@pytest.mark.parametrize(
+    "phase", [range_leases.LeasePhase.RELEASING, range_leases.LeasePhase.EXPIRING]
+)
+def test_lease_that_ends_is_not_split(phase: range_leases.LeasePhase) -> None:
+    """The release was recorded under the old ID, and the parts stayed without an owner."""
+    table = create_table(FIRST)
+    lease_id = next(iter(table.snapshot().leases))
+    table.update(lease_id, lambda lease: dataclasses.replace(lease, phase=phase))
+    assert table.split(SERVICE, key_ranges.KeyRange(0, 9)) is None
+    assert list(table.snapshot().leases) == [lease_id]
+
+
 def test_close_waits_for_the_grant_in_flight() -> None:
     table = create_table(FIRST)
     command = take(table, FIRST)
--- a/tests/ranges/test_leaving_owners.py
+++ b/tests/ranges/test_leaving_owners.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import dataclasses
 
 import pytest
 
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
 from goldcresthall.gateway import evacuations
+from goldcresthall.ranges import cold_owners
+from goldcresthall.ranges import load_statistics
 from goldcresthall.ranges import membership
+from goldcresthall.ranges import range_leases
 from tests.fakes import range_simulation
 
-if TYPE_CHECKING:
-    from goldcresthall.ranges import range_leases
-
 RATE_PER_S = 5.0
 WARM_UP_S = 12.0
 ALL_HELD = len(range_simulation.SAMPLED_KEYS)
@@ -127,6 +127,92 @@
     assert 0 < sum(rates.sum_range(lease.keys) for lease in kept) <= 1.1 * RATE_PER_S
 
 
+def test_staggered_warm_ups_release_each_range_of_a_cold_owner_once() -> None:
+    """Ranges were released each 0.2 s and placed on the same cold owners again."""
+    simulation = range_simulation.RangeSimulation()
+    simulation.directory.apply_configuration(range_simulation.limit_cold_servers(RATE_PER_S))
+    for number, incarnation in enumerate(simulation.servers):
+        simulation.register_server(incarnation, warm_up_s=14.0 if number else 8.0)
+    simulation.instances[0].take_over()
+    simulation.advance(6.0)
+    before = list_leases(simulation)
+    simulation.advance(2.9)
+    assert list_leases(simulation) == [
+        dataclasses.replace(
+            lease, due_at_s=now.due_at_s, latest_arrival_at_s=now.latest_arrival_at_s
+        )
+        for lease, now in zip(before, list_leases(simulation), strict=True)
+    ]
+    writes = len(simulation.store.records)
+    simulation.advance(7.0)
+    assert len(simulation.store.records) - writes <= 2 * len(before)
+    assert simulation.count_held() == ALL_HELD
+
+
+def test_draining_owner_that_is_cold_leaves_once(
+    simulation: range_simulation.RangeSimulation,
+) -> None:
+    """It has no say in which servers are cold, and its ranges are released as a whole."""
+    cold = find_server(simulation, 1)
+    simulation.register_server(cold, draining=True, warm_up_s=WARM_UP_S)
+    cold_servers = cold_owners.ColdServers(
+        simulation.instances[0].context, load_statistics.LoadStatistics()
+    )
+    now_s = simulation.clock.read_s()
+    assert not cold_servers.list_assignable(range_simulation.SERVICE, now_s).cold
+    simulation.advance(1.0)
+    assert cold.name not in list_owners(simulation)
+    assert simulation.count_held() == ALL_HELD
+
+
+def test_cold_owner_that_rejects_new_connections_keeps_its_ranges(
+    simulation: range_simulation.RangeSimulation,
+) -> None:
+    """Its lease ran out, and its keys had no owner meanwhile, although it went on serving them."""
+    cold = find_server(simulation, 1)
+    simulation.instances[0].channel.rejects_connections.add(cold.name)
+    turn_cold(simulation, cold)
+    for _ in range(30):
+        simulation.advance(0.2)
+        assert simulation.count_held() == ALL_HELD
+    assert cold.name in list_owners(simulation)
+
+
+def test_cold_owner_is_not_split_while_no_release_may_begin(
+    simulation: range_simulation.RangeSimulation,
+) -> None:
+    load(simulation, 64)
+    before = len(list_leases(simulation))
+    simulation.instances[0].store.is_down = True
+    simulation.advance(2.0)
+    turn_cold(simulation, find_server(simulation, 1))
+    load(simulation, 64, seconds=2)
+    assert len(list_leases(simulation)) == before
+
+
+ONE_RANGE = range_leases.RangeLease(
+    service=range_simulation.SERVICE,
+    keys=key_ranges.KeyRange(0, 999),
+    owner=deployment.ServerIncarnation("cold", 1),
+    phase=range_leases.LeasePhase.HELD,
+)
+
+
+@pytest.mark.parametrize(
+    ("rate", "may_split", "leaving"),
+    [(1.2, True, 0), (2.0, True, 500), (2.0, False, 1_000)],
+)
+def test_cold_owner_gives_up_parts_only_above_a_margin_and_if_splits_are_allowed(
+    rate: float, *, may_split: bool, leaving: int
+) -> None:
+    """Noisy rates split ranges again and again, also when the table was nearly too large."""
+    keys = tuple(range(0, 1_000, 10))
+    sums = tuple(rate * count / len(keys) for count in range(len(keys) + 1))
+    rates = load_statistics.KeyRates(keys, sums, 0.0)
+    surplus = cold_owners.list_surplus((ONE_RANGE,), 1.0, rates, may_split=may_split)
+    assert sum(part.keys.size for part in surplus) == pytest.approx(leaving, abs=10)
+
+
 def test_without_a_limit_a_cold_owner_keeps_its_ranges() -> None:
     simulation = range_simulation.RangeSimulation()
     simulation.instances[0].take_over()
