Follow the end of a warm-up, and send nothing to a replaced incarnation

The first entry that said 0 came before the tolerance had passed and was ignored; those after it were equal and no news, so a server that was ever cold was relayed as cold for good. An incarnation that is not listed any more counted as warm, although its name belongs to a later one.

--- a/src/goldcresthall/gateway/cold_starts.py
+++ b/src/goldcresthall/gateway/cold_starts.py
@@ -192,10 +192,15 @@
     def try_take(self, server: deployment.RegisteredServer) -> bool:
         """Take the permission to send one request to a server now; return whether there is one.
 
-        It is always given for a server that is not cold or has no limit.
+        It is always given for a server that is not cold or has no limit, and never for an
+        incarnation that another one has replaced: the warm-up of that one is unknown, or it is the
+        later one that would get the request. The caller selects a server again.
         """
         if server.service not in self._directory.cold_limits:
             return True
+        listed = self._directory.servers.by_name.get(server.name)
+        if listed is not None and listed.server.incarnation != server.incarnation:
+            return False
         if self.find_cold_s(server) <= 0:
             return True
         with self._lock:
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -369,13 +369,15 @@
         """Add or replace a server's entry unless a later incarnation is known."""
         latest = self._history.observe(server, self._version.known_at_s)
         if latest is not None:
+            previous = by_name.get(server.name)
             is_new = self._warm_up_reports.observe(server, is_relayed=is_relayed)
             by_name[server.name] = server_lists.update_entry(
-                by_name.get(server.name),
+                previous,
                 server,
                 latest.draining_since_s,
                 now_s,
-                has_warm_up_news=is_new and server.service in self._cold_limits,
+                has_warm_up_news=(is_new or _may_end_warm_up(previous, server))
+                and server.service in self._cold_limits,
             )
 
     def _replace(self, by_name: dict[str, server_lists.DirectoryEntry]) -> None:
@@ -393,3 +395,17 @@
         kept = {server.name for server in present}
         absent = frozenset(name for name in self._servers.by_name if name not in kept)
         self.apply_changes(present, absent, version)
+
+
+def _may_end_warm_up(
+    previous: server_lists.DirectoryEntry | None, server: deployment.RegisteredServer
+) -> bool:
+    """Return whether an entry says that a server is warm which is kept as cold until now.
+
+    The first such entry may come too early to be followed; those after it are equal.
+    """
+    return (
+        previous is not None
+        and not server.slow_start_remaining_s
+        and bool(previous.server.slow_start_remaining_s)
+    )
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -125,6 +125,22 @@
     assert all(created.try_take(warm) for created in fleet.instances.values())
 
 
+def test_incarnation_that_has_been_replaced_gets_nothing() -> None:
+    """It counted as warm, and its successor, which has its address and is cold, got the request."""
+    fleet = Fleet(size=1)
+    fleet.advance(2 * cold_starts.SETTLING_S)
+    earlier = dataclasses.replace(
+        SERVER,
+        incarnation=dataclasses.replace(SERVER.incarnation, started_ms=0),
+        slow_start_remaining_s=0.0,
+    )
+    assert not fleet.instances["instance-0"].try_take(earlier)
+    unlisted = dataclasses.replace(
+        SERVER, incarnation=dataclasses.replace(SERVER.incarnation, name="unlisted")
+    )
+    assert fleet.instances["instance-0"].try_take(unlisted)
+
+
 def test_look_takes_nothing_and_taking_blocks_the_next_request() -> None:
     fleet = Fleet(size=2)
     fleet.advance(6.0)
--- a/tests/gateway/test_warm_ups.py
+++ b/tests/gateway/test_warm_ups.py
@@ -106,6 +106,21 @@
     assert report(limited, 0.0).slow_start_remaining_s == 0.0
 
 
+def test_warm_up_ends_also_if_the_first_report_of_it_comes_early(
+    limited: GatewayFixture,
+) -> None:
+    """The first 0 came within the tolerance, later ones were no change: it stayed cold for good."""
+    report(limited, 5.0)
+    limited.clock.advance(5.5)
+    assert report(limited, 0.0).slow_start_remaining_s == 5.0
+    limited.clock.advance(0.9)
+    assert report(limited, 0.0).slow_start_remaining_s == 0.0
+    revision = limited.directory.relay().revision
+    limited.clock.advance(0.9)
+    assert report(limited, 0.0).slow_start_remaining_s == 0.0
+    assert limited.directory.relay().revision == revision
+
+
 def test_without_a_limit_the_first_report_stands(gateway_fixture: GatewayFixture) -> None:
     """Lists of services without a limit are relayed as in earlier releases."""
     report(gateway_fixture, 5.0)
