Guard the load statistics by a lock, and limit admissions without the store

Report tasks added to the sums while the lessor's task iterated over them (RuntimeError), and lost or doubled amounts. One lock now guards adding and copying; rates are computed from the copies, once for a reading of the clock, instead of three times a step.

- Admission shares have their own interval and need no store; services without a configuration are dropped, and the table is replaced as a whole.
- Calm ranges are brought together only at candidates; targets of free ranges are checked again when decisions are written.

--- a/src/goldcresthall/ranges/decaying_sums.py
+++ b/src/goldcresthall/ranges/decaying_sums.py
@@ -1,4 +1,4 @@
-"""Rates per key from exponentially decaying sums, true to height from the first report on."""
+"""Rates per key from exponentially decaying sums, unbiased from the first report on."""
 
 from __future__ import annotations
 
@@ -15,7 +15,8 @@
 class DecayingSums:
     """Exponentially decaying sums of amounts by key.
 
-    Instead of decaying all sums, later amounts get a weight that grows with time.
+    Instead of decaying all sums, later amounts get a weight that grows with time. Not safe for use
+    by several tasks.
 
     Parameters
     ----------
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -268,6 +268,7 @@
 
     def _write_decisions(self) -> None:
         """Write new owners and fencing tokens to the store, then mark them as due for a grant."""
+        self._rebalancer.drop_unusable_targets()
         leases = self._leases.snapshot().leases
         decided_ids = tuple(
             lease_id for lease_id, lease in leases.items() if transitions.needs_recording(lease)
--- a/src/goldcresthall/ranges/load_statistics.py
+++ b/src/goldcresthall/ranges/load_statistics.py
@@ -11,6 +11,7 @@
 import dataclasses
 import itertools
 import math
+import threading
 from typing import TYPE_CHECKING
 
 from goldcresthall.core import key_ranges
@@ -139,8 +140,39 @@
         return min(self.keys[index], keys.first + int(cold_keys))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateAverages:
+    """Averages of the work of single keys, copied at one time.
+
+    Attributes
+    ----------
+    rates, recent
+        Seconds of work per second by key, as a longer and as a recent average.
+    span_s
+        Seconds of even weight with as much noise as the longer one.
+    """
+
+    rates: dict[int, float]
+    recent: dict[int, float]
+    span_s: float
+
+    def create_key_rates(self) -> KeyRates:
+        """Return the rates with shifts of the load applied."""
+        rates = shift_detection.apply_shifts(self.rates, self.recent)
+        kept = sorted(key for key, rate in rates.items() if rate > MIN_KEY_RATE)
+        prefix_sums = tuple(itertools.accumulate((rates[key] for key in kept), initial=0.0))
+        total = sum(rates.values())
+        # Spread evenly over all keys: the rates of rarely requested keys,
+        # `SPREAD_RATE` and a tenth of the total.
+        base_rate = (total - prefix_sums[-1] + SPREAD_RATE + 0.1 * total) / key_ranges.KEY_COUNT
+        return KeyRates(tuple(kept), prefix_sums, base_rate, self.span_s)
+
+
 class KeyRateEstimator:
-    """Work per second for each key of one service, from decaying sums of the reported work."""
+    """Work per second for each key of one service, from decaying sums of the reported work.
+
+    Not safe for use by several tasks.
+    """
 
     def __init__(self) -> None:
         self._sums = decaying_sums.DecayingSums(shift_detection.RATE_HALF_LIFE_S)
@@ -151,21 +183,18 @@
         self._sums.add(work_s, now_s)
         self._recent.add(work_s, now_s)
 
-    def estimate_rates(self, now_s: float) -> KeyRates:
-        """Return the work per second at `now_s`."""
-        rates = shift_detection.apply_shifts(
-            self._sums.estimate_rates(now_s), self._recent.estimate_rates(now_s)
+    def copy_averages(self, now_s: float) -> RateAverages:
+        """Return the averages at `now_s`, and discard rarely requested keys if there are many."""
+        averages = RateAverages(
+            self._sums.estimate_rates(now_s),
+            self._recent.estimate_rates(now_s),
+            self._sums.find_span_s(now_s),
         )
-        kept = sorted(key for key, rate in rates.items() if rate > MIN_KEY_RATE)
-        prefix_sums = tuple(itertools.accumulate((rates[key] for key in kept), initial=0.0))
-        total = sum(rates.values())
-        # Spread evenly over all keys: the rates of rarely requested keys,
-        # `SPREAD_RATE` and a tenth of the total.
-        base_rate = (total - prefix_sums[-1] + SPREAD_RATE + 0.1 * total) / key_ranges.KEY_COUNT
+        kept = {key for key, rate in averages.rates.items() if rate > MIN_KEY_RATE}
         if self._sums.size > 2 * len(kept):
-            self._sums.retain(set(kept))
-        self._recent.retain(set(rates))
-        return KeyRates(tuple(kept), prefix_sums, base_rate, self._sums.find_span_s(now_s))
+            self._sums.retain(kept)
+        self._recent.retain(set(averages.rates))
+        return averages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -236,11 +265,23 @@
         return _DecayedTimes(previous.count * factor, previous.total_s * factor, now_s)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ComputedRates:
+    at_s: float
+    key_rates: KeyRates
+
+
 class LoadStatistics:
-    """Work per key and service times of all keyed services, collected by the lessor."""
+    """Work per key and service times of all keyed services, collected by the lessor.
+
+    Reports are added by many tasks while the lessor's task reads; one lock guards adding to the
+    sums and copying them.
+    """
 
     def __init__(self) -> None:
+        self._lock = threading.Lock()
         self._keys: dict[str, KeyRateEstimator] = {}
+        self._computed: dict[str, _ComputedRates] = {}
         self.service_times = ServiceTimeEstimator()
 
     def add(
@@ -253,20 +294,35 @@
 
         Requests that it only counted, as an earlier release does, get the default work.
         """
-        for row in key_work:
-            self._find_keys(row.service).add(dict(zip(row.keys, row.work_s, strict=False)), now_s)
         with_work = {row.service for row in key_work}
+        work_s = [(row.service, dict(zip(row.keys, row.work_s, strict=False))) for row in key_work]
         for counts in counted:
             if counts.service not in with_work:
                 requests = collections.Counter(counts.keys)
-                work_s = {
+                default_s = {
                     key: count * work_estimates.DEFAULT_WORK_S for key, count in requests.items()
                 }
-                self._find_keys(counts.service).add(work_s, now_s)
+                work_s.append((counts.service, default_s))
+        with self._lock:
+            for service, by_key in work_s:
+                self._keys.setdefault(service, KeyRateEstimator()).add(by_key, now_s)
+
+    def add_times(self, samples: tuple[estimates.LatencySample, ...], now_s: float) -> None:
+        """Add the service times that one instance measured."""
+        with self._lock:
+            self.service_times.add(samples, now_s)
 
     def estimate_rates(self, service: str, now_s: float) -> KeyRates:
-        """Return the work per second of a service's keys at `now_s`."""
-        return self._find_keys(service).estimate_rates(now_s)
+        """Return the work per second of a service's keys at `now_s`.
 
-    def _find_keys(self, service: str) -> KeyRateEstimator:
-        return self._keys.setdefault(service, KeyRateEstimator())
+        It is computed once for each reading of the clock, since one step uses it several times.
+        Only the lessor's task may call this.
+        """
+        computed = self._computed.get(service)
+        if computed is None or computed.at_s != now_s:
+            with self._lock:
+                estimator = self._keys.setdefault(service, KeyRateEstimator())
+                averages = estimator.copy_averages(now_s)
+            computed = _ComputedRates(now_s, averages.create_key_rates())
+            self._computed[service] = computed
+        return computed.key_rates
--- a/src/goldcresthall/ranges/owner_reviews.py
+++ b/src/goldcresthall/ranges/owner_reviews.py
@@ -127,6 +127,11 @@
         elif lease.unanswered and lease.failing_since_s is None:
             self._leases.update(lease_id, transitions.demand_fence)
 
+    def review_target(self, lease_id: int, target: deployment.ServerIncarnation) -> None:
+        """Take the target from a free range if it left, drains or is evacuated since its choice."""
+        if not self._may_hold(target):
+            self._leases.update(lease_id, transitions.drop_target)
+
     def _may_hold(self, target: deployment.ServerIncarnation) -> bool:
         """Return whether the target of a move is still registered and may own ranges."""
         entry = self._context.directory.servers.find(target)
--- a/src/goldcresthall/ranges/range_joins.py
+++ b/src/goldcresthall/ranges/range_joins.py
@@ -15,6 +15,7 @@
 from goldcresthall.ranges import range_leases
 
 if TYPE_CHECKING:
+    from goldcresthall.core import deployment
     from goldcresthall.ranges import load_statistics
 
 RANGES_PER_SERVER = 4
@@ -32,7 +33,7 @@
     Attributes
     ----------
     rate
-        Requests per second for both ranges together.
+        Seconds of work per second for both ranges together.
     """
 
     first_id: int
@@ -78,14 +79,21 @@
     leases: dict[int, range_leases.RangeLease],
     key_rates: load_statistics.KeyRates,
     limit: int,
+    targets: frozenset[deployment.ServerIncarnation],
 ) -> tuple[planner.Placement, ...]:
-    """Return moves of calm ranges to their neighbours' owners, if there are far too many ranges."""
+    """Return moves of calm ranges to their neighbours' owners, if there are far too many ranges.
+
+    Parameters
+    ----------
+    targets
+        The servers that may get ranges.
+    """
     if len(leases) <= CONSOLIDATION_FACTOR * limit:
         return ()
     moves = (
         planner.Placement(moved.service, moved.keys, kept.owner)
         for moved, kept in map(_order_by_size, _list_neighbours(leases, key_rates))
-        if kept.owner is not None and kept.owner != moved.owner
+        if kept.owner in targets and kept.owner is not None and kept.owner != moved.owner
     )
     return tuple(itertools.islice(moves, MAX_CONSOLIDATIONS))
 
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -27,12 +27,16 @@
 from goldcresthall.ranges import transitions
 
 if TYPE_CHECKING:
+    import collections.abc
+
     from goldcresthall.admission import range_admissions
     from goldcresthall.ranges import lease_renewal
     from goldcresthall.ranges import lease_table
     from goldcresthall.ranges import lessor_context
 
 REBALANCE_INTERVAL_S = 0.4
+# Shares of admitted requests need no store, and follow the load also while it is away.
+ADMISSION_INTERVAL_S = 0.4
 # At the start of a term, the first reports cover different times.
 ADMISSION_DELAY_S = 2.0
 
@@ -100,7 +104,7 @@
         self._recent_moves = recent_moves.RecentMoves()
         self._admissions: dict[str, tuple[range_admissions.RangeAdmission, ...]] = {}
         self._admission_logs: dict[str, admission_log.AdmissionLog] = {}
-        self._limits_after_s = context.clock.read_s() + ADMISSION_DELAY_S
+        self._next_limits_at_s = context.clock.read_s() + ADMISSION_DELAY_S
         self._rebalanced_at_s = context.clock.read_s()
 
     @property
@@ -138,7 +142,15 @@
                 self._move(name, now_s, may_split=constraints.may_split)
             if is_rebalancing:
                 self._join_calm(name, now_s, constraints)
-                self._limit(name, now_s)
+        if now_s >= self._next_limits_at_s:
+            self._next_limits_at_s = now_s + ADMISSION_INTERVAL_S
+            self._limit(configuration.keyed_services, now_s)
+
+    def drop_unusable_targets(self) -> None:
+        """Take the targets from free ranges whose targets may get none any more."""
+        for lease_id, lease in self._leases.snapshot().leases.items():
+            if lease.phase is range_leases.LeasePhase.FREE and lease.target is not None:
+                self._reviewer.review_target(lease_id, lease.target)
 
     def _add_missing_ranges(self, service: str) -> None:
         """Add free ranges for keys that no lease covers."""
@@ -195,17 +207,21 @@
         for move in move_planner.plan_moves(leases, loads, key_rates, constraints):
             self._start_move(move, key_rates.sum_range(move.keys))
 
-    def _limit(self, service: str, now_s: float) -> None:
-        """Compute which share of the requests for overloaded ranges fits."""
-        if now_s < self._limits_after_s:
-            return
-        rows = overload.find_admissions(
-            tuple(self._list_leases(service).values()),
-            self._candidates.list(service, now_s),
-            self._statistics.estimate_rates(service, now_s),
-        )
-        self._admissions[service] = rows
-        self._admission_logs.setdefault(service, admission_log.AdmissionLog(service)).record(rows)
+    def _limit(self, services: collections.abc.Iterable[str], now_s: float) -> None:
+        """Compute which share of the requests for overloaded ranges fits, for all services."""
+        admissions = {
+            service: overload.find_admissions(
+                tuple(self._list_leases(service).values()),
+                self._candidates.list(service, now_s),
+                self._statistics.estimate_rates(service, now_s),
+            )
+            for service in services
+        }
+        for service in {**self._admissions, **admissions}:
+            log = self._admission_logs.setdefault(service, admission_log.AdmissionLog(service))
+            log.record(admissions.get(service, ()))
+        # Replaced as a whole, because the tasks that reply to reports read it meanwhile.
+        self._admissions = admissions
 
     def _join_calm(self, service: str, now_s: float, constraints: PlanningConstraints) -> None:
         """Join ranges that were split for load and are calm again."""
@@ -225,7 +241,10 @@
         if not constraints.may_release(now_s):
             return
         leases = self._list_leases(service)
-        for move in range_joins.find_consolidations(leases, key_rates, limit):
+        targets = frozenset(
+            candidate.incarnation for candidate in self._candidates.list(service, now_s)
+        )
+        for move in range_joins.find_consolidations(leases, key_rates, limit, targets):
             self._start_move(move, key_rates.sum_range(move.keys))
 
     def _list_leases(self, service: str) -> dict[int, range_leases.RangeLease]:
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -123,7 +123,7 @@
     ) -> None:
         """Add the work that an instance measured."""
         now_s = self._clock.read_s()
-        own_term.statistics.service_times.add(samples, now_s)
+        own_term.statistics.add_times(samples, now_s)
         self._work.add(samples, route_samples, now_s)
 
     def begin_term(self, inherited: work_table.WorkTable) -> None:
--- a/src/goldcresthall/ranges/transitions.py
+++ b/src/goldcresthall/ranges/transitions.py
@@ -225,6 +225,13 @@
     return dataclasses.replace(lease, target=None, needs_proof=False)
 
 
+def drop_target(lease: range_leases.RangeLease) -> range_leases.RangeLease | None:
+    """Return a free range without the server that was to get it; `None` unless it is free."""
+    if lease.phase is not range_leases.LeasePhase.FREE:
+        return None
+    return dataclasses.replace(lease, target=None)
+
+
 def set_target(
     target: deployment.ServerIncarnation, lease: range_leases.RangeLease
 ) -> range_leases.RangeLease:
--- a/tests/ranges/test_range_joins.py
+++ b/tests/ranges/test_range_joins.py
@@ -50,8 +50,18 @@
 def test_ranges_that_alternate_between_owners_are_brought_together() -> None:
     leases = create_leases("a", "b", "a", "b")
     assert range_joins.find_joins(leases, CALM, limit=1) == ()
-    assert range_joins.find_consolidations(leases, CALM, limit=4) == ()
-    assert range_joins.find_consolidations(leases, CALM, limit=2)
+    targets = frozenset(deployment.ServerIncarnation(name, 1) for name in ("a", "b"))
+    assert range_joins.find_consolidations(leases, CALM, 4, targets) == ()
+    assert range_joins.find_consolidations(leases, CALM, 2, targets)
+
+
+def test_ranges_are_brought_together_only_at_servers_that_may_get_ranges() -> None:
+    """A cold or evacuated neighbour's owner was chosen as a target."""
+    leases = create_leases("a", "b", "a", "b")
+    target = deployment.ServerIncarnation("b", 1)
+    moves = range_joins.find_consolidations(leases, CALM, 2, frozenset({target}))
+    assert {move.target for move in moves} == {target}
+    assert range_joins.find_consolidations(leases, CALM, 2, frozenset()) == ()
 
 
 def test_calm_ranges_are_joined_without_a_second_holder() -> None:
