Move fewer keys under a steady, noisy load

A deployment of 73 owners at a mean load of 0.45 moved all its keys once in 30 s. Moves now start at 0.75 or 1.35 times the mean (0.95 at most, so that an overloaded owner is relieved at any mean), keys settle for 5 s, and the noise margin covers the measured capacities too. A rise of one key or block is followed only if it is significant and at least doubles the rate; a fall and a change of all keys together are found as before.

Ruled out: urgency by the load less its noise, which slowed the first second, and a higher URGENT_LOAD, which moved more keys.

--- a/src/goldcresthall/ranges/candidates.py
+++ b/src/goldcresthall/ranges/candidates.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from goldcresthall.ranges import cold_owners
 from goldcresthall.ranges import planner
 
 if TYPE_CHECKING:
+    from goldcresthall.core import deployment
     from goldcresthall.ranges import lease_table
     from goldcresthall.ranges import lessor_context
     from goldcresthall.ranges import load_statistics
@@ -63,18 +65,38 @@
             if server.incarnation not in failing
             and not self._backoff.is_backing_off(server.incarnation, now_s)
         ] or registered
-        slowness = self._statistics.service_times.estimate_slowness(
+        speeds = self._statistics.service_times.estimate_speeds(
             tuple(server.incarnation for server in usable), now_s
         )
-        capacities = {
-            server.incarnation: server.slots / slowness[server.incarnation] for server in usable
-        }
+        listed = create_candidates(
+            {server.incarnation: float(server.slots) for server in usable}, speeds
+        )
         limit = self._cold_servers.find_capacity(service, now_s)
-        if limit:
-            for entry in assignable.entries:
-                incarnation = entry.server.incarnation
-                if incarnation in capacities and entry.warm_up.find_left_s(now_s) > 0:
-                    capacities[incarnation] = min(limit, capacities[incarnation])
+        if not limit:
+            return listed
+        cold = {
+            entry.server.incarnation
+            for entry in assignable.entries
+            if entry.warm_up.find_left_s(now_s) > 0
+        }
         return tuple(
-            planner.Candidate(incarnation, capacity) for incarnation, capacity in capacities.items()
+            (
+                dataclasses.replace(candidate, capacity=min(limit, candidate.capacity))
+                if candidate.incarnation in cold
+                else candidate
+            )
+            for candidate in listed
+        )
+
+
+def create_candidates(
+    slots: dict[deployment.ServerIncarnation, float],
+    speeds: dict[deployment.ServerIncarnation, load_statistics.ServerSpeed],
+) -> tuple[planner.Candidate, ...]:
+    """Return servers with the capacities that follow from their slots and speeds."""
+    return tuple(
+        planner.Candidate(
+            incarnation, count / speeds[incarnation].slowness, speeds[incarnation].noise
         )
+        for incarnation, count in slots.items()
+    )
--- a/src/goldcresthall/ranges/load_statistics.py
+++ b/src/goldcresthall/ranges/load_statistics.py
@@ -27,6 +27,9 @@
 
 SERVICE_TIME_HALF_LIFE_S = 6.0
 PRIOR_SAMPLES = 4.0
+# Standard deviation of a sample as a fraction of the mean. The work of reads is log-normal, with a
+# standard deviation of 0.8 of its logarithm.
+SAMPLE_SPREAD = 1.0
 MIN_KEY_RATE = 0.004
 SPREAD_RATE = 0.04
 # Bounds the effect of a few samples, and of waiting that was taken for work.
@@ -197,6 +200,22 @@
         return averages
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSpeed:
+    """How fast a server works.
+
+    Attributes
+    ----------
+    slowness
+        Time that work takes there, relative to the mean of the service.
+    noise
+        Standard deviation of it as a fraction.
+    """
+
+    slowness: float
+    noise: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _DecayedTimes:
     count: float
@@ -242,10 +261,25 @@
         total_s = sum(times.total_s for times in decayed)
         return total_s / count if count else work_estimates.DEFAULT_WORK_S
 
-    def estimate_slowness(
+    def estimate_speeds(
+        self, incarnations: tuple[deployment.ServerIncarnation, ...], now_s: float
+    ) -> dict[deployment.ServerIncarnation, ServerSpeed]:
+        """Return how fast work is at each server of a service, and how certain that is."""
+        slowness = self._estimate_slowness(incarnations, now_s)
+        return {
+            incarnation: ServerSpeed(
+                slowness[incarnation],
+                # Decaying samples that arrive at a steady rate average as much noise as twice
+                # their decayed count.
+                SAMPLE_SPREAD
+                / math.sqrt(2.0 * self._decay(incarnation, now_s).count + PRIOR_SAMPLES),
+            )
+            for incarnation in incarnations
+        }
+
+    def _estimate_slowness(
         self, incarnations: tuple[deployment.ServerIncarnation, ...], now_s: float
     ) -> dict[deployment.ServerIncarnation, float]:
-        """Return the time that work takes at each server, relative to the mean of the service."""
         decayed = [self._decay(incarnation, now_s) for incarnation in incarnations]
         count = sum(times.count for times in decayed)
         total_s = sum(times.total_s for times in decayed)
--- a/src/goldcresthall/ranges/move_planner.py
+++ b/src/goldcresthall/ranges/move_planner.py
@@ -1,13 +1,14 @@
 """Moves of ranges away from owners at which requests queue, and to servers that have none.
 
 A server with three or four slots has a queue from a load of about 0.6 on; below, an uneven load
-costs nothing, while each move makes the moved keys slower for some seconds. So only the excess
+costs little, while each move makes the moved keys slower for some seconds. So only the excess
 over an absolute load moves, unless the mean load is so high that the excess over the mean does.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from goldcresthall.ranges import hot_keys
@@ -27,14 +28,16 @@
 MIN_TOTAL_RATE = 0.4
 # Loads are fractions of a server's capacity. Moves from a server start above the higher ones and
 # bring it down to the lower ones, up to which they fill others: noise in between moves nothing.
-START_LOAD = 0.6
-START_FACTOR = 1.2
+START_LOAD = 0.75
+START_FACTOR = 1.35
 START_MARGIN = 0.1
+# Above this, requests queue without bound, so that moves start whatever the mean load is.
+MAX_START_LOAD = 0.95
 FILL_LOAD = 0.45
 FILL_FACTOR = 1.05
 # By so many standard deviations of the estimate, the load must be above the start: in the first
 # second, the noise alone would start moves.
-NOISE_DEVIATIONS = 0.75
+NOISE_DEVIATIONS = 0.5
 # Above this load, keys move again although they moved recently.
 URGENT_LOAD = 0.8
 IDLE_FILL_FACTOR = 0.3
@@ -55,7 +58,7 @@
     def from_mean(cls, mean: float) -> MoveLoads:
         """Return the loads for a mean load."""
         return cls(
-            start=max(START_LOAD, START_FACTOR * mean, mean + START_MARGIN),
+            start=max(START_LOAD, min(START_FACTOR * mean, MAX_START_LOAD), mean + START_MARGIN),
             fill=max(FILL_LOAD, FILL_FACTOR * mean),
         )
 
@@ -130,12 +133,15 @@
 
     def _is_overloaded(self, source: deployment.ServerIncarnation) -> bool:
         """Return whether the load is above the start by more than its noise."""
+        return self._find_least_load(source) > self._move_loads.start
+
+    def _find_least_load(self, source: deployment.ServerIncarnation) -> float:
+        """Return the load less the noise of the rate and of the capacity."""
         capacity = self._loads.find_capacity(source)
-        rate = self._loads.find_load(source) * capacity
-        return (
-            rate - NOISE_DEVIATIONS * self._key_rates.find_noise(rate)
-            > self._move_loads.start * capacity
-        )
+        load = self._loads.find_load(source)
+        rate_noise = self._key_rates.find_noise(load * capacity) / capacity
+        noise = math.hypot(rate_noise, load * self._loads.find_noise(source))
+        return load - NOISE_DEVIATIONS * noise
 
     def fill_idle(self) -> None:
         """Plan moves to servers without any range, such as those that joined."""
--- a/src/goldcresthall/ranges/planner.py
+++ b/src/goldcresthall/ranges/planner.py
@@ -27,10 +27,13 @@
     ----------
     capacity
         Seconds of work per second that it can process.
+    noise
+        Standard deviation of the capacity as a fraction of it.
     """
 
     incarnation: deployment.ServerIncarnation
     capacity: float
+    noise: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +58,7 @@
         key_rates: load_statistics.KeyRates,
     ) -> None:
         self._capacity = {candidate.incarnation: candidate.capacity for candidate in candidates}
+        self._noise = {candidate.incarnation: candidate.noise for candidate in candidates}
         self._rate = dict.fromkeys(self._capacity, 0.0)
         for lease in leases:
             incarnation = lease.target or lease.owner
@@ -78,6 +82,10 @@
         """Return the capacity of a server in seconds of work per second."""
         return self._capacity[incarnation]
 
+    def find_noise(self, incarnation: deployment.ServerIncarnation) -> float:
+        """Return the standard deviation of a server's capacity as a fraction of it."""
+        return self._noise[incarnation]
+
     def find_least_loaded(self, rate: float = 0.0) -> deployment.ServerIncarnation:
         """Return the server with the lowest load after adding `rate`."""
         return min(
--- a/src/goldcresthall/ranges/recent_moves.py
+++ b/src/goldcresthall/ranges/recent_moves.py
@@ -6,8 +6,9 @@
 
 from goldcresthall.core import key_ranges
 
-# A moved key is slower for that time, and the load of its new owner is known after about as long.
-SETTLING_S = 2.0
+# A moved key is slower for some seconds, and after about as long its new owner's load is known.
+# At 2 s, keys moved on and on by the noise of rates and capacities.
+SETTLING_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/ranges/shift_detection.py
+++ b/src/goldcresthall/ranges/shift_detection.py
@@ -18,6 +18,10 @@
 REQUEST_WORK_S = 0.2
 MIN_DEVIATIONS = 4.0
 MIN_RATIO = 1.2
+# A rise of a single key or block of keys must at least double its rate: among thousands of them, a
+# smaller one is mostly noise, and keys would move after it.
+MIN_RISE_DEVIATIONS = 3.0
+MIN_RISE_RATIO = 2.0
 # Ages of a rise in seconds for which its height is computed; younger ones are mostly noise.
 RISE_AGES_S = tuple(0.1 * tenths for tenths in range(7, 40))
 
@@ -35,14 +39,14 @@
     factors = {
         key: _find_factor(rate, recent_rate)
         for key, recent_rate in recent.items()
-        if (rate := rates.get(key, 0.0)) and _is_shift(rate, recent_rate)
+        if (rate := rates.get(key, 0.0)) and _is_local_shift(rate, recent_rate)
     }
     blocks = _sum_blocks(rates, factors)
     recent_blocks = _sum_blocks(recent, factors)
     block_factors = {
         block: _find_factor(rate, recent_blocks[block])
         for block, rate in blocks.items()
-        if _is_shift(rate, recent_blocks[block])
+        if _is_local_shift(rate, recent_blocks[block])
     }
     rest = sum(rate for block, rate in blocks.items() if block not in block_factors)
     recent_rest = sum(rate for block, rate in recent_blocks.items() if block not in block_factors)
@@ -61,10 +65,21 @@
     return sums
 
 
+def _is_local_shift(rate: float, recent: float) -> bool:
+    """Return whether the rate of one key or block rose or fell."""
+    if recent > rate:
+        return _differs(recent, rate, MIN_RISE_RATIO, MIN_RISE_DEVIATIONS)
+    return _is_shift(rate, recent)
+
+
 def _is_shift(rate: float, recent: float) -> bool:
-    higher, lower = max(rate, recent), min(rate, recent)
+    return _differs(max(rate, recent), min(rate, recent), MIN_RATIO, MIN_DEVIATIONS)
+
+
+def _differs(higher: float, lower: float, min_ratio: float, min_deviations: float) -> bool:
     variance = higher * REQUEST_WORK_S * math.log(2.0) / (2.0 * RECENT_HALF_LIFE_S)
-    return higher >= MIN_RATIO * lower and (higher - lower) ** 2 > MIN_DEVIATIONS**2 * variance
+    is_significant = (higher - lower) ** 2 > min_deviations**2 * variance
+    return higher >= min_ratio * lower and is_significant
 
 
 def _find_factor(rate: float, recent: float) -> float:
--- a/tests/ranges/placement_load.py
+++ b/tests/ranges/placement_load.py
@@ -7,7 +7,9 @@
 
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
+from goldcresthall.gateway import estimates
 from goldcresthall.load import work_table
+from goldcresthall.ranges import candidates
 from goldcresthall.ranges import load_statistics
 from goldcresthall.ranges import move_planner
 from goldcresthall.ranges import overload
@@ -20,6 +22,8 @@
 STEP_S = 0.1
 ROUND_STEPS = 4
 HOT_KEY_SHARE = 0.33
+# Standard deviation of the logarithm of the work of a request.
+WORK_SPREAD = 0.8
 
 
 def single(key: int) -> key_ranges.KeyRange:
@@ -31,7 +35,8 @@
     """Random requests whose work is counted each `STEP_S`, and a plan each `ROUND_STEPS` steps.
 
     Servers own equal shares of the keys at first. Half of the requests are for keys near
-    `center`, the others for any key.
+    `center`, the others for any key. The capacities of the servers are known, or measured from
+    the work of the requests.
     """
 
     def __init__(
@@ -41,15 +46,19 @@
         center: int | None = None,
         slots: float = 3.0,
         speed_ratio: float = 1.0,
+        *,
+        measures_speeds: bool = False,
     ) -> None:
         self.center = center
         self.hot_key: int | None = None
+        self.hot_key_share = HOT_KEY_SHARE
         self.work_s = dict.fromkeys(range(2), 0.12)
         self.generator = random.Random(5)
         self.now_s = 0.0
         self.moves: list[planner.Placement] = []
         self.statistics = load_statistics.LoadStatistics()
         self._rate_per_s = rate_per_s
+        self._measures_speeds = measures_speeds
         self._recent_moves = recent_moves.RecentMoves()
         self._steps = 0
         names = [deployment.ServerIncarnation(f"server-{index:02d}", 1) for index in range(servers)]
@@ -76,7 +85,7 @@
     @property
     def hot_work_rate(self) -> float:
         """Seconds of work per second that the hot key asks for."""
-        return HOT_KEY_SHARE * self._rate_per_s * self.work_s[0]
+        return self.hot_key_share * self._rate_per_s * self.work_s[0]
 
     def estimate(self) -> load_statistics.KeyRates:
         """Return the estimated rates."""
@@ -118,25 +127,43 @@
     def _count(self) -> None:
         mean = self._rate_per_s * STEP_S
         work: dict[int, float] = {}
+        samples: dict[deployment.ServerIncarnation, tuple[int, float]] = {}
         for _ in range(max(0, round(self.generator.gauss(mean, mean**0.5)))):
             key = self._draw_key()
             work[key] = work.get(key, 0.0) + self.work_s[key & 1]
+            if self._measures_speeds:
+                owner = self.find_owner(key)
+                count, total_s = samples.get(owner, (0, 0.0))
+                drawn = self.generator.lognormvariate(-0.5 * WORK_SPREAD**2, WORK_SPREAD)
+                samples[owner] = (count + 1, total_s + self.work_s[key & 1] * drawn)
         row = work_table.KeyWork(SERVICE, tuple(work), tuple(work.values()))
         self.statistics.add((), self.now_s, (row,))
+        rows = tuple(estimates.LatencySample(owner, *times) for owner, times in samples.items())
+        self.statistics.add_times(rows, self.now_s)
 
     def _draw_key(self) -> int:
-        if self.hot_key is not None and self.generator.random() < HOT_KEY_SHARE:
+        if self.hot_key is not None and self.generator.random() < self.hot_key_share:
             return self.hot_key
         if self.center is not None and self.generator.random() < 0.5:
             return round(self.generator.gauss(self.center, 150.0)) % key_ranges.KEY_COUNT
         return self.generator.randrange(key_ranges.KEY_COUNT)
 
+    def _list_candidates(self) -> tuple[planner.Candidate, ...]:
+        """Return the candidates with the capacities that samples of their work show."""
+        if not self._measures_speeds:
+            return self.candidates
+        names = tuple(candidate.incarnation for candidate in self.candidates)
+        return candidates.create_candidates(
+            {candidate.incarnation: candidate.capacity for candidate in self.candidates},
+            self.statistics.service_times.estimate_speeds(names, self.now_s),
+        )
+
     def _move(self) -> None:
         key_rates = self.estimate()
         settling = self._recent_moves.find_settling(SERVICE, self.now_s)
         for move in move_planner.plan_moves(
             self.leases,
-            planner.PlannedLoads(self.candidates, self.leases, key_rates),
+            planner.PlannedLoads(self._list_candidates(), self.leases, key_rates),
             key_rates,
             move_planner.MoveConstraints(settling),
         ):
--- a/tests/ranges/test_move_planner.py
+++ b/tests/ranges/test_move_planner.py
@@ -4,7 +4,10 @@
 
 import dataclasses
 
+import pytest
+
 from goldcresthall.core import deployment
+from goldcresthall.core import key_ranges
 from goldcresthall.ranges import move_planner
 from goldcresthall.ranges import planner
 from goldcresthall.ranges import recent_moves
@@ -13,6 +16,7 @@
 CENTER = 30_000
 # Rounds are 0.4 s apart; the first report of a load comes before the first one.
 THREE_ROUNDS_S = 1.6
+TWO_ROUNDS_S = 1.2
 
 
 def test_hot_spot_of_neighbouring_keys_is_spread_within_three_rounds() -> None:
@@ -43,6 +47,29 @@
     assert not load.moves
 
 
+def test_steady_load_with_noisy_capacities_moves_hardly_any_keys() -> None:
+    """At a mean load of 0.45, all keys moved once in 30 s, for hardly any shorter responses."""
+    load = placement_load.PlacementLoad(
+        servers=73, rate_per_s=584.0, center=CENTER, measures_speeds=True
+    )
+    load.work_s = dict.fromkeys(range(2), 0.17)
+    load.run(5.0)
+    before = len(load.moves)
+    load.run(30.0)
+    moved = sum(move.keys.size for move in load.moves[before:])
+    assert moved <= key_ranges.KEY_COUNT // 20
+
+
+@pytest.mark.parametrize("share", [0.17, 0.37])
+def test_hot_key_among_measured_servers_is_alone_within_two_rounds(share: float) -> None:
+    load = placement_load.PlacementLoad(servers=73, rate_per_s=584.0, measures_speeds=True)
+    load.run(6.0)
+    load.hot_key, load.hot_key_share = CENTER, share
+    load.run(TWO_ROUNDS_S)
+    owned = next(lease for lease in load.leases if lease.keys.contains(CENTER))
+    assert owned.keys == placement_load.single(CENTER)
+
+
 def test_hot_spot_that_was_spread_causes_hardly_any_further_moves() -> None:
     load = placement_load.PlacementLoad(center=CENTER)
     load.run(6.0)
--- a/tests/ranges/test_shift_detection.py
+++ b/tests/ranges/test_shift_detection.py
@@ -64,3 +64,17 @@
     rates = statistics.estimate_rates("ledger", 0.0)
     expected = 2 * work_estimates.DEFAULT_WORK_S / decaying_sums.MIN_SPAN_S
     assert rates.sum_range(placement_load.single(7)) == pytest.approx(expected, rel=0.1)
+
+
+def test_rise_of_a_block_by_half_is_not_followed() -> None:
+    """Keys moved after the noise of blocks, although the rise of all keys is followed."""
+    rates = dict.fromkeys(range(0, 65_536, 16), 0.05)
+    recent = {key: rate * (1.5 if key < 256 else 1.0) for key, rate in rates.items()}
+    scale = 100.0
+    shifted = shift_detection.apply_shifts(
+        {key: scale * rate for key, rate in rates.items()},
+        {key: scale * rate for key, rate in recent.items()},
+    )
+    assert shifted[0] == scale * rates[0]
+    everywhere = {key: 1.5 * rate for key, rate in rates.items()}
+    assert shift_detection.apply_shifts(rates, everywhere)[0] > rates[0]
