Count heads by their fields, and close connections whose responses are unread

A head of 16 KiB may hold thousands of fields, which take a hundred times their size once they are parsed. A body that grows by a byte now and then counts as silent when memory runs short. At the limit on connections, those whose responses are not read go first; they once counted as being served. A connection whose task cannot be started is closed.

--- a/src/goldcresthall/callers/caller_socket.py
+++ b/src/goldcresthall/callers/caller_socket.py
@@ -40,6 +40,13 @@
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = accepted
+        self._blocked_at_s: float | None = None
+
+    @property
+    def unread_s(self) -> float:
+        """Seconds for which the caller has taken nothing of what is being sent."""
+        blocked_at_s = self._blocked_at_s
+        return 0.0 if blocked_at_s is None else time.monotonic() - blocked_at_s
 
     def wait_readable(self, timeout_s: float, *, only_hangup: bool = False) -> bool:
         """Wait for input or the end of the connection; return whether there is any.
@@ -149,15 +156,17 @@
         return count[0]
 
     def _wait_writable(self, pace: progress.Progress, is_memory_short: Callable[[], bool]) -> bool:
-        began_at_s = time.monotonic()
+        self._blocked_at_s = time.monotonic()
         poll = select.poll()
         try:
             poll.register(self._socket, select.POLLOUT)
             while (remaining_s := pace.ends_at_s - time.monotonic()) > 0:
                 if poll.poll(min(remaining_s, SHORTAGE_POLL_S) * MS_PER_S):
                     return True
-                if time.monotonic() - began_at_s >= UNREAD_S and is_memory_short():
+                if self.unread_s >= UNREAD_S and is_memory_short():
                     return False
         except (OSError, ValueError) as error:
             raise exceptions.CallerDisconnectedError(str(error)) from error
+        finally:
+            self._blocked_at_s = None
         return False
--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -19,8 +20,6 @@
 from goldcresthall.core import outcomes
 
 if TYPE_CHECKING:
-    import socket
-
     from goldcresthall.core import deployment
     from goldcresthall.memory import ledger
 
@@ -81,6 +80,7 @@
             is_serving=not self._responses.is_idle,
             has_served=self._served_count > 0,
             silent_s=time.monotonic() - self._reader.progressed_at_s,
+            unread_s=self._caller.unread_s,
         )
 
     def start_draining(self) -> None:
@@ -91,6 +91,15 @@
         """Close the connection if no response is pending; return whether it was closed."""
         return self._responses.close_idle()
 
+    def close_unused(self) -> bool:
+        """Close the connection if it is idle or its response unread; return whether it was."""
+        if self.close_idle():
+            return True
+        if not self.activity.is_unread:
+            return False
+        self._caller.shutdown(socket.SHUT_RDWR)
+        return True
+
     def receive(self, limits: deployment.CallerLimits) -> ReceivedRequest:
         """Return the next complete request.
 
--- a/src/goldcresthall/callers/pipelined_frontend.py
+++ b/src/goldcresthall/callers/pipelined_frontend.py
@@ -131,7 +131,11 @@
             self._connections.add(connection)
             if self._is_draining:
                 connection.start_draining()
-        tasks.Task("caller", lambda _: self._serve(connection)).start()
+        try:
+            tasks.Task("caller", lambda _: self._serve(connection)).start()
+        except RuntimeError as error:
+            self._remove_connection(connection)
+            self._refusals.count(refusals.Reason.CONNECTION_LIMIT, f"step accept: {error}")
 
     def _make_room(self) -> bool:
         """Close another connection at the limit; return whether one more may be accepted."""
@@ -142,7 +146,7 @@
         if len(open_connections) >= self._max_connections * (1 + ACCEPTED_OVER_LIMIT):
             return False
         chosen = connection_limit.choose((each, each.activity) for each in open_connections)
-        if chosen is None or not chosen.close_idle():
+        if chosen is None or not chosen.close_unused():
             return False
         self._refusals.count(
             refusals.Reason.CONNECTION_REPLACED, f"{len(open_connections)} connections are open"
@@ -168,9 +172,12 @@
         except exceptions.CallerDisconnectedError:
             logging.debug("caller disconnected")
         finally:
-            connection.abandon()
-            with self._lock:
-                self._connections.discard(connection)
+            self._remove_connection(connection)
+
+    def _remove_connection(self, connection: connections.CallerConnection) -> None:
+        connection.abandon()
+        with self._lock:
+            self._connections.discard(connection)
 
     def _start_request(
         self, connection: connections.CallerConnection, received: connections.ReceivedRequest
--- a/src/goldcresthall/callers/request_reader.py
+++ b/src/goldcresthall/callers/request_reader.py
@@ -26,8 +26,10 @@
 # How soon a body whose memory was reclaimed is given up.
 RECLAIM_CHECK_S: Final = 0.25
 MEMORY_POLL_S: Final = 0.1
-# The thread of a request, its head and what the parser and the gateway keep for it.
+# The thread of a request and what the parser and the gateway keep for it.
 REQUEST_BYTES: Final = 32_768
+# A field of four bytes becomes several objects; a head of 16 KiB can hold thousands of them.
+FIELD_BYTES: Final = 512
 STATUS_CONTINUE: Final = 100
 STATUS_TIMEOUT: Final = 408
 STATUS_TOO_LARGE: Final = 413
@@ -100,7 +102,7 @@
             holders.RequestHolder() if is_first else holders.PipelinedHolder()
         )
         try:
-            self._take_head(account)
+            self._take_head(account, REQUEST_BYTES + FIELD_BYTES * len(head.headers))
             self._check_declared_length(head, account, limits)
             # Closing frees the buffer of a refused body, which the traceback would keep. The value
             # of a complete one is the buffer itself; joining parts would hold it twice.
@@ -149,18 +151,18 @@
             raise exceptions.ConnectionDrainingError
         raise exceptions.CallerDisconnectedError("timed out")
 
-    def _take_head(self, account: ledger.Account) -> None:
+    def _take_head(self, account: ledger.Account, size_bytes: int) -> None:
         """Count a request without its body.
 
         One that was sent behind others waits until they have left room for it, and at most until
         they are answered.
         """
         while not self._responses.is_idle:
-            if account.try_take(REQUEST_BYTES):
+            if account.try_take(size_bytes):
                 return
             self._caller.wait_readable(MEMORY_POLL_S, only_hangup=True)
         account.kind = holders.RequestHolder()
-        if not account.take(REQUEST_BYTES):
+        if not account.take(size_bytes):
             raise _refuse_memory(account)
 
     def _check_declared_length(
--- a/src/goldcresthall/memory/ledger.py
+++ b/src/goldcresthall/memory/ledger.py
@@ -18,6 +18,9 @@
 # usually leaves within this time.
 WAIT_S: Final = 1.0
 SHORTAGE_S: Final = 2.0
+# A body that grows by less within `shedding.SILENT_S` counts as silent, so that a byte now and then
+# does not protect it.
+PROGRESS_BYTES: Final = 8_192
 
 
 class MemoryLedger(service.Service):
@@ -89,10 +92,9 @@
         free by this, and a response waits for others to be written.
         """
         with self._changed:
-            account.progressed_at_s = self._read_s()
             if not self._has_room(account, count) and not self._wait_for_room(account, count):
                 return False
-            account.held_bytes += count
+            account.add(count, self._read_s())
             self._used_bytes += count
             if account.is_reclaimable:
                 self._incomplete[account.number] = account
@@ -107,7 +109,7 @@
         with self._changed:
             if not self._has_room(account, count):
                 return False
-            account.held_bytes += count
+            account.add(count, self._read_s())
             self._used_bytes += count
             return True
 
@@ -179,7 +181,7 @@
     Attributes
     ----------
     progressed_at_s
-        Clock reading in seconds at which it last asked for more.
+        Clock reading in seconds at which it had last grown by `PROGRESS_BYTES`.
     is_complete
         Whether its body is complete, so that its memory is not reclaimed.
     is_reclaimed
@@ -194,6 +196,7 @@
         self.number = number
         self.held_bytes = 0
         self.progressed_at_s = now_s
+        self._unmarked_bytes = 0
         self.is_complete = False
         self.is_reclaimed = False
 
@@ -202,6 +205,14 @@
         """Whether its memory may be reclaimed."""
         return not self.is_complete and not holders.goes_first(self.kind)
 
+    def add(self, count: int, now_s: float) -> None:
+        """Record bytes that the ledger has counted."""
+        self.held_bytes += count
+        self._unmarked_bytes += count
+        if self._unmarked_bytes >= PROGRESS_BYTES:
+            self._unmarked_bytes = 0
+            self.progressed_at_s = now_s
+
     def take(self, count: int) -> bool:
         """Count more bytes; return whether there was room for them."""
         return self._ledger.take(self, count)
--- a/tests/callers/test_connection_limit.py
+++ b/tests/callers/test_connection_limit.py
@@ -21,5 +21,13 @@
     assert connection_limit.choose(enumerate((SERVING, recent, USED))) == 2
 
 
+def test_connection_whose_response_is_unread_goes_first() -> None:
+    """Callers that request and do not read must not hold all connections."""
+    unread = connection_limit.Activity(
+        is_serving=True, has_served=True, silent_s=6.0, unread_s=connection_limit.UNREAD_S
+    )
+    assert connection_limit.choose(enumerate((SERVING, LONG_UNUSED, unread))) == 2
+
+
 def test_connection_that_is_serving_is_never_closed() -> None:
     assert connection_limit.choose(enumerate((SERVING, SERVING))) is None
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -16,6 +16,7 @@
 from goldcresthall.callers import connections
 from goldcresthall.callers import exceptions
 from goldcresthall.callers import refusals
+from goldcresthall.callers import request_reader
 from goldcresthall.callers import response_order
 from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
@@ -428,6 +429,19 @@
     assert not sender.is_alive()
 
 
+def test_head_counts_by_its_fields(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    """Heads of thousands of tiny fields take a hundred times their size."""
+    caller, connection = pair
+    caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 99 + b"\r\n")
+    received = connection.receive(LIMITS)
+    expected = request_reader.REQUEST_BYTES + 100 * request_reader.FIELD_BYTES
+    assert connection._reader._memory.used_bytes == expected
+    connection.respond(received.pending, create_response(b"done"))
+    assert connection._reader._memory.used_bytes == 0
+
+
 def test_caller_that_leaves_within_a_body_leaves_no_memory_counted(
     pair: tuple[socket.socket, connections.CallerConnection],
 ) -> None:
--- a/tests/memory/test_ledger.py
+++ b/tests/memory/test_ledger.py
@@ -84,6 +84,23 @@
     assert not arriving.is_reclaimed
 
 
+def test_body_that_trickles_counts_as_silent() -> None:
+    """A byte now and then once protected bodies that stop short of their end."""
+    clock = Clock()
+    memory = create_ledger(clock)
+    trickling = memory.open(holders.RequestHolder())
+    sound = memory.open(holders.RequestHolder())
+    assert trickling.take(MB)
+    assert sound.take(MB)
+    for _ in range(8):
+        clock.now_s += SILENT_S / 4
+        assert trickling.take(1)
+        assert sound.take(ledger.PROGRESS_BYTES // 2)
+    fill(memory, MB)
+    assert trickling.is_reclaimed
+    assert not sound.is_reclaimed
+
+
 def test_request_waits_until_reclaimed_memory_is_free() -> None:
     memory = create_ledger(wait_s=10.0)
     large = memory.open(holders.RequestHolder())
