--- a/tests/ranges/test_move_planner.py
+++ b/tests/ranges/test_move_planner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
+import math
 
 import pytest
 
@@ -136,10 +138,10 @@
 def test_keys_that_moved_settle_unless_their_owner_is_overloaded() -> None:
     load = placement_load.PlacementLoad(center=CENTER)
     load.run(0.3)
-    key_rates = load.estimate()
+    key_rates = dataclasses.replace(load.estimate(), span_s=math.inf)
     settling = recent_moves.SettlingKeys(tuple(lease.keys for lease in load.leases))
     owner = load.find_owner(CENTER)
-    for capacity, may_move in ((1.6, False), (1.1, True)):
+    for capacity, may_move in ((1.4, False), (1.1, True)):
         rate = sum(key_rates.sum_range(x.keys) for x in load.leases if x.owner == owner)
         candidates = tuple(
             (
@@ -156,3 +158,29 @@
             move_planner.MoveConstraints(settling),
         )
         assert bool(moves) == may_move
+
+
+def test_hot_key_that_moved_settles_although_a_faster_server_appears() -> None:
+    """The slowness of an overloaded server varies, so that another one soon looks faster."""
+    load = placement_load.PlacementLoad(speed_ratio=2.7)
+    load.run(6.0)
+    load.hot_key = CENTER
+    load.run(1.5)
+    fastest = planner.Candidate(load.candidates[0].incarnation, 20.0)
+    load.candidates = (fastest, *load.candidates[1:])
+    load.run(0.4)
+    assert load.find_owner(CENTER) == load.candidates[-1].incarnation
+    load.run(2.0)
+    assert load.find_owner(CENTER) == fastest.incarnation
+
+
+def test_demand_that_no_server_can_serve_does_not_hide_other_overloaded_ones() -> None:
+    """It once raised the mean load, above which moves started."""
+    load = placement_load.PlacementLoad(servers=4, rate_per_s=0.0)
+    hot, busy = 100, 20_000
+    rates = {hot: 28.0} | {busy + index: 0.3 for index in range(9)}
+    sums = [0.0, *itertools.accumulate(rates.values())]
+    key_rates = load_statistics.KeyRates(tuple(rates), tuple(sums), 0.0)
+    loads = planner.PlannedLoads(load.candidates, load.leases, key_rates)
+    moves = move_planner.plan_moves(load.leases, loads, key_rates)
+    assert any(busy <= move.keys.first < busy + 9 for move in moves)
--- a/tests/ranges/test_overload.py
+++ b/tests/ranges/test_overload.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from goldcresthall.core import deployment
@@ -36,12 +38,14 @@
 )
 
 
-def find_shares(rates: dict[int, float]) -> dict[key_ranges.KeyRange, float]:
+def find_shares(
+    rates: dict[int, float], span_s: float = math.inf
+) -> dict[key_ranges.KeyRange, float]:
     """Return the shares by range for rates of keys."""
     sums = [0.0]
     for key in sorted(rates):
         sums.append(sums[-1] + rates[key])
-    key_rates = load_statistics.KeyRates(tuple(sorted(rates)), tuple(sums), 0.0)
+    key_rates = load_statistics.KeyRates(tuple(sorted(rates)), tuple(sums), 0.0, span_s)
     return {row.keys: row.share for row in overload.find_admissions(LEASES, CANDIDATES, key_rates)}
 
 
@@ -56,6 +60,13 @@
     assert shares == {placement_load.single(500): pytest.approx(left / 28.0)}
 
 
+def test_demand_above_the_limit_by_no_more_than_noise_is_not_cut() -> None:
+    """In the first half second, a few requests more make an owner look overloaded."""
+    rates = {100: 1.7, 200: 1.7}
+    assert find_shares(rates)
+    assert not find_shares(rates, span_s=0.5)
+
+
 def test_owners_within_their_capacity_are_not_cut() -> None:
     shares = find_shares({500: 28.0, 1_500: 2.0})
     assert not any(keys.contains(1_500) for keys in shares)
--- a/tests/ranges/test_publication.py
+++ b/tests/ranges/test_publication.py
@@ -1,10 +1,17 @@
-"""Tests of the pace at which a lessor publishes changes."""
+"""Tests of how a lessor publishes changes and treats its own instance."""
 
 from __future__ import annotations
 
 import pytest
 
+from goldcresthall.admission import range_admissions
+from goldcresthall.gateway import estimates
+from goldcresthall.kernel import kernel
+from goldcresthall.kernel import names
+from goldcresthall.ranges import owners
 from goldcresthall.ranges import publication
+from goldcresthall.ranges import report_responder
+from tests.fakes import range_simulation
 
 
 @pytest.mark.parametrize(
@@ -15,3 +22,33 @@
 ) -> None:
     """Thirty publications a second each made 194 instances take a reply and report again."""
     assert publication.find_publish_pause_s(reporters) == pytest.approx(pause_s)
+
+
+def test_work_and_shares_of_the_lessors_own_instance_count_as_well() -> None:
+    simulation = range_simulation.RangeSimulation()
+    first = simulation.instances[0]
+    first.take_over()
+    assert first.own_term is not None
+    service_kernel = kernel.Kernel()
+    service_kernel.register(names.CLOCK, simulation.clock)
+    own_owners = owners.Owners(service_kernel)
+    admissions = range_admissions.RangeAdmissions()
+    publisher = publication.ViewPublisher(
+        own_term=first.own_term,
+        responder=report_responder.ReportResponder(
+            first.own, simulation.clock, simulation.directory, own_owners
+        ),
+        owners_service=own_owners,
+        server_estimates=estimates.Estimates(service_kernel),
+        server_directory=simulation.directory,
+        admissions=admissions,
+    )
+    publisher._estimates.start()
+    for _ in range(8):
+        for _ in range(100):
+            own_owners.count(range_simulation.SERVICE, 500, 0.3)
+        publisher._add_own_statistics(simulation.clock.read_s())
+        simulation.advance(0.5)
+    publisher._add_own_statistics(simulation.clock.read_s())
+    now_s = simulation.clock.read_s()
+    assert 0.03 < admissions.find_share(range_simulation.SERVICE, 500, now_s) < 0.1
