--- a/src/goldcresthall/gateway/selection.py
+++ b/src/goldcresthall/gateway/selection.py
@@ -18,9 +18,9 @@
     from goldcresthall.gateway import estimates
     from goldcresthall.load import work_model
 
-# Another failure domain must serve a request sooner by this much. A body of 60 KB adds 0.6 s, a
-# multiple of the usual work, so that it leaves its domain only if the servers there have queues.
-REMOTE_DOMAIN_PENALTY_S = 0.2
+# Another failure domain must serve a request sooner by this fraction of its work, so that requests
+# leave their domain only if the servers there have queues. A body of 60 KB adds 0.6 s.
+REMOTE_DOMAIN_PENALTY_FRACTION = 0.75
 REMOTE_DOMAIN_PENALTY_S_PER_BYTE = 1e-5
 NEW_CONNECTION_PENALTY_S = 0.02
 SLOW_START_PENALTY_FACTOR = 2.0
@@ -196,7 +196,8 @@
         if demand.uses_idle and not self._has_idle(server.address):
             penalty_s = NEW_CONNECTION_PENALTY_S
         if server.failure_domain != self._failure_domain:
-            penalty_s += REMOTE_DOMAIN_PENALTY_S
+            work_s = self._model.expect_work_s(demand.route)
+            penalty_s += REMOTE_DOMAIN_PENALTY_FRACTION * work_s
             penalty_s += REMOTE_DOMAIN_PENALTY_S_PER_BYTE * demand.body_bytes
         return penalty_s
 
--- a/src/goldcresthall/ranges/overload.py
+++ b/src/goldcresthall/ranges/overload.py
@@ -20,7 +20,7 @@
     from goldcresthall.ranges import planner
 
 # Fraction of its capacity up to which an owner serves requests without a queue that grows.
-SERVED_LOAD = 0.95
+SERVED_LOAD = 1.0
 # Keys with more than this fraction of their owner's capacity are admitted on their own.
 HOT_KEY_CAPACITY_SHARE = 0.1
 # Shares closer to 1 than this are not worth a rejection.
--- a/tests/ranges/test_move_planner.py
+++ b/tests/ranges/test_move_planner.py
@@ -10,6 +10,7 @@
 
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
+from goldcresthall.ranges import load_statistics
 from goldcresthall.ranges import move_planner
 from goldcresthall.ranges import planner
 from goldcresthall.ranges import recent_moves
