Tell the lessor of evacuations in reports

An instance of the ranks 1 to 3 may read an evacuation while the lessor's long poll is not answered. Reports now have the reporter's state (field 18); the lessor applies it if its position is later. Under a lessor of the earlier release, which names no evacuations, all instances read the topic.

--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -58,6 +58,7 @@
         self._warm_up_reports = warm_ups.WarmUpReports()
         self._cold_limits = warm_ups.NO_LIMITS
         self._evacuations = evacuations.EvacuationState()
+        self._has_relayed_evacuations = False
         self._reported_draining: dict[deployment.ServerIncarnation, None] = {}
         self._relayed = server_lists.RelayedServers(0, ())
         self._version = server_lists.NO_LIST
@@ -159,6 +160,17 @@
         """The failure domains that the operator evacuates, as last known."""
         return self._evacuations.latest
 
+    @property
+    def known_evacuations(self) -> evacuations.EvacuatedDomains | None:
+        """The evacuated failure domains; `None` if no state of the store is known."""
+        evacuated = self._evacuations.latest
+        return None if evacuated == evacuations.NO_EVACUATIONS else evacuated
+
+    @property
+    def has_relayed_evacuations(self) -> bool:
+        """Whether the last reply of the lessor named the evacuations."""
+        return self._has_relayed_evacuations
+
     def is_evacuated(self, failure_domain: str) -> bool:
         """Return whether the servers of a failure domain must get no requests."""
         return failure_domain in self._evacuations.latest.failure_domains
@@ -175,6 +187,12 @@
         with self._lock:
             self._evacuations.apply(evacuated, self._clock.read_s())
 
+    def apply_relayed_evacuations(self, evacuated: evacuations.EvacuatedDomains | None) -> None:
+        """Apply what a reply of the lessor says; one of an earlier release says nothing."""
+        self._has_relayed_evacuations = evacuated is not None
+        if evacuated is not None:
+            self.apply_evacuations(evacuated)
+
     def apply_configuration(
         self,
         configuration: deployment.Configuration,
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -90,6 +90,8 @@
         Seconds after the start in which the lessor may relay both before they are read.
     configuration_poll_s
         Longest duration in seconds of a long poll on the configuration.
+    may_evacuate
+        Whether evacuations are to be expected, which a lessor of an earlier release does not relay.
     """
 
     def __init__(
@@ -98,11 +100,14 @@
         decoder: EntryDecoder,
         first_relay_wait_s: float = 0.0,
         configuration_poll_s: float = CONFIGURATION_LONG_POLL_S,
+        *,
+        may_evacuate: bool = False,
     ) -> None:
         self._kernel = service_kernel
         self._decoder = decoder
         self._first_relay_wait_s = first_relay_wait_s
         self._configuration_poll_s = configuration_poll_s
+        self._may_evacuate = may_evacuate
         self._configuration_task = tasks.LoopTask("configuration", self._watch_configuration)
         self._servers_task = tasks.LoopTask("servers", self._watch_servers)
         self._catch_up_task = tasks.LoopTask("configuration-catch-up", self._catch_up)
@@ -126,7 +131,7 @@
         if settings.may_evacuate:
             bounded_s = EVACUATION_POLL_FRACTION * settings.evacuation_s
             poll_s = min(poll_s, max(POLL_AFTER_CHANGE_S, bounded_s))
-        return cls(service_kernel, decoder, wait_s, poll_s)
+        return cls(service_kernel, decoder, wait_s, poll_s, may_evacuate=settings.may_evacuate)
 
     def start(self) -> None:
         """Start the tasks."""
@@ -151,7 +156,7 @@
         wait_s = self._configuration_poll_s
         self._await_first_relay(stop_signal)
         while not stop_signal.is_set:
-            if self._is_configuration_relayed():
+            if self._is_configuration_relayed() and self._are_evacuations_relayed():
                 self._directory.await_relay_end(MIN_RELAY_CHECK_S)
                 continue
             # After a failure the next read does not wait, so that it detects at once that
@@ -186,6 +191,9 @@
             and self._instances.rank >= CONFIGURATION_READERS
         )
 
+    def _are_evacuations_relayed(self) -> bool:
+        return self._directory.has_relayed_evacuations or not self._may_evacuate
+
     def _watch_servers(self, stop_signal: tasks.StopSignal) -> None:
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.servers_topic)
         failures = 0
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -75,6 +75,7 @@
             full_servers=self._sources.circuits.list_observed(),
             route_samples=self._sources.model.take_route_samples(),
             known_work=self._work_revision,
+            evacuated=self._directory.known_evacuations,
         )
 
     def apply_reply(self, reply: reports.Reply, asked_at_s: float) -> None:
@@ -91,8 +92,7 @@
         if reply.document is not None:
             self._directory.receive_document(reply.document)
         self._directory.observe_version(reply.configuration)
-        if reply.evacuated is not None:
-            self._directory.apply_evacuations(reply.evacuated)
+        self._directory.apply_relayed_evacuations(reply.evacuated)
         self._sources.circuits.apply_news(reply.full_servers)
         if reply.owners is not None:
             self._apply_owners(reply.owners)
--- a/src/goldcresthall/ranges/report_encoding.py
+++ b/src/goldcresthall/ranges/report_encoding.py
@@ -50,6 +50,7 @@
         route_times=load_encoding.encode_routes(report.route_samples),
         full_servers=load_encoding.encode_full_servers(report.full_servers),
         known_work=report.known_work,
+        evacuated=load_encoding.encode_evacuated(report.evacuated),
     )
 
 
@@ -92,6 +93,7 @@
         known_work=(
             row_changes.NO_REVISION if received.known_work is None else received.known_work
         ),
+        evacuated=load_encoding.decode_evacuated(received.evacuated),
     )
 
 
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -10,7 +10,6 @@
 from goldcresthall.core import configuration_documents
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
-from goldcresthall.gateway import evacuations
 from goldcresthall.gateway import server_lists
 from goldcresthall.load import work_combiner
 from goldcresthall.load import work_table
@@ -98,7 +97,7 @@
             servers=self._find_server_changes(relayed, report),
             document=self._find_newer_document(report),
             work=self._find_newer_work(report),
-            evacuated=self._read_evacuated(),
+            evacuated=self._directory.known_evacuations,
             admissions=own_term.admissions,
             full_servers=self._lost_servers.find_for(
                 report.reporter.incarnation.name, self._clock.read_s()
@@ -144,6 +143,8 @@
         self._directory.observe_version(report.configuration)
         for incarnation in report.draining_servers:
             self._directory.record_draining(incarnation)
+        if report.evacuated is not None:
+            self._directory.apply_evacuations(report.evacuated)
         own_term.statistics.add(report.counts, now_s, report.key_work)
         self.add_work(own_term, report.samples, report.route_samples)
         self._exchange_lost_servers(report, now_s)
@@ -217,10 +218,6 @@
     def _read_relayed_servers(self, own_term: lessor.LessorTerm) -> server_lists.RelayedServers:
         return self._directory.relay() if own_term.has_store else server_lists.STALE_SERVERS
 
-    def _read_evacuated(self) -> evacuations.EvacuatedDomains | None:
-        evacuated = self._directory.evacuated
-        return None if evacuated == evacuations.NO_EVACUATIONS else evacuated
-
     def announce_changes(self, own_term: lessor.LessorTerm) -> None:
         """End the long polls if anything changed that the replies contain."""
         latest = (
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -80,6 +80,9 @@
         Servers at which the reporter lost requests because they were full.
     known_work
         Revision of the work table that the reporter has from this lessor.
+    evacuated
+        Evacuated failure domains as the reporter knows them, perhaps later ones than the lessor;
+        `None` if it knows none.
     """
 
     reporter: key_ranges.LessorIdentity
@@ -96,6 +99,7 @@
     route_samples: tuple[work_table.RouteSample, ...] = ()
     full_servers: tuple[server_news.FullServer, ...] = ()
     known_work: int = row_changes.NO_REVISION
+    evacuated: evacuations.EvacuatedDomains | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -11,6 +11,7 @@
 from goldcresthall.core import deployment_settings
 from goldcresthall.core import identity
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import evacuations
 from goldcresthall.gateway import server_lists
 from goldcresthall.gateway import watchers
 from goldcresthall.kernel import kernel
@@ -122,7 +123,9 @@
 class WatchedDirectory:
     """A directory with its watchers over a store; the lessor's relay is renewed by hand."""
 
-    def __init__(self, rank: int, first_relay_wait_s: float = 0.0) -> None:
+    def __init__(
+        self, rank: int, first_relay_wait_s: float = 0.0, *, may_evacuate: bool = False
+    ) -> None:
         service_kernel = self.kernel = kernel.Kernel()
         self.clock = clock.ManualClock()
         self.store = CountingStore()
@@ -132,7 +135,9 @@
         service_kernel.register(names.REPORTS, instances)
         self.directory = directory.Directory(service_kernel)
         service_kernel.register(names.DIRECTORY, self.directory)
-        self.watchers = watchers.Watchers(service_kernel, Decoder(), first_relay_wait_s)
+        self.watchers = watchers.Watchers(
+            service_kernel, Decoder(), first_relay_wait_s, may_evacuate=may_evacuate
+        )
         self.directory.start()
 
     def run(self) -> None:
@@ -271,3 +276,20 @@
         watchers.CONFIGURATION_LONG_POLL_S,
     ]
     assert watchers.POLL_AFTER_CHANGE_S < CONFIGURATION_BOUND_S
+
+
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_instance_reads_evacuations_itself_unless_the_lessor_relays_them(
+    *, is_relayed: bool
+) -> None:
+    """A lessor of the earlier release relays the configuration and names no evacuations."""
+    watched = WatchedDirectory(rank=9, may_evacuate=True)
+    if is_relayed:
+        watched.directory.apply_relayed_evacuations(evacuations.EvacuatedDomains(0, frozenset()))
+    watched.run()
+    try:
+        assert watched.store.polls.acquire(timeout=1.0 if is_relayed else TEST_TIMEOUT_S) != (
+            is_relayed
+        )
+    finally:
+        watched.watchers.stop()
--- a/tests/ranges/test_load_encoding.py
+++ b/tests/ranges/test_load_encoding.py
@@ -47,6 +47,7 @@
         route_samples=(work_table.RouteSample("route", 4, 0.75),),
         full_servers=(server_news.FullServer(SERVER, 0.25),),
         known_work=7,
+        evacuated=evacuations.EvacuatedDomains(12, frozenset({"domain-a"})),
     )
     received = _transfer(report_encoding.encode_report(report), ttypes.Report())
     assert report_encoding.decode_report(received) == report
@@ -55,6 +56,7 @@
 def test_report_of_an_earlier_release_says_nothing_of_load() -> None:
     sent = report_encoding.encode_report(_create_report())
     sent.key_work = sent.route_times = sent.full_servers = sent.known_work = None
+    sent.evacuated = None
     received = _transfer(sent, ttypes.Report())
     assert report_encoding.decode_report(received) == _create_report()
 
--- a/tests/ranges/test_report_responder.py
+++ b/tests/ranges/test_report_responder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 
 import pytest
@@ -180,3 +181,15 @@
     waiting.publish()
     thread.join(WAIT_S)
     assert replies[0].work == waiting.responder.work
+
+
+def test_evacuation_that_a_reporter_read_first_is_applied_and_relayed() -> None:
+    """The lessor learned of it only at the end of a long poll whose response was lost."""
+    created = Lessor()
+    created.publish()
+    read = evacuations.EvacuatedDomains(7, frozenset({"odd"}))
+    report = dataclasses.replace(created.create_report("one"), evacuated=read)
+    assert created.responder.answer(created.own_term, report).evacuated == read
+    earlier = evacuations.EvacuatedDomains(3, frozenset({"even"}))
+    report = dataclasses.replace(report, evacuated=earlier)
+    assert created.responder.answer(created.own_term, report).evacuated == read
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -61,6 +61,12 @@
   3: required i32 age_ms
 }
 
+/* Failure domains whose servers must get nothing, as known up to an offset in the store. */
+struct EvacuatedDomains {
+  1: required i64 position
+  2: required list<string> failure_domains
+}
+
 struct Report {
   1: required string name
   2: required string incarnation
@@ -83,6 +89,8 @@
   16: optional list<FullServer> full_servers
   /* Revision of the work table that the reporter has from this lessor. */
   17: optional i64 known_work
+  /* The latest state that the reporter knows; not set by earlier releases. */
+  18: optional EvacuatedDomains evacuated
 }
 
 struct ServerRow {
@@ -148,12 +156,6 @@
   3: required list<RouteWork> routes
 }
 
-/* Failure domains whose servers must get nothing, as known up to an offset in the store. */
-struct EvacuatedDomains {
-  1: required i64 position
-  2: required list<string> failure_domains
-}
-
 /* Share of the requests for a range of keys that its owner can serve in time. */
 struct RangeAdmission {
   1: required string service_name
