--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -34,9 +34,8 @@
     from goldcresthall.ranges import lease_table
     from goldcresthall.ranges import lessor_context
 
+# Moves, joins and shares of admitted requests are computed in the same step, from the same rates.
 REBALANCE_INTERVAL_S = 0.4
-# Shares of admitted requests need no store, and follow the load also while it is away.
-ADMISSION_INTERVAL_S = 0.4
 # At the start of a term, the first reports cover different times.
 ADMISSION_DELAY_S = 2.0
 
@@ -104,7 +103,7 @@
         self._recent_moves = recent_moves.RecentMoves()
         self._admissions: dict[str, tuple[range_admissions.RangeAdmission, ...]] = {}
         self._admission_logs: dict[str, admission_log.AdmissionLog] = {}
-        self._next_limits_at_s = context.clock.read_s() + ADMISSION_DELAY_S
+        self._limits_after_s = context.clock.read_s() + ADMISSION_DELAY_S
         self._rebalanced_at_s = context.clock.read_s()
 
     @property
@@ -127,11 +126,10 @@
         self._releases.allow(
             may_begin=may_release, predecessors_end_s=constraints.predecessors_end_s
         )
-        is_rebalancing = (
-            now_s - self._rebalanced_at_s >= REBALANCE_INTERVAL_S and constraints.has_store
-        )
-        if is_rebalancing:
+        is_due = now_s - self._rebalanced_at_s >= REBALANCE_INTERVAL_S
+        if is_due:
             self._rebalanced_at_s = now_s
+        is_rebalancing = is_due and constraints.has_store
         for name in configuration.keyed_services:
             self._add_missing_ranges(name)
             self._reviewer.review(
@@ -142,8 +140,8 @@
                 self._move(name, now_s, may_split=constraints.may_split)
             if is_rebalancing:
                 self._join_calm(name, now_s, constraints)
-        if now_s >= self._next_limits_at_s:
-            self._next_limits_at_s = now_s + ADMISSION_INTERVAL_S
+        # The shares need no store, and follow the load also while it is away.
+        if is_due and now_s >= self._limits_after_s:
             self._limit(configuration.keyed_services, now_s)
 
     def drop_unusable_targets(self) -> None:
