--- a/src/goldcresthall/ranges/candidates.py
+++ b/src/goldcresthall/ranges/candidates.py
@@ -14,6 +14,7 @@
     from goldcresthall.ranges import lessor_context
     from goldcresthall.ranges import load_statistics
     from goldcresthall.ranges import server_backoff
+    from goldcresthall.ranges import service_times
 
 
 class CandidateLister:
@@ -91,7 +92,7 @@
 
 def create_candidates(
     slots: dict[deployment.ServerIncarnation, float],
-    speeds: dict[deployment.ServerIncarnation, load_statistics.ServerSpeed],
+    speeds: dict[deployment.ServerIncarnation, service_times.ServerSpeed],
 ) -> tuple[planner.Candidate, ...]:
     """Return servers with the capacities that follow from their slots and speeds."""
     return tuple(
