--- a/tests/callers/test_pipelined_frontend.py
+++ b/tests/callers/test_pipelined_frontend.py
@@ -86,3 +86,23 @@
         idle_caller.settimeout(5.0)
         assert idle_caller.recv(1) == b""
     assert not busy.is_idle
+
+
+def test_idle_connection_makes_room_at_the_limit_and_busy_ones_do_not(
+    front: pipelined_frontend.PipelinedFrontend,
+    pairs: list[tuple[socket.socket, connections.CallerConnection]],
+) -> None:
+    """Connections without a bound took descriptors and memory until the process ended."""
+    front._max_connections = len(pairs)
+    front._connections = {connection for _, connection in pairs}
+    for caller, connection in pairs[:2]:
+        caller.sendall(REQUEST)
+        connection.receive(deployment.CallerLimits())
+    assert front._make_room()
+    idle_caller, idle = pairs[2]
+    idle_caller.settimeout(5.0)
+    assert idle_caller.recv(1) == b""
+    front._connections.discard(idle)
+    assert front._make_room()
+    front._max_connections = 2
+    assert not front._make_room()
