--- a/src/goldcresthall/ranges/move_planner.py
+++ b/src/goldcresthall/ranges/move_planner.py
@@ -38,6 +38,8 @@
 # By so many standard deviations of the estimate, the load must be above the start: in the first
 # second, the noise alone would start moves.
 NOISE_DEVIATIONS = 0.5
+# The same for capacities, whose errors stay for longer than those of rates.
+CAPACITY_DEVIATIONS = 1.0
 # Above this load, keys move again although they moved recently.
 URGENT_LOAD = 0.8
 IDLE_FILL_FACTOR = 0.3
@@ -140,8 +142,10 @@
         capacity = self._loads.find_capacity(source)
         load = self._loads.find_load(source)
         rate_noise = self._key_rates.find_noise(load * capacity) / capacity
-        noise = math.hypot(rate_noise, load * self._loads.find_noise(source))
-        return load - NOISE_DEVIATIONS * noise
+        capacity_noise = load * self._loads.find_noise(source)
+        return load - math.hypot(
+            NOISE_DEVIATIONS * rate_noise, CAPACITY_DEVIATIONS * capacity_noise
+        )
 
     def fill_idle(self) -> None:
         """Plan moves to servers without any range, such as those that joined."""
--- a/tests/ranges/test_move_planner.py
+++ b/tests/ranges/test_move_planner.py
@@ -47,10 +47,11 @@
     assert not load.moves
 
 
-def test_steady_load_with_noisy_capacities_moves_hardly_any_keys() -> None:
+@pytest.mark.parametrize("center", [CENTER, None])
+def test_steady_load_with_noisy_capacities_moves_hardly_any_keys(center: int | None) -> None:
     """At a mean load of 0.45, all keys moved once in 30 s, for hardly any shorter responses."""
     load = placement_load.PlacementLoad(
-        servers=73, rate_per_s=584.0, center=CENTER, measures_speeds=True
+        servers=73, rate_per_s=584.0, center=center, measures_speeds=True
     )
     load.work_s = dict.fromkeys(range(2), 0.17)
     load.run(5.0)
