Adapt the fakes of the gateway tests to the joined interfaces

No expectation changes. Run: tests/gateway, tests/admission, tests/ranges/test_follower_state.py and test_report_responder.py, all passed.

--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -160,7 +160,7 @@
     signals = attempts.ServerSignals(pause_s=2.0)
     answered = attempts.AttemptAnswered(outcomes.Answer(503, (), b""), signals)
     fixture.estimates.start_attempt(paused)
-    fixture.estimates.finish_attempt(paused, answered, 0.01)
+    fixture.estimates.finish_attempt(paused, answered)
     unavailable = fixture.finder.find(POOL, frozenset(), random.Random(1))
     assert isinstance(unavailable, server_finder.Unavailable)
     assert unavailable.refused.retry_after_s == pytest.approx(2.0)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -70,8 +70,15 @@
     def stop(self) -> None:
         """Do nothing."""
 
+    def has_idle(self, address: identity.Address) -> bool:
+        """Return that there is no idle connection."""
+        return False
+
     def send(
-        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
+        self,
+        dispatch: attempts.Dispatch,
+        cancelled: cancellation.Cancellation,
+        may_resend: Callable[[], bool],
     ) -> attempts.Attempt:
         """Return the next attempt of the script."""
         self.sent_to.append(dispatch.server.name)
@@ -104,6 +111,8 @@
         built.register(names.REQUEST_SENDER, self.sender)
         built.register(names.REQUEST_LOG, decisions.DecisionLog.from_config(built, "one"))
         built.register(names.RANGE_ADMISSIONS, self.shares)
+        built.register(names.WORK_MODEL, fixture.model)
+        built.register(names.COLD_STARTS, fixture.cold_starts)
         built.register(names.SERVER_CIRCUITS, fixture.circuits)
         address = identity.Address("127.0.0.1", 7_000)
         listen = deployment_settings.DeploymentListen(
@@ -206,7 +215,7 @@
     setup.shares.replace((row,), setup.clock.read_s())
     assert isinstance(setup.handle(key="8"), outcomes.Answered)
     expect_refused(setup.handle(key="7"), outcomes.RefusalReason.OVERLOADED)
-    setup.clock.advance(range_admissions.MAX_ROWS_AGE_S + 0.1)
+    setup.clock.advance(range_admissions.MAX_AGE_S + 0.1)
     assert isinstance(setup.handle(key="7"), outcomes.Answered)
 
 
