--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -14,23 +14,21 @@
 from goldcresthall.core import outcomes
 from goldcresthall.gateway import apertures
 from goldcresthall.gateway import directory
-from goldcresthall.gateway import estimates
 from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import selection
+from goldcresthall.gateway import server_capacity
 from goldcresthall.gateway import server_lists
 from goldcresthall.gateway import server_refusals
 from goldcresthall.gateway import waiting
 
 if TYPE_CHECKING:
     from goldcresthall.admission import server_circuits
+    from goldcresthall.gateway import estimates
     from goldcresthall.load import work_model
     from goldcresthall.ranges import owners
     from goldcresthall.ranges import reports
 
 MAX_OWNER_DRAIN_FRACTION = 0.25
-MAX_OUTSTANDING_PER_SLOT = 5
-MAX_LOAD_PER_SLOT = 4
-MAX_CAPACITY_WAIT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,7 +83,7 @@
     return KeyTarget(service, zlib.crc32(path.encode()) % key_ranges.KEY_COUNT)
 
 
-class ServerFinder:
+class ServerFinder(server_capacity.ServerCapacity):
     """Finds the server for the next attempt, by the kind of target."""
 
     def __init__(
@@ -102,96 +100,23 @@
         server_restrictions: restrictions.Restrictions,
         circuits: server_circuits.ServerCircuits,
     ) -> None:
-        self.directory = server_directory
+        super().__init__(server_directory, server_estimates, model, instance_counter)
         self.owners = key_owners
-        self.estimates = server_estimates
-        self.model = model
         self.selector = selector
         self._apertures = instance_apertures
         self.drain_s = drain_s
         self.restrictions = server_restrictions
         self.circuits = circuits
-        self._instance_counter = instance_counter
-
-    def has_capacity(
-        self,
-        server: deployment.RegisteredServer,
-        target_in_s: float,
-        demand: selection.Demand = selection.UNKNOWN_DEMAND,
-    ) -> bool:
-        """Return whether a server has capacity for another request from this instance.
-
-        This instance's share of the server's queue must not be used up, and the server's
-        total load must be below its limit. A request takes a place in the server's queue only
-        if it can still meet its latency target from there: a longer queue would make all
-        requests behind it late without a higher throughput.
-
-        Parameters
-        ----------
-        target_in_s
-            Seconds until the request's latency target; negative once it has passed.
-        demand
-            What the request asks of the server.
-        """
-        limit = math.ceil(
-            MAX_OUTSTANDING_PER_SLOT * server.slots / self._instance_counter.live_instances
-        )
-        estimate = self.estimates.find(server)
-        load = estimate.find_load(self.directory.read_s())
-        if estimate.outstanding >= max(1, limit):
-            return False
-        if load < server.slots:
-            return True
-        response_time_s = self.find_response_time_s(server, load, demand.route)
-        max_load = MAX_LOAD_PER_SLOT * server.slots * demand.queue_fraction
-        return load < max_load and response_time_s <= target_in_s
-
-    def find_response_time_s(
-        self, server: deployment.RegisteredServer, load: float, route: str = ""
-    ) -> float:
-        """Return the expected response time in seconds of a request that joins `load` others."""
-        queued = max(0.0, load + 1.0 - server.slots)
-        return self.model.expect_s(route, server) * (1.0 + queued / server.slots)
-
-    def find_pause_s(self, server: deployment.RegisteredServer) -> float:
-        """Return the seconds for which a server wants no request; not positive if it does."""
-        return self.estimates.find(server).paused_until_s - self.directory.read_s()
-
-    def find_queue_s(self, server: deployment.RegisteredServer, route: str = "") -> float:
-        """Return the seconds after which a busy server is expected to take another request."""
-        load = self.estimates.find(server).find_load(self.directory.read_s())
-        work_s = self.model.expect_s(route, server)
-        queued_s = self.find_response_time_s(server, load, route) - work_s
-        return min(estimates.REPORTED_LOAD_DECAY_S, max(queued_s, work_s))
 
     def try_probe(self, server: deployment.RegisteredServer) -> bool:
         """Return whether one request may be sent to a server whose circuit is open."""
-        instances = self._instance_counter.live_instances
+        instances = self.instances
         return self.circuits.try_probe(server.incarnation, instances)
 
     def find_view(self, service: str) -> apertures.View:
         """Return the servers of a service, and those of them that this instance uses first."""
         entries = self.directory.servers.by_service.get(service, ())
-        return self._apertures.find(service, entries, self._instance_counter.live_instances)
-
-    def create_wait(
-        self,
-        queue: str,
-        servers: tuple[deployment.RegisteredServer, ...],
-        target_in_s: float,
-        route: str = "",
-    ) -> waiting.CapacityWait:
-        """Return how a request may wait for capacity at busy servers.
-
-        This instance's share of what the servers can process until the target bounds the
-        number of requests that wait. More would be held and then refused, or answered late.
-        """
-        times_s = [self.model.expect_s(route, server) for server in servers]
-        service_time_s = sum(times_s) / len(times_s)
-        usable_s = max(0.0, min(target_in_s, MAX_CAPACITY_WAIT_S) - service_time_s)
-        slots = sum(server.slots for server in servers)
-        share = slots / max(1, self._instance_counter.live_instances)
-        return waiting.CapacityWait(queue, round(share * usable_s / service_time_s), service_time_s)
+        return self._apertures.find(service, entries, self.instances)
 
     def create_busy(
         self,
