Open circuits on two failed connects, and on reports only if they can be trusted

Circuits act only where an instance's share of a server's room is below two requests. The probe is taken right before sending. FullServer is LostServer in Python.

--- a/src/goldcresthall/admission/server_circuits.py
+++ b/src/goldcresthall/admission/server_circuits.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import threading
 from typing import TYPE_CHECKING
@@ -15,13 +16,14 @@
 import prometheus_client
 from absl import logging
 
+from goldcresthall.admission import probe_schedule
 from goldcresthall.core import attempts
 from goldcresthall.core import deployment
 from goldcresthall.core import outcomes
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
-from goldcresthall.load import server_news
+from goldcresthall.load import server_reports
 from goldcresthall.observability import metrics
 
 if TYPE_CHECKING:
@@ -30,11 +32,12 @@
 OPEN_S = 1.0
 # A single instance may have a broken link to a server that is well.
 MIN_REPORTERS = 2
+# One connect may time out although the server is well; 0.3 s are soon over on a busy machine.
+MIN_FAILED_CONNECTS = 2
+# A server that answered this instance within this time is reachable, whatever others report.
+ANSWER_TRUST_S = 3.0
 # Work of a heavy-tailed route exceeds this multiple of its mean in 3 of 100 requests.
-MIN_LOST_WORK_FACTOR = 4.0
-# All instances together send a suspected server about this many requests per second.
-PROBES_PER_S = 10.0
-MIN_PROBE_INTERVAL_S = 0.2
+MIN_LOST_RESPONSE_FACTOR = 4.0
 # A lost owner's keys are free this long after its last grant.
 LOST_OWNER_S = 3.4
 MAX_TRACKED_SERVERS = 2_048
@@ -61,34 +64,65 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Evidence:
-    """What this instance saw itself: since when, and last when, by clock readings in seconds."""
+    """What this instance saw itself: since when, and last when, by clock readings in seconds.
+
+    Attributes
+    ----------
+    failed_connects
+        Number of failed connects in a row; a lost request counts as `MIN_FAILED_CONNECTS`.
+    """
 
     since_s: float
     sent_at_s: float
     seen_at_s: float
     is_unreachable: bool
+    failed_connects: int
+
+    def opens(self, now_s: float) -> bool:
+        """Return whether it keeps a circuit open."""
+        return self.failed_connects >= MIN_FAILED_CONNECTS and self.seen_at_s + OPEN_S > now_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """The latest answer: when its request was sent and when it came, by clock readings."""
+
+    sent_at_s: float
+    seen_at_s: float
+
+
+NO_ANSWER = _Answer(-math.inf, -math.inf)
 
 
 class ServerCircuits(service.Service):
     """Circuits of the servers at which requests were lost during the last second.
 
-    A circuit opens on this instance's own evidence, or on the reports of `MIN_REPORTERS` other
-    instances. An answer to a request that was sent after the evidence closes it.
+    A circuit opens on this instance's own evidence, a lost request or `MIN_FAILED_CONNECTS`
+    failed connects in a row, or on the reports of `MIN_REPORTERS` other instances. An answer to a
+    request that was sent after the evidence closes it, and overrides reports for
+    `ANSWER_TRUST_S`.
+
+    Parameters
+    ----------
+    failure_domain
+        Failure domain of this instance.
     """
 
-    def __init__(self, service_kernel: kernel.Kernel, generator: random.Random) -> None:
+    def __init__(
+        self, service_kernel: kernel.Kernel, generator: random.Random, failure_domain: str = ""
+    ) -> None:
         self._kernel = service_kernel
-        self._generator = generator
+        self._failure_domain = failure_domain
         self._lock = threading.Lock()
         self._own: dict[deployment.ServerIncarnation, _Evidence] = {}
         self._reported_at_s: dict[deployment.ServerIncarnation, list[float]] = {}
-        self._answered_sent_at_s: dict[deployment.ServerIncarnation, float] = {}
-        self._next_probe_s: dict[deployment.ServerIncarnation, float] = {}
+        self._answers: dict[deployment.ServerIncarnation, _Answer] = {}
+        self._schedule = probe_schedule.ProbeSchedule(generator)
 
     @classmethod
-    def from_config(cls, service_kernel: kernel.Kernel) -> ServerCircuits:
-        """Return the circuits of an instance."""
-        return cls(service_kernel, random.Random())  # noqa: S311
+    def from_config(cls, service_kernel: kernel.Kernel, failure_domain: str = "") -> ServerCircuits:
+        """Return the circuits of an instance in a failure domain."""
+        return cls(service_kernel, random.Random(), failure_domain)  # noqa: S311
 
     def start(self) -> None:
         """Look up the clock and register the counters."""
@@ -114,14 +148,15 @@
         server: deployment.ServerIncarnation,
         attempt: attempts.Attempt,
         sent_at_s: float,
-        work_s: float,
+        response_time_s: float,
     ) -> None:
         """Record the end of an attempt that began at `sent_at_s`.
 
         Parameters
         ----------
-        work_s
-            Expected work in seconds; a shorter wait for an answer proves nothing.
+        response_time_s
+            Response time in seconds, with the time in the server's queue, that was expected when
+            the request was sent. A wait that is not far longer proves nothing.
         """
         now_s = self._clock.read_s()
         if not _is_lost(attempt):
@@ -129,17 +164,17 @@
                 self._record_answer(server, sent_at_s)
             return
         is_unreachable = isinstance(attempt, attempts.AttemptNotRun)
-        if not is_unreachable and now_s - sent_at_s < MIN_LOST_WORK_FACTOR * work_s:
+        if not is_unreachable and now_s - sent_at_s < MIN_LOST_RESPONSE_FACTOR * response_time_s:
             return
         self._record_loss(server, sent_at_s, now_s, is_unreachable=is_unreachable)
 
-    def apply_news(self, news: tuple[server_news.FullServer, ...]) -> None:
+    def apply_reports(self, rows: tuple[server_reports.LostServer, ...]) -> None:
         """Replace what other instances report; one row for each server and instance."""
-        if not news and not self._reported_at_s:
+        if not rows and not self._reported_at_s:
             return
         now_s = self._clock.read_s()
         reported_at_s: dict[deployment.ServerIncarnation, list[float]] = {}
-        for row in news:
+        for row in rows:
             if row.age_s < OPEN_S:
                 reported_at_s.setdefault(row.server, []).append(now_s - row.age_s)
         with self._lock:
@@ -150,7 +185,7 @@
                 self._lost.labels("reported").inc()
                 self._log_open(server, f"reported by {len(times_s)} instances")
 
-    def list_observed(self) -> tuple[server_news.FullServer, ...]:
+    def list_observed(self) -> tuple[server_reports.LostServer, ...]:
         """Return the servers that lost requests of this instance within the last second."""
         if not self._own:
             return ()
@@ -158,7 +193,12 @@
         with self._lock:
             self._drop_expired(now_s)
             return tuple(
-                server_news.FullServer(server, now_s - evidence.seen_at_s)
+                server_reports.LostServer(
+                    server,
+                    now_s - evidence.seen_at_s,
+                    evidence.is_unreachable,
+                    self._failure_domain,
+                )
                 for server, evidence in self._own.items()
                 if now_s - evidence.seen_at_s < OPEN_S
             )
@@ -168,47 +208,46 @@
         if not self._own and not self._reported_at_s:
             return None
         now_s = self._clock.read_s()
-        answered_at_s = self._answered_sent_at_s.get(server, 0.0)
         own = self._own.get(server)
-        if own is not None and own.seen_at_s + OPEN_S > now_s:
+        if own is not None and own.opens(now_s):
             until_s = own.seen_at_s + OPEN_S
             lost_until_s = own.since_s + LOST_OWNER_S if own.is_unreachable else 0.0
             return Circuit(until_s, max(until_s, lost_until_s))
-        fresh = sorted(
-            at_s
-            for at_s in self._reported_at_s.get(server, ())
-            if at_s + OPEN_S > now_s and at_s > answered_at_s
-        )
-        if len(fresh) < MIN_REPORTERS:
+        times_s = self._reported_at_s.get(server, ())
+        fresh = sorted(at_s for at_s in times_s if at_s + OPEN_S > now_s)
+        if len(fresh) < MIN_REPORTERS or (own is None and self._is_trusted(server, now_s)):
             return None
         until_s = fresh[-MIN_REPORTERS] + OPEN_S
         return Circuit(until_s, until_s)
 
+    def may_probe(self, server: deployment.ServerIncarnation, instances: int) -> bool:
+        """Return whether `try_probe` would allow a request now."""
+        now_s = self._clock.read_s()
+        own = self._own.get(server)
+        has_own = own is not None and own.opens(now_s)
+        return self._schedule.may_probe(server, instances, now_s, has_own_evidence=has_own)
+
     def try_probe(self, server: deployment.ServerIncarnation, instances: int) -> bool:
-        """Return whether one request may be sent to a server whose circuit is open.
+        """Return whether one request may be sent now to a server whose circuit is open.
 
-        The instances share `PROBES_PER_S`; the first probe of each comes at a random time, so
-        that not all instances probe a server at once.
+        The instances together send a few probes per second.
         """
-        now_s = self._clock.read_s()
-        interval_s = max(MIN_PROBE_INTERVAL_S, instances / PROBES_PER_S)
-        with self._lock:
-            next_s = self._next_probe_s.get(server)
-            if next_s is None or now_s - next_s > OPEN_S + interval_s:
-                next_s = now_s + self._generator.uniform(0.0, interval_s)
-                self._next_probe_s[server] = next_s
-                _limit_size(self._next_probe_s)
-            if now_s < next_s:
-                return False
-            self._next_probe_s[server] = now_s + interval_s * self._generator.uniform(0.5, 1.5)
+        if not self.may_probe(server, instances):
+            return False
+        if not self._schedule.take(server, instances, self._clock.read_s()):
+            return False
         self._probes.inc()
         return True
 
+    def _is_trusted(self, server: deployment.ServerIncarnation, now_s: float) -> bool:
+        return now_s - self._answers.get(server, NO_ANSWER).seen_at_s <= ANSWER_TRUST_S
+
     def _record_answer(self, server: deployment.ServerIncarnation, sent_at_s: float) -> None:
+        now_s = self._clock.read_s()
         with self._lock:
-            if sent_at_s > self._answered_sent_at_s.get(server, 0.0):
-                self._answered_sent_at_s[server] = sent_at_s
-                _limit_size(self._answered_sent_at_s)
+            if sent_at_s > self._answers.get(server, NO_ANSWER).sent_at_s:
+                self._answers[server] = _Answer(sent_at_s, now_s)
+                _limit_size(self._answers)
             own = self._own.get(server)
             if own is not None and sent_at_s > own.sent_at_s:
                 del self._own[server]
@@ -222,16 +261,17 @@
         is_unreachable: bool,
     ) -> None:
         with self._lock:
-            if self._answered_sent_at_s.get(server, 0.0) > sent_at_s:
+            if self._answers.get(server, NO_ANSWER).sent_at_s > sent_at_s:
                 # The server answered a later request, so it is neither silent nor full now.
                 return
             earlier = self._own.get(server)
-            is_continued = earlier is not None and now_s - earlier.seen_at_s < LOST_OWNER_S
-            since_s = earlier.since_s if earlier is not None and is_continued else now_s
-            self._own[server] = _Evidence(since_s, sent_at_s, now_s, is_unreachable)
+            if earlier is not None and now_s - earlier.seen_at_s >= LOST_OWNER_S:
+                earlier = None
+            evidence = _continue(earlier, sent_at_s, now_s, is_unreachable=is_unreachable)
+            self._own[server] = evidence
             _limit_size(self._own)
         self._lost.labels("connect" if is_unreachable else "answer").inc()
-        if not is_continued:
+        if evidence.opens(now_s) and (earlier is None or not earlier.opens(now_s)):
             self._log_open(server, "connect failed" if is_unreachable else "no answer")
 
     def _drop_expired(self, now_s: float) -> None:
@@ -271,6 +311,19 @@
     return False
 
 
+def _continue(
+    earlier: _Evidence | None, sent_at_s: float, now_s: float, *, is_unreachable: bool
+) -> _Evidence:
+    """Return this instance's evidence after one more failure."""
+    if earlier is None:
+        earlier = _Evidence(now_s, -math.inf, -math.inf, is_unreachable, 0)
+    count = MIN_FAILED_CONNECTS
+    if is_unreachable:
+        # Connects that fail at the same time have one cause.
+        count = earlier.failed_connects + (sent_at_s >= earlier.seen_at_s)
+    return _Evidence(earlier.since_s, sent_at_s, now_s, is_unreachable, count)
+
+
 def _limit_size(by_server: dict[deployment.ServerIncarnation, Value]) -> None:
     """Remove the server that was added first if there are more than `MAX_TRACKED_SERVERS`."""
     if len(by_server) > MAX_TRACKED_SERVERS:
--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -173,7 +173,10 @@
     registry.register(work_metrics.WorkCollector(model))
     service_kernel.register(names.WORK_MODEL, model)
     service_kernel.register(
-        names.SERVER_CIRCUITS, server_circuits.ServerCircuits.from_config(service_kernel)
+        names.SERVER_CIRCUITS,
+        server_circuits.ServerCircuits.from_config(
+            service_kernel, instance_settings.failure_domain
+        ),
     )
     service_kernel.register(
         names.PEERS, peer_channel.ThriftPeerDialer(peer_metrics.PeerMetrics(registry, "client"))
--- a/src/goldcresthall/gateway/alternatives.py
+++ b/src/goldcresthall/gateway/alternatives.py
@@ -31,7 +31,7 @@
         server_finder.is_listed_candidate(entry, excluded)
         and finder.find_pause_s(entry.server) <= 0
         and finder.restrictions.allows(entry.server)
-        and finder.circuits.find_open(entry.server.incarnation) is None
+        and finder.find_circuit(entry.server) is None
         and finder.has_capacity(entry.server, 0.0)
         for entry in finder.find_view(target.service).everything.entries
     )
@@ -48,4 +48,5 @@
     range_owner = finder.owners.find(target.service, target.key)
     if range_owner is None or not range_owner.ready or range_owner.owner == server.incarnation:
         return False
-    return finder.circuits.find_open(range_owner.owner) is None
+    entry = finder.directory.servers.find(range_owner.owner)
+    return entry is not None and finder.find_circuit(entry.server) is None
--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -151,7 +151,7 @@
         Slow work at a server that is not suspected is left alone: the server would go on with
         the work of the ended attempt, and the retry would add to its load.
         """
-        if self._circuits.find_open(server.incarnation) is None:
+        if self._finder.find_circuit(server) is None:
             return False
         budget = self._budgets.find(plan.target.service)
         instances = self._instance_counter.live_instances
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -27,6 +27,7 @@
 from goldcresthall.gateway import routing_plans
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_finder
+from goldcresthall.gateway import server_refusals
 from goldcresthall.gateway import target_keys
 from goldcresthall.gateway import waiting
 from goldcresthall.kernel import clock
@@ -156,11 +157,13 @@
         if not self._admission.admits(
             plan.target.service, plan.route.priority, plan.work_s, share, now_s
         ):
-            return self._reporter.finish(request, plan, _refuse_overloaded(plan), share=share)
+            return self._reporter.finish(
+                request, plan, server_refusals.refuse_overloaded(plan.target.service), share=share
+            )
         self._budgets.find(plan.target.service).add_request(now_s)
         with self._places.create_place(plan.route.priority, plan.target_at_s) as place:
             progress = self._run_attempts(request, plan, cancelled, place)
-        outcome = progress.outcome or _refuse_expired(plan)
+        outcome = progress.outcome or server_refusals.refuse_expired(plan.target.service)
         return self._reporter.finish(request, plan, outcome, progress.attempt_descriptions)
 
     def _create_plan(
@@ -225,7 +228,10 @@
                 if refused is not None:
                     return request_progress.apply_refusal(progress, refused)
                 continue
-            if not self._cold_starts.try_take(selected):
+            if not (
+                self._server_finder.try_probe(plan.target, selected, progress.tried)
+                and self._cold_starts.try_take(selected)
+            ):
                 continue
             place.leave()
             attempt = self._runner.run(request, plan, selected, progress, cancelled)
@@ -330,20 +336,3 @@
         if attempt.signals.pause_s:
             return True
         return not is_keyed or self._wait_for_owner(plan, wait_budget, serial)
-
-
-def _refuse_expired(plan: routing_plans.RoutingPlan) -> outcomes.Refused:
-    return outcomes.Refused(
-        outcomes.RefusalReason.DEADLINE_EXPIRED,
-        outcomes.Step.SEND,
-        plan.target.service,
-    )
-
-
-def _refuse_overloaded(plan: routing_plans.RoutingPlan) -> outcomes.Refused:
-    return outcomes.Refused(
-        outcomes.RefusalReason.OVERLOADED,
-        outcomes.Step.ADMIT,
-        plan.target.service,
-        "the owner of the key can serve a part of its requests only",
-    )
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -29,6 +29,8 @@
     from goldcresthall.ranges import reports
 
 MAX_OWNER_DRAIN_FRACTION = 0.25
+# With 58 instances and 15 places at a server the share is 0.26 requests.
+MIN_SHARE_WITHOUT_CIRCUITS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,10 +110,33 @@
         self.restrictions = server_restrictions
         self.circuits = circuits
 
-    def try_probe(self, server: deployment.RegisteredServer) -> bool:
-        """Return whether one request may be sent to a server whose circuit is open."""
-        instances = self.instances
-        return self.circuits.try_probe(server.incarnation, instances)
+    def find_circuit(self, server: deployment.RegisteredServer) -> server_circuits.Circuit | None:
+        """Return a server's open circuit, or `None` if it is closed or circuits don't act.
+
+        They act only where the instances are so many that the share of each in the server's
+        room is below `MIN_SHARE_WITHOUT_CIRCUITS` requests. An instance with a larger share sees
+        for itself whether the server answers, and an error would cost too many requests.
+        """
+        room = server_capacity.MAX_OUTSTANDING_PER_SLOT * server.slots
+        if room >= MIN_SHARE_WITHOUT_CIRCUITS * self.instances:
+            return None
+        return self.circuits.find_open(server.incarnation)
+
+    def try_probe(
+        self, target: Target, server: deployment.RegisteredServer, tried: frozenset[str]
+    ) -> bool:
+        """Return whether a request may be sent now to a server, as a probe if need be.
+
+        A pool uses a suspected server only if there is no other one; that takes no probe.
+
+        Called right before sending, so that no request takes a probe that it doesn't use. A
+        request that tried the server before was the evidence itself and may try again.
+        """
+        if isinstance(target, PoolTarget) or server.name in tried:
+            return True
+        if self.find_circuit(server) is None:
+            return True
+        return self.circuits.try_probe(server.incarnation, self.instances)
 
     def find_view(self, service: str) -> apertures.View:
         """Return the servers of a service, and those of them that this instance uses first."""
@@ -203,7 +228,7 @@
         )
 
     def is_sound(entry: server_lists.DirectoryEntry) -> bool:
-        return is_candidate(entry) and finder.circuits.find_open(entry.server.incarnation) is None
+        return is_candidate(entry) and finder.find_circuit(entry.server) is None
 
     def is_preferred(entry: server_lists.DirectoryEntry) -> bool:
         estimate = finder.estimates.find(entry.server)
@@ -253,7 +278,7 @@
     pause_s = finder.find_pause_s(entry.server)
     if pause_s > 0:
         return Unavailable(server_refusals.refuse_paused(target.service, pause_s), is_final=True)
-    suspected = _check_circuit(target, entry, finder)
+    suspected = None if entry.server.name in tried else _check_circuit(target, entry, finder)
     if suspected is not None:
         return suspected
     if not finder.has_capacity(entry.server, target_in_s, demand):
@@ -285,13 +310,13 @@
 ) -> Unavailable | None:
     """Return why the owner of a key may not get a request that is no probe; `None` if it may."""
     owner = entry.server.incarnation
-    circuit = finder.circuits.find_open(owner)
+    circuit = finder.find_circuit(entry.server)
     if circuit is None:
         return None
     if entry.draining_since_s is not None:
         # Its ranges are being moved; the next owner is known sooner than for a failed one.
         return _refuse_no_owner(target, f"{owner.name} is draining and lost")
-    if finder.try_probe(entry.server):
+    if finder.circuits.may_probe(owner, finder.instances):
         return None
     room_in_s = circuit.room_at_s - finder.directory.read_s()
     refused = server_refusals.refuse_suspected(target.service, owner.name, room_in_s)
--- a/src/goldcresthall/gateway/server_refusals.py
+++ b/src/goldcresthall/gateway/server_refusals.py
@@ -60,3 +60,18 @@
     return outcomes.Refused(
         outcomes.RefusalReason.NO_OWNER, outcomes.Step.FIND_OWNER, service, detail
     )
+
+
+def refuse_expired(service: str) -> outcomes.Refused:
+    """Return the refusal of a request whose deadline passed before it could be sent."""
+    return outcomes.Refused(outcomes.RefusalReason.DEADLINE_EXPIRED, outcomes.Step.SEND, service)
+
+
+def refuse_overloaded(service: str) -> outcomes.Refused:
+    """Return the refusal of a request beyond the share that its owner can serve."""
+    return outcomes.Refused(
+        outcomes.RefusalReason.OVERLOADED,
+        outcomes.Step.ADMIT,
+        service,
+        "the owner of the key can serve a part of its requests only",
+    )
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -93,7 +93,7 @@
         self._directory.observe_version(reply.configuration)
         if reply.evacuated is not None:
             self._directory.apply_evacuations(reply.evacuated)
-        self._sources.circuits.apply_news(reply.full_servers)
+        self._sources.circuits.apply_reports(reply.full_servers)
         if reply.owners is not None:
             self._apply_owners(reply.owners)
         self._apply_work(reply.work)
--- a/src/goldcresthall/ranges/load_encoding.py
+++ b/src/goldcresthall/ranges/load_encoding.py
@@ -7,7 +7,7 @@
 from goldcresthall.core import key_ranges
 from goldcresthall.gateway import evacuations
 from goldcresthall.generated.lessor import ttypes
-from goldcresthall.load import server_news
+from goldcresthall.load import server_reports
 from goldcresthall.load import work_table
 
 MS_PER_S = 1_000
@@ -58,12 +58,16 @@
 
 
 def encode_full_servers(
-    servers: tuple[server_news.FullServer, ...],
+    servers: tuple[server_reports.LostServer, ...],
 ) -> list[ttypes.FullServer]:
-    """Encode news of full servers."""
+    """Encode reports on lost servers."""
     return [
         ttypes.FullServer(
-            row.server.name, row.server.started_ms, min(MAX_COUNT, round(row.age_s * MS_PER_S))
+            row.server.name,
+            row.server.started_ms,
+            min(MAX_COUNT, round(row.age_s * MS_PER_S)),
+            row.has_failed_connect or None,
+            row.failure_domain or None,
         )
         for row in servers
     ]
@@ -71,11 +75,14 @@
 
 def decode_full_servers(
     received: list[ttypes.FullServer] | None,
-) -> tuple[server_news.FullServer, ...]:
-    """Decode news of full servers; empty if the sender does not report them."""
+) -> tuple[server_reports.LostServer, ...]:
+    """Decode reports on lost servers; empty if the sender does not report them."""
     return tuple(
-        server_news.FullServer(
-            deployment.ServerIncarnation(row.server, row.started_ms), row.age_ms / MS_PER_S
+        server_reports.LostServer(
+            deployment.ServerIncarnation(row.server, row.started_ms),
+            row.age_ms / MS_PER_S,
+            bool(row.has_failed_connect),
+            row.failure_domain or "",
         )
         for row in received or ()
     )
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -152,11 +152,11 @@
             self._reporters[peer.name] = _Reporter(peer, now_s)
 
     def _exchange_lost_servers(self, report: reports.Report, now_s: float) -> None:
-        """Keep an instance's news and this one's own, and apply those of the others here."""
+        """Keep the reports of an instance and of this one, and apply those of the others here."""
         own_name = self._own.incarnation.name
         self._lost_servers.add(report.reporter.incarnation.name, report.full_servers, now_s)
         self._lost_servers.add(own_name, self._circuits.list_observed(), now_s)
-        self._circuits.apply_news(self._lost_servers.find_for(own_name, now_s))
+        self._circuits.apply_reports(self._lost_servers.find_for(own_name, now_s))
 
     def update_peers(self) -> reports.PeerList:
         """Drop expired reporters and return the peer list; a change increments its revision."""
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -18,7 +18,7 @@
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import evacuations
 from goldcresthall.kernel import service
-from goldcresthall.load import server_news
+from goldcresthall.load import server_reports
 from goldcresthall.load import work_table
 from goldcresthall.ranges import request_counts
 
@@ -94,7 +94,7 @@
     draining_servers: tuple[deployment.ServerIncarnation, ...] = ()
     key_work: tuple[work_table.KeyWork, ...] = ()
     route_samples: tuple[work_table.RouteSample, ...] = ()
-    full_servers: tuple[server_news.FullServer, ...] = ()
+    full_servers: tuple[server_reports.LostServer, ...] = ()
     known_work: int = row_changes.NO_REVISION
 
 
@@ -160,7 +160,7 @@
     successor: key_ranges.LessorIdentity | None = None
     work: work_table.WorkTable | None = None
     evacuated: evacuations.EvacuatedDomains | None = None
-    full_servers: tuple[server_news.FullServer, ...] = ()
+    full_servers: tuple[server_reports.LostServer, ...] = ()
     admissions: tuple[range_admissions.RangeAdmission, ...] = ()
 
 
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -54,11 +54,15 @@
   3: required i64 total_us
 }
 
-/* A server at which requests were lost because it was full, and how long ago. */
+/* A server that lost a request, or to which a connect failed, and how long ago. */
 struct FullServer {
   1: required string server
   2: required i64 started_ms
   3: required i32 age_ms
+  /* Set if a connect failed. Not set by earlier releases. */
+  4: optional bool has_failed_connect
+  /* Failure domain of the instance that observed it. Not set by earlier releases. */
+  5: optional string failure_domain
 }
 
 struct Report {
