Keep requests from stalling in queues, and wait for slower moves of an owner

Only the first by rank rechecked, by its rank when it began to wait; the one that becomes the first is now woken to recheck. Urgent requests took the place of a woken one without limit; now at most three times. Interrupts run under the lock of the cancellation, since a late one could shut a connection that served another request; none of them takes a lock or blocks (socket shutdown, cancel of the attempt's own cancellation). Waits for an owner: 0.6 s, at most three quarters of the target; 1.5 s for cold owners takes effect.

--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -248,7 +248,7 @@
         place: waiting.WaitingPlace,
     ) -> deployment.RegisteredServer | server_finder.Unavailable:
         """Return a server with capacity that no earlier or more urgent request waits for."""
-        place.look()
+        place.remember_freed()
         limit = plan.queue_limit
         target_in_s = min(plan.target_at_s - self._clock.read_s(), limit.max_response_s)
         selected = self._server_finder.find(
@@ -300,7 +300,7 @@
         plan: routing_plans.RoutingPlan,
         wait_budget: retry_policy.WaitBudget,
         serial: int,
-        max_wait_s: float = math.inf,
+        max_wait_s: float | None = None,
     ) -> bool:
         """Wait for a newer view of the owners; return `False` if waiting is useless or over."""
         if (
--- a/src/goldcresthall/gateway/retry_policy.py
+++ b/src/goldcresthall/gateway/retry_policy.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import functools
-import math
 
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
@@ -11,10 +10,11 @@
 
 RECHECK_INTERVAL_S = 0.1
 MAX_WAIT_FRACTION = 0.7
-# A usual move of a range takes 0.1 to 0.3 s. A lost owner's range is free only after seconds, and
-# the time of a request that is held and then refused is a cost to its caller.
-MOVE_WAIT_S = 0.3
-MAX_WAIT_TARGET_FRACTION = 0.25
+# A usual move of a range takes 0.1 to 0.3 s, some 0.5 s. A lost owner's range is free
+# only after seconds, and the time of a request that is held and then refused is a cost to its
+# caller.
+MOVE_WAIT_S = 0.6
+MAX_WAIT_TARGET_FRACTION = 0.75
 MIN_WAIT_S = 0.001
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -33,19 +33,21 @@
     """
 
     def __init__(self, available_s: float, target_latency_s: float) -> None:
-        useful_s = max(MOVE_WAIT_S, MAX_WAIT_TARGET_FRACTION * target_latency_s)
-        self._available_s = min(useful_s, MAX_WAIT_FRACTION * available_s)
+        self._move_s = min(MOVE_WAIT_S, MAX_WAIT_TARGET_FRACTION * target_latency_s)
+        self._available_s = MAX_WAIT_FRACTION * available_s
         self._spent_s = 0.0
 
-    def find_left_s(self, max_wait_s: float = math.inf) -> float:
+    def find_left_s(self, max_wait_s: float | None = None) -> float:
         """Return the seconds left to wait; 0 once the limit has passed.
 
         Parameters
         ----------
         max_wait_s
-            Seconds after which no wait helps, counted over all waits.
+            Seconds after which no wait helps, counted over all waits; `None` for the time of a
+            usual move.
         """
-        left_s = min(self._available_s, max_wait_s) - self._spent_s
+        useful_s = self._move_s if max_wait_s is None else max_wait_s
+        left_s = min(self._available_s, useful_s) - self._spent_s
         return left_s if left_s >= MIN_WAIT_S else 0.0
 
     def spend(self, waited_s: float) -> None:
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -62,13 +62,13 @@
     is_final
         Whether to refuse the request at once, because no wait would help it.
     max_wait_s
-        Seconds since its arrival for which a request may wait for another owner.
+        Seconds for which a request may wait for another owner; `None` for the time of a usual move.
     """
 
     refused: outcomes.Refused
     wait: waiting.CapacityWait | None = None
     is_final: bool = False
-    max_wait_s: float = math.inf
+    max_wait_s: float | None = None
 
 
 def create_target(
--- a/src/goldcresthall/gateway/waiting.py
+++ b/src/goldcresthall/gateway/waiting.py
@@ -83,13 +83,13 @@
 
     def choose_next(self, now_s: float) -> _Waiter | None:
         """Return the waiter that gets a free place; `None` if there is none."""
-        able = [
+        in_time = [
             waiter for waiter in self.waiters if not waiter.has_turn and waiter.latest_s > now_s
         ]
-        if not able:
+        if not in_time:
             return None
-        earliest = min(able, key=lambda waiter: waiter.serial)
-        first = min(able, key=lambda waiter: waiter.rank)
+        earliest = min(in_time, key=lambda waiter: waiter.serial)
+        first = min(in_time, key=lambda waiter: waiter.rank)
         if first is earliest or self.passed_over >= MAX_PASSED_OVER:
             self.passed_over = 0
             return earliest
@@ -131,7 +131,7 @@
         """Leave the queue."""
         self.leave()
 
-    def look(self) -> None:
+    def remember_freed(self) -> None:
         """Remember the places that were free so far; call it before looking for capacity."""
         self._seen = self._places.freed_count
 
@@ -232,7 +232,12 @@
             if waiting is None:
                 return True
             if all(waiter.priority > priority for waiter in waiting.waiters):
-                return True
+                if not any(waiter.has_turn for waiter in waiting.waiters):
+                    return True
+                # The place may be the one that a slow thread was woken for.
+                if waiting.passed_over < MAX_PASSED_OVER:
+                    waiting.passed_over += 1
+                    return True
             if not any(waiter.has_turn for waiter in waiting.waiters):
                 self._wake_next(queue)
             return False
@@ -273,7 +278,7 @@
             return WaitEnd.DISPLACED if waiter.is_displaced else WaitEnd.TURN
 
     def remove(self, queue: str, waiter: _Waiter) -> None:
-        """Remove a waiter and wake the next one."""
+        """Remove a waiter and wake the next one, and the one that is now to recheck."""
         with self.lock:
             waiting = self._queues.get(queue)
             if waiting is None or waiter.is_displaced:
@@ -281,6 +286,8 @@
             waiting.waiters.remove(waiter)
             if waiting.waiters:
                 self._wake_next(queue)
+                # Only the first by rank rechecks, and it may have begun to wait as a later one.
+                min(waiting.waiters, key=lambda other: other.rank).woken.notify()
             else:
                 del self._queues[queue]
 
--- a/src/goldcresthall/kernel/cancellation.py
+++ b/src/goldcresthall/kernel/cancellation.py
@@ -27,12 +27,16 @@
         return self._is_cancelled
 
     def cancel(self) -> None:
-        """Request cancellation and call all registered interrupts."""
+        """Request cancellation and call all registered interrupts.
+
+        They are called under the lock, so that none runs after its block has ended: the connection
+        may serve another request by then. An interrupt must not block, and must not use this
+        cancellation.
+        """
         with self._lock:
             self._is_cancelled = True
-            interrupts = tuple(self._interrupts)
-        for interrupt in interrupts:
-            interrupt()
+            for interrupt in self._interrupts:
+                interrupt()
 
     def end(self) -> None:
         """Release what was kept for the result, once it was handed over or nobody wants it."""
