Take the retry of an early give-up with the decision, and not its loss as evidence

All attempts due in one pass were ended for the same last retry; a give-up of a keyed request then needed time to wait for an owner. What was ended on the reports of others no longer counts as own evidence, and a wait counts only beyond 4 times the response time expected at sending, with the known queue. Circuits are updated before a waiting request is woken.

Seen failing before: test_attempts_are_not_given_up_beyond_the_retry_budget, test_given_up_request_goes_to_the_next_owner_without_a_wait and test_wait_in_a_known_queue_is_no_evidence_of_a_loss. The tests of an answer that races with a give-up and of the end of the task passed before too.

--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import functools
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,20 @@
 RESPONSE_MARGIN_S = 0.004
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FinishedAttempt:
+    """The result of an attempt.
+
+    Attributes
+    ----------
+    is_given_up
+        Whether it was ended early because the server is suspected; its retry is paid already.
+    """
+
+    attempt: attempts.Attempt
+    is_given_up: bool = False
+
+
 class AttemptRunner:
     """Sends requests to servers, one attempt at a time."""
 
@@ -70,26 +85,31 @@
         server: deployment.RegisteredServer,
         progress: request_progress.RequestProgress,
         cancelled: cancellation.Cancellation,
-    ) -> attempts.Attempt:
+    ) -> FinishedAttempt:
         """Send a request to a server once and return the result."""
         began_at_s = self._clock.read_s()
+        load = self._estimates.find(server).find_load(began_at_s)
+        expected_s = self._finder.find_response_time_s(server, load, plan.route.name)
         self._estimates.start_attempt(server)
         try:
-            attempt = self._send(request, plan, server, progress, cancelled)
+            finished = self._send(request, plan, server, progress, cancelled)
         except BaseException:
             self._cancel(plan, server)
             raise
+        attempt = finished.attempt
         if cancelled.is_cancelled:
             self._cancel(plan, server)
         else:
             duration_s = self._clock.read_s() - began_at_s
             self._estimates.finish_attempt(server, attempt)
             self._model.record(plan.route.name, server, attempt, duration_s)
+            if not finished.is_given_up:
+                # What was ended on the reports of others is no evidence of this instance.
+                self._circuits.record_attempt(server.incarnation, attempt, began_at_s, expected_s)
+            # A request that is woken must find the circuit as it is now.
             self._places.free(target_keys.find_queue(plan.target, server))
-            work_s = self._model.expect_s(plan.route.name, server)
-            self._circuits.record_attempt(server.incarnation, attempt, began_at_s, work_s)
         self._observe_signals(server, attempt.signals)
-        return attempt
+        return finished
 
     def find_remaining_s(self, plan: routing_plans.RoutingPlan) -> float:
         """Return the seconds until an attempt of a request must end."""
@@ -106,16 +126,16 @@
         server: deployment.RegisteredServer,
         progress: request_progress.RequestProgress,
         cancelled: cancellation.Cancellation,
-    ) -> attempts.Attempt:
+    ) -> FinishedAttempt:
         dispatch = self._create_dispatch(request, plan, server)
         take_retry = functools.partial(self.take_retry, plan)
         if not plan.route.idempotent or progress.sent + 1 >= plan.route.max_attempts:
-            return self._sender.send(dispatch, cancelled, take_retry)
+            return FinishedAttempt(self._sender.send(dispatch, cancelled, take_retry))
         work_s = self._model.expect_s(plan.route.name, server)
         check_s = early_retries.find_check_s(self._clock.read_s(), work_s)
         latest_s = early_retries.find_latest_s(plan.target_at_s, plan.work_s)
         if check_s >= latest_s:
-            return self._sender.send(dispatch, cancelled, take_retry)
+            return FinishedAttempt(self._sender.send(dispatch, cancelled, take_retry))
         with _link(cancelled) as attempt_cancelled:
             watch = early_retries.AttemptWatch(
                 latest_s,
@@ -128,12 +148,13 @@
             finally:
                 watch.is_over = True
         if watch.is_given_up and _was_cancelled(attempt) and not cancelled.is_cancelled:
-            return attempts.AttemptUnknown(
+            attempt = attempts.AttemptUnknown(
                 outcomes.UnknownReason.ANSWER_TIMEOUT,
                 outcomes.Step.RECEIVE,
                 "given up early, since the server is suspected to have lost the request",
             )
-        return attempt
+            return FinishedAttempt(attempt, is_given_up=True)
+        return FinishedAttempt(attempt)
 
     def take_retry(self, plan: routing_plans.RoutingPlan) -> bool:
         """Spend one retry of the service's budget if this instance's share allows it."""
@@ -146,18 +167,19 @@
         server: deployment.RegisteredServer,
         progress: request_progress.RequestProgress,
     ) -> bool:
-        """Return whether a server is suspected and another one can run the request in time.
+        """Return whether a server is suspected, another one can run the request, and pay the retry.
+
+        The retry is taken here: several attempts that are due at the same time would otherwise
+        all be ended for the last retry of the budget.
 
         Slow work at a server that is not suspected is left alone: the server would go on with
         the work of the ended attempt, and the retry would add to its load.
         """
         if self._finder.find_circuit(server) is None:
             return False
-        budget = self._budgets.find(plan.target.service)
-        instances = self._instance_counter.live_instances
-        if not budget.allows_retry(self._clock.read_s(), instances):
+        if not alternatives.has_alternative(plan.target, self._finder, server, progress.tried):
             return False
-        return alternatives.has_alternative(plan.target, self._finder, server, progress.tried)
+        return self.take_retry(plan)
 
     def _observe_signals(
         self, server: deployment.RegisteredServer, signals: attempts.ServerSignals
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -41,7 +41,6 @@
 from goldcresthall.ranges import reports
 
 if TYPE_CHECKING:
-    from goldcresthall.core import attempts
     from goldcresthall.core import deployment
     from goldcresthall.core import deployment_settings
     from goldcresthall.core import requests
@@ -234,9 +233,9 @@
             ):
                 continue
             place.leave()
-            attempt = self._runner.run(request, plan, selected, progress, cancelled)
-            progress = request_progress.record_attempt(progress, selected.name, attempt)
-            if not self._prepare_retry(plan, progress, attempt, wait_budget, serial):
+            finished = self._runner.run(request, plan, selected, progress, cancelled)
+            progress = request_progress.record_attempt(progress, selected.name, finished.attempt)
+            if not self._prepare_retry(plan, progress, finished, wait_budget, serial):
                 return progress
         return request_progress.apply_cancellation(progress)
 
@@ -318,10 +317,11 @@
         self,
         plan: routing_plans.RoutingPlan,
         progress: request_progress.RequestProgress,
-        attempt: attempts.Attempt,
+        finished: attempt_runner.FinishedAttempt,
         wait_budget: retry_policy.WaitBudget,
         serial: int,
     ) -> bool:
+        attempt = finished.attempt
         is_keyed = isinstance(plan.target, server_finder.KeyTarget)
         reason = retry_policy.find_retry_reason(attempt, idempotent=plan.route.idempotent)
         if reason is None:
@@ -329,10 +329,11 @@
         if retry_policy.was_sent(attempt):
             if progress.sent >= plan.route.max_attempts:
                 return False
-            if not self._runner.take_retry(plan):
+            if not finished.is_given_up and not self._runner.take_retry(plan):
                 self._metrics.count_retry_denied(reason)
                 return False
         self._metrics.count_retry(reason)
-        if attempt.signals.pause_s:
+        if attempt.signals.pause_s or finished.is_given_up:
+            # Given up only because another server can run it at once.
             return True
         return not is_keyed or self._wait_for_owner(plan, wait_budget, serial)
--- a/src/goldcresthall/gateway/retry_budgets.py
+++ b/src/goldcresthall/gateway/retry_budgets.py
@@ -47,11 +47,6 @@
             self._retries.append(now_s)
             return True
 
-    def allows_retry(self, now_s: float, instances: int) -> bool:
-        """Return whether `take_retry` would allow a retry now."""
-        with self._lock:
-            return self._has_retry(now_s, instances)
-
     def _has_retry(self, now_s: float, instances: int) -> bool:
         self._drop_expired(self._requests, now_s)
         self._drop_expired(self._retries, now_s)
--- a/tests/gateway/test_early_retries.py
+++ b/tests/gateway/test_early_retries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from goldcresthall.gateway import early_retries
+from goldcresthall.kernel import tasks
 from tests.fakes import clock
 
 
@@ -60,3 +61,19 @@
     watched.check_at(2.0)
     assert watched.asked == 1
     assert watched.ended == 0
+
+
+def test_attempt_that_is_answered_while_it_is_given_up_is_not_checked_again() -> None:
+    watched = Watched()
+    watched.is_suspected = True
+    watched.check_at(1.0)
+    watched.watch.is_over = True
+    watched.check_at(2.0)
+    assert (watched.asked, watched.ended) == (1, 1)
+
+
+def test_task_ends_soon_after_it_is_asked_to_stop() -> None:
+    watched = Watched()
+    task = tasks.start_loop("early-retries", watched.retries.run)
+    task.stop()
+    assert not task._thread.is_alive()
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -63,6 +63,7 @@
         self.duration_s = 0.01
         self.sent_to: list[str] = []
         self.on_send: Callable[[], None] = lambda: None
+        self.answers_anyway = False
 
     def start(self) -> None:
         """Do nothing."""
@@ -84,7 +85,7 @@
         self.sent_to.append(dispatch.server.name)
         self.clock.advance(self.duration_s)
         self.on_send()
-        if cancelled.is_cancelled:
+        if cancelled.is_cancelled and not self.answers_anyway:
             return attempts.AttemptUnknown(
                 outcomes.UnknownReason.CALLER_LEFT, outcomes.Step.RECEIVE, "cancelled"
             )
@@ -387,6 +388,99 @@
     outcome = setup.handle("/agenda/1")
     assert isinstance(outcome, outcomes.Answered)
     assert sorted(setup.sender.sent_to) == ["one", "two"]
+    assert not setup.circuits.list_observed()
+    budget = setup.gateway._budgets.find("agenda")
+    assert len(budget._retries) == 1
+
+
+def test_attempts_are_not_given_up_beyond_the_retry_budget(setup: Setup) -> None:
+    """All that were due in one pass were ended for the same last retry."""
+    setup.instances.count = 11
+    setup.directory._configuration = None
+    weighted = deployment.WeightedService("agenda", 1.0)
+    setup.configure(create_route("agenda", weighted, target_latency_s=5.0, timeout_s=9.0))
+    setup.sender.duration_s = 1.0
+    budget = setup.gateway._budgets.find("agenda")
+    while budget.take_retry(setup.clock.read_s(), 11):
+        pass
+    budget._retries.pop()
+    given_up: list[bool] = []
+
+    def check() -> None:
+        (watch,) = (entry[2] for entry in setup.gateway._runner._watches._due)
+        server = deployment.ServerIncarnation(setup.sender.sent_to[-1], 1)
+        setup.circuits.apply_reports((server_reports.LostServer(server, 0.1),) * 2)
+        given_up.extend(watch.should_end() for _ in range(3))
+
+    setup.sender.on_send = check
+    setup.handle("/agenda/1")
+    assert given_up == [True, False, False]
+
+
+def configure_slow(setup: Setup, name: str, max_attempts: int = 2) -> None:
+    """Leave time for a retry after an attempt that takes a second."""
+    setup.instances.count = 11
+    setup.directory._configuration = None
+    weighted = deployment.WeightedService(name, 1.0)
+    route = create_route(name, weighted, target_latency_s=5.0, timeout_s=9.0)
+    setup.configure(dataclasses.replace(route, max_attempts=max_attempts))
+    setup.sender.duration_s = 1.0
+
+
+def report_lost(setup: Setup) -> None:
+    """Report the server that has the request, once, and check the attempts."""
+    setup.sender.on_send = lambda: None
+    server = deployment.ServerIncarnation(setup.sender.sent_to[-1], 1)
+    setup.circuits.apply_reports((server_reports.LostServer(server, 0.1),) * 2)
+    setup.gateway._runner._watches.check()
+
+
+def test_answer_that_comes_while_its_attempt_is_given_up_is_returned(setup: Setup) -> None:
+    configure_slow(setup, "agenda")
+    setup.sender.answers_anyway = True
+    setup.sender.on_send = lambda: report_lost(setup)
+    outcome = setup.handle("/agenda/1")
+    assert isinstance(outcome, outcomes.Answered)
+    assert outcome.tries == 1
+
+
+def test_given_up_request_goes_to_the_next_owner_without_a_wait(
+    setup: Setup, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The retry was paid for and then refused, because no time was left to wait for an owner."""
+    configure_slow(setup, "ledger")
+    setup.register(
+        conftest.create_server("owner", "ledger"), conftest.create_server("owner-2", "ledger")
+    )
+    monkeypatch.setattr(setup.gateway, "_wait_for_owner", lambda *_: False)
+
+    def move() -> None:
+        setup.assign_keys("owner-2")
+        report_lost(setup)
+
+    setup.sender.on_send = move
+    assert isinstance(setup.handle(), outcomes.Answered)
+    assert setup.sender.sent_to == ["owner", "owner-2"]
+
+
+@pytest.mark.parametrize(("load", "is_lost"), [(0.0, True), (19.0, False)])
+def test_wait_in_a_known_queue_is_no_evidence_of_a_loss(
+    setup: Setup, load: float, *, is_lost: bool
+) -> None:
+    """Requests behind a queue took longer than 4 times their work, and opened circuits."""
+    configure_slow(setup, "ledger", max_attempts=1)
+    estimates = setup.gateway._estimates
+    estimates.start_attempt(setup.owner)
+    signals = attempts.ServerSignals(load=load)
+    estimates.finish_attempt(setup.owner, dataclasses.replace(OK, signals=signals))
+    setup.clock.advance(0.3)
+    setup.sender.script = [
+        attempts.AttemptUnknown(
+            outcomes.UnknownReason.ANSWER_TIMEOUT, outcomes.Step.RECEIVE, "timed out"
+        )
+    ]
+    setup.handle()
+    assert bool(setup.circuits.list_observed()) is is_lost
 
 
 def test_slow_attempt_at_a_server_that_is_not_suspected_is_left_alone(setup: Setup) -> None:
