Let a second request and one waiter pass where many instances share an owner

With 58 instances the queue of each was rounded to 0 and a second request for an owner refused, although it may be idle. Lost connections count as forgotten ones only right after the send and after 0.2 s idle, for 60 s, and a longer idle time does not renew a shorter one: two crashed servers stopped the reuse of all connections for 5 minutes. A request without time left after the connect is DEADLINE_EXPIRED at the connect step and changes no estimate; a failed write of the first byte stays a failed connect. A list that became empty since the look no longer divides by zero.

test_failures_are_forgotten_after_some_minutes is named after the minute that it now is.

--- a/src/goldcresthall/backend/exceptions.py
+++ b/src/goldcresthall/backend/exceptions.py
@@ -34,6 +34,10 @@
     """The request was no longer allowed once there was a connection; no byte of it was sent."""
 
 
+class SendExpiredError(NotSentError):
+    """No time was left to send the request once there was a connection."""
+
+
 class TimedOutError(ExchangeError):
     """The complete response was not received in time."""
 
--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -120,7 +120,7 @@
         def exchange_on(used: exchange.Connection) -> exchange.RawResponse:
             if may_send is not None and not may_send():
                 used.close()
-                raise exceptions.NotSentError(outcomes.Step.SEND, "no longer allowed")
+                raise exceptions.SendExpiredError(outcomes.Step.SEND, "no longer allowed")
             response = self._exchange(used, request, id_header, ends_at_s, cancelled)
             if is_due is not None and not is_due(response):
                 used.close()
@@ -173,8 +173,10 @@
                 raise
             if not idle_survival.is_sign_of_loss(error, self._survival):
                 raise
-            self._survival.record_failure(address, idle_s)
             is_late = time.monotonic() - began_at_s > idle_survival.STALE_WITHIN_S
+            if has_timed_out or not is_late:
+                # A connection that is lost later was lost with its server, which crashed.
+                self._survival.record_failure(address, idle_s)
             if has_timed_out or is_late or not may_resend():
                 raise
             self._count_use(exchange_metrics.ConnectionUse.FORGOTTEN)
--- a/src/goldcresthall/backend/idle_survival.py
+++ b/src/goldcresthall/backend/idle_survival.py
@@ -22,9 +22,12 @@
 # A limit that was learned from a failure, as a fraction of the time that the connection was idle.
 SURVIVAL_FRACTION = 0.5
 MIN_LIMIT_S = 0.05
+# No server forgets connections sooner. One that fails after less fails for another reason.
+MIN_FORGOTTEN_IDLE_S = 0.2
+MAX_FAILURES_PER_ADDRESS = 4
 # Servers that forget idle connections do so all day. Each time that a failure is forgotten costs a
 # failed request at a few addresses.
-MEMORY_S = 300.0
+MEMORY_S = 60.0
 # One address may fail because its server ended. Failures at several are a property of the site.
 MIN_FAILED_ADDRESSES = 2
 MAX_ADDRESSES = 512
@@ -72,7 +75,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Failure:
-    """The shortest idle time after which a connection failed, and when it last failed."""
+    """An idle time after which a connection failed, and when, by a clock reading in seconds."""
 
     idle_s: float
     at_s: float
@@ -109,7 +112,8 @@
     def __init__(self, read_s: Callable[[], float] = time.monotonic) -> None:
         self._read_s = read_s
         self._lock = threading.Lock()
-        self._failures: dict[identity.Address, _Failure] = {}
+        # The later failures of an address are those after longer idle times.
+        self._failures: dict[identity.Address, tuple[_Failure, ...]] = {}
         self._overall: _Failure | None = None
         self._new = _TimeoutRate()
         self._reused = _TimeoutRate()
@@ -119,27 +123,36 @@
         if not self._failures:
             return allowed_s
         now_s = self._read_s()
-        for failure in (self._failures.get(address), self._overall):
-            if failure is not None and now_s - failure.at_s < MEMORY_S:
+        known = self._failures.get(address, ())
+        for failure in known if self._overall is None else (*known, self._overall):
+            if now_s - failure.at_s < MEMORY_S:
                 allowed_s = min(allowed_s, max(MIN_LIMIT_S, SURVIVAL_FRACTION * failure.idle_s))
         return allowed_s
 
     def record_failure(self, address: identity.Address, idle_s: float) -> None:
         """Note that a connection failed when it was used again after `idle_s` seconds."""
+        if idle_s < MIN_FORGOTTEN_IDLE_S:
+            return
         now_s = self._read_s()
         with self._lock:
             self._forget(now_s)
-            previous = self._failures.get(address)
-            shortest_s = idle_s if previous is None else min(idle_s, previous.idle_s)
-            if previous is None and len(self._failures) >= MAX_ADDRESSES:
+            # A longer idle time does not renew a shorter one.
+            known = self._failures.get(address, ())
+            shorter = tuple(failure for failure in known if failure.idle_s < idle_s)
+            if not known and len(self._failures) >= MAX_ADDRESSES:
                 del self._failures[next(iter(self._failures))]
-            self._failures[address] = _Failure(shortest_s, now_s)
+            kept = (*shorter, _Failure(idle_s, now_s))
+            self._failures[address] = kept[:MAX_FAILURES_PER_ADDRESS]
             if len(self._failures) < MIN_FAILED_ADDRESSES:
                 return
-            shortest = sorted(failure.idle_s for failure in self._failures.values())
-            overall_s = shortest[MIN_FAILED_ADDRESSES - 1]
+            shortest = sorted(
+                (failures[0] for failures in self._failures.values()),
+                key=lambda failure: failure.idle_s,
+            )
+            overall = shortest[MIN_FAILED_ADDRESSES - 1]
+            overall_s = overall.idle_s
             changed = self._overall is None or overall_s < self._overall.idle_s
-            self._overall = _Failure(overall_s, now_s)
+            self._overall = overall
         if changed:
             logging.info(
                 "reused connections to %s and others failed after %.2f s idle, step send; "
@@ -165,11 +178,11 @@
         )
 
     def _forget(self, now_s: float) -> None:
-        self._failures = {
-            address: failure
-            for address, failure in self._failures.items()
-            if now_s - failure.at_s < MEMORY_S
+        fresh = {
+            address: tuple(failure for failure in known if now_s - failure.at_s < MEMORY_S)
+            for address, known in self._failures.items()
         }
+        self._failures = {address: known for address, known in fresh.items() if known}
         if self._overall is not None and now_s - self._overall.at_s >= MEMORY_S:
             self._overall = None
 
--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -171,6 +171,8 @@
         attempt: attempts.Attempt,
         now_s: float,
     ) -> Estimate:
+        if _is_expired(attempt):
+            return estimate
         failed = _has_failed(attempt)
         rate = estimate.failure_rate + FAILURE_EWMA_WEIGHT * (float(failed) - estimate.failure_rate)
         updated = dataclasses.replace(estimate, failure_rate=rate)
@@ -201,6 +203,14 @@
         return dataclasses.replace(estimate, usual_load=usual)
 
 
+def _is_expired(attempt: attempts.Attempt) -> bool:
+    """Return whether an attempt says nothing of the server, since no time was left to send it."""
+    return (
+        isinstance(attempt, attempts.AttemptNotRun)
+        and attempt.reason is outcomes.RefusalReason.DEADLINE_EXPIRED
+    )
+
+
 def _has_failed(attempt: attempts.Attempt) -> bool:
     if isinstance(attempt, attempts.AttemptAnswered):
         return attempt.answer.status >= MIN_SERVER_ERROR_STATUS
--- a/src/goldcresthall/gateway/server_capacity.py
+++ b/src/goldcresthall/gateway/server_capacity.py
@@ -22,6 +22,7 @@
 MAX_OUTSTANDING_PER_SLOT = 5
 MAX_LOAD_PER_SLOT = 4
 MAX_CAPACITY_WAIT_S = 10.0
+MAX_WITH_KNOWN_SLOT = 2
 
 
 class ServerCapacity:
@@ -67,7 +68,7 @@
         limit = math.ceil(MAX_OUTSTANDING_PER_SLOT * server.slots / self.instances)
         estimate = self.estimates.find(server)
         load = estimate.find_load(self.directory.read_s())
-        if estimate.outstanding >= max(1, limit):
+        if estimate.outstanding >= max(1, limit) and not self._has_known_slot(server, estimate):
             return False
         if load < server.slots:
             return True
@@ -75,6 +76,19 @@
         max_load = MAX_LOAD_PER_SLOT * server.slots * demand.queue_fraction
         return load < max_load and response_time_s <= target_in_s
 
+    def _has_known_slot(
+        self, server: deployment.RegisteredServer, estimate: estimates.Estimate
+    ) -> bool:
+        """Return whether a second request may be sent, since a slot was free a moment ago.
+
+        With more instances than places at a server the share is a single request, and a second
+        one was refused although the server may be idle.
+        """
+        if estimate.outstanding >= MAX_WITH_KNOWN_SLOT:
+            return False
+        is_known = estimate.find_freshness(self.directory.read_s()) > 0.0
+        return is_known and estimate.outstanding + estimate.reported_load < server.slots
+
     def find_response_time_s(
         self, server: deployment.RegisteredServer, load: float, route: str = ""
     ) -> float:
@@ -110,4 +124,7 @@
         usable_s = max(0.0, min(target_in_s, MAX_CAPACITY_WAIT_S) - service_time_s)
         slots = sum(server.slots for server in servers)
         share = slots / self.instances
-        return waiting.CapacityWait(queue, round(share * usable_s / service_time_s), service_time_s)
+        max_requests = round(share * usable_s / service_time_s)
+        if usable_s > service_time_s:
+            max_requests = max(1, max_requests)
+        return waiting.CapacityWait(queue, max_requests, service_time_s)
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -164,7 +164,8 @@
         servers: tuple[deployment.RegisteredServer, ...] = (server,)
         if queue != server.name:
             entries = self.find_view(server.service).everything.entries
-            servers = tuple(entry.server for entry in entries)
+            # The list may have become empty since the server was found.
+            servers = tuple(entry.server for entry in entries) or servers
         return self.create_busy(server.service, servers, queue, target_in_s, route)
 
     def find(
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -245,6 +245,14 @@
     return attempts.AttemptNotRun(outcomes.RefusalReason.CONNECT_FAILED, error.step, str(error))
 
 
+@_describe_failure.register
+def _(error: exceptions.SendExpiredError) -> attempts.Attempt:
+    # No time was left once there was a connection; that says nothing of the server.
+    return attempts.AttemptNotRun(
+        outcomes.RefusalReason.DEADLINE_EXPIRED, outcomes.Step.CONNECT, str(error)
+    )
+
+
 @_describe_failure.register
 def _(error: exceptions.ConnectionRejectedError) -> attempts.Attempt:
     return attempts.AttemptNotRun(outcomes.RefusalReason.SERVER_SHED, error.step, str(error))
--- a/tests/backend/test_idle_survival.py
+++ b/tests/backend/test_idle_survival.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+import time
+import types
 from typing import TYPE_CHECKING
 
 import pytest
@@ -88,7 +90,7 @@
     assert survival.find_limit_s(ADDRESSES[0], ALLOWED_S) < 0.7
 
 
-def test_failures_are_forgotten_after_some_minutes(
+def test_failures_are_forgotten_after_a_minute(
     survival: idle_survival.IdleSurvival, manual: clock.ManualClock
 ) -> None:
     for address in ADDRESSES:
@@ -97,6 +99,55 @@
     assert survival.find_limit_s(ADDRESSES[0], ALLOWED_S) == ALLOWED_S
 
 
+def test_longer_idle_time_does_not_renew_a_shorter_one(
+    survival: idle_survival.IdleSurvival, manual: clock.ManualClock
+) -> None:
+    """Two servers that crashed stopped the reuse of connections to all servers for minutes."""
+    for address in ADDRESSES[:2]:
+        survival.record_failure(address, 0.3)
+    manual.advance(idle_survival.MEMORY_S - 1.0)
+    for address in ADDRESSES[:2]:
+        survival.record_failure(address, 6.0)
+    assert survival.find_limit_s(ADDRESSES[2], ALLOWED_S) == pytest.approx(0.15)
+    manual.advance(2.0)
+    assert survival.find_limit_s(ADDRESSES[0], ALLOWED_S) == pytest.approx(3.0)
+    assert survival.find_limit_s(ADDRESSES[2], ALLOWED_S) == ALLOWED_S
+
+
+def test_failure_after_a_short_idle_time_says_nothing(
+    survival: idle_survival.IdleSurvival,
+) -> None:
+    for address in ADDRESSES:
+        survival.record_failure(address, 0.19)
+    assert survival.find_limit_s(ADDRESSES[0], ALLOWED_S) == ALLOWED_S
+
+
+@pytest.mark.parametrize(("takes_s", "count"), [(0.0, 1), (0.2, 0)])
+def test_loss_counts_as_a_forgotten_connection_only_right_after_the_send(
+    monkeypatch: pytest.MonkeyPatch, takes_s: float, count: int
+) -> None:
+    recorded: list[float] = []
+    pool = exchange_pool.ExchangePool(test_exchange.LIMITS, policy=idle_survival.LEARNING)
+    monkeypatch.setattr(
+        pool._survival, "record_failure", lambda address, idle_s: recorded.append(idle_s)
+    )
+
+    def fail(used: exchange.Connection) -> exchange.RawResponse:
+        time.sleep(takes_s)
+        raise LOST
+
+    used = types.SimpleNamespace(idle_s=1.0)
+    with pytest.raises(exceptions.ConnectionLostError):
+        pool._try_reused(
+            ADDRESSES[0],
+            used,  # type: ignore[arg-type]
+            fail,
+            cancellation.Cancellation(),
+            lambda: False,
+        )
+    assert len(recorded) == count
+
+
 def test_memory_for_failures_is_bounded(survival: idle_survival.IdleSurvival) -> None:
     for port in range(idle_survival.MAX_ADDRESSES + 10):
         survival.record_failure(identity.Address("127.0.0.1", port), 1.0)
--- a/tests/gateway/test_server_finder.py
+++ b/tests/gateway/test_server_finder.py
@@ -240,6 +240,62 @@
     assert unavailable.wait.max_requests == max_requests
 
 
+@pytest.mark.parametrize("instances", [58, 83])
+def test_one_request_may_wait_for_an_owner_that_many_instances_share(
+    gateway_fixture: GatewayFixture, instances: int
+) -> None:
+    """The share of each was rounded to 0, so that nothing waited at all."""
+    gateway_fixture.instances.count = instances
+    server = conftest.create_server("owner", "ledger")
+    gateway_fixture.model.record("lookups", server, create_answered_attempt(1.0), 0.1)
+    service_time_s = gateway_fixture.model.expect_s("", server)
+    limits = [
+        gateway_fixture.finder.create_wait("owner", (server,), works * service_time_s).max_requests
+        for works in (1.5, 2.5)
+    ]
+    assert limits == [0, 1]
+
+
+@pytest.mark.parametrize(
+    ("load", "age_s", "second"),
+    [(1.0, 0.5, "owner"), (1.0, 1.6, "queue_full"), (4.5, 0.5, "queue_full")],
+)
+def test_second_request_is_sent_only_if_a_slot_was_free_a_moment_ago(
+    gateway_fixture: GatewayFixture, load: float, age_s: float, second: str
+) -> None:
+    """It was refused at once, although the owner may be idle: 4 to 9 in 100 requests."""
+    gateway_fixture.instances.count = 58
+    server = conftest.create_server("owner", "ledger")
+    gateway_fixture.directory.apply_full_list((server,))
+    assign_keys(gateway_fixture, "owner")
+    gateway_fixture.estimates.start_attempt(server)
+    gateway_fixture.estimates.finish_attempt(server, create_answered_attempt(load))
+    gateway_fixture.clock.advance(age_s)
+    gateway_fixture.estimates.start_attempt(server)
+    assert find(gateway_fixture, KEY) == second
+    gateway_fixture.estimates.start_attempt(server)
+    assert find(gateway_fixture, KEY) == "queue_full"
+
+
+def test_request_that_must_wait_is_refused_if_the_list_became_empty(
+    gateway_fixture: GatewayFixture,
+) -> None:
+    """The mean work of no server was a division by zero."""
+    server = conftest.create_server("one")
+    unavailable = gateway_fixture.finder.create_queued("agenda", server, 1.0)
+    assert unavailable.refused.reason is outcomes.RefusalReason.QUEUE_FULL
+
+
+def test_expired_request_changes_no_estimate(gateway_fixture: GatewayFixture) -> None:
+    server = conftest.create_server("one")
+    expired = attempts.AttemptNotRun(
+        outcomes.RefusalReason.DEADLINE_EXPIRED, outcomes.Step.CONNECT, "no time left"
+    )
+    gateway_fixture.estimates.start_attempt(server)
+    gateway_fixture.estimates.finish_attempt(server, expired)
+    assert gateway_fixture.estimates.find(server) == estimates.INITIAL_ESTIMATE
+
+
 def test_few_servers_of_a_large_service_are_examined_for_a_request(
     gateway_fixture: GatewayFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/platform/test_request_client.py
+++ b/tests/platform/test_request_client.py
@@ -37,6 +37,16 @@
     assert not retry_policy.was_sent(attempt)
 
 
+def test_request_without_time_left_after_the_connect_does_not_count_against_the_server() -> None:
+    """It was reported as a failed connect, for which the server was avoided."""
+    error = exceptions.SendExpiredError(outcomes.Step.SEND, "no longer allowed")
+    attempt = request_client._describe_failure(error)
+    assert isinstance(attempt, attempts.AttemptNotRun)
+    assert attempt.reason is outcomes.RefusalReason.DEADLINE_EXPIRED
+    assert attempt.step is outcomes.Step.CONNECT
+    assert not retry_policy.was_sent(attempt)
+
+
 def create_raw_response(status: int, *headers: tuple[str, str]) -> exchange.RawResponse:
     fixed = (("Goldcresthall-Request-Id", "mine"), ("Goldcresthall-Response-Signature", "1f"))
     named = tuple(outcomes.Header(name, value) for name, value in (*fixed, *headers))
