--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -6,7 +6,6 @@
 import functools
 from typing import TYPE_CHECKING
 
-from goldcresthall.admission import server_circuits
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
 from goldcresthall.core import preset
@@ -32,6 +31,20 @@
 RESPONSE_MARGIN_S = 0.004
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FinishedAttempt:
+    """The result of an attempt.
+
+    Attributes
+    ----------
+    is_given_up
+        Whether it was ended early because the server is suspected; its retry is paid already.
+    """
+
+    attempt: attempts.Attempt
+    is_given_up: bool = False
+
+
 class AttemptRunner:
     """Sends requests to servers, one attempt at a time."""
 
@@ -68,38 +81,31 @@
         server: deployment.RegisteredServer,
         progress: request_progress.RequestProgress,
         cancelled: cancellation.Cancellation,
-    ) -> attempts.Attempt:
+    ) -> FinishedAttempt:
         """Send a request to a server once and return the result."""
         began_at_s = self._clock.read_s()
+        load = self._estimates.find(server).find_load(began_at_s)
+        expected_s = self._finder.find_response_time_s(server, load, plan.route.name)
         self._estimates.start_attempt(server)
         try:
-            attempt = self._send(request, plan, server, progress, cancelled)
+            finished = self._send(request, plan, server, progress, cancelled)
         except BaseException:
             self._cancel(plan, server)
             raise
+        attempt = finished.attempt
         if cancelled.is_cancelled:
             self._cancel(plan, server)
         else:
             duration_s = self._clock.read_s() - began_at_s
             self._estimates.finish_attempt(server, attempt)
             self._model.record(plan.route.name, server, attempt, duration_s)
+            if not finished.is_given_up:
+                # What was ended on the reports of others is no evidence of this instance.
+                self._circuits.record_attempt(server.incarnation, attempt, began_at_s, expected_s)
+            # A request that is woken must find the circuit as it is now.
             self._places.free(target_keys.find_queue(plan.target, server))
-            self._record(plan, server, attempt, began_at_s)
         self._observe_signals(server, attempt.signals)
-        return attempt
-
-    def _record(
-        self,
-        plan: routing_plans.RoutingPlan,
-        server: deployment.RegisteredServer,
-        attempt: attempts.Attempt,
-        began_at_s: float,
-    ) -> None:
-        if server_circuits.has_answered(attempt):
-            self._circuits.record_answer(server.incarnation, began_at_s)
-        else:
-            work_s = self._model.expect_s(plan.route.name, server)
-            self._circuits.record_failure(server.incarnation, attempt, began_at_s, work_s)
+        return finished
 
     def find_remaining_s(self, plan: routing_plans.RoutingPlan) -> float:
         """Return the seconds until an attempt of a request must end."""
@@ -116,16 +122,16 @@
         server: deployment.RegisteredServer,
         progress: request_progress.RequestProgress,
         cancelled: cancellation.Cancellation,
-    ) -> attempts.Attempt:
+    ) -> FinishedAttempt:
         dispatch = self._create_dispatch(request, plan, server)
         take_retry = functools.partial(self.take_retry, plan)
         if not plan.route.idempotent or progress.sent + 1 >= plan.route.max_attempts:
-            return self._sender.send(dispatch, cancelled, take_retry)
+            return FinishedAttempt(self._sender.send(dispatch, cancelled, take_retry))
         work_s = self._model.expect_s(plan.route.name, server)
         check_s = early_retries.find_check_s(self._clock.read_s(), work_s)
         latest_s = early_retries.find_latest_s(plan.target_at_s, plan.work_s)
         if check_s >= latest_s:
-            return self._sender.send(dispatch, cancelled, take_retry)
+            return FinishedAttempt(self._sender.send(dispatch, cancelled, take_retry))
         watch = early_retries.AttemptWatch(
             latest_s,
             functools.partial(self._should_give_up, plan, server, progress),
@@ -137,12 +143,13 @@
         finally:
             watch.finish()
         if watch.is_given_up and isinstance(attempt, attempts.AttemptUnknown):
-            return dataclasses.replace(
+            attempt = dataclasses.replace(
                 attempt,
                 reason=outcomes.UnknownReason.ANSWER_TIMEOUT,
                 detail="given up early, since the server is suspected to have lost the request",
             )
-        return attempt
+            return FinishedAttempt(attempt, is_given_up=True)
+        return FinishedAttempt(attempt)
 
     def take_retry(self, plan: routing_plans.RoutingPlan) -> bool:
         """Spend one retry of the service's budget if this instance's share allows it."""
@@ -155,18 +162,19 @@
         server: deployment.RegisteredServer,
         progress: request_progress.RequestProgress,
     ) -> bool:
-        """Return whether a server is suspected and another one can run the request in time.
+        """Return whether a server is suspected, another one can run the request, and pay the retry.
+
+        The retry is taken here: several attempts that are due at the same time would otherwise
+        all be ended for the last retry of the budget.
 
         Slow work at a server that is not suspected is left alone: the server would go on with
         the work of the ended attempt, and the retry would add to its load.
         """
-        if self._circuits.find_open(server.incarnation) is None:
+        if self._finder.find_circuit(server) is None:
             return False
-        budget = self._budgets.find(plan.target.service)
-        instances = self._instance_counter.live_instances
-        if not budget.allows_retry(self._clock.read_s(), instances):
+        if not alternatives.has_alternative(plan.target, self._finder, server, progress.tried):
             return False
-        return alternatives.has_alternative(plan.target, self._finder, server, progress.tried)
+        return self.take_retry(plan)
 
     def _observe_signals(
         self, server: deployment.RegisteredServer, signals: attempts.ServerSignals
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -27,6 +27,7 @@
 from goldcresthall.gateway import routing_plans
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_finder
+from goldcresthall.gateway import server_refusals
 from goldcresthall.gateway import target_keys
 from goldcresthall.gateway import waiting
 from goldcresthall.kernel import clock
@@ -40,7 +41,6 @@
 from goldcresthall.ranges import reports
 
 if TYPE_CHECKING:
-    from goldcresthall.core import attempts
     from goldcresthall.core import deployment
     from goldcresthall.core import deployment_settings
     from goldcresthall.core import requests
@@ -156,11 +156,13 @@
         if not self._admission.admits(
             plan.target.service, plan.route.priority, plan.work_s, share, now_s
         ):
-            return self._reporter.finish(request, plan, _refuse_overloaded(plan), share=share)
+            return self._reporter.finish(
+                request, plan, server_refusals.refuse_overloaded(plan.target.service), share=share
+            )
         self._budgets.find(plan.target.service).add_request(now_s)
         with self._places.create_place(plan.route.priority, plan.target_at_s) as place:
             progress = self._run_attempts(request, plan, cancelled, place)
-        outcome = progress.outcome or _refuse_expired(plan)
+        outcome = progress.outcome or server_refusals.refuse_expired(plan.target.service)
         return self._reporter.finish(request, plan, outcome, progress.attempt_descriptions)
 
     def _create_plan(
@@ -225,12 +227,15 @@
                 if refused is not None:
                     return request_progress.apply_refusal(progress, refused)
                 continue
-            if not self._cold_starts.try_take(selected):
+            if not (
+                self._server_finder.try_probe(plan.target, selected, progress.tried)
+                and self._cold_starts.try_take(selected)
+            ):
                 continue
             place.leave()
-            attempt = self._runner.run(request, plan, selected, progress, cancelled)
-            progress = request_progress.record_attempt(progress, selected.name, attempt)
-            if not self._prepare_retry(plan, progress, attempt, wait_budget, serial):
+            finished = self._runner.run(request, plan, selected, progress, cancelled)
+            progress = request_progress.record_attempt(progress, selected.name, finished.attempt)
+            if not self._prepare_retry(plan, progress, finished, wait_budget, serial):
                 return progress
         return request_progress.apply_cancellation(progress)
 
@@ -242,7 +247,7 @@
         place: waiting.WaitingPlace,
     ) -> deployment.RegisteredServer | server_finder.Unavailable:
         """Return a server with capacity that no earlier or more urgent request waits for."""
-        place.look()
+        place.remember_freed()
         limit = plan.queue_limit
         target_in_s = min(plan.target_at_s - self._clock.read_s(), limit.max_response_s)
         selected = self._server_finder.find(
@@ -294,7 +299,7 @@
         plan: routing_plans.RoutingPlan,
         wait_budget: retry_policy.WaitBudget,
         serial: int,
-        max_wait_s: float = math.inf,
+        max_wait_s: float | None = None,
     ) -> bool:
         """Wait for a newer view of the owners; return `False` if waiting is useless or over."""
         if (
@@ -312,10 +317,11 @@
         self,
         plan: routing_plans.RoutingPlan,
         progress: request_progress.RequestProgress,
-        attempt: attempts.Attempt,
+        finished: attempt_runner.FinishedAttempt,
         wait_budget: retry_policy.WaitBudget,
         serial: int,
     ) -> bool:
+        attempt = finished.attempt
         is_keyed = isinstance(plan.target, server_finder.KeyTarget)
         reason = retry_policy.find_retry_reason(attempt, idempotent=plan.route.idempotent)
         if reason is None:
@@ -323,27 +329,11 @@
         if retry_policy.was_sent(attempt):
             if progress.sent >= plan.route.max_attempts:
                 return False
-            if not self._runner.take_retry(plan):
+            if not finished.is_given_up and not self._runner.take_retry(plan):
                 self._metrics.count_retry_denied(reason)
                 return False
         self._metrics.count_retry(reason)
-        if attempt.signals.pause_s:
+        if attempt.signals.pause_s or finished.is_given_up:
+            # Given up only because another server can run it at once.
             return True
         return not is_keyed or self._wait_for_owner(plan, wait_budget, serial)
-
-
-def _refuse_expired(plan: routing_plans.RoutingPlan) -> outcomes.Refused:
-    return outcomes.Refused(
-        outcomes.RefusalReason.DEADLINE_EXPIRED,
-        outcomes.Step.SEND,
-        plan.target.service,
-    )
-
-
-def _refuse_overloaded(plan: routing_plans.RoutingPlan) -> outcomes.Refused:
-    return outcomes.Refused(
-        outcomes.RefusalReason.OVERLOADED,
-        outcomes.Step.ADMIT,
-        plan.target.service,
-        "the owner of the key can serve a part of its requests only",
-    )
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -14,23 +14,23 @@
 from goldcresthall.core import outcomes
 from goldcresthall.gateway import apertures
 from goldcresthall.gateway import directory
-from goldcresthall.gateway import estimates
 from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import selection
+from goldcresthall.gateway import server_capacity
 from goldcresthall.gateway import server_lists
 from goldcresthall.gateway import server_refusals
 from goldcresthall.gateway import waiting
 
 if TYPE_CHECKING:
     from goldcresthall.admission import server_circuits
+    from goldcresthall.gateway import estimates
     from goldcresthall.load import work_model
     from goldcresthall.ranges import owners
     from goldcresthall.ranges import reports
 
 MAX_OWNER_DRAIN_FRACTION = 0.25
-MAX_OUTSTANDING_PER_SLOT = 5
-MAX_LOAD_PER_SLOT = 4
-MAX_CAPACITY_WAIT_S = 10.0
+# With 58 instances and 15 places at a server the share is 0.26 requests.
+MIN_SHARE_WITHOUT_CIRCUITS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,13 +62,13 @@
     is_final
         Whether to refuse the request at once, because no wait would help it.
     max_wait_s
-        Seconds since its arrival for which a request may wait for another owner.
+        Seconds for which a request may wait for another owner; `None` for the time of a usual move.
     """
 
     refused: outcomes.Refused
     wait: waiting.CapacityWait | None = None
     is_final: bool = False
-    max_wait_s: float = math.inf
+    max_wait_s: float | None = None
 
 
 def create_target(
@@ -85,7 +85,7 @@
     return KeyTarget(service, zlib.crc32(path.encode()) % key_ranges.KEY_COUNT)
 
 
-class ServerFinder:
+class ServerFinder(server_capacity.ServerCapacity):
     """Finds the server for the next attempt, by the kind of target."""
 
     def __init__(
@@ -102,96 +102,46 @@
         server_restrictions: restrictions.Restrictions,
         circuits: server_circuits.ServerCircuits,
     ) -> None:
-        self.directory = server_directory
+        super().__init__(server_directory, server_estimates, model, instance_counter)
         self.owners = key_owners
-        self.estimates = server_estimates
-        self.model = model
         self.selector = selector
         self._apertures = instance_apertures
         self.drain_s = drain_s
         self.restrictions = server_restrictions
         self.circuits = circuits
-        self._instance_counter = instance_counter
 
-    def has_capacity(
-        self,
-        server: deployment.RegisteredServer,
-        target_in_s: float,
-        demand: selection.Demand = selection.UNKNOWN_DEMAND,
+    def find_circuit(self, server: deployment.RegisteredServer) -> server_circuits.Circuit | None:
+        """Return a server's open circuit, or `None` if it is closed or circuits don't act.
+
+        They act only where the instances are so many that the share of each in the server's
+        room is below `MIN_SHARE_WITHOUT_CIRCUITS` requests. An instance with a larger share sees
+        for itself whether the server answers, and an error would cost too many requests.
+        """
+        room = server_capacity.MAX_OUTSTANDING_PER_SLOT * server.slots
+        if room >= MIN_SHARE_WITHOUT_CIRCUITS * self.instances:
+            return None
+        return self.circuits.find_open(server.incarnation)
+
+    def try_probe(
+        self, target: Target, server: deployment.RegisteredServer, tried: frozenset[str]
     ) -> bool:
-        """Return whether a server has capacity for another request from this instance.
+        """Return whether a request may be sent now to a server, as a probe if need be.
 
-        This instance's share of the server's queue must not be used up, and the server's
-        total load must be below its limit. A request takes a place in the server's queue only
-        if it can still meet its latency target from there: a longer queue would make all
-        requests behind it late without a higher throughput.
+        A pool uses a suspected server only if there is no other one; that takes no probe.
 
-        Parameters
-        ----------
-        target_in_s
-            Seconds until the request's latency target; negative once it has passed.
-        demand
-            What the request asks of the server.
+        Called right before sending, so that no request takes a probe that it doesn't use. A
+        request that tried the server before was the evidence itself and may try again.
         """
-        limit = math.ceil(
-            MAX_OUTSTANDING_PER_SLOT * server.slots / self._instance_counter.live_instances
-        )
-        estimate = self.estimates.find(server)
-        load = estimate.find_load(self.directory.read_s())
-        if estimate.outstanding >= max(1, limit):
-            return False
-        if load < server.slots:
+        if isinstance(target, PoolTarget) or server.name in tried:
+            return True
+        if self.find_circuit(server) is None:
             return True
-        response_time_s = self.find_response_time_s(server, load, demand.route)
-        max_load = MAX_LOAD_PER_SLOT * server.slots * demand.queue_fraction
-        return load < max_load and response_time_s <= target_in_s
-
-    def find_response_time_s(
-        self, server: deployment.RegisteredServer, load: float, route: str = ""
-    ) -> float:
-        """Return the expected response time in seconds of a request that joins `load` others."""
-        queued = max(0.0, load + 1.0 - server.slots)
-        return self.model.expect_s(route, server) * (1.0 + queued / server.slots)
-
-    def find_pause_s(self, server: deployment.RegisteredServer) -> float:
-        """Return the seconds for which a server wants no request; not positive if it does."""
-        return self.estimates.find(server).paused_until_s - self.directory.read_s()
-
-    def find_queue_s(self, server: deployment.RegisteredServer, route: str = "") -> float:
-        """Return the seconds after which a busy server is expected to take another request."""
-        load = self.estimates.find(server).find_load(self.directory.read_s())
-        work_s = self.model.expect_s(route, server)
-        queued_s = self.find_response_time_s(server, load, route) - work_s
-        return min(estimates.REPORTED_LOAD_DECAY_S, max(queued_s, work_s))
-
-    def try_probe(self, server: deployment.RegisteredServer) -> bool:
-        """Return whether one request may be sent to a server whose circuit is open."""
-        instances = self._instance_counter.live_instances
-        return self.circuits.try_probe(server.incarnation, instances)
+        return self.circuits.try_probe(server.incarnation, self.instances)
 
     def find_view(self, service: str) -> apertures.View:
         """Return the servers of a service, and those of them that this instance uses first."""
         entries = self.directory.servers.by_service.get(service, ())
-        return self._apertures.find(service, entries, self._instance_counter.live_instances)
-
-    def create_wait(
-        self,
-        queue: str,
-        servers: tuple[deployment.RegisteredServer, ...],
-        target_in_s: float,
-        route: str = "",
-    ) -> waiting.CapacityWait:
-        """Return how a request may wait for capacity at busy servers.
-
-        This instance's share of what the servers can process until the target bounds the
-        number of requests that wait. More would be held and then refused, or answered late.
-        """
-        times_s = [self.model.expect_s(route, server) for server in servers]
-        service_time_s = sum(times_s) / len(times_s)
-        usable_s = max(0.0, min(target_in_s, MAX_CAPACITY_WAIT_S) - service_time_s)
-        slots = sum(server.slots for server in servers)
-        share = slots / max(1, self._instance_counter.live_instances)
-        return waiting.CapacityWait(queue, round(share * usable_s / service_time_s), service_time_s)
+        return self._apertures.find(service, entries, self.instances)
 
     def create_busy(
         self,
@@ -214,7 +164,8 @@
         servers: tuple[deployment.RegisteredServer, ...] = (server,)
         if queue != server.name:
             entries = self.find_view(server.service).everything.entries
-            servers = tuple(entry.server for entry in entries)
+            # The list may have become empty since the server was found.
+            servers = tuple(entry.server for entry in entries) or servers
         return self.create_busy(server.service, servers, queue, target_in_s, route)
 
     def find(
@@ -266,7 +217,6 @@
     now_s = finder.directory.read_s()
     view = finder.find_view(target.service)
     is_restricted = finder.restrictions.restricts(target.service)
-    is_quiet = finder.circuits.is_quiet
 
     def has_room(entry: server_lists.DirectoryEntry) -> bool:
         return finder.has_capacity(entry.server, target_in_s, demand)
@@ -279,9 +229,7 @@
         )
 
     def is_sound(entry: server_lists.DirectoryEntry) -> bool:
-        return is_candidate(entry) and (
-            is_quiet or finder.circuits.find_open(entry.server.incarnation) is None
-        )
+        return is_candidate(entry) and finder.find_circuit(entry.server) is None
 
     def is_preferred(entry: server_lists.DirectoryEntry) -> bool:
         estimate = finder.estimates.find(entry.server)
@@ -331,7 +279,7 @@
     pause_s = finder.find_pause_s(entry.server)
     if pause_s > 0:
         return Unavailable(server_refusals.refuse_paused(target.service, pause_s), is_final=True)
-    suspected = _check_circuit(target, entry, finder)
+    suspected = None if entry.server.name in tried else _check_circuit(target, entry, finder)
     if suspected is not None:
         return suspected
     if not finder.has_capacity(entry.server, target_in_s, demand):
@@ -363,13 +311,13 @@
 ) -> Unavailable | None:
     """Return why the owner of a key may not get a request that is no probe; `None` if it may."""
     owner = entry.server.incarnation
-    circuit = finder.circuits.find_open(owner)
+    circuit = finder.find_circuit(entry.server)
     if circuit is None:
         return None
     if entry.draining_since_s is not None:
         # Its ranges are being moved; the next owner is known sooner than for a failed one.
         return _refuse_no_owner(target, f"{owner.name} is draining and lost")
-    if finder.try_probe(entry.server):
+    if finder.circuits.may_probe(owner, finder.instances):
         return None
     room_in_s = circuit.room_at_s - finder.directory.read_s()
     refused = server_refusals.refuse_suspected(target.service, owner.name, room_in_s)
--- a/src/goldcresthall/ranges/overload.py
+++ b/src/goldcresthall/ranges/overload.py
@@ -19,8 +19,10 @@
     from goldcresthall.ranges import load_statistics
     from goldcresthall.ranges import planner
 
-# Fraction of its capacity up to which an owner serves requests without a queue that grows.
-SERVED_LOAD = 1.0
+# Fraction of its estimated capacity up to which all requests are admitted. Estimates of work count
+# some queueing and network time, and the queue of a server absorbs what exceeds its slots for a
+# moment; a share below that would leave slots idle.
+SERVED_LOAD = 1.3
 # Keys with more than this fraction of their owner's capacity are admitted on their own.
 HOT_KEY_CAPACITY_SHARE = 0.1
 # Shares closer to 1 than this are not worth a rejection.
