--- a/src/goldcresthall/kernel/cancellation.py
+++ b/src/goldcresthall/kernel/cancellation.py
@@ -39,11 +39,13 @@
                 interrupt()
 
     def interrupt(self) -> None:
-        """Interrupt the blocking calls in progress without cancelling the work."""
+        """Interrupt the blocking calls in progress without cancelling the work.
+
+        The interrupts are called under the lock, as by `cancel`.
+        """
         with self._lock:
-            interrupts = tuple(self._interrupts)
-        for interrupt in interrupts:
-            interrupt()
+            for interrupt in self._interrupts:
+                interrupt()
 
     def end(self) -> None:
         """Release what was kept for the result, once it was handed over or nobody wants it."""
--- a/tests/gateway/test_early_retries.py
+++ b/tests/gateway/test_early_retries.py
@@ -68,7 +68,7 @@
     watched = Watched()
     watched.is_suspected = True
     watched.check_at(1.0)
-    watched.watch.is_over = True
+    watched.watch.finish()
     watched.check_at(2.0)
     assert (watched.asked, watched.ended) == (1, 1)
 
--- a/tests/ranges/test_move_planner.py
+++ b/tests/ranges/test_move_planner.py
@@ -172,7 +172,7 @@
     load.candidates = (fastest, *load.candidates[1:])
     load.run(0.4)
     assert load.find_owner(CENTER) == load.candidates[-1].incarnation
-    load.run(2.0)
+    load.run(recent_moves.SETTLING_S)
     assert load.find_owner(CENTER) == fastest.incarnation
 
 
--- a/tests/ranges/test_overload.py
+++ b/tests/ranges/test_overload.py
@@ -74,8 +74,9 @@
 
 def test_two_hot_keys_get_equal_rates() -> None:
     shares = find_shares({10: 20.0, 2_500: 10.0})
-    assert shares[placement_load.single(10)] * 20.0 == pytest.approx(overload.SERVED_LOAD * 3.0 / 2)
-    assert shares[placement_load.single(2_500)] * 10.0 == pytest.approx(overload.SERVED_LOAD * 3.0 / 2)
+    fair = overload.SERVED_LOAD * 3.0 / 2
+    assert shares[placement_load.single(10)] * 20.0 == pytest.approx(fair)
+    assert shares[placement_load.single(2_500)] * 10.0 == pytest.approx(fair)
 
 
 def test_range_of_many_busy_keys_is_cut_as_a_whole() -> None:
--- a/tests/ranges/test_publication.py
+++ b/tests/ranges/test_publication.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from goldcresthall.admission import range_admissions
+from goldcresthall.admission import server_circuits
+from goldcresthall.core import deployment_settings
+from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import estimates
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.load import work_model
+from goldcresthall.observability import metrics
+from goldcresthall.ranges import load_sources
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import publication
 from goldcresthall.ranges import report_responder
@@ -33,17 +41,25 @@
     service_kernel.register(names.CLOCK, simulation.clock)
     own_owners = owners.Owners(service_kernel)
     admissions = range_admissions.RangeAdmissions()
+    service_kernel.register(names.METRICS, metrics.Metrics())
+    sources = load_sources.LoadSources(
+        estimates.Estimates(service_kernel),
+        work_model.WorkModel(service_kernel),
+        admissions,
+        cold_starts.ColdStarts(service_kernel, "one", deployment_settings.ColdServerLimits()),
+        server_circuits.ServerCircuits(service_kernel, random.Random(1)),
+    )
+    for started in (sources.estimates, sources.model, sources.circuits):
+        started.start()
     publisher = publication.ViewPublisher(
         own_term=first.own_term,
         responder=report_responder.ReportResponder(
-            first.own, simulation.clock, simulation.directory, own_owners
+            first.own, simulation.clock, simulation.directory, own_owners, sources.circuits
         ),
         owners_service=own_owners,
-        server_estimates=estimates.Estimates(service_kernel),
+        sources=sources,
         server_directory=simulation.directory,
-        admissions=admissions,
     )
-    publisher._estimates.start()
     for _ in range(8):
         for _ in range(100):
             own_owners.count(range_simulation.SERVICE, 500, 0.3)
--- a/tests/ranges/test_work_rates.py
+++ b/tests/ranges/test_work_rates.py
@@ -11,6 +11,7 @@
 from goldcresthall.ranges import decaying_sums
 from goldcresthall.ranges import load_statistics
 from goldcresthall.ranges import request_counts
+from goldcresthall.ranges import service_times
 from tests.fakes import range_simulation
 from tests.ranges import placement_load
 
@@ -38,7 +39,7 @@
 
 
 def test_slowness_is_relative_to_the_mean_and_bounded() -> None:
-    times = load_statistics.ServiceTimeEstimator()
+    times = service_times.ServiceTimeEstimator()
     times.add(
         (
             estimates.LatencySample(SERVERS[0], 1_000, 100.0),
@@ -53,12 +54,12 @@
     times.add((estimates.LatencySample(SERVERS[1], 1_000, 1e6),), 0.0)
     assert (
         times.estimate_speeds(SERVERS, 0.0)[SERVERS[0]].slowness
-        == 1.0 / load_statistics.MAX_SLOWNESS
+        == 1.0 / service_times.MAX_SLOWNESS
     )
 
 
 def test_servers_without_samples_are_of_usual_speed() -> None:
-    speeds = load_statistics.ServiceTimeEstimator().estimate_speeds(SERVERS, 0.0)
+    speeds = service_times.ServiceTimeEstimator().estimate_speeds(SERVERS, 0.0)
     assert {speed.slowness for speed in speeds.values()} == {1.0}
 
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -34,6 +34,8 @@
 CALLER_COUNT = 8
 SAMPLED_KEYS = range(0, 65_536, 2_048)
 
+LIMITS = deployment_system.Limits()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeploymentSize:
@@ -69,6 +71,8 @@
                 peers=self.peer_port,
                 admin=self._admin_port,
                 store=store_proxy.port,
+                memory_mb=LIMITS.memory_mb,
+                max_fds=LIMITS.max_fds,
             )
         )
         self._log_file = folder / f"instance-{number}.log"
