--- a/tests/ranges/test_publication.py
+++ b/tests/ranges/test_publication.py
@@ -42,6 +42,7 @@
     own_owners = owners.Owners(service_kernel)
     admissions = range_admissions.RangeAdmissions()
     service_kernel.register(names.METRICS, metrics.Metrics())
+    service_kernel.register(names.DIRECTORY, simulation.directory)
     sources = load_sources.LoadSources(
         estimates.Estimates(service_kernel),
         work_model.WorkModel(service_kernel),
@@ -49,7 +50,7 @@
         cold_starts.ColdStarts(service_kernel, "one", deployment_settings.ColdServerLimits()),
         server_circuits.ServerCircuits(service_kernel, random.Random(1)),
     )
-    for started in (sources.estimates, sources.model, sources.circuits):
+    for started in (sources.estimates, sources.model, sources.cold_starts, sources.circuits):
         started.start()
     publisher = publication.ViewPublisher(
         own_term=first.own_term,
--- a/tests/ranges/test_work_rates.py
+++ b/tests/ranges/test_work_rates.py
@@ -53,8 +53,7 @@
     assert slowness[SERVERS[2]] == pytest.approx(1.0)
     times.add((estimates.LatencySample(SERVERS[1], 1_000, 1e6),), 0.0)
     assert (
-        times.estimate_speeds(SERVERS, 0.0)[SERVERS[0]].slowness
-        == 1.0 / service_times.MAX_SLOWNESS
+        times.estimate_speeds(SERVERS, 0.0)[SERVERS[0]].slowness == 1.0 / service_times.MAX_SLOWNESS
     )
 
 
