--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -394,7 +394,7 @@
                 server,
                 latest.draining_since_s,
                 now_s,
-                has_warm_up_news=(is_new or _may_end_warm_up(previous, server))
+                is_warm_up_report=(is_new or _may_end_warm_up(previous, server))
                 and server.service in self._cold_limits,
             )
 
--- a/src/goldcresthall/gateway/server_history.py
+++ b/src/goldcresthall/gateway/server_history.py
@@ -31,7 +31,7 @@
 
     A server's report may be carried out seconds late, after a later one of the same incarnation
     or of the next one. The memory outlasts the removal of an entry. The servers whose
-    last news is oldest are forgotten beyond `MAX_REMEMBERED_SERVERS`.
+    last report is oldest are forgotten beyond `MAX_REMEMBERED_SERVERS`.
 
     Not safe for use by several tasks.
     """
@@ -65,7 +65,7 @@
         return self._latest[server.name]
 
     def record_draining(self, incarnation: deployment.ServerIncarnation, since_s: float) -> bool:
-        """Record that an incarnation is draining; return whether that is news of the latest one."""
+        """Record that an incarnation is draining; return whether that was unknown."""
         latest = self._latest.get(incarnation.name)
         if latest is not None:
             if incarnation.started_ms < latest.incarnation.started_ms:
--- a/src/goldcresthall/gateway/server_lists.py
+++ b/src/goldcresthall/gateway/server_lists.py
@@ -96,9 +96,9 @@
     draining_since_s: float | None,
     now_s: float,
     *,
-    has_warm_up_news: bool = False,
+    is_warm_up_report: bool = False,
 ) -> DirectoryEntry:
-    """Return a server's entry after news of it.
+    """Return a server's entry after a report of it.
 
     Parameters
     ----------
@@ -106,7 +106,7 @@
         Its entry until now; `None` if it has none.
     draining_since_s
         Clock reading in seconds since which it may have been draining; `None` if it is not.
-    has_warm_up_news
+    is_warm_up_report
         Whether its remaining slow-start time is a new report that must be followed.
     """
     is_draining = draining_since_s is not None
@@ -125,7 +125,7 @@
     # The remaining slow-start time decreases with each refresh of the entry. The first
     # value, counted from `first_seen_s`, gives the end of the slow start.
     warm_up = previous.warm_up
-    if has_warm_up_news:
+    if is_warm_up_report:
         warm_up = warm_up.follow(server.slow_start_remaining_s, now_s)
     if warm_up.known_at_s != previous.first_seen_s:
         logging.info(
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -184,7 +184,7 @@
                 return
 
     def _is_configuration_relayed(self) -> bool:
-        """Return whether other instances read the configuration and the lessor relays news."""
+        """Return whether other instances read the configuration and the lessor relays updates."""
         return (
             self._directory.configuration is not None
             and self._directory.is_relayed
--- a/src/goldcresthall/platform/names.py
+++ b/src/goldcresthall/platform/names.py
@@ -13,7 +13,6 @@
 SERVER_LOAD: Final = "goldcresthall-server-load"
 NOT_EXECUTED: Final = "goldcresthall-not-executed"
 SERVER_LEAVING: Final = "server-leaving"
-INSTANCE_ID: Final = "goldcresthall-instance-id"
 SHARD_KEY: Final = "goldcresthall-shard-key"
 LEASE_HANDOVER: Final = "goldcresthall-lease-handover"
 
--- a/src/goldcresthall/ranges/owner_reviews.py
+++ b/src/goldcresthall/ranges/owner_reviews.py
@@ -22,7 +22,7 @@
 
 
 class OwnerReviewer:
-    """Decides from news of the servers which ranges need another owner.
+    """Decides from the directory's entries which ranges need another owner.
 
     A range is free at once only if its owner released it, or a later server has its address, and
     no earlier lessor may renew leases. In all other cases the owner's lease runs out first, or its
