--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from goldcresthall.gateway import configuration_state
 from goldcresthall.gateway import evacuations
 from goldcresthall.gateway import route_table
 from goldcresthall.gateway import server_history
@@ -18,7 +19,6 @@
 from goldcresthall.kernel import service
 
 if TYPE_CHECKING:
-    from goldcresthall.core import configuration_documents
     from goldcresthall.core import deployment
     from goldcresthall.kernel import kernel
 
@@ -45,18 +45,12 @@
     def __init__(self, service_kernel: kernel.Kernel) -> None:
         self._kernel = service_kernel
         self._lock = threading.Lock()
-        self._newer_version_seen = threading.Condition(self._lock)
-        self._latest_version = 0
-        self._configuration: deployment.Configuration | None = None
-        self._document: configuration_documents.ConfigurationDocument | None = None
-        self._received: configuration_documents.ConfigurationDocument | None = None
-        self._route_table = route_table.RouteTable(())
+        self._configurations = configuration_state.ConfigurationState()
         self._servers = server_lists.ServerList({}, {})
         self._expired_names: set[str] = set()
         self._store_recovered_at_s = 0.0
         self._history = server_history.ServerHistory()
         self._warm_up_reports = warm_ups.WarmUpReports()
-        self._cold_limits = warm_ups.NO_LIMITS
         self._evacuations = evacuations.EvacuationState()
         self._has_relayed_evacuations = False
         self._reported_draining: dict[deployment.ServerIncarnation, None] = {}
@@ -81,69 +75,22 @@
     @property
     def configuration(self) -> deployment.Configuration | None:
         """The configuration in force; `None` until the first one is read."""
-        return self._configuration
+        return self._configurations.in_force
 
     @property
     def is_complete(self) -> bool:
         """Whether a configuration and servers are known."""
-        return self._configuration is not None and bool(self._servers.by_name)
+        return self._configurations.in_force is not None and bool(self._servers.by_name)
 
     @property
-    def latest_version(self) -> int:
-        """Highest configuration version known to be in force at any instance."""
-        return self._latest_version
-
-    def observe_version(self, version: int) -> None:
-        """Record a configuration version that is in force at another instance."""
-        with self._newer_version_seen:
-            if version > self._latest_version:
-                self._latest_version = version
-                self._newer_version_seen.notify_all()
-
-    def await_newer_version(self, timeout_s: float) -> bool:
-        """Wait until another instance has a newer configuration.
-
-        Returns
-        -------
-        bool
-            Whether one has; `False` after `timeout_s` seconds.
-        """
-        with self._newer_version_seen:
-            return self._newer_version_seen.wait_for(lambda: self.is_behind, timeout_s)
-
-    @property
-    def is_behind(self) -> bool:
-        """Whether another instance has a newer configuration."""
-        in_force = self._configuration
-        return (0 if in_force is None else in_force.version) < self._latest_version
-
-    @property
-    def document(self) -> configuration_documents.ConfigurationDocument | None:
-        """The configuration in force as it is stored; `None` until one is read."""
-        return self._document
-
-    @property
-    def held_version(self) -> int:
-        """Version of the latest configuration that is in force or was relayed; 0 for none."""
-        with self._lock:
-            in_force = 0 if self._configuration is None else self._configuration.version
-            return max(in_force, 0 if self._received is None else self._received.version)
-
-    def receive_document(self, document: configuration_documents.ConfigurationDocument) -> None:
-        """Keep a relayed configuration until it is put in force, and report its version."""
-        with self._newer_version_seen:
-            self._received = document
-        self.observe_version(document.version)
-
-    @property
-    def received_document(self) -> configuration_documents.ConfigurationDocument | None:
-        """The latest configuration that was relayed; `None` if there is none."""
-        return self._received
+    def configurations(self) -> configuration_state.ConfigurationState:
+        """The configuration in force, and the versions that other instances have."""
+        return self._configurations
 
     @property
     def route_table(self) -> route_table.RouteTable:
         """The route table of the configuration in force."""
-        return self._route_table
+        return self._configurations.route_table
 
     @property
     def servers(self) -> server_lists.ServerList:
@@ -153,7 +100,7 @@
     @property
     def cold_limits(self) -> dict[str, float]:
         """Requests per second that a cold server bears, by service; only those with a limit."""
-        return self._cold_limits
+        return self._configurations.cold_limits
 
     @property
     def evacuated(self) -> evacuations.EvacuatedDomains:
@@ -193,35 +140,6 @@
         if evacuated is not None:
             self.apply_evacuations(evacuated)
 
-    def apply_configuration(
-        self,
-        configuration: deployment.Configuration,
-        document: configuration_documents.ConfigurationDocument | None = None,
-    ) -> bool:
-        """Put a configuration in force if it is newer; return whether it was.
-
-        Parameters
-        ----------
-        document
-            The configuration as it is stored, for relay to other instances.
-        """
-        with self._lock:
-            in_force = self._configuration
-            if in_force is not None and configuration.version <= in_force.version:
-                return False
-            self._route_table = route_table.RouteTable(configuration.routes)
-            self._configuration = configuration
-            self._cold_limits = warm_ups.find_cold_limits(configuration)
-            self._document = document
-            self._latest_version = max(self._latest_version, configuration.version)
-        logging.info(
-            "configuration %08x in force, routes %d, services %d",
-            configuration.version,
-            len(configuration.routes),
-            len(configuration.services),
-        )
-        return True
-
     def record_store_recovery(self) -> None:
         """Start the grace period for entries that may have expired during a store outage."""
         with self._lock:
@@ -395,7 +313,7 @@
                 latest.draining_since_s,
                 now_s,
                 is_warm_up_report=(is_new or _may_end_warm_up(previous, server))
-                and server.service in self._cold_limits,
+                and server.service in self._configurations.cold_limits,
             )
 
     def _replace(self, by_name: dict[str, server_lists.DirectoryEntry]) -> None:
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -222,21 +222,21 @@
         """Put a relayed configuration in force, or read one that is in force elsewhere."""
         failures = 0
         while not stop_signal.is_set:
-            if not self._directory.await_newer_version(VERSION_CHECK_INTERVAL_S):
+            if not self._directory.configurations.await_newer_version(VERSION_CHECK_INTERVAL_S):
                 continue
             if self._apply_received():
                 failures = 0
                 continue
             if self._is_configuration_relayed():
                 stop_signal.wait(RELAY_GRACE_S)
-                if self._apply_received() or not self._directory.is_behind:
+                if self._apply_received() or not self._directory.configurations.is_behind:
                     continue
             failures = 0 if self._reread_configuration() else failures + 1
             stop_signal.wait(find_retry_delay_s(failures))
 
     def _apply_received(self) -> bool:
         """Put the configuration that the lessor relayed last in force; return whether it was."""
-        document = self._directory.received_document
+        document = self._directory.configurations.received_document
         if document is None:
             return False
         try:
@@ -247,7 +247,7 @@
         configuration = self._decoder.decode_configuration(stored)
         if configuration is None:
             return False
-        return self._directory.apply_configuration(configuration, document)
+        return self._directory.configurations.apply(configuration, document)
 
     def _reread_configuration(self) -> bool:
         """Read the configuration directly; a long poll's response may have been lost.
@@ -278,7 +278,7 @@
     def _apply_stored(self, stored: bytes) -> None:
         configuration = self._decoder.decode_configuration(stored)
         if configuration is not None:
-            self._directory.apply_configuration(
+            self._directory.configurations.apply(
                 configuration,
                 configuration_documents.ConfigurationDocument.compress(
                     configuration.version, stored
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -67,10 +67,10 @@
             counts=counts.keys,
             key_work=counts.work,
             samples=self._sources.model.take_server_samples(),
-            configuration=self._directory.latest_version,
+            configuration=self._directory.configurations.latest_version,
             known_servers=self._servers_revision,
             known_peers=self._peers.revision,
-            held_configuration=self._directory.held_version,
+            held_configuration=self._directory.configurations.held_version,
             draining_servers=self._directory.reported_draining,
             full_servers=self._sources.circuits.list_observed(),
             route_samples=self._sources.model.take_route_samples(),
@@ -90,8 +90,8 @@
         if reply.peers is not None:
             self._peers = reply.peers
         if reply.document is not None:
-            self._directory.receive_document(reply.document)
-        self._directory.observe_version(reply.configuration)
+            self._directory.configurations.receive_document(reply.document)
+        self._directory.configurations.observe_version(reply.configuration)
         self._directory.apply_relayed_evacuations(reply.evacuated)
         self._sources.circuits.apply_reports(reply.full_servers)
         if reply.owners is not None:
--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -90,7 +90,7 @@
         return reports.Reply(
             is_lessor=not own_term.is_over,
             has_store=own_term.has_store,
-            configuration=self._directory.latest_version,
+            configuration=self._directory.configurations.latest_version,
             peers=peers if peers.revision != report.known_peers else None,
             owners=self._find_owner_changes(own_term, report),
             servers_known=_describe_version(relayed, version, arrived_at_s),
@@ -140,7 +140,7 @@
 
     def _process(self, own_term: lessor.LessorTerm, report: reports.Report) -> None:
         now_s = self._clock.read_s()
-        self._directory.observe_version(report.configuration)
+        self._directory.configurations.observe_version(report.configuration)
         for incarnation in report.draining_servers:
             self._directory.record_draining(incarnation)
         if report.evacuated is not None:
@@ -201,7 +201,7 @@
     def _find_newer_document(
         self, report: reports.Report
     ) -> configuration_documents.ConfigurationDocument | None:
-        document = self._directory.document
+        document = self._directory.configurations.document
         if document is None or document.version <= report.held_configuration:
             return None
         return document
@@ -223,8 +223,8 @@
         latest = (
             self._owners.serial,
             self._read_relayed_servers(own_term).revision,
-            self._directory.latest_version,
-            self._directory.held_version,
+            self._directory.configurations.latest_version,
+            self._directory.configurations.held_version,
             self._directory.evacuated.failure_domains,
         )
         with self._announced:
@@ -245,7 +245,7 @@
         view = self._owners.view
         if view.term == own_term.term and not _is_up_to_date(report, view):
             return True
-        if self._directory.latest_version > report.configuration:
+        if self._directory.configurations.latest_version > report.configuration:
             return True
         if self._find_newer_document(report) is not None:
             return True
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -85,7 +85,7 @@
     service_kernel.register(names.CLOCK, simulated_clock)
     created = directory.Directory(service_kernel)
     created.start()
-    created.apply_configuration(CONFIGURATION)
+    created.configurations.apply(CONFIGURATION)
     return created
 
 
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -64,7 +64,7 @@
         self.directory = directory.Directory(self._kernel)
         self.directory.start()
         self._kernel.register(names.DIRECTORY, self.directory)
-        self.directory.apply_configuration(create_configuration(rate_per_s))
+        self.directory.configurations.apply(create_configuration(rate_per_s))
         self.directory.apply_full_list((SERVER,))
         self.instances: dict[str, cold_starts.ColdStarts] = {}
         self.lessors: dict[str, Lessor] = {}
@@ -160,7 +160,7 @@
     limits = deployment_settings.ColdServerLimits(overshoot=1.0, slack=0.0)
     created = cold_starts.ColdStarts(fleet._kernel, "instance-0", limits)
     created.start()
-    fleet.directory.apply_configuration(create_configuration(1.9, version=2))
+    fleet.directory.configurations.apply(create_configuration(1.9, version=2))
     for _ in range(40):
         fleet.clock.advance(STEP_S)
         created.apply_instances(("instance-0",), fleet.clock.read_s())
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -18,20 +18,20 @@
 
 def test_older_configuration_is_not_applied(gateway_fixture: GatewayFixture) -> None:
     server_directory = gateway_fixture.directory
-    assert server_directory.apply_configuration(conftest.create_configuration(5))
-    assert not server_directory.apply_configuration(conftest.create_configuration(4))
+    assert server_directory.configurations.apply(conftest.create_configuration(5))
+    assert not server_directory.configurations.apply(conftest.create_configuration(4))
     assert server_directory.configuration is not None
     assert server_directory.configuration.version == 5
 
 
 def test_newer_version_at_another_instance_ends_the_wait(gateway_fixture: GatewayFixture) -> None:
     server_directory = gateway_fixture.directory
-    server_directory.apply_configuration(conftest.create_configuration(5))
-    assert not server_directory.await_newer_version(0.0)
-    server_directory.observe_version(7)
-    assert server_directory.await_newer_version(0.0)
-    server_directory.apply_configuration(conftest.create_configuration(7))
-    assert not server_directory.await_newer_version(0.0)
+    server_directory.configurations.apply(conftest.create_configuration(5))
+    assert not server_directory.configurations.await_newer_version(0.0)
+    server_directory.configurations.observe_version(7)
+    assert server_directory.configurations.await_newer_version(0.0)
+    server_directory.configurations.apply(conftest.create_configuration(7))
+    assert not server_directory.configurations.await_newer_version(0.0)
 
 
 def test_removed_entry_is_dropped(gateway_fixture: GatewayFixture) -> None:
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -131,7 +131,7 @@
     """More requests than a cold server bears make it crash."""
     fixture = create_fixture()
     limited = test_cold_starts.create_configuration(test_cold_starts.RATE_PER_S)
-    fixture.directory.apply_configuration(limited)
+    fixture.directory.configurations.apply(limited)
     cold = tuple(
         dataclasses.replace(entry.server, slow_start_remaining_s=12.0)
         for entry in fixture.directory.servers.by_name.values()
@@ -153,7 +153,7 @@
     """A cold server beside a paused one once made the time to come back negative."""
     fixture = create_fixture()
     limited = test_cold_starts.create_configuration(test_cold_starts.RATE_PER_S)
-    fixture.directory.apply_configuration(limited)
+    fixture.directory.configurations.apply(limited)
     cold = dataclasses.replace(conftest.create_server("cold"), slow_start_remaining_s=12.0)
     paused = conftest.create_server("paused")
     fixture.directory.apply_full_list((cold, paused))
@@ -169,7 +169,7 @@
 def test_pool_with_cold_servers_only_is_refused_until_the_first_is_warm() -> None:
     fixture = create_fixture()
     limited = test_cold_starts.create_configuration(test_cold_starts.RATE_PER_S)
-    fixture.directory.apply_configuration(limited)
+    fixture.directory.configurations.apply(limited)
     cold = dataclasses.replace(conftest.create_server("one"), slow_start_remaining_s=12.0)
     fixture.directory.apply_full_list((cold,))
     assert find(fixture, POOL) == "server_cold"
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -136,7 +136,7 @@
 
     def configure(self, *routes: deployment.HostRoute) -> None:
         configuration = dataclasses.replace(conftest.create_configuration(1), routes=routes)
-        self.directory.apply_configuration(configuration)
+        self.directory.configurations.apply(configuration)
 
     def register(self, *servers: deployment.RegisteredServer) -> None:
         self.directory.apply_full_list(servers)
@@ -313,7 +313,7 @@
     setup: Setup, monkeypatch: pytest.MonkeyPatch, target_s: float, waited_s: float
 ) -> None:
     """Some moves take 0.5 s; a refusal after a longer wait is a cost to the caller."""
-    setup.directory._configuration = None
+    setup.directory.configurations._in_force = None
     setup.configure(
         create_route(
             "ledger",
@@ -367,7 +367,7 @@
     """Reads lost at a silent server were held until the deadline."""
     setup.instances.count = 11
     setup.configure()
-    setup.directory._configuration = None
+    setup.directory.configurations._in_force = None
     setup.configure(
         create_route(
             "agenda",
@@ -397,7 +397,7 @@
 def test_attempts_are_not_given_up_beyond_the_retry_budget(setup: Setup) -> None:
     """All that were due in one pass were ended for the same last retry."""
     setup.instances.count = 11
-    setup.directory._configuration = None
+    setup.directory.configurations._in_force = None
     weighted = deployment.WeightedService("agenda", 1.0)
     setup.configure(create_route("agenda", weighted, target_latency_s=5.0, timeout_s=9.0))
     setup.sender.duration_s = 1.0
@@ -421,7 +421,7 @@
 def configure_slow(setup: Setup, name: str, max_attempts: int = 2) -> None:
     """Leave time for a retry after an attempt that takes a second."""
     setup.instances.count = 11
-    setup.directory._configuration = None
+    setup.directory.configurations._in_force = None
     weighted = deployment.WeightedService(name, 1.0)
     route = create_route(name, weighted, target_latency_s=5.0, timeout_s=9.0)
     setup.configure(dataclasses.replace(route, max_attempts=max_attempts))
@@ -493,7 +493,7 @@
 
 
 def configure_split(setup: Setup, **weights: float) -> None:
-    setup.directory._configuration = None
+    setup.directory.configurations._in_force = None
     parts = tuple(deployment.WeightedService(name, weight) for name, weight in weights.items())
     setup.configure(create_route("split", *parts))
 
--- a/tests/gateway/test_warm_ups.py
+++ b/tests/gateway/test_warm_ups.py
@@ -21,7 +21,7 @@
 def limited(gateway_fixture: GatewayFixture) -> GatewayFixture:
     """Return services whose cold servers have a limit."""
     configuration = test_cold_starts.create_configuration(test_cold_starts.RATE_PER_S)
-    gateway_fixture.directory.apply_configuration(configuration)
+    gateway_fixture.directory.configurations.apply(configuration)
     return gateway_fixture
 
 
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -142,7 +142,7 @@
 
     def run(self) -> None:
         """Start the watchers while the lessor relays."""
-        self.directory.apply_configuration(conftest.create_configuration(0))
+        self.directory.configurations.apply(conftest.create_configuration(0))
         self.relay()
         self.watchers.start()
 
@@ -176,7 +176,7 @@
     watched = WatchedDirectory(rank=9)
     watched.run()
     watched.store.version = 7
-    watched.directory.observe_version(7)
+    watched.directory.configurations.observe_version(7)
     assert watched.await_version(7)
     watched.watchers.stop()
 
@@ -186,11 +186,11 @@
     watched = WatchedDirectory(rank=9)
     watched.run()
     relayed = configuration_documents.ConfigurationDocument.compress(7, b"7")
-    watched.directory.receive_document(relayed)
+    watched.directory.configurations.receive_document(relayed)
     assert watched.await_version(7)
     watched.watchers.stop()
     assert not watched.store.newest_reads
-    document = watched.directory.document
+    document = watched.directory.configurations.document
     assert document is not None
     assert document == relayed
 
@@ -240,8 +240,10 @@
     watched = WatchedDirectory(rank=9)
     watched.run()
     watched.store.version = 7
-    watched.directory.receive_document(configuration_documents.ConfigurationDocument(7, b"damaged"))
-    assert watched.directory.held_version == 7
+    watched.directory.configurations.receive_document(
+        configuration_documents.ConfigurationDocument(7, b"damaged")
+    )
+    assert watched.directory.configurations.held_version == 7
     assert watched.await_version(7)
     watched.watchers.stop()
 
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -146,7 +146,7 @@
 
 def apply_configuration(exchange: Exchange, version: int) -> None:
     """Put a version in force at the lessor, as its watchers do."""
-    exchange.simulation.directory.apply_configuration(
+    exchange.simulation.directory.configurations.apply(
         dataclasses.replace(range_simulation.CONFIGURATION, version=version),
         configuration_documents.ConfigurationDocument.compress(version, b"stored"),
     )
@@ -157,8 +157,8 @@
     reply = exchange.report()
     assert reply.document is not None
     assert reply.document.decompress() == b"stored"
-    assert exchange.follower.directory.received_document == reply.document
-    assert exchange.follower.directory.is_behind
+    assert exchange.follower.directory.configurations.received_document == reply.document
+    assert exchange.follower.directory.configurations.is_behind
     assert exchange.report().document is None
     apply_configuration(exchange, 9)
     assert exchange.report().document is not None
@@ -181,7 +181,7 @@
     """Its second warm-up may be as long as the first one."""
     limited = range_simulation.limit_cold_servers(5.0)
     for known in (exchange.simulation.directory, exchange.follower.directory):
-        known.apply_configuration(limited)
+        known.configurations.apply(limited)
     incarnation = next(iter(exchange.simulation.servers))
     warm_ups = []
     for remaining_s in (12.0, 6.0, 12.0):
--- a/tests/ranges/test_leaving_owners.py
+++ b/tests/ranges/test_leaving_owners.py
@@ -30,7 +30,7 @@
     """Return a simulation in which the servers of the given numbers start cold."""
     created = range_simulation.RangeSimulation()
     for instance in created.instances:
-        instance.directory.apply_configuration(range_simulation.limit_cold_servers(RATE_PER_S))
+        instance.directory.configurations.apply(range_simulation.limit_cold_servers(RATE_PER_S))
     for number in cold:
         turn_cold(created, find_server(created, number))
     created.instances[0].take_over()
@@ -130,7 +130,7 @@
 def test_staggered_warm_ups_release_each_range_of_a_cold_owner_once() -> None:
     """Ranges were released each 0.2 s and placed on the same cold owners again."""
     simulation = range_simulation.RangeSimulation()
-    simulation.directory.apply_configuration(range_simulation.limit_cold_servers(RATE_PER_S))
+    simulation.directory.configurations.apply(range_simulation.limit_cold_servers(RATE_PER_S))
     for number, incarnation in enumerate(simulation.servers):
         simulation.register_server(incarnation, warm_up_s=14.0 if number else 8.0)
     simulation.instances[0].take_over()
--- a/tests/ranges/test_range_rebalancer.py
+++ b/tests/ranges/test_range_rebalancer.py
@@ -59,7 +59,7 @@
     load_hot_key(simulation, 3)
     assert find_term(simulation).admissions
     without = dataclasses.replace(range_simulation.CONFIGURATION, version=2, services=())
-    simulation.directory.apply_configuration(without)
+    simulation.directory.configurations.apply(without)
     simulation.advance(1.0)
     assert not find_term(simulation).admissions
 
--- a/tests/ranges/test_range_state_machine.py
+++ b/tests/ranges/test_range_state_machine.py
@@ -38,7 +38,7 @@
         self.position = 0
         limited = range_simulation.limit_cold_servers(5.0)
         for instance in self.simulation.instances:
-            instance.directory.apply_configuration(limited)
+            instance.directory.configurations.apply(limited)
         self.simulation.instances[0].take_over()
         self.simulation.advance(membership.STABILIZATION_WINDOW_S + 0.5)
 
--- a/tests/ranges/test_report_responder.py
+++ b/tests/ranges/test_report_responder.py
@@ -148,7 +148,7 @@
 
 def test_newer_configuration_ends_a_long_poll(waiting: Lessor) -> None:
     thread, replies = start_report(waiting)
-    waiting.simulation.directory.observe_version(9)
+    waiting.simulation.directory.configurations.observe_version(9)
     waiting.publish()
     thread.join(WAIT_S)
     assert replies[0].configuration == 9
@@ -161,7 +161,7 @@
     waiting.publish()
     thread.join(0.3)
     assert not replies
-    waiting.simulation.directory.observe_version(9)
+    waiting.simulation.directory.configurations.observe_version(9)
     waiting.publish()
     thread.join(WAIT_S)
     assert replies[0].servers_known is None
@@ -177,7 +177,7 @@
     waiting.publish()
     thread.join(0.05)
     assert not replies
-    waiting.simulation.directory.observe_version(9)
+    waiting.simulation.directory.configurations.observe_version(9)
     waiting.publish()
     thread.join(WAIT_S)
     assert replies[0].work == waiting.responder.work
