--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -27,6 +27,7 @@
 from goldcresthall.ranges import report_responder
 from goldcresthall.ranges import reports
 from goldcresthall.ranges import takeover
+from goldcresthall.ranges import takeover_delays
 from goldcresthall.store import client
 
 if TYPE_CHECKING:
@@ -36,9 +37,6 @@
 
 REREAD_TABLE_AFTER_S = 1.0
 RETRY_INTERVAL_S = 0.15
-MAX_TAKEOVER_JITTER_S = 0.3
-LOW_CAPACITY_DELAY_S = 0.6
-FIRST_START_DELAY_S = 1.2  # lets a machine that meets the lessor's requirements go first
 PREDECESSOR_QUERY_INTERVAL_S = 0.3
 STEP_DOWN_TIMEOUT_S = 0.15
 STOP_TIMEOUT_S = 2.0
@@ -59,11 +57,8 @@
         self._own = key_ranges.LessorIdentity(incarnation, settings.listen.peers)
         self._max_lease_s = settings.max_lease_s
         self._max_record_bytes = settings.max_record_bytes
-        is_candidate = settings.machine.meets_lessor_requirements
-        self._delay_s = 0.0 if is_candidate else LOW_CAPACITY_DELAY_S
-        waits_at_start = settings.is_first_start and not is_candidate
-        self._first_read_delay_s = FIRST_START_DELAY_S if waits_at_start else 0.0
         self._generator = random.Random()  # noqa: S311
+        self._delays = takeover_delays.TakeoverDelays.from_config(settings, self._generator)
         self._lock = threading.Lock()
         self._term: lessor.LessorTerm | None = None
         self._peers: tuple[reports.Peer, ...] = ()
@@ -182,7 +177,7 @@
         return own_term.step_down(STEP_DOWN_TIMEOUT_S)
 
     def _run(self, stop_signal: tasks.StopSignal) -> None:
-        stop_signal.wait(self._first_read_delay_s)
+        stop_signal.wait(self._delays.first_read_s)
         known: key_ranges.StoredTable | None = None
         while not stop_signal.is_set:
             stored = known or ownership_tables.read(self._store)
@@ -195,7 +190,7 @@
             lessor = stored.table.lessor
             if lessor is None or lessor.address == self._own.address:
                 if lessor is None:
-                    stop_signal.wait(self._draw_takeover_delay_s())
+                    stop_signal.wait(self._delays.draw_s())
                 known = self._take_over(stored, stop_signal)
                 continue
             followed = self._follow(lessor, stop_signal)
@@ -248,7 +243,7 @@
         stop_signal: tasks.StopSignal,
     ) -> following.FollowStep:
         """Wait for the takeover delay; a lessor that only lost the store may name its successor."""
-        stop_signal.wait(self._draw_takeover_delay_s())
+        stop_signal.wait(self._delays.draw_s())
         if not self._contact.is_without_store:
             return following.FollowStep.TAKE_OVER
         return self._report(connection, follower)
@@ -272,10 +267,6 @@
                 )
         return follow_step
 
-    def _draw_takeover_delay_s(self) -> float:
-        """Return the delay; longer on a machine below lessor requirements, so others go first."""
-        return self._delay_s + self._generator.uniform(0, MAX_TAKEOVER_JITTER_S)
-
     def _on_fail(
         self, lessor: key_ranges.LessorIdentity, error: reports.UnreachableError
     ) -> following.FollowStep:
@@ -348,13 +339,8 @@
                 self._term = None
 
     def _query_predecessors(self, stop_signal: tasks.StopSignal) -> None:
-        """Query earlier lessors; ends the wait for them once all have stopped granting."""
+        """Query earlier lessors, so that the term need not wait for their grants to end."""
         while not stop_signal.wait(PREDECESSOR_QUERY_INTERVAL_S):
             own_term = self._term
-            if own_term is None or own_term.is_over or not own_term.awaits_predecessors:
-                continue
-            if failure_detection.have_all_stopped_granting(
-                self._dialer, own_term.predecessors, own_term.term, self._own
-            ):
-                logging.info("term %d: all earlier lessors have stopped granting", own_term.term)
-                own_term.end_predecessor_wait()
+            if own_term is not None and not own_term.is_over:
+                failure_detection.query_predecessors(self._dialer, own_term, self._own)
--- a/src/goldcresthall/ranges/failure_detection.py
+++ b/src/goldcresthall/ranges/failure_detection.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from absl import logging
+
 from goldcresthall.ranges import reports
 
 if TYPE_CHECKING:
@@ -11,6 +13,7 @@
     from collections.abc import Sequence
 
     from goldcresthall.core import key_ranges
+    from goldcresthall.ranges import lessor
 
 MAX_QUERIED_PEERS = 3
 PEER_TIMEOUT_S = 0.3
@@ -75,3 +78,14 @@
     return all(
         has_stopped_granting(dialer, predecessor, term, successor) for predecessor in predecessors
     )
+
+
+def query_predecessors(
+    dialer: reports.PeerDialer, own_term: lessor.LessorTerm, own: key_ranges.LessorIdentity
+) -> None:
+    """End a term's wait for earlier lessors if all of them have stopped granting."""
+    if own_term.awaits_predecessors and have_all_stopped_granting(
+        dialer, own_term.predecessors, own_term.term, own
+    ):
+        logging.info("term %d: all earlier lessors have stopped granting", own_term.term)
+        own_term.end_predecessor_wait()
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -12,8 +12,8 @@
 from goldcresthall.ranges import lease_renewal
 from goldcresthall.ranges import lease_table
 from goldcresthall.ranges import ownership_tables
-from goldcresthall.ranges import range_joins
 from goldcresthall.ranges import range_rebalancer
+from goldcresthall.ranges import table_sizes
 from goldcresthall.ranges import transitions
 from goldcresthall.store import client
 
@@ -33,11 +33,6 @@
 CONFIRM_INTERVAL_S = 1.0
 CONFIRM_RETRY_INTERVAL_S = 0.3
 STORE_LOST_AFTER_S = 1.2
-# Fractions of the largest record. The rest is for takeovers, which add themselves to the table and
-# must succeed whatever its size.
-SPLIT_TABLE_FRACTION = 0.5
-MAX_TABLE_FRACTION = 0.75
-LOG_INTERVAL_S = 5
 
 
 class LessorTerm:
@@ -85,9 +80,10 @@
         self._context = context
         self._own = own
         self._table = acquired_table
-        self._table_bytes = len(ownership_tables.encode(acquired_table.table))
+        self._sizes = table_sizes.TableSizes(
+            context.max_record_bytes, len(ownership_tables.encode(acquired_table.table))
+        )
         self._is_over = False
-        self._may_split = True
         now_s = context.clock.read_s()
         has_predecessors = bool(acquired_table.table.predecessors)
         self._predecessors_end_at_s = now_s + (PREDECESSOR_WAIT_S if has_predecessors else 0.0)
@@ -202,7 +198,7 @@
         self._renewers.update_owners(self._list_owners())
         self._rebalancer.plan(
             range_rebalancer.PlanningConstraints(
-                self.has_store, self._predecessors_end_at_s, self._may_split
+                self.has_store, self._predecessors_end_at_s, self._sizes.may_split
             )
         )
         self._write_decisions()
@@ -279,14 +275,14 @@
         expected = self._table.offset + 1
         table = self._create_table(decided_ids)
         encoded = ownership_tables.encode(table)
-        if not self._fits_record(table, len(encoded)):
+        if not self._sizes.fits(self._table.table, table, len(encoded)):
             return
         outcome = self._context.store.write(
             ownership_tables.TOPIC, ownership_tables.KEY, encoded, expected
         )
         if isinstance(outcome, client.Written):
             self._table = key_ranges.StoredTable(outcome.offset, table)
-            self._table_bytes = len(encoded)
+            self._sizes.record_written(len(encoded))
             self._record_confirmation(began_at_s)
             for lease_id in decided_ids:
                 self._leases.update(lease_id, functools.partial(transitions.assign, outcome.offset))
@@ -297,25 +293,6 @@
         else:
             self._record_store_failure(began_at_s)
 
-    def _fits_record(self, table: key_ranges.OwnershipTable, size_bytes: int) -> bool:
-        """Return whether a table may be written: one that is small enough, or that shrinks.
-
-        Beyond that, ranges that are to be joined may need new tokens and owners first.
-        """
-        max_bytes = self._context.max_record_bytes
-        self._may_split = size_bytes <= SPLIT_TABLE_FRACTION * max_bytes
-        if size_bytes <= MAX_TABLE_FRACTION * max_bytes or size_bytes < self._table_bytes:
-            return True
-        if size_bytes <= max_bytes and range_joins.is_consolidation(self._table.table, table):
-            return True
-        logging.log_every_n_seconds(
-            logging.ERROR,
-            "ownership table not written, step encode: %d bytes",
-            LOG_INTERVAL_S,
-            size_bytes,
-        )
-        return False
-
     def _create_table(self, decided_ids: tuple[int, ...]) -> key_ranges.OwnershipTable:
         fence = self._table.offset + 1
         assignments = []
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -18,6 +18,7 @@
 from goldcresthall.ranges import ownership_tables
 from goldcresthall.ranges import range_leases
 from goldcresthall.ranges import range_releases
+from goldcresthall.ranges import table_sizes
 from goldcresthall.ranges import transitions
 from goldcresthall.store import client
 from tests.fakes import range_simulation
@@ -482,7 +483,7 @@
     simulation: range_simulation.RangeSimulation, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A table above the largest record once would have ended every write and takeover."""
-    monkeypatch.setattr(lessor, "MAX_TABLE_FRACTION", 0.0)
+    monkeypatch.setattr(table_sizes, "MAX_TABLE_FRACTION", 0.0)
     written = len(simulation.store.records)
     leaving = next(iter(simulation.servers))
     simulation.register_server(leaving, draining=True)
@@ -500,7 +501,7 @@
 def test_no_range_is_split_for_load_while_the_table_is_large(
     simulation: range_simulation.RangeSimulation, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(lessor, "SPLIT_TABLE_FRACTION", 0.0)
+    monkeypatch.setattr(table_sizes, "SPLIT_TABLE_FRACTION", 0.0)
     for first in range(0, 60_000, 6_000):
         keys = tuple(range(first, first + 60))
         for _ in range(4):
@@ -522,8 +523,8 @@
     simulation.advance(0.5)
     size_bytes = len(ownership_tables.encode(read_table(simulation)))
     fraction = size_bytes / deployment_settings.DEFAULT_MAX_RECORD_BYTES
-    monkeypatch.setattr(lessor, "SPLIT_TABLE_FRACTION", 0.1 * fraction)
-    monkeypatch.setattr(lessor, "MAX_TABLE_FRACTION", 0.3 * fraction)
+    monkeypatch.setattr(table_sizes, "SPLIT_TABLE_FRACTION", 0.1 * fraction)
+    monkeypatch.setattr(table_sizes, "MAX_TABLE_FRACTION", 0.3 * fraction)
     simulation.advance(6.0)
     assert len(ownership_tables.encode(read_table(simulation))) < 0.3 * size_bytes
     assert simulation.count_held() == len(range_simulation.SAMPLED_KEYS)
