Name the queues for capacity, and a request's entry in them, as such

"Place" meant a request's place in a queue and a server's free place in one module. No behaviour changes.

--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -54,7 +54,7 @@
         finder: server_finder.ServerFinder,
         sender: request_sender.RequestSender,
         model: work_model.WorkModel,
-        places: waiting.WaitingPlaces,
+        queues: waiting.CapacityQueues,
         budgets: retry_budgets.RetryWindowBudgets,
         watches: early_retries.EarlyRetries,
         instance_counter: reports.InstanceCounter,
@@ -67,7 +67,7 @@
         self._circuits = finder.circuits
         self._sender = sender
         self._model = model
-        self._places = places
+        self._capacity_queues = queues
         self._budgets = budgets
         self._watches = watches
         self._instance_counter = instance_counter
@@ -103,7 +103,7 @@
                 # What was ended on the reports of others is no evidence of this instance.
                 self._circuits.record_attempt(server.incarnation, attempt, began_at_s, expected_s)
             # A request that is woken must find the circuit as it is now.
-            self._places.free(target_keys.find_queue(plan.target, server))
+            self._capacity_queues.notify_freed(target_keys.find_queue(plan.target, server))
         self._observe_signals(server, attempt.signals)
         return finished
 
@@ -113,7 +113,7 @@
 
     def _cancel(self, plan: routing_plans.RoutingPlan, server: deployment.RegisteredServer) -> None:
         self._estimates.cancel_attempt(server)
-        self._places.free(target_keys.find_queue(plan.target, server))
+        self._capacity_queues.notify_freed(target_keys.find_queue(plan.target, server))
 
     def _send(
         self,
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -117,13 +117,13 @@
             ),
             circuits=self._kernel.find(names.SERVER_CIRCUITS, server_circuits.ServerCircuits),
         )
-        self._places = waiting.WaitingPlaces(self._clock)
+        self._capacity_queues = waiting.CapacityQueues(self._clock)
         watches = early_retries.EarlyRetries(self._clock)
         self._runner = attempt_runner.AttemptRunner(
             finder=self._server_finder,
             sender=sender,
             model=self._model,
-            places=self._places,
+            queues=self._capacity_queues,
             budgets=self._budgets,
             watches=watches,
             instance_counter=self._instance_counter,
@@ -160,8 +160,10 @@
                 request, plan, server_refusals.refuse_overloaded(plan.target.service), share=share
             )
         self._budgets.find(plan.target.service).add_request(now_s)
-        with self._places.create_place(plan.route.priority, plan.target_at_s) as place:
-            progress = self._run_attempts(request, plan, cancelled, place)
+        with self._capacity_queues.create_entry(
+            plan.route.priority, plan.target_at_s
+        ) as queue_entry:
+            progress = self._run_attempts(request, plan, cancelled, queue_entry)
         outcome = progress.outcome or server_refusals.refuse_expired(plan.target.service)
         return self._reporter.finish(request, plan, outcome, progress.attempt_descriptions)
 
@@ -205,7 +207,7 @@
         request: requests.Request,
         plan: routing_plans.RoutingPlan,
         cancelled: cancellation.Cancellation,
-        place: waiting.WaitingPlace,
+        queue_entry: waiting.QueueEntry,
     ) -> request_progress.RequestProgress:
         wait_budget = retry_policy.WaitBudget(
             self._runner.find_remaining_s(plan), plan.route.target_latency_s
@@ -221,9 +223,9 @@
             if self._runner.find_remaining_s(plan) < MIN_ATTEMPT_S:
                 return progress
             serial = self._owners.serial
-            selected = self._select_server(plan, demand, progress, place)
+            selected = self._select_server(plan, demand, progress, queue_entry)
             if isinstance(selected, server_finder.Unavailable):
-                refused = self._wait(plan, selected, place, wait_budget, serial)
+                refused = self._wait(plan, selected, queue_entry, wait_budget, serial)
                 if refused is not None:
                     return request_progress.apply_refusal(progress, refused)
                 continue
@@ -232,7 +234,7 @@
                 and self._cold_starts.try_take(selected)
             ):
                 continue
-            place.leave()
+            queue_entry.leave()
             finished = self._runner.run(request, plan, selected, progress, cancelled)
             progress = request_progress.record_attempt(progress, selected.name, finished.attempt)
             if not self._prepare_retry(plan, progress, finished, wait_budget, serial):
@@ -244,19 +246,19 @@
         plan: routing_plans.RoutingPlan,
         demand: selection.Demand,
         progress: request_progress.RequestProgress,
-        place: waiting.WaitingPlace,
+        queue_entry: waiting.QueueEntry,
     ) -> deployment.RegisteredServer | server_finder.Unavailable:
         """Return a server with capacity that no earlier or more urgent request waits for."""
-        place.remember_freed()
+        queue_entry.record_freed_count()
         limit = plan.queue_limit
         target_in_s = min(plan.target_at_s - self._clock.read_s(), limit.max_response_s)
         selected = self._server_finder.find(
             plan.target, progress.tried, self._generator, target_in_s, demand
         )
-        if isinstance(selected, server_finder.Unavailable) or self._places.is_idle:
+        if isinstance(selected, server_finder.Unavailable) or self._capacity_queues.is_idle:
             return selected
         queue = target_keys.find_queue(plan.target, selected)
-        if place.may_go(queue):
+        if queue_entry.may_proceed(queue):
             return selected
         return self._server_finder.create_queued(queue, selected, target_in_s, demand.route)
 
@@ -264,7 +266,7 @@
         self,
         plan: routing_plans.RoutingPlan,
         unavailable: server_finder.Unavailable,
-        place: waiting.WaitingPlace,
+        queue_entry: waiting.QueueEntry,
         wait_budget: retry_policy.WaitBudget,
         serial: int,
     ) -> outcomes.Refused | None:
@@ -272,9 +274,9 @@
         if unavailable.is_final:
             return unavailable.refused
         if unavailable.wait is not None:
-            has_waited = self._wait_for_capacity(plan, unavailable.wait, place)
+            has_waited = self._wait_for_capacity(plan, unavailable.wait, queue_entry)
             return None if has_waited else unavailable.refused
-        place.leave()
+        queue_entry.leave()
         if self._wait_for_owner(plan, wait_budget, serial, unavailable.max_wait_s):
             return None
         if isinstance(plan.target, server_finder.KeyTarget):
@@ -285,13 +287,13 @@
         self,
         plan: routing_plans.RoutingPlan,
         wait: waiting.CapacityWait,
-        place: waiting.WaitingPlace,
+        queue_entry: waiting.QueueEntry,
     ) -> bool:
         """Wait for a free place; return `False` if the target can no longer be met."""
         remaining_s = plan.target_at_s - wait.service_time_s - self._clock.read_s()
-        if remaining_s <= 0 or not place.enter(wait):
+        if remaining_s <= 0 or not queue_entry.enter(wait):
             return False
-        ended = place.await_turn(retry_policy.RECHECK_INTERVAL_S, remaining_s)
+        ended = queue_entry.await_turn(retry_policy.RECHECK_INTERVAL_S, remaining_s)
         return ended is waiting.WaitEnd.TURN
 
     def _wait_for_owner(
--- a/src/goldcresthall/gateway/waiting.py
+++ b/src/goldcresthall/gateway/waiting.py
@@ -106,20 +106,20 @@
         return max(less_urgent, key=lambda waiter: waiter.rank)
 
 
-class WaitingPlace:
-    """The place of one request among those that wait; leaving the context gives it up."""
+class QueueEntry:
+    """One request, which may enter a queue; leaving the context leaves the queue."""
 
-    def __init__(self, places: WaitingPlaces, priority: int, target_at_s: float) -> None:
-        self._places = places
+    def __init__(self, queues: CapacityQueues, priority: int, target_at_s: float) -> None:
+        self._capacity_queues = queues
         self._priority = priority
         self._target_at_s = target_at_s
-        self._serial = next(places.serials)
-        self._seen = 0
+        self._serial = next(queues.serials)
+        self._freed_before = 0
         self._queue: str | None = None
         self._waiter: _Waiter | None = None
 
-    def __enter__(self) -> WaitingPlace:
-        """Return the place, which is in no queue yet."""
+    def __enter__(self) -> QueueEntry:
+        """Return the entry, which is in no queue yet."""
         return self
 
     def __exit__(
@@ -131,11 +131,11 @@
         """Leave the queue."""
         self.leave()
 
-    def remember_freed(self) -> None:
-        """Remember the places that were free so far; call it before looking for capacity."""
-        self._seen = self._places.freed_count
+    def record_freed_count(self) -> None:
+        """Record how many places became free so far; call it before looking for capacity."""
+        self._freed_before = self._capacity_queues.freed_count
 
-    def may_go(self, queue: str) -> bool:
+    def may_proceed(self, queue: str) -> bool:
         """Return whether a request that found capacity may take it.
 
         A new request may not pass those that wait in the queue, unless it is more urgent. The
@@ -143,7 +143,7 @@
         """
         if self._queue == queue:
             return True
-        return self._places.has_none_ahead(queue, self._priority)
+        return self._capacity_queues.has_none_ahead(queue, self._priority)
 
     def enter(self, wait: CapacityWait) -> bool:
         """Enter a queue unless it is full; return whether the request is in it."""
@@ -151,12 +151,12 @@
             return True
         self.leave()
         waiter = _Waiter(
-            self._places.lock,
+            self._capacity_queues.lock,
             self._priority,
             self._serial,
             self._target_at_s - wait.service_time_s,
         )
-        if self._places.add(wait, waiter, self._seen):
+        if self._capacity_queues.add(wait, waiter, self._freed_before):
             self._queue, self._waiter = wait.queue, waiter
             return True
         return False
@@ -174,16 +174,16 @@
         """
         if self._queue is None or self._waiter is None:
             return WaitEnd.TURN
-        return self._places.await_turn(self._queue, self._waiter, recheck_s, remaining_s)
+        return self._capacity_queues.await_turn(self._queue, self._waiter, recheck_s, remaining_s)
 
     def leave(self) -> None:
         """Leave the queue, if the request is in one, and wake the next one there."""
         if self._queue is not None and self._waiter is not None:
-            self._places.remove(self._queue, self._waiter)
+            self._capacity_queues.remove(self._queue, self._waiter)
         self._queue = self._waiter = None
 
 
-class WaitingPlaces:
+class CapacityQueues:
     """The requests that wait, by queue.
 
     Each place that becomes free wakes one request. A woken request that finds capacity leaves its
@@ -208,8 +208,8 @@
         """Whether no request waits."""
         return not self._queues
 
-    def create_place(self, priority: int, target_at_s: float) -> WaitingPlace:
-        """Return a place for one request.
+    def create_entry(self, priority: int, target_at_s: float) -> QueueEntry:
+        """Return the entry of one request, which is in no queue yet.
 
         Parameters
         ----------
@@ -218,9 +218,9 @@
         target_at_s
             Clock reading in seconds of the request's latency target.
         """
-        return WaitingPlace(self, priority, target_at_s)
+        return QueueEntry(self, priority, target_at_s)
 
-    def free(self, *queues: str) -> None:
+    def notify_freed(self, *queues: str) -> None:
         """Wake one request of each queue, because a place that it may wait for became free."""
         with self.lock:
             self._freed_count += 1
@@ -247,12 +247,12 @@
                 self._wake_next(queue)
             return False
 
-    def add(self, wait: CapacityWait, waiter: _Waiter, seen: int) -> bool:
+    def add(self, wait: CapacityWait, waiter: _Waiter, freed_before: int) -> bool:
         """Add a waiter if the queue's limit allows it or a less urgent one can be displaced.
 
         Parameters
         ----------
-        seen
+        freed_before
             Number of places freed before the waiter looked for capacity. It looks again at once
             if one of its queue became free since.
         """
@@ -265,7 +265,7 @@
                 queue.waiters.remove(displaced)
                 displaced.is_displaced = True
                 displaced.woken.notify()
-            waiter.has_turn = self._freed_at[hash(wait.queue) % BUCKET_COUNT] > seen
+            waiter.has_turn = self._freed_at[hash(wait.queue) % BUCKET_COUNT] > freed_before
             queue.waiters.append(waiter)
             self._queues[wait.queue] = queue
             return True
