--- a/src/goldcresthall/ranges/move_planner.py
+++ b/src/goldcresthall/ranges/move_planner.py
@@ -47,6 +47,9 @@
 MIN_MOVE_FRACTION = 0.05
 # Of its source's rate, so that no source gives all that an idle server lacks.
 IDLE_MOVE_FRACTION = 0.25
+# Of the rate that would bring the destination to the load of the source. A move may take that much
+# although it is more than wanted, since the destination stays clearly below.
+MAX_EQUALIZING_FRACTION = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,10 +210,11 @@
         least = MIN_MOVE_FRACTION * min(1.0, self._mean / FILL_LOAD)
         if destination == source or amount <= least * self._loads.find_capacity(source):
             return None
-        # The destination stays clearly below the present load of the source.
         difference = self._loads.find_load(source) - self._loads.find_load(destination)
         equalizing_rate = difference * self._loads.find_capacity(destination)
-        max_rate = max(range_parts.OVERSHOOT_FACTOR * amount, 0.7 * equalizing_rate)
+        max_rate = max(
+            range_parts.OVERSHOOT_FACTOR * amount, MAX_EQUALIZING_FRACTION * equalizing_rate
+        )
         wanted = range_parts.WantedMove(destination, amount, max_rate)
         return range_parts.find_part(
             self._list_movable(source),
