--- a/src/goldcresthall/core/outcomes.py
+++ b/src/goldcresthall/core/outcomes.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+MIN_SERVER_ERROR_STATUS = 500
+
 
 class Step(enum.Enum):
     """The step of request processing that produced an outcome."""
@@ -86,6 +88,11 @@
     headers: tuple[Header, ...]
     body: bytes
 
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the status says that the server failed to run the request."""
+        return self.status >= MIN_SERVER_ERROR_STATUS
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -26,7 +26,6 @@
 DEPRIORITIZATION_S = 1.0
 # A body without end costs far more than a failure to connect.
 ENDLESS_BODY_DEPRIORITIZATION_S = 5.0
-MIN_SERVER_ERROR_STATUS = 500
 DEPRIORITIZATION_BY_REFUSAL_S: Final = {
     outcomes.RefusalReason.CONNECT_FAILED: DEPRIORITIZATION_S,
     outcomes.RefusalReason.SERVER_DRAINING: DEPRIORITIZATION_S,
@@ -213,7 +212,7 @@
 
 def _has_failed(attempt: attempts.Attempt) -> bool:
     if isinstance(attempt, attempts.AttemptAnswered):
-        return attempt.answer.status >= MIN_SERVER_ERROR_STATUS
+        return attempt.answer.is_server_error
     return True
 
 
--- a/src/goldcresthall/gateway/retry_policy.py
+++ b/src/goldcresthall/gateway/retry_policy.py
@@ -16,7 +16,6 @@
 MOVE_WAIT_S = 0.6
 MAX_WAIT_TARGET_FRACTION = 0.75
 MIN_WAIT_S = 0.001
-MIN_SERVER_ERROR_STATUS = 500
 
 
 class WaitBudget:
@@ -63,7 +62,7 @@
 
 @find_retry_reason.register
 def _(attempt: attempts.AttemptAnswered, *, idempotent: bool) -> retries.RetryReason | None:
-    if idempotent and attempt.answer.status >= MIN_SERVER_ERROR_STATUS:
+    if idempotent and attempt.answer.is_server_error:
         return outcomes.UnknownReason.SERVER_ERROR
     return None
 
--- a/src/goldcresthall/load/measurements.py
+++ b/src/goldcresthall/load/measurements.py
@@ -7,7 +7,6 @@
 
 from goldcresthall.core import attempts
 
-MIN_SERVER_ERROR_STATUS = 500
 BUSY_WEIGHT = 0.25
 
 
@@ -42,7 +41,7 @@
 
 @measure.register
 def _(attempt: attempts.AttemptAnswered, duration_s: float, slots: int) -> Measurement | None:
-    if attempt.answer.status >= MIN_SERVER_ERROR_STATUS or duration_s <= 0.0:
+    if attempt.answer.is_server_error or duration_s <= 0.0:
         return None
     queued = attempt.signals.queued or 0
     load = attempt.signals.load or 0.0
