Take no refusal of a second send for the whole request

A request that is reset on a reused connection is sent again on a new one; the first send may have run. Ruled out by reading: sends that fail before their first byte, and refusals that may be copies.

--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -116,6 +116,22 @@
         may_resend: Callable[[], bool],
     ) -> attempts.Attempt:
         """Send one request to one server; cancellation aborts it."""
+        has_resent = False
+
+        def resend() -> bool:
+            nonlocal has_resent
+            has_resent = may_resend()
+            return has_resent
+
+        attempt = self._send(dispatch, cancelled, resend)
+        return _doubt_refusal(attempt) if has_resent else attempt
+
+    def _send(
+        self,
+        dispatch: attempts.Dispatch,
+        cancelled: cancellation.Cancellation,
+        may_resend: Callable[[], bool],
+    ) -> attempts.Attempt:
         request = _encode(dispatch)
         ends_at_s = time.monotonic() + dispatch.timeout_s
         try:
@@ -142,6 +158,22 @@
         return _decode(response, dispatch.request_id)
 
 
+def _doubt_refusal(attempt: attempts.Attempt) -> attempts.Attempt:
+    """Return the result of an attempt whose request was sent twice.
+
+    A refusal of the second send says nothing about the first one, which the server may have run
+    before it reset the connection.
+    """
+    if not isinstance(attempt, attempts.AttemptNotRun):
+        return attempt
+    return attempts.AttemptUnknown(
+        outcomes.UnknownReason.CONNECTION_LOST,
+        attempt.step,
+        f"reset on a reused connection, then {attempt.detail}",
+        attempt.signals,
+    )
+
+
 def _encode(dispatch: attempts.Dispatch) -> exchange.RawRequest:
     # The deadline header holds the remaining milliseconds, not a point in time.
     remaining_ms = max(1, int(dispatch.timeout_s * MS_PER_S))
--- a/tests/platform/test_request_client.py
+++ b/tests/platform/test_request_client.py
@@ -178,3 +178,14 @@
     """A superscript digit passed a check by ``isdigit`` and ended the decoding with an error."""
     response = create_raw_response(200, ("Goldcresthall-Server-Load", text))
     assert request_client._decode(response, "mine").signals == attempts.NO_SIGNALS
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_refusal_after_a_send_that_was_reset_proves_nothing(*, answers: bool) -> None:
+    """The soak found a 503 for a request that ran: its first send was reset, the second refused."""
+    refused = attempts.AttemptNotRun(
+        outcomes.RefusalReason.CONNECT_FAILED, outcomes.Step.CONNECT, "refused"
+    )
+    answered = attempts.AttemptAnswered(outcomes.Answer(200, (), b""))
+    attempt = request_client._doubt_refusal(answered if answers else refused)
+    assert isinstance(attempt, attempts.AttemptAnswered if answers else attempts.AttemptUnknown)
