--- a/src/goldcresthall/platform/grant_client.py
+++ b/src/goldcresthall/platform/grant_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import threading
 from typing import TYPE_CHECKING
 from typing import Final
@@ -15,7 +16,7 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names as service_names
 from goldcresthall.platform import names
-from goldcresthall.platform import request_client
+from goldcresthall.platform import server_signals
 from goldcresthall.ranges import grants
 
 if TYPE_CHECKING:
@@ -170,7 +171,7 @@
             outcomes.Header("Content-Type", "application/json"),
             outcomes.Header(names.TARGET_INSTANCE, server.name),
         )
-        body = request_client.encode_command(document)
+        body = _encode(document)
         request = exchange.RawRequest("POST", path, headers, body)
         cancelled = cancellation.Cancellation()
         try:
@@ -200,7 +201,7 @@
         return response
     may_be_copy = not response.is_first
     if response.status == STATUS_OK:
-        return grants.Granted(request_client.is_leaving(response), may_be_copy)
+        return grants.Granted(server_signals.is_leaving(response), may_be_copy)
     if response.status == STATUS_CONFLICT:
         return grants.StaleFence(_describe(response), may_be_copy)
     if response.status in MISDIRECTED_STATUSES:
@@ -219,3 +220,8 @@
     """Return the handover of a completed release; empty if the response is none."""
     is_completed = response.status == STATUS_OK
     return (response.find(names.LEASE_HANDOVER) or "") if is_completed else ""
+
+
+def _encode(document: dict[str, int | float | str]) -> bytes:
+    """Return a grant or release command as a JSON body."""
+    return json.dumps(document, separators=(",", ":")).encode()
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -4,9 +4,6 @@
 
 import dataclasses
 import functools
-import json
-import math
-import re
 import time
 from typing import TYPE_CHECKING
 from typing import Final
@@ -21,6 +18,7 @@
 from goldcresthall.core import attempts
 from goldcresthall.core import outcomes
 from goldcresthall.platform import names
+from goldcresthall.platform import server_signals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,18 +33,7 @@
 MIN_ERROR_STATUS = 400
 STATUS_MISDIRECTED = 421
 STATUS_BAD_REQUEST = 400
-STATUS_UNAVAILABLE = 503
-# A server that names hours by mistake is asked again after some minutes.
-MAX_RETRY_AFTER_S = 300.0
 MAX_IDLE_CONNECTIONS = 4
-# Running, waiting and slots; on some services also the time that work takes now, in percent of the
-# usual one.
-LOAD_PATTERN: Final = re.compile(
-    r"[ \t]*([0-9]{1,9})[ \t]*,[ \t]*([0-9]{1,9})[ \t]*,[ \t]*([0-9]{1,9})"
-    r"(?:[ \t]*,[ \t]*([1-9][0-9]{0,5}))?[ \t]*"
-)
-PERCENT = 100.0
-LEAVING: Final = "1"
 TRAFFIC: Final = "requests"
 
 NOT_FORWARDED: Final = responses.HOP_BY_HOP_HEADERS | {
@@ -186,11 +173,7 @@
 
 
 def _decode(response: exchange.RawResponse, request_id: str) -> attempts.Attempt:
-    signals = dataclasses.replace(
-        parse_load(response.find(names.SERVER_LOAD)),
-        draining=is_leaving(response),
-        pause_s=_find_pause_s(response),
-    )
+    signals = server_signals.read_signals(response)
     if _is_refusal(response):
         if not _is_due(response, request_id):
             return _create_unproven(response, signals)
@@ -200,7 +183,7 @@
             _find_refusal(response.status),
             outcomes.Step.EXECUTE,
             f"status {response.status}",
-            _parse_seconds(response.find("retry-after")),
+            server_signals.find_retry_after_s(response),
             signals,
         )
     if response.find(names.REQUEST_ID) != request_id or response.find(names.SIGNATURE) is None:
@@ -248,11 +231,6 @@
     )
 
 
-def is_leaving(response: exchange.RawResponse) -> bool:
-    """Return whether a server says in a response that it is draining before it ends."""
-    return (response.find(names.SERVER_LEAVING) or "").strip() == LEAVING
-
-
 def _describe_mismatch(detail: str) -> attempts.AttemptUnknown:
     return attempts.AttemptUnknown(
         outcomes.UnknownReason.ANSWER_MISMATCHED, outcomes.Step.RECEIVE, detail
@@ -308,45 +286,3 @@
 @_describe_failure.register
 def _(error: exceptions.TruncatedError) -> attempts.Attempt:
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TRUNCATED, error.step, str(error))
-
-
-def parse_load(text: str | None) -> attempts.ServerSignals:
-    """Return a server's load, its waiting requests and its slowdown from the load header.
-
-    Nothing is known from a header that is not three or four whole numbers.
-    """
-    match = LOAD_PATTERN.fullmatch(text) if text is not None else None
-    if match is None:
-        return attempts.NO_SIGNALS
-    running, queued, _, percent = match.groups()
-    return attempts.ServerSignals(
-        load=float(int(running) + int(queued)),
-        queued=int(queued),
-        slowdown=None if percent is None else int(percent) / PERCENT,
-    )
-
-
-def _find_pause_s(response: exchange.RawResponse) -> float:
-    """Return for how long a server that sheds load wants no request."""
-    if response.status != STATUS_UNAVAILABLE:
-        return 0.0
-    return _parse_seconds(response.find("retry-after")) or 0.0
-
-
-def _parse_seconds(text: str | None) -> float | None:
-    """Return a number of seconds, at most `MAX_RETRY_AFTER_S`.
-
-    Negative numbers, dates and anything else that is no number mean that there is no such wish.
-    """
-    try:
-        seconds = float(text) if text is not None else None
-    except ValueError:
-        return None
-    if seconds is None or not 0 <= seconds < math.inf:
-        return None
-    return min(seconds, MAX_RETRY_AFTER_S)
-
-
-def encode_command(document: dict[str, int | float | str]) -> bytes:
-    """Return a grant or release command as a JSON body."""
-    return json.dumps(document, separators=(",", ":")).encode()
--- a/tests/platform/test_request_client.py
+++ b/tests/platform/test_request_client.py
@@ -10,6 +10,7 @@
 from goldcresthall.core import outcomes
 from goldcresthall.gateway import retry_policy
 from goldcresthall.platform import request_client
+from goldcresthall.platform import server_signals
 
 
 @pytest.mark.parametrize(
@@ -81,7 +82,7 @@
         ("nan", 0.0),
         ("inf", 0.0),
         ("Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
-        ("31536000", request_client.MAX_RETRY_AFTER_S),
+        ("31536000", server_signals.MAX_RETRY_AFTER_S),
     ],
 )
 def test_pause_that_a_server_asks_for_is_bounded(text: str, expected_s: float) -> None:
