Leave the second send of a request to the gateway's retry

The gateway's retry adds up the outcomes of attempts already. The loss is an attempt with a reason of its own now; its server counts neither as failing nor as overloaded, and what is sent again to a server gets a new connection, as on the product's own path. Changed: such a send counts as one of the route's attempts.

--- a/src/goldcresthall/backend/exceptions.py
+++ b/src/goldcresthall/backend/exceptions.py
@@ -56,3 +56,10 @@
 
 class ConnectionLostError(ExchangeError):
     """The connection ended before the request was sent or before the response began."""
+
+
+class ConnectionForgottenError(ConnectionLostError):
+    """The server reset a reused connection at once, which it had forgotten while it was idle.
+
+    The request may still have run: a server that crashes at this moment looks the same.
+    """
--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -88,7 +88,6 @@
         new_connection: bool,
         may_send: Callable[[], bool] | None = None,
         is_due: Callable[[exchange.RawResponse], bool] | None = None,
-        may_resend: Callable[[], bool] = lambda: False,
     ) -> exchange.RawResponse:
         """Send a request to an address and return the complete response.
 
@@ -106,9 +105,6 @@
         is_due
             Tells whether a response can be the one to this request. If not, another one may
             follow it, so the connection is closed.
-        may_resend
-            Asked before the request is sent once more, on a new connection, because the server
-            reset the reused one at once.
 
         Raises
         ------
@@ -130,9 +126,7 @@
 
         reused = None if new_connection else self._acquire(address)
         if reused is not None:
-            response = self._try_reused(address, reused, exchange_on, cancelled, may_resend)
-            if response is not None:
-                return response
+            return self._use_idle(address, reused, exchange_on, cancelled)
         opened = self._open(address, ends_at_s)
         try:
             response = exchange_on(opened)
@@ -149,18 +143,20 @@
         opened.check_early_reset()
         return opened
 
-    def _try_reused(
+    def _use_idle(
         self,
         address: identity.Address,
         reused: exchange.Connection,
         exchange_on: Callable[[exchange.Connection], exchange.RawResponse],
         cancelled: cancellation.Cancellation,
-        may_resend: Callable[[], bool],
-    ) -> exchange.RawResponse | None:
-        """Return the response on an idle connection, or `None` if the request is to be sent again.
+    ) -> exchange.RawResponse:
+        """Return the response on an idle connection, and learn from its loss.
 
-        That is so if the server reset the connection at once, because it had forgotten it. An
-        attempt that failed would make the server count as overloaded.
+        Raises
+        ------
+        ConnectionForgottenError
+            If the server reset the connection at once, because it had forgotten it. Any other
+            loss would make the server count as overloaded.
         """
         self._count_use(exchange_metrics.ConnectionUse.REUSED)
         idle_s, began_at_s = reused.idle_s, time.monotonic()
@@ -177,10 +173,10 @@
             if has_timed_out or not is_late:
                 # A connection that is lost later was lost with its server, which crashed.
                 self._survival.record_failure(address, idle_s)
-            if has_timed_out or is_late or not may_resend():
+            if has_timed_out or is_late:
                 raise
             self._count_use(exchange_metrics.ConnectionUse.FORGOTTEN)
-            return None
+            raise exceptions.ConnectionForgottenError(error.step, str(error)) from error
         self._survival.record_use(is_reused=True)
         return response
 
--- a/src/goldcresthall/backend/request_sender.py
+++ b/src/goldcresthall/backend/request_sender.py
@@ -8,8 +8,6 @@
 from goldcresthall.kernel import service
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from goldcresthall.core import attempts
     from goldcresthall.core import identity
     from goldcresthall.kernel import cancellation
@@ -20,19 +18,9 @@
 
     @abc.abstractmethod
     def send(
-        self,
-        dispatch: attempts.Dispatch,
-        cancelled: cancellation.Cancellation,
-        may_resend: Callable[[], bool],
+        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
     ) -> attempts.Attempt:
-        """Send one request to one server; cancellation aborts it.
-
-        Parameters
-        ----------
-        may_resend
-            Asked before an idempotent request is sent once more, on a new connection, because its
-            server reset the reused one at once.
-        """
+        """Send one request to one server; cancellation aborts it."""
 
     @abc.abstractmethod
     def has_idle(self, address: identity.Address) -> bool:
--- a/src/goldcresthall/core/outcomes.py
+++ b/src/goldcresthall/core/outcomes.py
@@ -60,6 +60,7 @@
 
     ANSWER_TIMEOUT = "answer_timeout"
     CONNECTION_LOST = "connection_lost"
+    CONNECTION_FORGOTTEN = "connection_forgotten"
     ANSWER_TRUNCATED = "answer_truncated"
     ANSWER_TOO_LARGE = "answer_too_large"
     MEMORY_SHORT = "memory_short"
--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -123,15 +123,16 @@
         progress: request_progress.RequestProgress,
         cancelled: cancellation.Cancellation,
     ) -> FinishedAttempt:
-        dispatch = self._create_dispatch(request, plan, server)
-        take_retry = functools.partial(self.take_retry, plan)
+        dispatch = self._create_dispatch(
+            request, plan, server, sent_before=server.name in progress.tried
+        )
         if not plan.route.idempotent or progress.sent + 1 >= plan.route.max_attempts:
-            return FinishedAttempt(self._sender.send(dispatch, cancelled, take_retry))
+            return FinishedAttempt(self._sender.send(dispatch, cancelled))
         work_s = self._model.expect_s(plan.route.name, server)
         check_s = early_retries.find_check_s(self._clock.read_s(), work_s)
         latest_s = early_retries.find_latest_s(plan.target_at_s, plan.work_s)
         if check_s >= latest_s:
-            return FinishedAttempt(self._sender.send(dispatch, cancelled, take_retry))
+            return FinishedAttempt(self._sender.send(dispatch, cancelled))
         watch = early_retries.AttemptWatch(
             latest_s,
             functools.partial(self._should_give_up, plan, server, progress),
@@ -139,7 +140,7 @@
         )
         self._watches.add(check_s, watch)
         try:
-            attempt = self._sender.send(dispatch, cancelled, take_retry)
+            attempt = self._sender.send(dispatch, cancelled)
         finally:
             watch.finish()
         if watch.is_given_up and isinstance(attempt, attempts.AttemptUnknown):
@@ -190,6 +191,8 @@
         request: requests.Request,
         plan: routing_plans.RoutingPlan,
         server: deployment.RegisteredServer,
+        *,
+        sent_before: bool,
     ) -> attempts.Dispatch:
         configuration = self._directory.configuration
         limit = 1
@@ -212,4 +215,5 @@
             body=request.body,
             timeout_s=self.find_remaining_s(plan),
             idempotent=plan.route.idempotent,
+            sent_before=sent_before,
         )
--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -213,7 +213,8 @@
 def _has_failed(attempt: attempts.Attempt) -> bool:
     if isinstance(attempt, attempts.AttemptAnswered):
         return attempt.answer.is_server_error
-    return True
+    # A server that forgets idle connections runs requests as well as others.
+    return attempt.reason is not outcomes.UnknownReason.CONNECTION_FORGOTTEN
 
 
 @functools.singledispatch
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -338,4 +338,7 @@
         if attempt.signals.pause_s or finished.is_given_up:
             # Given up only because another server can run it at once.
             return True
+        if reason is outcomes.UnknownReason.CONNECTION_FORGOTTEN:
+            # The owner is as sound as before; a new connection is all that it takes.
+            return True
         return not is_keyed or self._wait_for_owner(plan, wait_budget, serial)
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -21,7 +21,6 @@
 from goldcresthall.platform import server_signals
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
 
     from goldcresthall.backend import exchange_metrics
     from goldcresthall.core import deployment_settings
@@ -97,28 +96,9 @@
         return self._pool.has_idle(address)
 
     def send(
-        self,
-        dispatch: attempts.Dispatch,
-        cancelled: cancellation.Cancellation,
-        may_resend: Callable[[], bool],
+        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
     ) -> attempts.Attempt:
         """Send one request to one server; cancellation aborts it."""
-        has_resent = False
-
-        def resend() -> bool:
-            nonlocal has_resent
-            has_resent = may_resend()
-            return has_resent
-
-        attempt = self._send(dispatch, cancelled, resend)
-        return _doubt_refusal(attempt) if has_resent else attempt
-
-    def _send(
-        self,
-        dispatch: attempts.Dispatch,
-        cancelled: cancellation.Cancellation,
-        may_resend: Callable[[], bool],
-    ) -> attempts.Attempt:
         request = _encode(dispatch)
         ends_at_s = time.monotonic() + dispatch.timeout_s
         try:
@@ -129,12 +109,10 @@
                 dispatch.timeout_s,
                 cancelled,
                 max_idle=min(MAX_IDLE_CONNECTIONS, dispatch.connection_limit),
-                # Without an id, only a new connection tells the response from a copy.
-                new_connection=not dispatch.idempotent or not dispatch.request_id,
+                new_connection=_needs_new_connection(dispatch),
                 # A request sent without time left could only end with an unknown outcome.
                 may_send=lambda: time.monotonic() < ends_at_s,
                 is_due=lambda received: _is_due(received, dispatch.request_id),
-                may_resend=may_resend,
             )
         except exceptions.ExchangeError as error:
             if cancelled.is_cancelled:
@@ -145,20 +123,14 @@
         return _decode(response, dispatch.request_id)
 
 
-def _doubt_refusal(attempt: attempts.Attempt) -> attempts.Attempt:
-    """Return the result of an attempt whose request was sent twice.
+def _needs_new_connection(dispatch: attempts.Dispatch) -> bool:
+    """Return whether a request must not be sent on an idle connection.
 
-    A refusal of the second send says nothing about the first one, which the server may have run
-    before it reset the connection.
+    Its server may be closing that, so a request that must run once is not risked there, nor is the
+    last attempt of one whose connection was just lost. Without an id of its own, or if it was sent
+    to the server before, only a new connection tells the response from a copy of an earlier one.
     """
-    if not isinstance(attempt, attempts.AttemptNotRun):
-        return attempt
-    return attempts.AttemptUnknown(
-        outcomes.UnknownReason.CONNECTION_LOST,
-        attempt.step,
-        f"reset on a reused connection, then {attempt.detail}",
-        attempt.signals,
-    )
+    return not dispatch.idempotent or dispatch.sent_before or not dispatch.request_id
 
 
 def _encode(dispatch: attempts.Dispatch) -> exchange.RawRequest:
@@ -268,6 +240,13 @@
     return attempts.AttemptNotRun(outcomes.RefusalReason.SERVER_SHED, error.step, str(error))
 
 
+@_describe_failure.register
+def _(error: exceptions.ConnectionForgottenError) -> attempts.Attempt:
+    return attempts.AttemptUnknown(
+        outcomes.UnknownReason.CONNECTION_FORGOTTEN, error.step, str(error)
+    )
+
+
 @_describe_failure.register
 def _(error: exceptions.TimedOutError) -> attempts.Attempt:
     return attempts.AttemptUnknown(outcomes.UnknownReason.ANSWER_TIMEOUT, error.step, str(error))
--- a/tests/backend/test_idle_survival.py
+++ b/tests/backend/test_idle_survival.py
@@ -138,12 +138,11 @@
 
     used = types.SimpleNamespace(idle_s=1.0)
     with pytest.raises(exceptions.ConnectionLostError):
-        pool._try_reused(
+        pool._use_idle(
             ADDRESSES[0],
             used,  # type: ignore[arg-type]
             fail,
             cancellation.Cancellation(),
-            lambda: False,
         )
     assert len(recorded) == count
 
@@ -188,11 +187,11 @@
     created.server.stop()
 
 
-@pytest.mark.parametrize(("learns", "may_resend"), [(True, True), (True, False), (False, True)])
-def test_request_on_a_forgotten_connection_is_sent_again_only_if_pool_and_budget_allow(
-    forgetful: ForgetfulServer, *, learns: bool, may_resend: bool
+@pytest.mark.parametrize("learns", [True, False])
+def test_request_on_a_forgotten_connection_is_sent_once_and_reported_as_such(
+    forgetful: ForgetfulServer, *, learns: bool
 ) -> None:
-    """Its owner counted as overloaded after the loss; a grant must never be sent twice unseen."""
+    """Its owner counted as overloaded after the loss; a request must never be sent twice unseen."""
     uses: list[exchange_metrics.ConnectionUse] = []
     pool = exchange_pool.ExchangePool(
         test_exchange.LIMITS,
@@ -209,18 +208,17 @@
             cancellation.Cancellation(),
             max_idle=1,
             new_connection=False,
-            may_resend=lambda: may_resend,
         ).body
 
     assert send() == b"true"
     assert pool.has_idle(forgetful.server.address)
     assert not pool.has_idle(ADDRESSES[0])
-    if learns and may_resend:
-        assert send() == b"true"
-    else:
-        with pytest.raises(exceptions.ConnectionLostError):
-            send()
+    with pytest.raises(exceptions.ConnectionLostError) as raised:
+        send()
+    assert isinstance(raised.value, exceptions.ConnectionForgottenError) is learns
+    assert forgetful.server.accepted == 1
+    assert send() == b"true"
     use = exchange_metrics.ConnectionUse
-    again = [use.FORGOTTEN, use.OPENED] if learns and may_resend else []
-    assert uses == [use.OPENED, use.REUSED, *again]
+    forgotten = [use.FORGOTTEN] if learns else []
+    assert uses == [use.OPENED, use.REUSED, *forgotten, use.OPENED]
     pool.close()
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -54,6 +54,11 @@
 )
 
 
+FORGOTTEN = attempts.AttemptUnknown(
+    outcomes.UnknownReason.CONNECTION_FORGOTTEN, outcomes.Step.RECEIVE, "reset"
+)
+
+
 class ScriptedSender(request_sender.RequestSender):
     """Returns attempts from a script, the last one again and again, after a time."""
 
@@ -62,6 +67,7 @@
         self.script: list[attempts.Attempt] = [OK]
         self.duration_s = 0.01
         self.sent_to: list[str] = []
+        self.sent_before: list[bool] = []
         self.on_send: Callable[[], None] = lambda: None
         self.answers_anyway = False
 
@@ -76,13 +82,11 @@
         return False
 
     def send(
-        self,
-        dispatch: attempts.Dispatch,
-        cancelled: cancellation.Cancellation,
-        may_resend: Callable[[], bool],
+        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
     ) -> attempts.Attempt:
         """Return the next attempt of the script."""
         self.sent_to.append(dispatch.server.name)
+        self.sent_before.append(dispatch.sent_before)
         self.clock.advance(self.duration_s)
         interrupted: list[bool] = []
         with cancelled.call_on_cancel(lambda: interrupted.append(True)):
@@ -274,6 +278,30 @@
     assert isinstance(setup.handle(), outcomes.Answered)
 
 
+def test_request_on_a_forgotten_connection_is_sent_again_at_once(
+    setup: Setup, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It waited for another owner, and its server counted as failing and overloaded."""
+    monkeypatch.setattr(setup.owners, "wait_for_newer", lambda *_: pytest.fail("waited"))
+    setup.sender.script = [FORGOTTEN, OK]
+    outcome = setup.handle()
+    assert isinstance(outcome, outcomes.Answered)
+    assert outcome.tries == 2
+    assert setup.sender.sent_before == [False, True]
+    estimate = setup.gateway._estimates.find(setup.owner)
+    assert (estimate.failure_rate, estimate.reported_load) == (0.0, 0.0)
+    assert len(setup.gateway._budgets.find("ledger")._retries) == 1
+
+
+@pytest.mark.parametrize("refused", [NOT_CONNECTED, SHED])
+def test_refusal_after_a_forgotten_connection_is_no_refusal_of_the_request(
+    setup: Setup, refused: attempts.Attempt
+) -> None:
+    """The soak found a 503 for a request that ran: its first send was reset, the second refused."""
+    setup.sender.script = [FORGOTTEN, refused]
+    assert isinstance(setup.handle("/agenda/1"), outcomes.OutcomeUnknown)
+
+
 def test_request_for_an_owner_that_refused_two_connections_is_refused_at_once(
     setup: Setup, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/platform/test_request_client.py
+++ b/tests/platform/test_request_client.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from goldcresthall.backend import exceptions
 from goldcresthall.backend import exchange
 from goldcresthall.core import attempts
+from goldcresthall.core import identity
 from goldcresthall.core import outcomes
+from goldcresthall.core import preset
 from goldcresthall.gateway import retry_policy
 from goldcresthall.platform import request_client
 from goldcresthall.platform import server_signals
@@ -181,12 +185,32 @@
     assert request_client._decode(response, "mine").signals == attempts.NO_SIGNALS
 
 
-@pytest.mark.parametrize("answers", [True, False])
-def test_refusal_after_a_send_that_was_reset_proves_nothing(*, answers: bool) -> None:
-    """The soak found a 503 for a request that ran: its first send was reset, the second refused."""
-    refused = attempts.AttemptNotRun(
-        outcomes.RefusalReason.CONNECT_FAILED, outcomes.Step.CONNECT, "refused"
+@pytest.mark.parametrize(
+    ("changes", "is_new"),
+    [
+        ({}, False),
+        ({"idempotent": False}, True),
+        ({"request_id": ""}, True),
+        ({"sent_before": True}, True),
+    ],
+)
+def test_only_a_first_send_of_an_idempotent_request_uses_an_idle_connection(
+    changes: dict[str, object], *, is_new: bool
+) -> None:
+    dispatch = attempts.Dispatch(
+        request_id="mine",
+        server=preset.BackendServer(
+            name="one",
+            address=identity.Address("127.0.0.1", 1),
+            failure_domain="near",
+            draining=False,
+        ),
+        connection_limit=1,
+        method="GET",
+        target="/",
+        headers=(),
+        body=b"",
+        timeout_s=1.0,
     )
-    answered = attempts.AttemptAnswered(outcomes.Answer(200, (), b""))
-    attempt = request_client._doubt_refusal(answered if answers else refused)
-    assert isinstance(attempt, attempts.AttemptAnswered if answers else attempts.AttemptUnknown)
+    changed = dataclasses.replace(dispatch, **changes)  # type: ignore[arg-type]
+    assert request_client._needs_new_connection(changed) is is_new
