Take the usual work of a request from one constant

Shift detection had its own constant of the same value and meaning beside the default of the work estimates. Checked: black, ruff, mypy, tests/load and the tests of shift detection, load statistics and work rates pass.

--- a/src/goldcresthall/load/work_estimates.py
+++ b/src/goldcresthall/load/work_estimates.py
@@ -6,7 +6,7 @@
 
 from goldcresthall.kernel import service
 
-# Expected before anything is measured.
+# Expected before anything is measured, and the usual work where only the size of noise matters.
 DEFAULT_WORK_S = 0.2
 
 
--- a/src/goldcresthall/ranges/load_statistics.py
+++ b/src/goldcresthall/ranges/load_statistics.py
@@ -63,7 +63,7 @@
 
     def find_noise(self, rate: float) -> float:
         """Return the standard deviation of the estimate of a rate."""
-        return math.sqrt(rate * shift_detection.REQUEST_WORK_S / self.span_s)
+        return math.sqrt(rate * work_estimates.DEFAULT_WORK_S / self.span_s)
 
     def find_prefix_end(self, keys: key_ranges.KeyRange, amount: float) -> int:
         """Return the last key of the shortest prefix of a range whose rate reaches `amount`."""
--- a/src/goldcresthall/ranges/shift_detection.py
+++ b/src/goldcresthall/ranges/shift_detection.py
@@ -11,11 +11,11 @@
 import collections
 import math
 
+from goldcresthall.load import work_estimates
+
 RATE_HALF_LIFE_S = 3.0
 RECENT_HALF_LIFE_S = 0.7
 BLOCK_BITS = 8
-# Noise of a sum is that of requests which arrive independently with about this much work each.
-REQUEST_WORK_S = 0.2
 MIN_DEVIATIONS = 4.0
 MIN_RATIO = 1.2
 # A rise of a block of keys must at least double its rate: among hundreds of them, a smaller one is
@@ -78,7 +78,9 @@
 
 
 def _differs(higher: float, lower: float, min_ratio: float, min_deviations: float) -> bool:
-    variance = higher * REQUEST_WORK_S * math.log(2.0) / (2.0 * RECENT_HALF_LIFE_S)
+    # The noise is that of requests which arrive independently, each with the usual work.
+    work_s = work_estimates.DEFAULT_WORK_S
+    variance = higher * work_s * math.log(2.0) / (2.0 * RECENT_HALF_LIFE_S)
     is_significant = (higher - lower) ** 2 > min_deviations**2 * variance
     return higher >= min_ratio * lower and is_significant
 
