Take the factor of a late response from one constant

The watch for early retries and the circuits compared with the same factor for the same reason, each with a comment that 3 of 100 requests exceed it. The circuits and the schedule of their probes track as many servers, which is one constant now. MAX_REMEMBERED_SERVERS in warm_ups.py counts two rows for each server and MAX_LIST_AGE_S two kinds of lists, so these stay.

--- a/src/goldcresthall/admission/server_circuits.py
+++ b/src/goldcresthall/admission/server_circuits.py
@@ -24,6 +24,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.load import server_reports
+from goldcresthall.load import work_estimates
 from goldcresthall.observability import metrics
 
 if TYPE_CHECKING:
@@ -36,11 +37,8 @@
 MIN_FAILED_CONNECTS = 2
 # A server that answered this instance within this time is reachable, whatever others report.
 ANSWER_TRUST_S = 3.0
-# Work of a heavy-tailed route exceeds this multiple of its mean in 3 of 100 requests.
-MIN_LOST_RESPONSE_FACTOR = 4.0
 # A lost owner's keys are free this long after its last grant.
 LOST_OWNER_S = 3.4
-MAX_TRACKED_SERVERS = 2_048
 LOG_INTERVAL_S = 1
 Value = TypeVar("Value")
 
@@ -164,7 +162,7 @@
                 self._record_answer(server, sent_at_s)
             return
         is_unreachable = isinstance(attempt, attempts.AttemptNotRun)
-        if not is_unreachable and now_s - sent_at_s < MIN_LOST_RESPONSE_FACTOR * response_time_s:
+        if not is_unreachable and now_s - sent_at_s < work_estimates.LATE_FACTOR * response_time_s:
             return
         self._record_loss(server, sent_at_s, now_s, is_unreachable=is_unreachable)
 
@@ -325,6 +323,6 @@
 
 
 def _limit_size(by_server: dict[deployment.ServerIncarnation, Value]) -> None:
-    """Remove the server that was added first if there are more than `MAX_TRACKED_SERVERS`."""
-    if len(by_server) > MAX_TRACKED_SERVERS:
+    """Remove the server that was added first if there are too many."""
+    if len(by_server) > probe_schedule.MAX_TRACKED_SERVERS:
         del by_server[next(iter(by_server))]
--- a/src/goldcresthall/gateway/early_retries.py
+++ b/src/goldcresthall/gateway/early_retries.py
@@ -11,14 +11,14 @@
 import threading
 from typing import TYPE_CHECKING
 
+from goldcresthall.load import work_estimates
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from goldcresthall.kernel import clock
     from goldcresthall.kernel import tasks
 
-# Work beyond this multiple of its mean is rare: 3 of 100 requests of a heavy-tailed route.
-LATE_WORK_FACTOR = 4.0
 RECHECK_S = 0.1
 MIN_PAUSE_S = 0.02
 IDLE_PAUSE_S = 0.5
@@ -69,7 +69,7 @@
 
 def find_check_s(began_at_s: float, work_s: float) -> float:
     """Return the clock reading in seconds at which an attempt has taken suspiciously long."""
-    return began_at_s + LATE_WORK_FACTOR * work_s
+    return began_at_s + work_estimates.LATE_FACTOR * work_s
 
 
 def find_latest_s(target_at_s: float, work_s: float) -> float:
--- a/src/goldcresthall/load/work_estimates.py
+++ b/src/goldcresthall/load/work_estimates.py
@@ -8,6 +8,9 @@
 
 # Expected before anything is measured, and the usual work where only the size of noise matters.
 DEFAULT_WORK_S = 0.2
+# A response that takes longer than this multiple of the expected time may be lost: the work of a
+# heavy-tailed route seldom exceeds this multiple of its mean.
+LATE_FACTOR = 4.0
 
 
 class WorkEstimates(service.Service):
