Blend routes and servers with the relayed table in one place

The work model computed the prior and its weight from the trust in the table twice. The model and the lessor's combiner bound the same routes, so the bound stands beside the table. The values stay the same. Checked: black, ruff, mypy; tests/load pass.

--- a/src/goldcresthall/load/work_combiner.py
+++ b/src/goldcresthall/load/work_combiner.py
@@ -33,7 +33,6 @@
 SMALL_CHANGE_INTERVAL_S = 4.0
 SMALL_CHANGE_RATIO = 1.1
 LARGE_CHANGE_RATIO = 1.5
-MAX_ROUTES = 1_024
 MIN_VALUE = 1e-6
 
 NO_SUM = means.DecayingSum()
@@ -75,7 +74,7 @@
                     sample.count, sample.total_s, now_s, HALF_LIFE_S
                 )
             for row in route_samples:
-                if row.route in self._routes or len(self._routes) < MAX_ROUTES:
+                if row.route in self._routes or len(self._routes) < work_table.MAX_ROUTES:
                     previous = self._routes.get(row.route, NO_SUM)
                     self._routes[row.route] = previous.add(
                         row.count, row.total_s, now_s, HALF_LIFE_S
--- a/src/goldcresthall/load/work_model.py
+++ b/src/goldcresthall/load/work_model.py
@@ -39,7 +39,6 @@
 # A relayed table is trusted in full for a time that covers a change of the lessor.
 TABLE_TRUST_S = 10.0
 TABLE_FADE_S = 30.0
-MAX_ROUTES = 1_024
 LOGGED_CHANGE = 1.5
 MIN_FACTOR = 0.05
 MAX_FACTOR = 20.0
@@ -73,6 +72,16 @@
         excess_s = now_s - self.confirmed_at_s - TABLE_TRUST_S
         return 1.0 if excess_s <= 0 else max(0.0, 1.0 - excess_s / TABLE_FADE_S)
 
+    def blend(
+        self, own: means.MovingMean, parent: float, value: float | None, now_s: float
+    ) -> float:
+        """Return own samples blended with the table's value, or their parent if it has none."""
+        if value is None:
+            return own.blend(parent, ALONE_PRIOR_WEIGHT)
+        trust = self.find_trust(now_s)
+        weight = ALONE_PRIOR_WEIGHT + trust * (RELAYED_PRIOR_WEIGHT - ALONE_PRIOR_WEIGHT)
+        return own.blend(parent + trust * (value - parent), weight)
+
 
 NO_MEAN = means.MovingMean()
 NO_PENDING = means.PendingSum()
@@ -245,7 +254,7 @@
         average = self._services.get(server.service, NO_MEAN)
         average = average.add(usual_s, weight, MAX_SERVICE_WEIGHT)
         self._services[server.service] = average
-        if route in self._routes or len(self._routes) < MAX_ROUTES:
+        if route in self._routes or len(self._routes) < work_table.MAX_ROUTES:
             mean = self._routes.get(route, NO_MEAN)
             self._routes[route] = mean.add(usual_s, weight, MAX_ROUTE_WEIGHT)
             self._route_services[route] = server.service
@@ -279,20 +288,12 @@
         parent_s = average.value if average.weight else work_estimates.DEFAULT_WORK_S
         own = self._routes.get(route, NO_MEAN)
         relayed = self._relayed
-        relayed_s = relayed.routes.get(route)
-        if relayed_s is None:
-            return own.blend(parent_s, ALONE_PRIOR_WEIGHT)
-        trust = relayed.find_trust(now_s)
-        return own.blend(parent_s + trust * (relayed_s - parent_s), _find_prior_weight(trust))
+        return relayed.blend(own, parent_s, relayed.routes.get(route), now_s)
 
     def _find_slowness(self, incarnation: deployment.ServerIncarnation, now_s: float) -> float:
         own = self._servers.get(incarnation, NO_MEAN)
         relayed = self._relayed
-        factor = relayed.servers.get(incarnation)
-        if factor is None:
-            return own.blend(1.0, ALONE_PRIOR_WEIGHT)
-        trust = relayed.find_trust(now_s)
-        return own.blend(1.0 + trust * (factor - 1.0), _find_prior_weight(trust))
+        return relayed.blend(own, 1.0, relayed.servers.get(incarnation), now_s)
 
     def _find_slowdown(self, server: deployment.RegisteredServer, now_s: float) -> float:
         usual = self._usual_slowdowns.get(server.service)
@@ -305,10 +306,6 @@
         return usual.value + (reported.factor - usual.value) * freshness
 
 
-def _find_prior_weight(trust: float) -> float:
-    return ALONE_PRIOR_WEIGHT + trust * (RELAYED_PRIOR_WEIGHT - ALONE_PRIOR_WEIGHT)
-
-
 def _bound(factor: float) -> float:
     return min(MAX_FACTOR, max(MIN_FACTOR, factor))
 
--- a/src/goldcresthall/load/work_table.py
+++ b/src/goldcresthall/load/work_table.py
@@ -7,6 +7,8 @@
 from goldcresthall.core import deployment
 from goldcresthall.core import row_changes
 
+MAX_ROUTES = 1_024
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyWork:
--- a/tests/load/test_work_model.py
+++ b/tests/load/test_work_model.py
@@ -219,11 +219,11 @@
 
 def test_memory_is_bounded_by_the_registered_servers_and_the_known_routes() -> None:
     model = create_model(clock.ManualClock())
-    for number in range(work_model.MAX_ROUTES + 50):
+    for number in range(work_table.MAX_ROUTES + 50):
         for server in SERVERS:
             model.record(f"route-{number}", server, answer(slowdown=1.0), 0.1)
     model.retain(frozenset({SERVERS[0].incarnation}))
-    assert len(model.route_works_s) == work_model.MAX_ROUTES
+    assert len(model.route_works_s) == work_table.MAX_ROUTES
     assert set(model._slowdowns) == {SERVERS[0].incarnation}
     assert len(model.take_server_samples()) <= 1
 
