Remove a method that only tests called, and a second limit on unread responses

CallerConnection.respond was called by tests alone: the front end sets the response and sends what is due, so that nothing holds the response. The tests now do the same. The limit of 5 s without reading stood in the socket and in the choice of the connection to close.

--- a/src/goldcresthall/callers/caller_socket.py
+++ b/src/goldcresthall/callers/caller_socket.py
@@ -11,6 +11,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from goldcresthall.callers import connection_limit
 from goldcresthall.callers import exceptions
 from goldcresthall.memory import progress
 
@@ -28,8 +29,6 @@
 # A caller on a slow link takes this long to acknowledge the responses before a refused body.
 LINGER_S = 5.0
 LINGER_POLL_S = 0.05
-# A caller on a slow link may take nothing for some seconds.
-UNREAD_S = 5.0
 SHORTAGE_POLL_S = 1.0
 
 
@@ -163,7 +162,7 @@
             while (remaining_s := pace.ends_at_s - time.monotonic()) > 0:
                 if poll.poll(min(remaining_s, SHORTAGE_POLL_S) * MS_PER_S):
                     return True
-                if self.unread_s >= UNREAD_S and is_memory_short():
+                if self.unread_s >= connection_limit.UNREAD_S and is_memory_short():
                     return False
         except (OSError, ValueError) as error:
             raise exceptions.CallerDisconnectedError(str(error)) from error
--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -134,12 +134,6 @@
         self._served_count += 1
         return ReceivedRequest(_create_request(complete), pending, has_more=not pending.closes)
 
-    def respond(self, pending: response_order.PendingResponse, response: codec.RawResponse) -> None:
-        """Submit a response; it is sent after all earlier responses."""
-        pending.response = response
-        del response
-        self.send_due()
-
     def send_due(self) -> None:
         """Send the submitted responses whose turn it is.
 
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -13,6 +13,7 @@
 
 from goldcresthall.callers import caller_socket
 from goldcresthall.callers import codec
+from goldcresthall.callers import connection_limit
 from goldcresthall.callers import connections
 from goldcresthall.callers import exceptions
 from goldcresthall.callers import refusals
@@ -50,6 +51,16 @@
     return codec.RawResponse(200, (outcomes.Header("X-Server", "one"),), body)
 
 
+def respond(
+    connection: connections.CallerConnection,
+    pending: response_order.PendingResponse,
+    response: codec.RawResponse,
+) -> None:
+    """Submit a response, as the task of its request does."""
+    pending.response = response
+    connection.send_due()
+
+
 def read_until(caller: socket.socket, end: bytes) -> bytes:
     data = b""
     while end not in data:
@@ -67,8 +78,8 @@
     first = connection.receive(LIMITS)
     second = connection.receive(LIMITS)
     assert [first.request.target, second.request.target] == ["/page/1", "/page/2"]
-    connection.respond(second.pending, create_response(b"second"))
-    connection.respond(first.pending, create_response(b"first"))
+    respond(connection, second.pending, create_response(b"second"))
+    respond(connection, first.pending, create_response(b"first"))
     data = read_until(caller, b"second")
     assert data.index(b"first") < data.index(b"second")
     assert b"close" not in data
@@ -82,8 +93,8 @@
     first = connection.receive(LIMITS)
     second = connection.receive(LIMITS)
     connection.start_draining()
-    connection.respond(first.pending, create_response(b"first"))
-    connection.respond(second.pending, create_response(b"second"))
+    respond(connection, first.pending, create_response(b"first"))
+    respond(connection, second.pending, create_response(b"second"))
     data = read_until(caller, b"second")
     before, after = data.split(b"first")
     assert b"close" not in before
@@ -109,9 +120,9 @@
     caller.sendall(REQUEST % 1 + REQUEST % 2)
     first = connection.receive(LIMITS)
     second = connection.receive(LIMITS)
-    connection.respond(second.pending, create_response(b"second"))
+    respond(connection, second.pending, create_response(b"second"))
     connection.start_draining()
-    connection.respond(first.pending, create_response(b"first"))
+    respond(connection, first.pending, create_response(b"first"))
     before, after = read_until(caller, b"second").split(b"first")
     assert b"close" not in before
     assert b"Connection: close" in after
@@ -127,7 +138,7 @@
     caller.sendall(REQUEST % 2)
     with pytest.raises(exceptions.ConnectionDrainingError):
         connection.receive(LIMITS)
-    connection.respond(first.pending, create_response(b"first"))
+    respond(connection, first.pending, create_response(b"first"))
     assert b"Connection: close" in read_until(caller, b"first")
 
 
@@ -199,7 +210,7 @@
     assert [type(read) for read in reads] == [exceptions.ConnectionDrainingError, float]
     assert isinstance(reads[1], float)
     assert reads[1] < 0.5
-    connection.respond(first.pending, create_response(b"first"))
+    respond(connection, first.pending, create_response(b"first"))
     assert b"Connection: close" in read_until(caller, b"first")
 
 
@@ -213,9 +224,9 @@
     released: list[str] = []
     first.pending.cancelled.call_at_end(lambda: released.append("first"))
     second.pending.cancelled.call_at_end(lambda: released.append("second"))
-    connection.respond(second.pending, create_response(b"second"))
+    respond(connection, second.pending, create_response(b"second"))
     assert released == []
-    connection.respond(first.pending, create_response(b"first"))
+    respond(connection, first.pending, create_response(b"first"))
     assert released == ["first", "second"]
 
 
@@ -241,8 +252,8 @@
             ended.set()
 
     threading.Thread(target=receive_next, daemon=True).start()
-    connection.respond(second.pending, create_response(b"second"))
-    connection.respond(first.pending, create_response(bytes(64 * 1_048_576)))
+    respond(connection, second.pending, create_response(b"second"))
+    respond(connection, first.pending, create_response(bytes(64 * 1_048_576)))
     assert ended.wait(timeout=10)
     assert released == [0, 1]
 
@@ -300,7 +311,7 @@
     request = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(body) + body
     threading.Thread(target=lambda: caller.sendall(request * 3), daemon=True).start()
     first = connection.receive(limits)
-    connection.respond(first.pending, create_response(b"first"))
+    respond(connection, first.pending, create_response(b"first"))
     second = connection.receive(limits)
     assert second.request.body == body
     with pytest.raises(exceptions.BadRequestError) as raised:
@@ -374,7 +385,7 @@
         connection.abandon()
 
     threads = [
-        threading.Thread(target=lambda: connection.respond(first.pending, create_response(body))),
+        threading.Thread(target=lambda: respond(connection, first.pending, create_response(body))),
         threading.Thread(target=end_connection),
     ]
     for thread in threads:
@@ -393,7 +404,7 @@
     caller.sendall(REQUEST % 1)
     first = connection.receive(LIMITS)
     sender = threading.Thread(
-        target=lambda: connection.respond(first.pending, create_response(bytes(64 * 1_048_576)))
+        target=lambda: respond(connection, first.pending, create_response(bytes(64 * 1_048_576)))
     )
     sender.start()
     read_until(caller, b"200")
@@ -416,7 +427,7 @@
     first = connection.receive(LIMITS)
     size = 32 * 1_048_576
     sender = threading.Thread(
-        target=lambda: connection.respond(first.pending, create_response(bytes(size)))
+        target=lambda: respond(connection, first.pending, create_response(bytes(size)))
     )
     sender.start()
     received = 0
@@ -438,7 +449,7 @@
     received = connection.receive(LIMITS)
     expected = request_reader.REQUEST_BYTES + 100 * request_reader.FIELD_BYTES
     assert connection._reader._memory.used_bytes == expected
-    connection.respond(received.pending, create_response(b"done"))
+    respond(connection, received.pending, create_response(b"done"))
     assert connection._reader._memory.used_bytes == 0
 
 
@@ -456,11 +467,11 @@
 def test_response_that_nobody_reads_is_given_up_while_memory_is_short(
     pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(caller_socket, "UNREAD_S", 0.0)
+    monkeypatch.setattr(connection_limit, "UNREAD_S", 0.0)
     monkeypatch.setattr(caller_socket, "SHORTAGE_POLL_S", 0.05)
     caller, connection = pair
     caller.sendall(REQUEST % 1)
     first = connection.receive(LIMITS)
     connection._reader._memory.note_shortage()
-    connection.respond(first.pending, create_response(bytes(64 * 1_048_576)))
+    respond(connection, first.pending, create_response(bytes(64 * 1_048_576)))
     assert connection.is_idle
