Simplify the check for unknown route types

A route without a type was given a known one to pass the check. Also removes a stray blank line in the exchange metrics.

--- a/src/goldcresthall/backend/exchange_metrics.py
+++ b/src/goldcresthall/backend/exchange_metrics.py
@@ -37,7 +37,6 @@
             ["traffic"],
             registry=registry,
         )
-
         self._connections = prometheus_client.Counter(
             "goldcresthall_backend_connections",
             "Connections to backend servers opened or reused for an exchange.",
--- a/src/goldcresthall/platform/entries.py
+++ b/src/goldcresthall/platform/entries.py
@@ -56,7 +56,7 @@
     """
     known = (*IDEMPOTENT_TYPES, *AT_MOST_ONCE_TYPES)
     routes = fields.read_list(fields.parse_object(content), "routes")
-    unknown = (route["type"] for route in routes if route.get("type", known[0]) not in known)
+    unknown = (route["type"] for route in routes if "type" in route and route["type"] not in known)
     return tuple(dict.fromkeys(repr(kind)[:MAX_LOGGED_TYPE] for kind in unknown))
 
 
