Let the test of unread responses fail without its rule

The test that a response which nobody reads is given up while memory is short also passed without the rule, after 30 s, at the longest pause of a sender. It now bounds the wait like its neighbours.

--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -473,5 +473,11 @@
     caller.sendall(REQUEST % 1)
     first = connection.receive(LIMITS)
     connection._reader._memory.note_shortage()
-    respond(connection, first.pending, create_response(bytes(64 * 1_048_576)))
+    sender = threading.Thread(
+        target=lambda: respond(connection, first.pending, create_response(bytes(64 * 1_048_576))),
+        daemon=True,
+    )
+    sender.start()
+    sender.join(timeout=10)
+    assert not sender.is_alive()
     assert connection.is_idle
