Encode and decode header fields in one module

The conversion of headers to and from those of the HTTP parser stood in four modules, and the search for a header by name in two functions of one module. Messages stay the same.

--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -16,6 +16,7 @@
 import h11
 
 from goldcresthall.backend import exceptions
+from goldcresthall.backend import header_fields
 from goldcresthall.backend import idle_survival
 from goldcresthall.backend import request_writer
 from goldcresthall.backend import response_framing
@@ -66,10 +67,7 @@
 
     def find(self, name: str) -> str | None:
         """Return the value of a header by its lower-case name, or `None`."""
-        for header in self.headers:
-            if header.name.lower() == name:
-                return header.value
-        return None
+        return header_fields.find(self.headers, name)
 
 
 class Connection:
@@ -181,7 +179,7 @@
         """
         ends_at_s = time.monotonic() + timeout_s
         self._is_reusable = False
-        expected = _find_header(request.headers, id_header)
+        expected = header_fields.find(request.headers, id_header) or ""
         parser, message = request_writer.encode(request)
         is_sent = request_writer.send(self._socket, message, ends_at_s)
         for _ in range(MAX_RESPONSES_READ):
@@ -249,7 +247,7 @@
                     raise error_type(outcomes.Step.RECEIVE, "no memory for the response")
                 body.write(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _create_response(head, body.getvalue())
+                return RawResponse(head.status_code, header_fields.decode(head), body.getvalue())
         raise exceptions.ConnectionLostError(outcomes.Step.RECEIVE, "closed before the response")
 
     def _read_events(
@@ -310,18 +308,3 @@
     if remaining_s <= 0:
         raise exceptions.TimedOutError(outcomes.Step.RECEIVE, "timed out")
     return remaining_s
-
-
-def _create_response(head: h11.Response, body: bytes) -> RawResponse:
-    headers = tuple(
-        outcomes.Header(name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in head.headers.raw_items()
-    )
-    return RawResponse(head.status_code, headers, body)
-
-
-def _find_header(headers: tuple[outcomes.Header, ...], name: str) -> str:
-    for header in headers:
-        if header.name.lower() == name:
-            return header.value
-    return ""
--- a/src/goldcresthall/backend/request_writer.py
+++ b/src/goldcresthall/backend/request_writer.py
@@ -10,6 +10,7 @@
 import h11
 
 from goldcresthall.backend import exceptions
+from goldcresthall.backend import header_fields
 from goldcresthall.backend import outgoing
 from goldcresthall.core import outcomes
 
@@ -77,10 +78,7 @@
 
 
 def _create_head(request: exchange.RawRequest) -> h11.Request:
-    headers = [
-        (header.name.encode("latin-1"), header.value.encode("latin-1"))
-        for header in request.headers
-    ]
+    headers = header_fields.encode(request.headers)
     if request.body:
         headers.append((b"Content-Length", str(len(request.body)).encode()))
     elif request.method not in {"GET", "HEAD"}:
--- a/src/goldcresthall/callers/connections.py
+++ b/src/goldcresthall/callers/connections.py
@@ -10,6 +10,7 @@
 import h11
 
 from goldcresthall.backend import exchange
+from goldcresthall.backend import header_fields
 from goldcresthall.callers import caller_socket
 from goldcresthall.callers import codec
 from goldcresthall.callers import connection_limit
@@ -17,7 +18,6 @@
 from goldcresthall.callers import refusals
 from goldcresthall.callers import request_reader
 from goldcresthall.callers import response_order
-from goldcresthall.core import outcomes
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
@@ -163,10 +163,9 @@
 
 def _create_request(complete: request_reader.CompleteRequest) -> exchange.RawRequest:
     head = complete.head
-    headers = tuple(
-        outcomes.Header(name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in head.headers.raw_items()
-    )
     return exchange.RawRequest(
-        head.method.decode("ascii"), head.target.decode("latin-1"), headers, complete.body
+        head.method.decode("ascii"),
+        head.target.decode("latin-1"),
+        header_fields.decode(head),
+        complete.body,
     )
--- a/src/goldcresthall/callers/response_order.py
+++ b/src/goldcresthall/callers/response_order.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from goldcresthall.backend import header_fields
 from goldcresthall.backend import outgoing
 from goldcresthall.callers import exceptions
 from goldcresthall.callers import refusals
@@ -220,10 +221,7 @@
     response = pending.response
     if response is None:
         return outgoing.OutgoingMessage(())
-    headers = [
-        (header.name.encode("latin-1"), header.value.encode("latin-1"))
-        for header in response.headers
-    ]
+    headers = header_fields.encode(response.headers)
     headers.append((b"Content-Length", str(len(response.body)).encode()))
     if pending.closes:
         headers.append((b"Connection", b"close"))
