Reclaim the memory of pipelined requests, and make room for declared bodies

A request behind another one was counted without being entered among the incomplete ones, so that its memory stayed taken until the idle timeout; a body with a declared length over 1 MB was refused without anything being reclaimed; a request kept the lower limit of one behind another after that one was answered. Besides, an attempt that was ended early counted as a connection that the server had forgotten.

Ruled out: counting the whole declared length at once, since callers that never send the body would hold it.

--- a/src/goldcresthall/backend/exchange_pool.py
+++ b/src/goldcresthall/backend/exchange_pool.py
@@ -165,7 +165,7 @@
         except exceptions.ExchangeError as error:
             has_timed_out = isinstance(error, exceptions.TimedOutError)
             self._survival.record_use(is_reused=True, has_timed_out=has_timed_out)
-            if cancelled.is_cancelled or not self._policy.learns:
+            if cancelled.was_interrupted or not self._policy.learns:
                 raise
             if not idle_survival.is_sign_of_loss(error, self._survival):
                 raise
--- a/src/goldcresthall/callers/request_reader.py
+++ b/src/goldcresthall/callers/request_reader.py
@@ -174,7 +174,7 @@
             raise _create_too_large_error()
         if length <= holders.ORDINARY_BYTES:
             return
-        if not self._memory.has_room(account.kind, length):
+        if not account.make_room(length):
             raise _refuse_memory(account)
 
     def _read_body(
@@ -201,12 +201,18 @@
                 framing.add_event(event)
                 if body.tell() + len(event.data) > limits.body_bytes or framing.is_excessive:
                     raise _create_too_large_error()
-                if not account.take(len(event.data)):
-                    raise _refuse_memory(account)
+                self._take_data(account, len(event.data))
                 body.write(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
 
+    def _take_data(self, account: ledger.Account, count: int) -> None:
+        if self._responses.is_idle:
+            # Nothing is ahead of it any more.
+            account.kind = holders.RequestHolder()
+        if not account.take(count):
+            raise _refuse_memory(account)
+
     def _receive_body(self, pace: progress.Progress, account: ledger.Account) -> bytes:
         while (remaining_s := pace.ends_at_s - time.monotonic()) > 0:
             if data := self._receive(min(remaining_s, RECLAIM_CHECK_S)):
--- a/src/goldcresthall/kernel/cancellation.py
+++ b/src/goldcresthall/kernel/cancellation.py
@@ -17,6 +17,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._is_cancelled = False
+        self._was_interrupted = False
         self._has_ended = False
         self._interrupts: list[Callable[[], None]] = []
         self._releases: list[Callable[[], None]] = []
@@ -26,6 +27,11 @@
         """Whether cancellation was requested."""
         return self._is_cancelled
 
+    @property
+    def was_interrupted(self) -> bool:
+        """Whether blocking calls were interrupted, so that their errors say nothing of the peer."""
+        return self._was_interrupted
+
     def cancel(self) -> None:
         """Request cancellation and call all registered interrupts.
 
@@ -35,6 +41,7 @@
         """
         with self._lock:
             self._is_cancelled = True
+            self._was_interrupted = True
             for interrupt in self._interrupts:
                 interrupt()
 
@@ -44,6 +51,7 @@
         The interrupts are called under the lock, as by `cancel`.
         """
         with self._lock:
+            self._was_interrupted = True
             for interrupt in self._interrupts:
                 interrupt()
 
--- a/src/goldcresthall/memory/ledger.py
+++ b/src/goldcresthall/memory/ledger.py
@@ -77,13 +77,10 @@
             self._account_count += 1
             return Account(self, kind, self._account_count, self._read_s())
 
-    def could_hold(self, kind: holders.HolderKind, size_bytes: int) -> bool:
-        """Return whether a holder of some size would fit if there were no others."""
-        return size_bytes <= self._total_bytes * holders.find_share(kind, size_bytes)
-
-    def has_room(self, kind: holders.HolderKind, size_bytes: int) -> bool:
-        """Return whether a holder of some size fits beside the others."""
-        return self._find_missing(kind, size_bytes, size_bytes) <= 0
+    def make_room(self, account: Account, count: int) -> bool:
+        """Return whether there is room for more bytes of an account, as `take`; count nothing."""
+        with self._changed:
+            return self._make_room(account, count)
 
     def take(self, account: Account, count: int) -> bool:
         """Count more bytes for an account; return whether there was room for them.
@@ -92,12 +89,9 @@
         free by this, and a response waits for others to be written.
         """
         with self._changed:
-            if not self._has_room(account, count) and not self._wait_for_room(account, count):
+            if not self._make_room(account, count):
                 return False
-            account.add(count, self._read_s())
-            self._used_bytes += count
-            if account.is_reclaimable:
-                self._incomplete[account.number] = account
+            self._count(account, count)
             return True
 
     def note_shortage(self) -> None:
@@ -109,8 +103,7 @@
         with self._changed:
             if not self._has_room(account, count):
                 return False
-            account.add(count, self._read_s())
-            self._used_bytes += count
+            self._count(account, count)
             return True
 
     def complete(self, account: Account) -> None:
@@ -128,6 +121,19 @@
             if self._waiting:
                 self._changed.notify_all()
 
+    def _count(self, account: Account, count: int) -> None:
+        account.add(count, self._read_s())
+        self._used_bytes += count
+        if account.is_reclaimable:
+            self._incomplete[account.number] = account
+
+    def _make_room(self, account: Account, count: int) -> bool:
+        return self._has_room(account, count) or self._wait_for_room(account, count)
+
+    def _could_hold(self, kind: holders.HolderKind, size_bytes: int) -> bool:
+        """Return whether a holder of some size would fit if there were no others."""
+        return size_bytes <= self._total_bytes * holders.find_share(kind, size_bytes)
+
     def _find_missing(self, kind: holders.HolderKind, size_bytes: int, count: int) -> int:
         limit_bytes = int(self._total_bytes * holders.find_share(kind, size_bytes))
         return self._used_bytes + count - limit_bytes
@@ -139,7 +145,7 @@
 
     def _wait_for_room(self, account: Account, count: int) -> bool:
         size_bytes = account.held_bytes + count
-        if account.is_reclaimed or not self.could_hold(account.kind, size_bytes):
+        if account.is_reclaimed or not self._could_hold(account.kind, size_bytes):
             return False
         self.note_shortage()
         self._reclaim(account, count)
@@ -217,6 +223,10 @@
         """Count more bytes; return whether there was room for them."""
         return self._ledger.take(self, count)
 
+    def make_room(self, count: int) -> bool:
+        """Return whether there is room for more bytes, as `take`, without counting them."""
+        return self._ledger.make_room(self, count)
+
     def try_take(self, count: int) -> bool:
         """Count more bytes if there is room now; return whether there was."""
         return self._ledger.try_take(self, count)
--- a/tests/backend/test_idle_survival.py
+++ b/tests/backend/test_idle_survival.py
@@ -147,6 +147,26 @@
     assert len(recorded) == count
 
 
+def test_interrupt_is_no_sign_of_a_forgotten_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An attempt that was ended early shortened the time for which connections are reused."""
+    recorded: list[float] = []
+    pool = exchange_pool.ExchangePool(test_exchange.LIMITS, policy=idle_survival.LEARNING)
+    monkeypatch.setattr(
+        pool._survival, "record_failure", lambda address, idle_s: recorded.append(idle_s)
+    )
+    cancelled = cancellation.Cancellation()
+
+    def fail(used: exchange.Connection) -> exchange.RawResponse:
+        cancelled.interrupt()
+        raise LOST
+
+    used = types.SimpleNamespace(idle_s=1.0)
+    with pytest.raises(exceptions.ConnectionLostError) as raised:
+        pool._use_idle(ADDRESSES[0], used, fail, cancelled)  # type: ignore[arg-type]
+    assert not isinstance(raised.value, exceptions.ConnectionForgottenError)
+    assert recorded == []
+
+
 def test_memory_for_failures_is_bounded(survival: idle_survival.IdleSurvival) -> None:
     for port in range(idle_survival.MAX_ADDRESSES + 10):
         survival.record_failure(identity.Address("127.0.0.1", port), 1.0)
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -319,6 +319,33 @@
     assert raised.value.status == 503
 
 
+def test_body_may_take_more_once_the_request_ahead_of_it_is_answered(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    """It was refused although the caller alone on its connection would have been served."""
+    caller, connection = pair
+    limits = dataclasses.replace(LIMITS, body_bytes=900_000)
+    body = bytes(800_000)
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(body)
+    caller.sendall(REQUEST % 1 + head)
+    first = connection.receive(limits)
+    received: list[bytes] = []
+
+    def receive_second() -> None:
+        received.append(connection.receive(limits).request.body)
+
+    memory = connection._reader._memory
+    held_bytes = memory.used_bytes
+    reading = threading.Thread(target=receive_second, daemon=True)
+    reading.start()
+    while memory.used_bytes == held_bytes:
+        time.sleep(0.001)
+    respond(connection, first.pending, create_response(b"first"))
+    caller.sendall(body)
+    reading.join(timeout=10)
+    assert received == [body]
+
+
 def test_body_over_the_limit_is_rejected_by_its_declared_length(
     pair: tuple[socket.socket, connections.CallerConnection],
 ) -> None:
--- a/tests/memory/test_ledger.py
+++ b/tests/memory/test_ledger.py
@@ -46,7 +46,7 @@
 def test_large_bodies_leave_room_for_ordinary_ones() -> None:
     memory = create_ledger()
     assert fill(memory, 4 * MB)[:3] == [4 * MB, 4 * MB, 4 * MB]
-    assert not memory.has_room(holders.RequestHolder(), 2 * MB)
+    assert not memory.open(holders.RequestHolder()).make_room(2 * MB)
     assert memory.open(holders.RequestHolder()).take(MB // 2)
 
 
@@ -84,6 +84,32 @@
     assert not arriving.is_reclaimed
 
 
+def test_silent_request_behind_another_one_is_reclaimed_as_others() -> None:
+    """Heads whose bodies never began kept half of the memory until the idle timeout."""
+    clock = Clock()
+    memory = create_ledger(clock)
+    behind = memory.open(holders.PipelinedHolder())
+    assert behind.try_take(8 * MB)
+    clock.now_s = SILENT_S
+    assert not memory.open(holders.RequestHolder()).take(6 * MB)
+    assert behind.is_reclaimed
+
+
+def test_room_is_made_for_a_declared_body_as_for_its_bytes() -> None:
+    """A body of declared length was refused where the same one in chunks was accepted."""
+    clock = Clock()
+    memory = create_ledger(clock)
+    silent = memory.open(holders.RequestHolder())
+    assert silent.take(11 * MB)
+    clock.now_s = SILENT_S
+    declared = memory.open(holders.RequestHolder())
+    assert not declared.make_room(2 * MB)
+    assert silent.is_reclaimed
+    silent.release()
+    assert declared.make_room(2 * MB)
+    assert memory.used_bytes == 0
+
+
 def test_body_that_trickles_counts_as_silent() -> None:
     """A byte now and then once protected bodies that stop short of their end."""
     clock = Clock()
@@ -108,7 +134,7 @@
 
     def release_when_reclaimed() -> None:
         while not large.is_reclaimed:
-            pass
+            threading.Event().wait(0.001)
         large.release()
 
     releasing = threading.Thread(target=release_when_reclaimed, daemon=True)
