Log and count the age of the server list at each send

A request's line did not say how old the list was by which its server was chosen, nor could the log tell where the list came from (store or relay), which revision a lessor's reply changed, or that a grace for missing entries began. servers_age_ms, a histogram, and lines on changes of source and on graces say so. No decision changes.

--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -39,10 +39,13 @@
     ----------
     is_given_up
         Whether it was ended early because the server is suspected; its retry is paid already.
+    list_age_s
+        Seconds for which the server list had not been known to be current as it was sent.
     """
 
     attempt: attempts.Attempt
     is_given_up: bool = False
+    list_age_s: float = 0.0
 
 
 class AttemptRunner:
@@ -87,6 +90,8 @@
         load = self._estimates.find(server).find_load(began_at_s)
         expected_s = self._finder.find_response_time_s(server, load, plan.route.name)
         self._estimates.start_attempt(server)
+        list_age_s = self._directory.list_age_s
+        self._metrics.observe_list_age(list_age_s)
         try:
             finished = self._send(request, plan, server, progress, cancelled)
         except BaseException:
@@ -105,7 +110,7 @@
             # A request that is woken must find the circuit as it is now.
             self._capacity_queues.notify_freed(target_keys.find_queue(plan.target, server))
         self._observe_signals(server, attempt.signals)
-        return finished
+        return dataclasses.replace(finished, list_age_s=list_age_s)
 
     def find_remaining_s(self, plan: routing_plans.RoutingPlan) -> float:
         """Return the seconds until an attempt of a request must end."""
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -58,6 +58,7 @@
         self._version = server_lists.NO_LIST
         self._applied_relay: tuple[deployment.RegisteredServer, ...] | None = None
         self._relayed_at_s = -math.inf
+        self._list_source = ""
         self._read_requested = threading.Condition(self._lock)
         self._is_read_requested = False
 
@@ -144,14 +145,25 @@
         """Start the grace period for entries that may have expired during a store outage."""
         with self._lock:
             now_s = self._clock.read_s()
-            if now_s - self._version.known_at_s >= MIN_EXPIRING_OUTAGE_S:
+            age_s = now_s - self._version.known_at_s
+            if age_s >= MIN_EXPIRING_OUTAGE_S:
                 self._store_recovered_at_s = now_s
+                logging.info(
+                    "missing entries are kept for %.1f s, step discover, list %.2f s old",
+                    EXPIRED_ENTRY_GRACE_S,
+                    age_s,
+                )
 
     @property
     def version(self) -> server_lists.ListVersion:
         """Which state of the store the list shows."""
         return self._version
 
+    @property
+    def list_age_s(self) -> float:
+        """Seconds since the server list was last known to be current; infinite without a list."""
+        return self._clock.read_s() - self._version.known_at_s
+
     def apply_changes(
         self,
         present: tuple[deployment.RegisteredServer, ...],
@@ -182,9 +194,24 @@
             self._expired_names.update(name for name in absent if name in by_name)
             self._remove_expired(by_name, now_s)
             self._applied_relay = None
+            self._log_source("the store", version, now_s)
             self._version = version
             self._replace(by_name)
 
+    def _log_source(self, source: str, version: server_lists.ListVersion, now_s: float) -> None:
+        """Log where the list comes from, if that changes."""
+        if source == self._list_source:
+            return
+        self._list_source = source
+        logging.info(
+            "server list now from %s, step discover, position %d, %.2f s old; before %d, %.2f s",
+            source,
+            version.position,
+            now_s - version.known_at_s,
+            self._version.position,
+            now_s - self._version.known_at_s,
+        )
+
     def _remove_expired(
         self, by_name: dict[str, server_lists.DirectoryEntry], now_s: float
     ) -> None:
@@ -192,7 +219,9 @@
         if now_s < self._store_recovered_at_s + EXPIRED_ENTRY_GRACE_S:
             return
         for name in self._expired_names:
-            logging.info("server %s removed, step discover", name)
+            logging.info(
+                "server %s removed, step discover, position %d", name, self._version.position
+            )
             by_name.pop(name, None)
         self._expired_names.clear()
 
@@ -280,6 +309,7 @@
             if version.position < self._version.position:
                 return
             known_at_s = max(version.known_at_s, self._version.known_at_s)
+            self._log_source("a relay", version, now_s)
             if present is not self._applied_relay:
                 self._expired_names.clear()
                 names_present = {server.name for server in present}
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -165,7 +165,7 @@
         ) as queue_entry:
             progress = self._run_attempts(request, plan, cancelled, queue_entry)
         outcome = progress.outcome or server_refusals.refuse_expired(plan.target.service)
-        return self._reporter.finish(request, plan, outcome, progress.attempt_descriptions)
+        return self._reporter.finish(request, plan, outcome, progress)
 
     def _create_plan(
         self, request: requests.Request
@@ -236,7 +236,9 @@
                 continue
             queue_entry.leave()
             finished = self._runner.run(request, plan, selected, progress, cancelled)
-            progress = request_progress.record_attempt(progress, selected.name, finished.attempt)
+            progress = request_progress.record_attempt(
+                progress, selected.name, finished.attempt, finished.list_age_s
+            )
             if not self._prepare_retry(plan, progress, finished, wait_budget, serial):
                 return progress
         return request_progress.apply_cancellation(progress)
--- a/src/goldcresthall/gateway/outcome_reporter.py
+++ b/src/goldcresthall/gateway/outcome_reporter.py
@@ -9,6 +9,7 @@
 from goldcresthall.admission import retry_after
 from goldcresthall.core import outcomes
 from goldcresthall.gateway import explanations
+from goldcresthall.gateway import request_progress
 from goldcresthall.load import work_estimates
 from goldcresthall.observability import decisions
 
@@ -47,7 +48,7 @@
         request: requests.Request,
         plan: routing_plans.RoutingPlan | None,
         outcome: outcomes.Outcome,
-        attempt_descriptions: tuple[str, ...] = (),
+        progress: request_progress.RequestProgress = request_progress.NO_ATTEMPTS,
         share: float = range_admissions.ALL_REQUESTS,
     ) -> outcomes.Outcome:
         """Complete, count and log a request's outcome and return it.
@@ -61,7 +62,7 @@
         """
         if isinstance(outcome, outcomes.Refused) and outcome.reason not in retry_after.PERMANENT:
             outcome = self._add_retry_after(request, plan, outcome, share)
-        self._report_outcome(request, plan, outcome, attempt_descriptions)
+        self._report_outcome(request, plan, outcome, progress)
         return outcome
 
     def _add_retry_after(
@@ -90,7 +91,7 @@
         request: requests.Request,
         plan: routing_plans.RoutingPlan | None,
         outcome: outcomes.Outcome,
-        attempt_descriptions: tuple[str, ...],
+        progress: request_progress.RequestProgress,
     ) -> None:
         duration_s = self._clock.read_s() - request.received_at_s
         self._metrics.count_outcome(outcome, duration_s)
@@ -104,7 +105,8 @@
                 configuration=plan.configuration if plan else 0,
                 owners_term=self._owners.view.term,
                 owners_age_ms=int(self._owners.age_s * 1_000),
-                tried=attempt_descriptions,
+                servers_age_ms=progress.list_ages_ms,
+                tried=progress.attempt_descriptions,
                 outcome=explanation.outcome,
                 reason=explanation.reason,
                 step=explanation.step,
--- a/src/goldcresthall/gateway/request_progress.py
+++ b/src/goldcresthall/gateway/request_progress.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 from typing import TYPE_CHECKING
+from typing import Final
 
 from goldcresthall.core import outcomes
 from goldcresthall.gateway import explanations
@@ -14,6 +15,9 @@
     from goldcresthall.core import attempts
 
 
+MS_PER_S = 1_000
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestProgress:
     """The attempts made for a request so far.
@@ -24,18 +28,30 @@
         Number of attempts that may have reached a server.
     attempt_descriptions
         One text for each attempt: the server and the result.
+    list_ages_ms
+        Age of the server list at each attempt in milliseconds.
     """
 
     sent: int = 0
     tried: frozenset[str] = frozenset()
     outcome: outcomes.Outcome | None = None
     attempt_descriptions: tuple[str, ...] = ()
+    list_ages_ms: tuple[int, ...] = ()
+
+
+NO_ATTEMPTS: Final = RequestProgress()
 
 
 def record_attempt(
-    progress: RequestProgress, server: str, attempt: attempts.Attempt
+    progress: RequestProgress, server: str, attempt: attempts.Attempt, list_age_s: float = 0.0
 ) -> RequestProgress:
-    """Return the progress after one more attempt at a server."""
+    """Return the progress after one more attempt at a server.
+
+    Parameters
+    ----------
+    list_age_s
+        Age of the server list as the request was sent.
+    """
     tries = len(progress.attempt_descriptions) + 1
     latest = attempt_outcomes.create_outcome(attempt, server, tries)
     return RequestProgress(
@@ -46,6 +62,7 @@
             *progress.attempt_descriptions,
             f"{server} {explanations.describe_attempt(attempt)}",
         ),
+        list_ages_ms=(*progress.list_ages_ms, int(list_age_s * MS_PER_S)),
     )
 
 
--- a/src/goldcresthall/observability/decisions.py
+++ b/src/goldcresthall/observability/decisions.py
@@ -40,6 +40,8 @@
         Term of the ownership view used.
     owners_age_ms
         Age of that view in milliseconds.
+    servers_age_ms
+        Age of the server list in milliseconds at each of these tries.
     tried
         Servers tried, in order, each with its result.
     """
@@ -51,6 +53,7 @@
     configuration: int
     owners_term: int
     owners_age_ms: int
+    servers_age_ms: tuple[int, ...]
     tried: tuple[str, ...]
     outcome: str
     reason: str
--- a/src/goldcresthall/observability/metrics.py
+++ b/src/goldcresthall/observability/metrics.py
@@ -5,6 +5,7 @@
 import enum
 import functools
 from typing import TYPE_CHECKING
+from typing import Final
 
 import prometheus_client
 
@@ -15,6 +16,10 @@
     from collections.abc import Callable
 
 
+# Draining servers must get no more requests after 2 to 3 s.
+LIST_AGE_BUCKETS_S: Final = (0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 2.5, 3.0, 4.0, 8.0)
+
+
 class ServerSignal(enum.Enum):
     """How a backend server says that it wants no more requests."""
 
@@ -74,6 +79,13 @@
             registry=self._registry,
         )
 
+        self._list_age = prometheus_client.Histogram(
+            "goldcresthall_server_list_age_seconds",
+            "Age of the server list as a request is sent.",
+            buckets=LIST_AGE_BUCKETS_S,
+            registry=self._registry,
+        )
+
     @property
     def registry(self) -> prometheus_client.CollectorRegistry:
         """Registry in which other services register their metrics."""
@@ -90,6 +102,10 @@
         _count(outcome, self._answered, self._refused, self._unknown)
         self._duration.observe(duration_s)
 
+    def observe_list_age(self, age_s: float) -> None:
+        """Record the age in seconds of the server list as a request is sent."""
+        self._list_age.observe(age_s)
+
     def count_retry(self, reason: outcomes.RefusalReason | outcomes.UnknownReason) -> None:
         """Count one retry by its reason."""
         self._retries.labels(reason.value).inc()
--- a/src/goldcresthall/ranges/follower_state.py
+++ b/src/goldcresthall/ranges/follower_state.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from absl import logging
+
 from goldcresthall.core import row_changes
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import server_lists
@@ -102,6 +104,12 @@
                 self._servers, reply.servers, lambda server: server.name
             )
             self._servers_revision = reply.servers.revision
+            logging.info(
+                "server list of the lessor, step report, revision %d after %d, servers %d",
+                reply.servers.revision,
+                reply.servers.base,
+                len(self._servers),
+            )
         # Without fresh servers the relay ends by itself, unless a successor relays before that.
         if reply.servers_known is not None:
             version = server_lists.ListVersion(
