--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -202,6 +202,38 @@
     assert not exchange.follower.directory.is_relayed
 
 
+# Guards against a list that is taken for current because the lessor, started again at the same
+# address, counts as many changes of its own list: a server that left stays in use (DRAIN).
+def test_revision_of_an_earlier_process_of_the_lessor_does_not_confirm_the_list(
+    exchange: Exchange,
+) -> None:
+    exchange.report()
+    known = exchange.simulation.directory.relay().revision
+    restarted = Exchange()
+    restarted.simulation.instances[1].take_over()
+    restarted.simulation.instances[0].take_over()
+    leaving = next(iter(restarted.simulation.servers))
+    registered = restarted.simulation.last_registered
+    present = [
+        dataclasses.replace(server, draining=incarnation == leaving)
+        for incarnation, server in registered.items()
+    ]
+    lessor_directory = create_instance_state(restarted.simulation.clock).directory
+    for count in range(1, len(present) + 1):
+        lessor_directory.apply_changes(tuple(present[:count]), frozenset())
+    assert lessor_directory.relay().revision == known
+    restarted.responder = report_responder.ReportResponder(
+        restarted.simulation.instances[0].own,
+        restarted.simulation.clock,
+        lessor_directory,
+        restarted.lessor_owners,
+        restarted.lessor_circuits,
+    )
+    restarted.state = exchange.state
+    restarted.report()
+    assert exchange.follower.directory.servers.by_name[leaving.name].server.draining
+
+
 def test_report_of_an_earlier_release_gets_no_configuration(exchange: Exchange) -> None:
     apply_configuration(exchange, 7)
     sent = report_encoding.encode_report(exchange.state.create_report())
