Confirm no list of an earlier process of the lessor

Cause: a report names the revisions of the lists that the instance has, and the lessor sends only changes since then. Revisions count the changes that one process has seen, so a lessor that starts again at the same address gives them out again. With equal numbers its reply carried no list but made the old one count as current; with others of its own numbers the changes applied to a wrong base. Why it works: a term is never given out twice while the store keeps its records, and a report whose term is another one now gets whole lists of servers, peers and work. Nothing changes on the wire.

--- a/src/goldcresthall/ranges/report_responder.py
+++ b/src/goldcresthall/ranges/report_responder.py
@@ -83,6 +83,7 @@
         arrived_at_s = self._clock.read_s()
         self._process(own_term, report)
         self._wait_for_changes(own_term, report)
+        report = _forget_other_terms(report, own_term.term)
         # Read before the list, which may then be later than its version says, but not earlier.
         version = self._directory.version
         relayed = self._read_relayed_servers(own_term)
@@ -262,6 +263,21 @@
     return reports.KnownServers(version.position, arrived_at_s - version.known_at_s)
 
 
+def _forget_other_terms(report: reports.Report, term: int) -> reports.Report:
+    """Return a report without the revisions that the reporter has from other terms.
+
+    An earlier process at this address may have counted as many changes of lists of its own.
+    """
+    if report.known_term == term:
+        return report
+    return dataclasses.replace(
+        report,
+        known_servers=row_changes.NO_REVISION,
+        known_peers=row_changes.NO_REVISION,
+        known_work=row_changes.NO_REVISION,
+    )
+
+
 def _is_up_to_date(report: reports.Report, view: owners.OwnersView) -> bool:
     return (report.known_term, report.known_revision) == (view.term, view.revision)
 
