Take one lost response for no outage of the store

Cause: the grace for entries that expire in an outage began with the first read that succeeded after a failure, if the list was older than 1.7 s. A list is that old whenever a relay ends and one response is lost, with the store sound all the while. Now the failed reads themselves are counted: two or more without a break over 1.7 s, none from before a relay. What was read is applied before the configuration is read again, which may take 1.5 s. Class: a belief kept longer than it may be, on evidence of something else. Tests: tests/gateway, tests/ranges passed.

--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import threading
 from typing import TYPE_CHECKING
@@ -25,12 +26,38 @@
 EXPIRED_ENTRY_GRACE_S = 2.6
 # A server's entry expires after three missed refreshes, some 0.9 s apart.
 MIN_EXPIRING_OUTAGE_S = 1.7
+MIN_FAILED_READS_OF_OUTAGE = 2
 # With one call to the store this stays below the shortest time in which a draining server must
 # get no more requests (2 s).
 MAX_LIST_AGE_S = 1.5
 MAX_REPORTED_DRAINING = 1_024
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreOutage:
+    """A time in which reads of the store failed without a break.
+
+    Attributes
+    ----------
+    duration_s
+        Seconds from the start of the first failed read to that of the next successful one.
+    """
+
+    failed_reads: int
+    duration_s: float
+
+    @property
+    def may_expire_entries(self) -> bool:
+        """Whether entries of live servers may have expired meanwhile.
+
+        One lost response says nothing of the store, however long it was awaited.
+        """
+        return (
+            self.failed_reads >= MIN_FAILED_READS_OF_OUTAGE
+            and self.duration_s >= MIN_EXPIRING_OUTAGE_S
+        )
+
+
 class Directory(service.Service):
     """The deployment's configuration and servers, as last read from the store.
 
@@ -141,18 +168,18 @@
         if evacuated is not None:
             self.apply_evacuations(evacuated)
 
-    def record_store_recovery(self) -> None:
-        """Start the grace period for entries that may have expired during a store outage."""
+    def record_store_recovery(self, outage: StoreOutage) -> None:
+        """Start the grace period for entries if they may have expired in an outage of the store."""
+        if not outage.may_expire_entries:
+            return
         with self._lock:
-            now_s = self._clock.read_s()
-            age_s = now_s - self._version.known_at_s
-            if age_s >= MIN_EXPIRING_OUTAGE_S:
-                self._store_recovered_at_s = now_s
-                logging.info(
-                    "missing entries are kept for %.1f s, step discover, list %.2f s old",
-                    EXPIRED_ENTRY_GRACE_S,
-                    age_s,
-                )
+            self._store_recovered_at_s = self._clock.read_s()
+        logging.info(
+            "missing entries are kept for %.1f s, step discover, reads failed %d times in %.2f s",
+            EXPIRED_ENTRY_GRACE_S,
+            outage.failed_reads,
+            outage.duration_s,
+        )
 
     @property
     def version(self) -> server_lists.ListVersion:
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -197,25 +197,32 @@
     def _watch_servers(self, stop_signal: tasks.StopSignal) -> None:
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.servers_topic)
         failures = 0
+        failing_since_s = 0.0
         self._await_first_relay(stop_signal)
         while not stop_signal.is_set:
             if self._directory.is_relayed:
+                # Failures from before the relay are no outage that the next read ends.
+                failures = 0
                 self._directory.await_relay_end(MIN_RELAY_CHECK_S)
                 continue
             # What was relayed since the last read is not read again.
             follower.skip_to(self._directory.version.position)
+            began_at_s = self._clock.read_s()
             update = follower.poll(0.0)
             if isinstance(update, client.StoreFailed):
+                failing_since_s = failing_since_s if failures else began_at_s
                 failures += 1
                 _log_failure("servers", failures, update)
                 stop_signal.wait(find_retry_delay_s(failures))
                 continue
             if failures:
-                self._directory.record_store_recovery()
+                outage = directory.StoreOutage(failures, update.began_at_s - failing_since_s)
+                self._directory.record_store_recovery(outage)
+            self._apply_servers(update)
+            if failures:
                 self._reread_configuration()
             _log_recovery("servers", failures)
             failures = 0
-            self._apply_servers(update)
             stop_signal.wait(SERVERS_POLL_INTERVAL_S)
 
     def _catch_up(self, stop_signal: tasks.StopSignal) -> None:
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -16,6 +16,9 @@
     from tests.gateway.conftest import GatewayFixture
 
 
+EXPIRING_OUTAGE = directory.StoreOutage(2, directory.MIN_EXPIRING_OUTAGE_S)
+
+
 def test_older_configuration_is_not_applied(gateway_fixture: GatewayFixture) -> None:
     server_directory = gateway_fixture.directory
     assert server_directory.configurations.apply(conftest.create_configuration(5))
@@ -47,7 +50,7 @@
     server_directory = gateway_fixture.directory
     server_directory.apply_full_list((conftest.create_server("one"), conftest.create_server("two")))
     gateway_fixture.clock.advance(directory.MIN_EXPIRING_OUTAGE_S)
-    server_directory.record_store_recovery()
+    server_directory.record_store_recovery(EXPIRING_OUTAGE)
     server_directory.apply_full_list((conftest.create_server("two"),))
     assert set(server_directory.servers.by_name) == {"one", "two"}
     gateway_fixture.clock.advance(directory.EXPIRED_ENTRY_GRACE_S)
@@ -206,7 +209,7 @@
     server_directory = gateway_fixture.directory
     server_directory.apply_full_list((conftest.create_server("one"),))
     gateway_fixture.clock.advance(0.3)
-    server_directory.record_store_recovery()
+    server_directory.record_store_recovery(directory.StoreOutage(2, 0.3))
     server_directory.apply_changes((), frozenset({"one"}))
     assert not server_directory.servers.by_name
 
@@ -218,7 +221,7 @@
     server_directory = gateway_fixture.directory
     server_directory.apply_full_list((conftest.create_server("one"),))
     gateway_fixture.clock.advance(directory.MIN_EXPIRING_OUTAGE_S)
-    server_directory.record_store_recovery()
+    server_directory.record_store_recovery(EXPIRING_OUTAGE)
     server_directory.apply_changes((), frozenset({"one"}))
     assert set(server_directory.servers.by_name) == {"one"}
     assert server_directory.relay() == server_lists.STALE_SERVERS
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -114,6 +114,17 @@
     assert set(server_directory.servers.by_name) == {"two"}
 
 
+@pytest.mark.parametrize(
+    ("failed_reads", "duration_s", "may_expire"),
+    [(1, 1.6, False), (1, 60.0, False), (2, 1.6, False), (2, 1.8, True)],
+)
+def test_entries_may_expire_only_in_an_outage_of_several_reads(
+    *, failed_reads: int, duration_s: float, may_expire: bool
+) -> None:
+    outage = directory.StoreOutage(failed_reads, duration_s)
+    assert outage.may_expire_entries is may_expire
+
+
 # Guards against a choice by a list whose renewal is late, among servers that may have left (DRAIN).
 @pytest.mark.parametrize("target", [server_finder.PoolTarget("agenda")])
 def test_no_server_is_chosen_by_a_list_that_is_older_than_servers_drain(
