Bound in one place how long a server list may be acted on

Cause: the list had a limit of age where it was relayed, none where it was used. 1.5 s of relay, a read of up to 1.5 s, a pause and the next read add up to more than drain_s (2 to 3 s), and a read that is late on a busy machine adds without end. Nothing was asked between the choice of a server and the first byte. Now ListBounds says from drain_s until when a list is relayed, how long the first read after it may take and until when requests are sent by it. It is asked at the choice and again right before the first byte; a request waits for the read or is refused as list_outdated. While the store fails, the last known list is used as before, so an outage costs no request: the read fails before the list is outdated. A test adds up all ways for drain_s of 2 to 30 s.

--- a/src/goldcresthall/admission/retry_after.py
+++ b/src/goldcresthall/admission/retry_after.py
@@ -24,6 +24,7 @@
 MOVE_S = 0.2
 CONFIGURATION_S = 0.4
 REGISTRATION_S = 1.0
+LIST_READ_S = 0.3
 OTHER_INSTANCE_S = 0.05
 MIN_SPREAD_S = 0.1
 SPREAD_FRACTION = 0.5
@@ -36,6 +37,7 @@
     outcomes.RefusalReason.NOT_OWNER: MOVE_S,
     outcomes.RefusalReason.NO_PRESET: CONFIGURATION_S,
     outcomes.RefusalReason.NO_SERVER_AVAILABLE: REGISTRATION_S,
+    outcomes.RefusalReason.LIST_OUTDATED: LIST_READ_S,
     outcomes.RefusalReason.CONNECT_FAILED: REGISTRATION_S,
     outcomes.RefusalReason.SHUTTING_DOWN: OTHER_INSTANCE_S,
 }
--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -115,7 +115,7 @@
     service_kernel.register(
         names.STORE, store_client.HttpStoreClient.from_config(instance_settings, calls)
     )
-    server_directory = directory.Directory(service_kernel)
+    server_directory = directory.Directory.from_config(service_kernel, instance_settings)
     service_kernel.register(names.DIRECTORY, server_directory)
     metrics_service.register_gauge(
         "evacuated_failure_domains",
--- a/src/goldcresthall/backend/request_sender.py
+++ b/src/goldcresthall/backend/request_sender.py
@@ -8,6 +8,8 @@
 from goldcresthall.kernel import service
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from goldcresthall.core import attempts
     from goldcresthall.core import identity
     from goldcresthall.kernel import cancellation
@@ -18,9 +20,18 @@
 
     @abc.abstractmethod
     def send(
-        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
+        self,
+        dispatch: attempts.Dispatch,
+        cancelled: cancellation.Cancellation,
+        may_send: Callable[[], bool],
     ) -> attempts.Attempt:
-        """Send one request to one server; cancellation aborts it."""
+        """Send one request to one server; cancellation aborts it.
+
+        Parameters
+        ----------
+        may_send
+            Asked once there is a connection, right before the first byte is sent.
+        """
 
     @abc.abstractmethod
     def has_idle(self, address: identity.Address) -> bool:
--- a/src/goldcresthall/core/outcomes.py
+++ b/src/goldcresthall/core/outcomes.py
@@ -35,6 +35,7 @@
     NO_OWNER = "no_owner"
     NOT_OWNER = "not_owner"
     NO_SERVER_AVAILABLE = "no_server_available"
+    LIST_OUTDATED = "list_outdated"
     CONNECT_FAILED = "connect_failed"
     SERVER_SHED = "server_shed"
     SERVER_DRAINING = "server_draining"
--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -131,13 +131,14 @@
         dispatch = self._create_dispatch(
             request, plan, server, sent_before=server.name in progress.tried
         )
+        may_send = functools.partial(self._finder.may_send, plan.target, server)
         if not plan.route.idempotent or progress.sent + 1 >= plan.route.max_attempts:
-            return FinishedAttempt(self._sender.send(dispatch, cancelled))
+            return FinishedAttempt(self._sender.send(dispatch, cancelled, may_send))
         work_s = self._model.expect_s(plan.route.name, server)
         check_s = early_retries.find_check_s(self._clock.read_s(), work_s)
         latest_s = early_retries.find_latest_s(plan.target_at_s, plan.work_s)
         if check_s >= latest_s:
-            return FinishedAttempt(self._sender.send(dispatch, cancelled))
+            return FinishedAttempt(self._sender.send(dispatch, cancelled, may_send))
         watch = early_retries.AttemptWatch(
             latest_s,
             functools.partial(self._should_give_up, plan, server, progress),
@@ -145,7 +146,7 @@
         )
         self._watches.add(check_s, watch)
         try:
-            attempt = self._sender.send(dispatch, cancelled)
+            attempt = self._sender.send(dispatch, cancelled, may_send)
         finally:
             watch.finish()
         if watch.is_given_up and isinstance(attempt, attempts.AttemptUnknown):
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 import threading
 from typing import TYPE_CHECKING
@@ -11,6 +10,7 @@
 
 from goldcresthall.gateway import configuration_state
 from goldcresthall.gateway import evacuations
+from goldcresthall.gateway import list_bounds
 from goldcresthall.gateway import route_table
 from goldcresthall.gateway import server_history
 from goldcresthall.gateway import server_lists
@@ -21,43 +21,13 @@
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
+    from goldcresthall.core import deployment_settings
     from goldcresthall.kernel import kernel
 
 EXPIRED_ENTRY_GRACE_S = 2.6
-# A server's entry expires after three missed refreshes, some 0.9 s apart.
-MIN_EXPIRING_OUTAGE_S = 1.7
-MIN_FAILED_READS_OF_OUTAGE = 2
-# With one call to the store this stays below the shortest time in which a draining server must
-# get no more requests (2 s).
-MAX_LIST_AGE_S = 1.5
 MAX_REPORTED_DRAINING = 1_024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreOutage:
-    """A time in which reads of the store failed without a break.
-
-    Attributes
-    ----------
-    duration_s
-        Seconds from the start of the first failed read to that of the next successful one.
-    """
-
-    failed_reads: int
-    duration_s: float
-
-    @property
-    def may_expire_entries(self) -> bool:
-        """Whether entries of live servers may have expired meanwhile.
-
-        One lost response says nothing of the store, however long it was awaited.
-        """
-        return (
-            self.failed_reads >= MIN_FAILED_READS_OF_OUTAGE
-            and self.duration_s >= MIN_EXPIRING_OUTAGE_S
-        )
-
-
 class Directory(service.Service):
     """The deployment's configuration and servers, as last read from the store.
 
@@ -66,11 +36,21 @@
     them, and live servers register again soon after it.
 
     The list never goes back to an earlier position of the store, whether it is read or relayed.
-    A relayed list counts as current until `MAX_LIST_AGE_S` after the read behind it began.
+    How old it may be is decided by the bounds, counted from the read behind it.
+
+    Parameters
+    ----------
+    bounds
+        Bounds on the age of the list.
     """
 
-    def __init__(self, service_kernel: kernel.Kernel) -> None:
+    def __init__(
+        self,
+        service_kernel: kernel.Kernel,
+        bounds: list_bounds.ListBounds = list_bounds.STRICTEST,
+    ) -> None:
         self._kernel = service_kernel
+        self._bounds = bounds
         self._lock = threading.Lock()
         self._configurations = configuration_state.ConfigurationState()
         self._servers = server_lists.ServerList({}, {})
@@ -86,8 +66,19 @@
         self._applied_relay: tuple[deployment.RegisteredServer, ...] | None = None
         self._relayed_at_s = -math.inf
         self._list_source = ""
+        self._is_store_lost = False
         self._read_requested = threading.Condition(self._lock)
         self._is_read_requested = False
+        self._list_changed = threading.Condition(self._lock)
+
+    @classmethod
+    def from_config(
+        cls,
+        service_kernel: kernel.Kernel,
+        settings: deployment_settings.DeploymentSettings,
+    ) -> Directory:
+        """Return the directory of an instance."""
+        return cls(service_kernel, list_bounds.ListBounds.from_drain_s(settings.drain_s))
 
     def start(self) -> None:
         """Look up the clock."""
@@ -168,7 +159,7 @@
         if evacuated is not None:
             self.apply_evacuations(evacuated)
 
-    def record_store_recovery(self, outage: StoreOutage) -> None:
+    def record_store_recovery(self, outage: list_bounds.StoreOutage) -> None:
         """Start the grace period for entries if they may have expired in an outage of the store."""
         if not outage.may_expire_entries:
             return
@@ -186,6 +177,34 @@
         """Which state of the store the list shows."""
         return self._version
 
+    @property
+    def bounds(self) -> list_bounds.ListBounds:
+        """Bounds on the age of the server list."""
+        return self._bounds
+
+    @property
+    def is_list_usable(self) -> bool:
+        """Whether requests may be sent by the present list.
+
+        The last known list is used for as long as the store fails, and so is the lack of a list.
+        """
+        return (
+            self._is_store_lost
+            or self._version is server_lists.NO_LIST
+            or self.list_age_s <= self._bounds.use_s
+        )
+
+    def record_read_failure(self) -> None:
+        """Record that the store failed, so that the list cannot be renewed."""
+        with self._lock:
+            self._is_store_lost = True
+            self._list_changed.notify_all()
+
+    def await_usable_list(self, max_wait_s: float) -> None:
+        """Wait until requests may be sent by the list, for `max_wait_s` seconds at most."""
+        with self._list_changed:
+            self._list_changed.wait_for(lambda: self.is_list_usable, max_wait_s)
+
     @property
     def list_age_s(self) -> float:
         """Seconds since the server list was last known to be current; infinite without a list."""
@@ -222,9 +241,14 @@
             self._remove_expired(by_name, now_s)
             self._applied_relay = None
             self._log_source("the store", version, now_s)
-            self._version = version
+            self._set_version(version)
             self._replace(by_name)
 
+    def _set_version(self, version: server_lists.ListVersion) -> None:
+        self._version = version
+        self._is_store_lost = False
+        self._list_changed.notify_all()
+
     def _log_source(self, source: str, version: server_lists.ListVersion, now_s: float) -> None:
         """Log where the list comes from, if that changes."""
         if source == self._list_source:
@@ -260,7 +284,7 @@
         """
         with self._lock:
             age_s = self._clock.read_s() - self._version.known_at_s
-            if self._expired_names or age_s > MAX_LIST_AGE_S:
+            if self._expired_names or age_s > self._bounds.relay_s:
                 return server_lists.STALE_SERVERS
             return self._relayed
 
@@ -300,7 +324,7 @@
         It ends when the list is too old, or when nothing was relayed for that long.
         """
         latest_s = min(self._version.known_at_s, self._relayed_at_s)
-        return MAX_LIST_AGE_S - (self._clock.read_s() - latest_s)
+        return self._bounds.relay_s - (self._clock.read_s() - latest_s)
 
     @property
     def is_read_requested(self) -> bool:
@@ -349,7 +373,7 @@
                     self._merge(by_name, server, now_s, is_relayed=True)
                 self._replace(by_name)
             self._applied_relay = present
-            self._version = server_lists.ListVersion(version.position, known_at_s)
+            self._set_version(server_lists.ListVersion(version.position, known_at_s))
 
     def _merge(
         self,
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -275,6 +275,8 @@
         """Wait for capacity or an owner; return the refusal if that is useless or over."""
         if unavailable.is_final:
             return unavailable.refused
+        if unavailable.awaits_list:
+            return None if self._wait_for_list(wait_budget) else unavailable.refused
         if unavailable.wait is not None:
             has_waited = self._wait_for_capacity(plan, unavailable.wait, queue_entry)
             return None if has_waited else unavailable.refused
@@ -298,6 +300,16 @@
         ended = queue_entry.await_turn(retry_policy.RECHECK_INTERVAL_S, remaining_s)
         return ended is waiting.WaitEnd.TURN
 
+    def _wait_for_list(self, wait_budget: retry_policy.WaitBudget) -> bool:
+        """Wait for a renewed list of servers; return `False` if the time for waits is over."""
+        left_s = wait_budget.find_left_s()
+        if left_s <= 0:
+            return False
+        began_at_s = self._clock.read_s()
+        self._directory.await_usable_list(left_s)
+        wait_budget.spend(self._clock.read_s() - began_at_s)
+        return True
+
     def _wait_for_owner(
         self,
         plan: routing_plans.RoutingPlan,
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -63,12 +63,15 @@
         Whether to refuse the request at once, because no wait would help it.
     max_wait_s
         Seconds for which a request may wait for another owner; `None` for the time of a usual move.
+    awaits_list
+        Whether a request may wait until the list of servers is renewed.
     """
 
     refused: outcomes.Refused
     wait: waiting.CapacityWait | None = None
     is_final: bool = False
     max_wait_s: float | None = None
+    awaits_list: bool = False
 
 
 def create_target(
@@ -138,6 +141,16 @@
             return True
         return self.circuits.try_probe(server.incarnation, self.instances)
 
+    def may_send(self, target: Target, server: deployment.RegisteredServer) -> bool:
+        """Return whether a request may still be sent to the server that was found for it.
+
+        Called right before the first byte, since the connection took time.
+        """
+        entry = self.directory.servers.find(server.incarnation)
+        if entry is None or not self.directory.is_list_usable:
+            return False
+        return _may_serve(target, entry, self)
+
     def find_view(self, service: str) -> apertures.View:
         """Return the servers of a service, and those of them that this instance uses first."""
         entries = self.directory.servers.by_service.get(service, ())
@@ -186,6 +199,8 @@
         demand
             What the request asks of its server.
         """
+        if not self.directory.is_list_usable:
+            return Unavailable(server_refusals.refuse_outdated(target.service), awaits_list=True)
         refused = self.restrictions.refuse_service(target.service)
         if refused is not None:
             return Unavailable(refused, is_final=True)
@@ -339,5 +354,21 @@
     return finder.directory.read_s() - since_s > MAX_OWNER_DRAIN_FRACTION * finder.drain_s
 
 
+@functools.singledispatch
+def _may_serve(target: Target, entry: server_lists.DirectoryEntry, finder: ServerFinder) -> bool:
+    """Return whether a listed server may get a request, as far as it may be leaving."""
+    raise NotImplementedError(type(target).__name__)
+
+
+@_may_serve.register
+def _(target: PoolTarget, entry: server_lists.DirectoryEntry, finder: ServerFinder) -> bool:
+    return entry.draining_since_s is None
+
+
+@_may_serve.register
+def _(target: KeyTarget, entry: server_lists.DirectoryEntry, finder: ServerFinder) -> bool:
+    return not _exceeds_drain_time(entry, finder)
+
+
 def _refuse_no_owner(target: KeyTarget, detail: str) -> Unavailable:
     return Unavailable(server_refusals.refuse_no_owner(target.service, detail))
--- a/src/goldcresthall/gateway/server_refusals.py
+++ b/src/goldcresthall/gateway/server_refusals.py
@@ -55,6 +55,13 @@
     )
 
 
+def refuse_outdated(service: str) -> outcomes.Refused:
+    """Return the refusal while the servers listed may have left, and the list is being read."""
+    return outcomes.Refused(
+        outcomes.RefusalReason.LIST_OUTDATED, outcomes.Step.CHOOSE_SERVER, service
+    )
+
+
 def refuse_no_owner(service: str, detail: str) -> outcomes.Refused:
     """Return the refusal for a key without a usable owner."""
     return outcomes.Refused(
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -11,6 +11,7 @@
 from goldcresthall.core import configuration_documents
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import evacuations
+from goldcresthall.gateway import list_bounds
 from goldcresthall.gateway import server_lists
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
@@ -208,15 +209,18 @@
             # What was relayed since the last read is not read again.
             follower.skip_to(self._directory.version.position)
             began_at_s = self._clock.read_s()
-            update = follower.poll(0.0)
+            # After a failure the store may be slow, so that only a longer read succeeds.
+            timeout_s = None if failures else self._directory.bounds.first_read_s
+            update = follower.poll(0.0, timeout_s)
             if isinstance(update, client.StoreFailed):
+                self._directory.record_read_failure()
                 failing_since_s = failing_since_s if failures else began_at_s
                 failures += 1
                 _log_failure("servers", failures, update)
                 stop_signal.wait(find_retry_delay_s(failures))
                 continue
             if failures:
-                outage = directory.StoreOutage(failures, update.began_at_s - failing_since_s)
+                outage = list_bounds.StoreOutage(failures, update.began_at_s - failing_since_s)
                 self._directory.record_store_recovery(outage)
             self._apply_servers(update)
             if failures:
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -21,6 +21,7 @@
 from goldcresthall.platform import server_signals
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
 
     from goldcresthall.backend import exchange_metrics
     from goldcresthall.core import deployment_settings
@@ -43,6 +44,13 @@
 NOT_RETURNED: Final = responses.HOP_BY_HOP_HEADERS | {"content-length", names.SERVER_LOAD}
 
 
+_WITHDRAWN: Final = attempts.AttemptNotRun(
+    outcomes.RefusalReason.SERVER_DRAINING,
+    outcomes.Step.CONNECT,
+    "the server left, or its entry is outdated, before the request was sent",
+)
+
+
 class PlatformRequestSender(request_sender.RequestSender):
     """Sends requests to backend servers over the platform's protocol.
 
@@ -96,7 +104,10 @@
         return self._pool.has_idle(address)
 
     def send(
-        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
+        self,
+        dispatch: attempts.Dispatch,
+        cancelled: cancellation.Cancellation,
+        may_send: Callable[[], bool],
     ) -> attempts.Attempt:
         """Send one request to one server; cancellation aborts it."""
         request = _encode(dispatch)
@@ -111,7 +122,7 @@
                 max_idle=min(MAX_IDLE_CONNECTIONS, dispatch.connection_limit),
                 new_connection=_needs_new_connection(dispatch),
                 # A request sent without time left could only end with an unknown outcome.
-                may_send=lambda: time.monotonic() < ends_at_s,
+                may_send=lambda: time.monotonic() < ends_at_s and may_send(),
                 is_due=lambda received: _is_due(received, dispatch.request_id),
             )
         except exceptions.ExchangeError as error:
@@ -119,6 +130,8 @@
                 return attempts.AttemptUnknown(
                     outcomes.UnknownReason.CALLER_LEFT, error.step, "the caller disconnected"
                 )
+            if isinstance(error, exceptions.SendExpiredError) and time.monotonic() < ends_at_s:
+                return _WITHDRAWN
             return _describe_failure(error)
         return _decode(response, dispatch.request_id)
 
--- a/src/goldcresthall/platform/store_client.py
+++ b/src/goldcresthall/platform/store_client.py
@@ -113,14 +113,17 @@
             after = f"&after={parse.quote(page.next_key, safe='', errors='surrogatepass')}"
         return client.StoreFailed("read", f"more than {MAX_PAGES} pages")
 
-    def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
+    def read_changes(
+        self, topic: str, from_offset: int, wait_s: float, timeout_s: float | None = None
+    ) -> client.ReadOutcome:
         """Return the records from an offset on, waiting up to `wait_s` seconds for the first.
 
         One call returns a limited number of bytes, oldest records first.
         """
         wait = f"&wait_ms={int(wait_s * MS_PER_S)}" if wait_s else ""
         path = f"{names.READ_PATH}?topic={topic}&{PARTITION_PARAMETER}&from={from_offset}{wait}"
-        outcome = self._call(_Call("GET", topic, "read_changes", path, wait_s=wait_s))
+        call = _Call("GET", topic, "read_changes", path, wait_s=wait_s, timeout_s=timeout_s)
+        outcome = self._call(call)
         if isinstance(outcome, client.StoreFailed):
             return outcome
         if outcome.status == STATUS_GONE:
@@ -194,7 +197,7 @@
         return outcome
 
     def _send(self, call: _Call) -> bounded_bodies.BoundedResponse | client.StoreFailed:
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S + call.wait_s)
+        timeout = _find_timeout(call)
         try:
             return bounded_bodies.request(
                 self._pool,
@@ -220,6 +223,8 @@
         Name of the operation for the metrics.
     wait_s
         Seconds for which the store may delay the response.
+    timeout_s
+        Seconds beyond `wait_s` after which the call fails; `None` for the usual limits.
     """
 
     method: str
@@ -228,6 +233,13 @@
     path: str
     body: bytes = b""
     wait_s: float = 0.0
+    timeout_s: float | None = None
+
+
+def _find_timeout(call: _Call) -> urllib3.Timeout:
+    if call.timeout_s is None:
+        return urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S + call.wait_s)
+    return urllib3.Timeout(total=call.timeout_s + call.wait_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/goldcresthall/store/client.py
+++ b/src/goldcresthall/store/client.py
@@ -82,8 +82,16 @@
         """Return the newest record of each key of a topic."""
 
     @abc.abstractmethod
-    def read_changes(self, topic: str, from_offset: int, wait_s: float) -> ReadOutcome:
-        """Return the records from an offset on, waiting up to `wait_s` seconds for the first."""
+    def read_changes(
+        self, topic: str, from_offset: int, wait_s: float, timeout_s: float | None = None
+    ) -> ReadOutcome:
+        """Return the records from an offset on, waiting up to `wait_s` seconds for the first.
+
+        Parameters
+        ----------
+        timeout_s
+            Seconds beyond `wait_s` after which the call fails; `None` for the limit of all calls.
+        """
 
     @abc.abstractmethod
     def write(self, topic: str, key: str, value: bytes, expected_end: int) -> WriteOutcome:
--- a/src/goldcresthall/store/topics.py
+++ b/src/goldcresthall/store/topics.py
@@ -56,12 +56,21 @@
         if offset > (self._next_offset or 0):
             self._next_offset = offset
 
-    def poll(self, wait_s: float) -> TopicUpdate | client.StoreFailed:
-        """Return the changes since the last poll, waiting up to `wait_s` seconds for one."""
+    def poll(
+        self, wait_s: float, timeout_s: float | None = None
+    ) -> TopicUpdate | client.StoreFailed:
+        """Return the changes since the last poll, waiting up to `wait_s` seconds for one.
+
+        Parameters
+        ----------
+        timeout_s
+            Seconds beyond `wait_s` after which the read of changes fails; `None` for the limit of
+            all calls.
+        """
         began_at_s = self._clock.read_s()
         if self._next_offset is None:
             return self._read_all(began_at_s)
-        outcome = self._store.read_changes(self._topic, self._next_offset, wait_s)
+        outcome = self._store.read_changes(self._topic, self._next_offset, wait_s, timeout_s)
         if isinstance(outcome, client.StoreFailed):
             return outcome
         if isinstance(outcome, client.RecordsExpired) or not outcome.is_caught_up:
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -41,7 +41,9 @@
         newest = {record.key: record for record in self._shared.records}
         return client.Records(tuple(newest.values()), len(self._shared.records))
 
-    def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
+    def read_changes(
+        self, topic: str, from_offset: int, wait_s: float, timeout_s: float | None = None
+    ) -> client.ReadOutcome:
         """Return the records from an offset on without waiting."""
         if self.is_down:
             return client.StoreFailed("connect", "down")
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 
 import pytest
@@ -15,6 +16,7 @@
 from goldcresthall.gateway import cold_starts
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
+from goldcresthall.gateway import list_bounds
 from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_finder
@@ -50,6 +52,10 @@
         """Do nothing."""
 
 
+# Nothing renews the list here; tests of its age have bounds of their own.
+ALWAYS_USABLE = dataclasses.replace(list_bounds.STRICTEST, use_s=math.inf)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayFixture:
     """The services that the gateway uses to find servers."""
@@ -122,12 +128,14 @@
     return create_gateway_fixture()
 
 
-def create_gateway_fixture() -> GatewayFixture:
+def create_gateway_fixture(
+    bounds: list_bounds.ListBounds = ALWAYS_USABLE,
+) -> GatewayFixture:
     """Return a directory, owners and estimates without servers."""
     built = kernel.Kernel()
     manual = clock.ManualClock()
     built.register(names.CLOCK, manual)
-    server_directory = directory.Directory(built)
+    server_directory = directory.Directory(built, bounds)
     key_owners = owners.Owners(built)
     server_estimates = estimates.Estimates(built)
     built.register(names.DIRECTORY, server_directory)
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -7,6 +7,7 @@
 import pytest
 
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import list_bounds
 from goldcresthall.gateway import server_lists
 from goldcresthall.kernel import tasks
 from tests.gateway import conftest
@@ -16,7 +17,7 @@
     from tests.gateway.conftest import GatewayFixture
 
 
-EXPIRING_OUTAGE = directory.StoreOutage(2, directory.MIN_EXPIRING_OUTAGE_S)
+EXPIRING_OUTAGE = list_bounds.StoreOutage(2, list_bounds.MIN_EXPIRING_OUTAGE_S)
 
 
 def test_older_configuration_is_not_applied(gateway_fixture: GatewayFixture) -> None:
@@ -49,7 +50,7 @@
 ) -> None:
     server_directory = gateway_fixture.directory
     server_directory.apply_full_list((conftest.create_server("one"), conftest.create_server("two")))
-    gateway_fixture.clock.advance(directory.MIN_EXPIRING_OUTAGE_S)
+    gateway_fixture.clock.advance(list_bounds.MIN_EXPIRING_OUTAGE_S)
     server_directory.record_store_recovery(EXPIRING_OUTAGE)
     server_directory.apply_full_list((conftest.create_server("two"),))
     assert set(server_directory.servers.by_name) == {"one", "two"}
@@ -84,7 +85,7 @@
     relay(gateway_fixture, 5, "two", "three")
     assert set(server_directory.servers.by_name) == {"two", "three"}
     assert server_directory.is_relayed
-    gateway_fixture.clock.advance(directory.MAX_LIST_AGE_S + 0.1)
+    gateway_fixture.clock.advance(list_bounds.MAX_RELAY_S + 0.1)
     assert not server_directory.is_relayed
 
 
@@ -92,7 +93,7 @@
     server_directory = gateway_fixture.directory
     server_directory.apply_full_list((conftest.create_server("one"),))
     assert [server.name for server in server_directory.relay().servers] == ["one"]
-    gateway_fixture.clock.advance(directory.MAX_LIST_AGE_S + 0.1)
+    gateway_fixture.clock.advance(list_bounds.MAX_RELAY_S + 0.1)
     assert server_directory.relay() == server_lists.STALE_SERVERS
 
 
@@ -101,7 +102,7 @@
 ) -> None:
     server_directory = gateway_fixture.directory
     relay(gateway_fixture, 5, "one")
-    gateway_fixture.clock.advance(directory.MAX_LIST_AGE_S + 0.1)
+    gateway_fixture.clock.advance(list_bounds.MAX_RELAY_S + 0.1)
     assert not server_directory.is_relayed
     assert set(server_directory.servers.by_name) == {"one"}
 
@@ -209,7 +210,7 @@
     server_directory = gateway_fixture.directory
     server_directory.apply_full_list((conftest.create_server("one"),))
     gateway_fixture.clock.advance(0.3)
-    server_directory.record_store_recovery(directory.StoreOutage(2, 0.3))
+    server_directory.record_store_recovery(list_bounds.StoreOutage(2, 0.3))
     server_directory.apply_changes((), frozenset({"one"}))
     assert not server_directory.servers.by_name
 
@@ -220,7 +221,7 @@
     """A lessor that had been cut off put servers that had left in use again elsewhere (DRAIN)."""
     server_directory = gateway_fixture.directory
     server_directory.apply_full_list((conftest.create_server("one"),))
-    gateway_fixture.clock.advance(directory.MIN_EXPIRING_OUTAGE_S)
+    gateway_fixture.clock.advance(list_bounds.MIN_EXPIRING_OUTAGE_S)
     server_directory.record_store_recovery(EXPIRING_OUTAGE)
     server_directory.apply_changes((), frozenset({"one"}))
     assert set(server_directory.servers.by_name) == {"one"}
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -82,7 +82,10 @@
         return False
 
     def send(
-        self, dispatch: attempts.Dispatch, cancelled: cancellation.Cancellation
+        self,
+        dispatch: attempts.Dispatch,
+        cancelled: cancellation.Cancellation,
+        may_send: Callable[[], bool],
     ) -> attempts.Attempt:
         """Return the next attempt of the script."""
         self.sent_to.append(dispatch.server.name)
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -9,24 +9,27 @@
 import pytest
 
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import list_bounds
 from goldcresthall.gateway import server_finder
 from goldcresthall.gateway import server_lists
 from goldcresthall.gateway import watchers
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
+from goldcresthall.kernel import tasks
 from goldcresthall.store import client
 from tests.fakes import clock
 from tests.gateway import conftest
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
-    from tests.gateway.conftest import GatewayFixture
 
 SERVERS_TOPIC = "servers"
 LISTED_POSITION = 5
 SHORTEST_DRAIN_S = 2.0
 LOST_RESPONSE_S = 1.0
 TEST_TIMEOUT_S = 20.0
+# A call to the store that works, or the way of a request to its server.
+CALL_S = 0.05
 
 
 class Decoder(watchers.EntryDecoder):
@@ -70,7 +73,9 @@
         """Return no record of the configuration."""
         return client.Records((), 0)
 
-    def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
+    def read_changes(
+        self, topic: str, from_offset: int, wait_s: float, timeout_s: float | None = None
+    ) -> client.ReadOutcome:
         """Return the removal of the server, unless the response is lost."""
         if topic != SERVERS_TOPIC:
             return client.Records((), from_offset)
@@ -105,7 +110,7 @@
     servers = (conftest.create_server("one"), conftest.create_server("two"))
     relayed = server_lists.ListVersion(LISTED_POSITION, manual.read_s())
     server_directory.apply_relayed(servers, relayed)
-    manual.advance(directory.MAX_LIST_AGE_S)
+    manual.advance(list_bounds.MAX_RELAY_S)
     watching.start()
     try:
         assert store.answered.wait(TEST_TIMEOUT_S)
@@ -121,15 +126,16 @@
 def test_entries_may_expire_only_in_an_outage_of_several_reads(
     *, failed_reads: int, duration_s: float, may_expire: bool
 ) -> None:
-    outage = directory.StoreOutage(failed_reads, duration_s)
+    outage = list_bounds.StoreOutage(failed_reads, duration_s)
     assert outage.may_expire_entries is may_expire
 
 
 # Guards against a choice by a list whose renewal is late, among servers that may have left (DRAIN).
 @pytest.mark.parametrize("target", [server_finder.PoolTarget("agenda")])
 def test_no_server_is_chosen_by_a_list_that_is_older_than_servers_drain(
-    gateway_fixture: GatewayFixture, target: server_finder.Target
+    target: server_finder.Target,
 ) -> None:
+    gateway_fixture = conftest.create_gateway_fixture(list_bounds.STRICTEST)
     gateway_fixture.directory.apply_full_list((conftest.create_server("one"),))
     generator = random.Random(1)
     found = gateway_fixture.finder.find(target, frozenset(), generator)
@@ -137,3 +143,73 @@
     gateway_fixture.clock.advance(gateway_fixture.finder.drain_s)
     found = gateway_fixture.finder.find(target, frozenset(), generator)
     assert isinstance(found, server_finder.Unavailable)
+
+
+def create_fixture() -> conftest.GatewayFixture:
+    """Return services whose list of servers becomes outdated, with one server."""
+    created = conftest.create_gateway_fixture(list_bounds.STRICTEST)
+    created.directory.apply_full_list((conftest.create_server("one"),))
+    return created
+
+
+def test_last_known_list_is_used_while_the_store_fails() -> None:
+    fixture = create_fixture()
+    target, server = server_finder.PoolTarget("agenda"), conftest.create_server("one")
+    fixture.clock.advance(60.0)
+    assert not fixture.finder.may_send(target, server)
+    fixture.directory.record_read_failure()
+    assert fixture.finder.may_send(target, server)
+    found = fixture.finder.find(target, frozenset(), random.Random(1))
+    assert not isinstance(found, server_finder.Unavailable)
+    fixture.directory.apply_full_list((server,))
+    assert fixture.finder.may_send(target, server)
+    fixture.clock.advance(60.0)
+    assert not fixture.finder.may_send(target, server)
+
+
+# Guards against a request that is sent to a server that left while the connection was made (DRAIN).
+@pytest.mark.parametrize(
+    "target", [server_finder.PoolTarget("agenda"), server_finder.KeyTarget("agenda", 1)]
+)
+@pytest.mark.parametrize("is_removed", [False, True])
+def test_server_that_left_since_it_was_chosen_gets_nothing(
+    target: server_finder.Target, *, is_removed: bool
+) -> None:
+    fixture = create_fixture()
+    server = conftest.create_server("one")
+    assert fixture.finder.may_send(target, server)
+    left = () if is_removed else (conftest.create_server("one", draining=True),)
+    fixture.directory.apply_full_list(left)
+    fixture.clock.advance(server_finder.MAX_OWNER_DRAIN_FRACTION * fixture.finder.drain_s + 0.01)
+    assert not fixture.finder.may_send(target, server)
+
+
+def test_request_goes_on_as_soon_as_the_list_is_renewed() -> None:
+    fixture = create_fixture()
+    fixture.clock.advance(fixture.finder.drain_s)
+    ended = threading.Event()
+
+    def wait(stop_signal: tasks.StopSignal) -> None:
+        fixture.directory.await_usable_list(TEST_TIMEOUT_S)
+        ended.set()
+
+    waiting = tasks.start("wait", wait)
+    fixture.directory.apply_full_list((conftest.create_server("one"),))
+    assert ended.wait(TEST_TIMEOUT_S)
+    waiting.stop()
+
+
+# Guards against bounds that are each short enough, but not one after the other (DRAIN).
+@pytest.mark.parametrize("drain_s", [SHORTEST_DRAIN_S, 2.5, 3.0, 5.0, 30.0])
+def test_all_ways_to_learn_that_a_server_left_fit_into_the_time_that_it_serves(
+    drain_s: float,
+) -> None:
+    bounds = list_bounds.ListBounds.from_drain_s(drain_s)
+    after_lost_response_s = bounds.relay_s + bounds.first_read_s + watchers.INITIAL_BACKOFF_S
+    assert after_lost_response_s + CALL_S <= drain_s
+    # While the store answers, no later request is sent, whatever delays the read.
+    assert bounds.use_s + CALL_S <= drain_s
+    # An outage is known before the list becomes outdated, so that no request waits for it.
+    assert bounds.relay_s + bounds.first_read_s < bounds.use_s
+    # An owner gets requests for a while after it began to drain, whatever the list's age.
+    assert server_finder.MAX_OWNER_DRAIN_FRACTION * drain_s + CALL_S <= drain_s
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -12,6 +12,7 @@
 from goldcresthall.core import identity
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import evacuations
+from goldcresthall.gateway import list_bounds
 from goldcresthall.gateway import server_lists
 from goldcresthall.gateway import watchers
 from goldcresthall.kernel import kernel
@@ -96,7 +97,9 @@
         )
         return client.Records(records, self.version + 1)
 
-    def read_changes(self, topic: str, from_offset: int, wait_s: float) -> client.ReadOutcome:
+    def read_changes(
+        self, topic: str, from_offset: int, wait_s: float, timeout_s: float | None = None
+    ) -> client.ReadOutcome:
         """Return no change."""
         if topic == CONFIGURATION_TOPIC:
             self.waits_s.append(wait_s)
@@ -261,7 +264,7 @@
 def test_instance_polls_again_once_the_relay_ends() -> None:
     watched = WatchedDirectory(rank=9)
     watched.run()
-    watched.clock.advance(directory.MAX_LIST_AGE_S + 0.1)
+    watched.clock.advance(list_bounds.MAX_RELAY_S + 0.1)
     assert watched.store.polls.acquire(timeout=TEST_TIMEOUT_S)
     watched.watchers.stop()
 
--- a/tests/platform/test_copied_refusals.py
+++ b/tests/platform/test_copied_refusals.py
@@ -51,7 +51,7 @@
             timeout_s=test_exchange.TEST_TIMEOUT_S,
             idempotent=idempotent,
         )
-        return self._sender.send(dispatch, cancellation.Cancellation())
+        return self._sender.send(dispatch, cancellation.Cancellation(), lambda: True)
 
     def stop(self) -> None:
         """Close the connections."""
--- a/tests/ranges/test_follower_state.py
+++ b/tests/ranges/test_follower_state.py
@@ -21,6 +21,7 @@
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import evacuations
+from goldcresthall.gateway import list_bounds
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.load import server_reports
@@ -196,7 +197,7 @@
 def test_lessor_without_fresh_servers_does_not_renew_the_relay(exchange: Exchange) -> None:
     exchange.report()
     assert exchange.follower.directory.is_relayed
-    exchange.simulation.clock.advance(directory.MAX_LIST_AGE_S + 0.1)
+    exchange.simulation.clock.advance(list_bounds.MAX_RELAY_S + 0.1)
     reply = exchange.report()
     assert reply.servers_known is None
     assert not exchange.follower.directory.is_relayed
--- a/tests/ranges/test_report_responder.py
+++ b/tests/ranges/test_report_responder.py
@@ -14,6 +14,7 @@
 from goldcresthall.gateway import directory
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import evacuations
+from goldcresthall.gateway import list_bounds
 from goldcresthall.gateway import server_lists
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
@@ -157,7 +158,7 @@
 def test_list_that_is_no_longer_fresh_does_not_end_long_polls(waiting: Lessor) -> None:
     """While the store was away, lessor and followers once exchanged reports without a pause."""
     thread, replies = start_report(waiting)
-    waiting.simulation.clock.advance(directory.MAX_LIST_AGE_S + 0.1)
+    waiting.simulation.clock.advance(list_bounds.MAX_RELAY_S + 0.1)
     waiting.publish()
     thread.join(0.3)
     assert not replies
