Apply all records of a server in the order of the store

Callers saw: requests to a server that had said it was leaving, until its next refresh or for good (on the model). Cause: of the records of a server that one read returned, only the last counted. One that was written late (ready after draining) or by another writer (malformed) hid that the server drained or was removed before it; after a removal nothing comes any more that would show it. A read returns half a second of records in calm and seconds of them after a gap. Now every record is applied in order: the history keeps the draining, a removal stands unless a valid entry follows. Evidence: three of the four cases of test_later_record_does_not_hide_that_a_server_leaves failed before. Tests: tests/gateway and tests/features/test_deployment.py passed.

--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -297,15 +297,22 @@
             )
 
     def _apply_servers(self, update: topics.TopicUpdate) -> None:
-        latest = {record.key: record for record in update.changed}
-        decoded = {key: self._decoder.decode_server(record) for key, record in latest.items()}
-        present = tuple(server for server in decoded.values() if server is not None)
+        """Apply all records in order, since an early one may say that its server leaves."""
+        present: list[deployment.RegisteredServer] = []
+        absent: set[str] = set()
+        for record in update.changed:
+            if record.value is None:
+                absent.add(record.key)
+                continue
+            server = self._decoder.decode_server(record)
+            if server is not None:
+                present.append(server)
+                absent.discard(record.key)
         version = server_lists.ListVersion(update.end_offset, update.began_at_s)
         if update.complete:
-            self._directory.apply_full_list(present, version)
-            return
-        absent = frozenset(key for key, record in latest.items() if record.value is None)
-        self._directory.apply_changes(present, absent, version)
+            self._directory.apply_full_list(tuple(present), version)
+        else:
+            self._directory.apply_changes(tuple(present), frozenset(absent), version)
 
 
 def find_retry_delay_s(failures: int) -> float:
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -27,6 +27,8 @@
 LISTED_POSITION = 5
 SHORTEST_DRAIN_S = 2.0
 LOST_RESPONSE_S = 1.0
+READY, DRAINING, MALFORMED = b"ready", b"draining", b"{"
+REMOVED = (None,)
 TEST_TIMEOUT_S = 20.0
 # A call to the store that works, or the way of a request to its server.
 CALL_S = 0.05
@@ -44,8 +46,10 @@
         return conftest.create_configuration(1)
 
     def decode_server(self, record: client.KeyedRecord) -> deployment.RegisteredServer | None:
-        """Return the server of a record that has a value."""
-        return conftest.create_server(record.key) if record.value else None
+        """Return the server of a record that has a valid state."""
+        if record.value not in {READY, DRAINING}:
+            return None
+        return conftest.create_server(record.key, draining=record.value == DRAINING)
 
     def find_evacuated_domain(self, key: str) -> str | None:
         """Return no failure domain."""
@@ -55,11 +59,23 @@
 class ForgetfulStore(client.StoreClient):
     """A store that works, but whose first responses about the servers are lost on the way.
 
-    Server "one" was removed after the position of the list.
+    Parameters
+    ----------
+    values
+        Values that were written for server "one" after the position of the list.
     """
 
-    def __init__(self, manual: clock.ManualClock, lost_responses: int) -> None:
+    def __init__(
+        self,
+        manual: clock.ManualClock,
+        values: tuple[bytes | None, ...],
+        lost_responses: int = 0,
+    ) -> None:
         self._clock = manual
+        self._records = tuple(
+            client.KeyedRecord("one", value, LISTED_POSITION + count)
+            for count, value in enumerate(values)
+        )
         self._lost_responses = lost_responses
         self.answered = threading.Event()
 
@@ -76,7 +92,7 @@
     def read_changes(
         self, topic: str, from_offset: int, wait_s: float, timeout_s: float | None = None
     ) -> client.ReadOutcome:
-        """Return the removal of the server, unless the response is lost."""
+        """Return what was written since, unless the response is lost."""
         if topic != SERVERS_TOPIC:
             return client.Records((), from_offset)
         if self._lost_responses:
@@ -86,8 +102,7 @@
         if from_offset > LISTED_POSITION:
             self.answered.set()
             return client.Records((), from_offset)
-        removed = client.KeyedRecord("one", None, LISTED_POSITION)
-        return client.Records((removed,), LISTED_POSITION + 1)
+        return client.Records(self._records, LISTED_POSITION + len(self._records))
 
     def write(self, topic: str, key: str, value: bytes, expected_end: int) -> client.WriteOutcome:
         """Fail."""
@@ -97,9 +112,35 @@
 # Guards against requests to a removed server for seconds more, because one lost response of a store
 # that works was taken for an outage in which entries expire (DRAIN).
 def test_one_lost_response_keeps_no_server_that_was_removed() -> None:
+    server_directory = watch(REMOVED, lost_responses=1)
+    assert set(server_directory.servers.by_name) == {"two"}
+
+
+# Guards against a server whose leaving is overlooked, because only the last of the records that are
+# read at once counted, and that one was written late or by somebody else (DRAIN).
+@pytest.mark.parametrize(
+    ("values", "is_listed"),
+    [
+        ((DRAINING, READY), True),
+        ((DRAINING, MALFORMED), True),
+        ((None, MALFORMED), False),
+        ((DRAINING, None), False),
+    ],
+)
+def test_later_record_does_not_hide_that_a_server_leaves(
+    *, values: tuple[bytes | None, ...], is_listed: bool
+) -> None:
+    server_directory = watch(values)
+    assert ("one" in server_directory.servers.by_name) is is_listed
+    if is_listed:
+        assert server_directory.servers.by_name["one"].server.draining
+
+
+def watch(values: tuple[bytes | None, ...], lost_responses: int = 0) -> directory.Directory:
+    """Return a directory with servers "one" and "two" after it read what was written since."""
     service_kernel = kernel.Kernel()
     manual = clock.ManualClock()
-    store = ForgetfulStore(manual, lost_responses=1)
+    store = ForgetfulStore(manual, values, lost_responses)
     service_kernel.register(names.CLOCK, manual)
     service_kernel.register(names.STORE, store)
     service_kernel.register(names.REPORTS, conftest.FixedInstances())
@@ -116,7 +157,7 @@
         assert store.answered.wait(TEST_TIMEOUT_S)
     finally:
         watching.stop()
-    assert set(server_directory.servers.by_name) == {"two"}
+    return server_directory
 
 
 @pytest.mark.parametrize(
