Keep the age of the server list, and what follows from it, in a module of its own

ListFreshness holds the version of the list, the waits for its renewal and whether requests may be sent by it; the directory holds the servers. One change beside the move: a relayed list that is itself outdated no longer ends the time in which the last known list is used, since an instance that lost the store as well may have sent it (test_old_relayed_list_is_no_sign_that_the_store_is_back).

--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-import threading
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -11,6 +9,7 @@
 from goldcresthall.gateway import configuration_state
 from goldcresthall.gateway import evacuations
 from goldcresthall.gateway import list_bounds
+from goldcresthall.gateway import list_freshness
 from goldcresthall.gateway import route_table
 from goldcresthall.gateway import server_history
 from goldcresthall.gateway import server_lists
@@ -28,7 +27,7 @@
 MAX_REPORTED_DRAINING = 1_024
 
 
-class Directory(service.Service):
+class Directory(list_freshness.ListFreshness, service.Service):
     """The deployment's configuration and servers, as last read from the store.
 
     A server whose entry is missing after an outage of the store is kept for
@@ -49,9 +48,8 @@
         service_kernel: kernel.Kernel,
         bounds: list_bounds.ListBounds = list_bounds.STRICTEST,
     ) -> None:
+        super().__init__(bounds)
         self._kernel = service_kernel
-        self._bounds = bounds
-        self._lock = threading.Lock()
         self._configurations = configuration_state.ConfigurationState()
         self._servers = server_lists.ServerList({}, {})
         self._expired_names: set[str] = set()
@@ -62,14 +60,7 @@
         self._has_relayed_evacuations = False
         self._reported_draining: dict[deployment.ServerIncarnation, None] = {}
         self._relayed = server_lists.RelayedServers(0, ())
-        self._version = server_lists.NO_LIST
         self._applied_relay: tuple[deployment.RegisteredServer, ...] | None = None
-        self._relayed_at_s = -math.inf
-        self._list_source = ""
-        self._is_store_lost = False
-        self._read_requested = threading.Condition(self._lock)
-        self._is_read_requested = False
-        self._list_changed = threading.Condition(self._lock)
 
     @classmethod
     def from_config(
@@ -172,44 +163,6 @@
             outage.duration_s,
         )
 
-    @property
-    def version(self) -> server_lists.ListVersion:
-        """Which state of the store the list shows."""
-        return self._version
-
-    @property
-    def bounds(self) -> list_bounds.ListBounds:
-        """Bounds on the age of the server list."""
-        return self._bounds
-
-    @property
-    def is_list_usable(self) -> bool:
-        """Whether requests may be sent by the present list.
-
-        The last known list is used for as long as the store fails, and so is the lack of a list.
-        """
-        return (
-            self._is_store_lost
-            or self._version is server_lists.NO_LIST
-            or self.list_age_s <= self._bounds.use_s
-        )
-
-    def record_read_failure(self) -> None:
-        """Record that the store failed, so that the list cannot be renewed."""
-        with self._lock:
-            self._is_store_lost = True
-            self._list_changed.notify_all()
-
-    def await_usable_list(self, max_wait_s: float) -> None:
-        """Wait until requests may be sent by the list, for `max_wait_s` seconds at most."""
-        with self._list_changed:
-            self._list_changed.wait_for(lambda: self.is_list_usable, max_wait_s)
-
-    @property
-    def list_age_s(self) -> float:
-        """Seconds since the server list was last known to be current; infinite without a list."""
-        return self._clock.read_s() - self._version.known_at_s
-
     def apply_changes(
         self,
         present: tuple[deployment.RegisteredServer, ...],
@@ -240,29 +193,9 @@
             self._expired_names.update(name for name in absent if name in by_name)
             self._remove_expired(by_name, now_s)
             self._applied_relay = None
-            self._log_source("the store", version, now_s)
-            self._set_version(version)
+            self._renew(version, list_freshness.ListSource.STORE, now_s)
             self._replace(by_name)
 
-    def _set_version(self, version: server_lists.ListVersion) -> None:
-        self._version = version
-        self._is_store_lost = False
-        self._list_changed.notify_all()
-
-    def _log_source(self, source: str, version: server_lists.ListVersion, now_s: float) -> None:
-        """Log where the list comes from, if that changes."""
-        if source == self._list_source:
-            return
-        self._list_source = source
-        logging.info(
-            "server list now from %s, step discover, position %d, %.2f s old; before %d, %.2f s",
-            source,
-            version.position,
-            now_s - version.known_at_s,
-            self._version.position,
-            now_s - self._version.known_at_s,
-        )
-
     def _remove_expired(
         self, by_name: dict[str, server_lists.DirectoryEntry], now_s: float
     ) -> None:
@@ -313,36 +246,6 @@
             listed = self._servers.incarnations
             return tuple(server for server in self._reported_draining if server in listed)
 
-    @property
-    def is_relayed(self) -> bool:
-        """Whether another instance relays its list, so that the store need not be read."""
-        return not self._is_read_requested and self.find_relay_remaining_s() > 0
-
-    def find_relay_remaining_s(self) -> float:
-        """Return the seconds until the relay ends unless it is renewed; not positive if it has.
-
-        It ends when the list is too old, or when nothing was relayed for that long.
-        """
-        latest_s = min(self._version.known_at_s, self._relayed_at_s)
-        return self._bounds.relay_s - (self._clock.read_s() - latest_s)
-
-    @property
-    def is_read_requested(self) -> bool:
-        """Whether the store must be read although a lessor may relay soon."""
-        return self._is_read_requested
-
-    def request_read(self) -> None:
-        """Let the store be read at once, because there is no lessor that could relay."""
-        with self._read_requested:
-            self._is_read_requested = True
-            self._read_requested.notify_all()
-
-    def await_relay_end(self, min_wait_s: float) -> None:
-        """Wait until the relay would end unless it is renewed, or until a read is requested."""
-        wait_s = max(min_wait_s, self.find_relay_remaining_s())
-        with self._read_requested:
-            self._read_requested.wait_for(lambda: self._is_read_requested, wait_s)
-
     def apply_relayed(
         self, present: tuple[deployment.RegisteredServer, ...], version: server_lists.ListVersion
     ) -> None:
@@ -355,12 +258,10 @@
         """
         now_s = self._clock.read_s()
         with self._lock:
-            self._relayed_at_s = now_s
-            self._is_read_requested = False
+            self._record_relay(now_s)
             if version.position < self._version.position:
                 return
             known_at_s = max(version.known_at_s, self._version.known_at_s)
-            self._log_source("a relay", version, now_s)
             if present is not self._applied_relay:
                 self._expired_names.clear()
                 names_present = {server.name for server in present}
@@ -373,7 +274,8 @@
                     self._merge(by_name, server, now_s, is_relayed=True)
                 self._replace(by_name)
             self._applied_relay = present
-            self._set_version(server_lists.ListVersion(version.position, known_at_s))
+            renewed = server_lists.ListVersion(version.position, known_at_s)
+            self._renew(renewed, list_freshness.ListSource.RELAY, now_s)
 
     def _merge(
         self,
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -208,6 +208,19 @@
     assert not fixture.finder.may_send(target, server)
 
 
+def test_old_relayed_list_is_no_sign_that_the_store_is_back() -> None:
+    fixture = create_fixture()
+    target, server = server_finder.PoolTarget("agenda"), conftest.create_server("one")
+    fixture.directory.record_read_failure()
+    fixture.clock.advance(60.0)
+    read_at_s = fixture.clock.read_s() - fixture.finder.drain_s
+    fixture.directory.apply_relayed((server,), server_lists.ListVersion(9, read_at_s))
+    assert fixture.finder.may_send(target, server)
+    fixture.directory.apply_relayed((server,), server_lists.ListVersion(9, fixture.clock.read_s()))
+    fixture.clock.advance(fixture.finder.drain_s)
+    assert not fixture.finder.may_send(target, server)
+
+
 # Guards against a request that is sent to a server that left while the connection was made (DRAIN).
 @pytest.mark.parametrize(
     "target", [server_finder.PoolTarget("agenda"), server_finder.KeyTarget("agenda", 1)]
