Let no late entry put a removed server in use again

Cause: a removal without draining leaves nothing behind, so an entry that is written late looks like a server that registers again. Servers count the refreshes of their entry for this, and nothing read that count. Now an entry that is no later than one seen before adds no server that was removed, also if the removal and the entry are read at once. One that is later does: a server whose entry expired. Evidence: the cases of test_late_entry_puts_no_removed_server_in_use_again with an earlier or equal refresh cannot be written for the code before, which had no count; the same entries without a count are listed there and here.

--- a/src/goldcresthall/core/deployment.py
+++ b/src/goldcresthall/core/deployment.py
@@ -129,6 +129,9 @@
         Whether it is draining before a shutdown.
     slow_start_remaining_s
         Remaining warm-up time in seconds at its registration, during which it is slow.
+    refresh
+        Number of this refresh of its entry, counted by the server; `None` if it is not known. Two
+        registrations that differ only in it are equal.
     """
 
     incarnation: ServerIncarnation
@@ -138,6 +141,7 @@
     slots: int
     draining: bool
     slow_start_remaining_s: float
+    refresh: int | None = dataclasses.field(default=None, compare=False)
 
     @property
     def name(self) -> str:
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -176,7 +176,7 @@
         present
             Servers whose entries were added or changed.
         absent
-            Names of servers whose entries were removed.
+            Names of servers whose entries were removed, before those that are present again.
         version
             State of the store after the changes; they are ignored if a later one is known.
             `None` means the present state at the known position.
@@ -187,15 +187,23 @@
             if version.position < self._version.position:
                 return
             by_name = dict(self._servers.by_name)
-            for server in present:
-                self._expired_names.discard(server.name)
-                self._merge(by_name, server, now_s, is_relayed=False)
             self._expired_names.update(name for name in absent if name in by_name)
+            for server in present:
+                if self._is_listed(by_name, server.name) or not self._history.is_late(server):
+                    self._expired_names.discard(server.name)
+                    self._merge(by_name, server, now_s, is_relayed=False)
+                else:
+                    logging.info(
+                        "late entry of %s ignored, step discover: removed", server.incarnation
+                    )
             self._remove_expired(by_name, now_s)
             self._applied_relay = None
             self._renew(version, list_freshness.ListSource.STORE, now_s)
             self._replace(by_name)
 
+    def _is_listed(self, by_name: dict[str, server_lists.DirectoryEntry], name: str) -> bool:
+        return name in by_name and name not in self._expired_names
+
     def _remove_expired(
         self, by_name: dict[str, server_lists.DirectoryEntry], now_s: float
     ) -> None:
--- a/src/goldcresthall/gateway/server_history.py
+++ b/src/goldcresthall/gateway/server_history.py
@@ -20,10 +20,13 @@
     draining_since_s
         Clock reading in seconds since which it may have been draining; `None` if it was never
         seen draining. An incarnation does not recover from that.
+    refresh
+        Highest number of a refresh of its entry; -1 if none is known.
     """
 
     incarnation: deployment.ServerIncarnation
     draining_since_s: float | None
+    refresh: int = -1
 
 
 class ServerHistory:
@@ -62,8 +65,24 @@
             self.record_draining(server.incarnation, draining_since_s)
         elif latest is None or latest.incarnation != server.incarnation:
             self._remember(LatestIncarnation(server.incarnation, None))
+        self._record_refresh(server)
         return self._latest[server.name]
 
+    def is_late(self, server: deployment.RegisteredServer) -> bool:
+        """Return whether a later refresh of an entry, or this one, was observed before."""
+        latest = self._latest.get(server.name)
+        return (
+            latest is not None
+            and latest.incarnation == server.incarnation
+            and server.refresh is not None
+            and server.refresh <= latest.refresh
+        )
+
+    def _record_refresh(self, server: deployment.RegisteredServer) -> None:
+        latest = self._latest[server.name]
+        if server.refresh is not None and server.refresh > latest.refresh:
+            self._latest[server.name] = dataclasses.replace(latest, refresh=server.refresh)
+
     def record_draining(self, incarnation: deployment.ServerIncarnation, since_s: float) -> bool:
         """Record that an incarnation is draining; return whether that was unknown."""
         latest = self._latest.get(incarnation.name)
@@ -72,7 +91,8 @@
                 return False
             if latest.incarnation == incarnation and latest.draining_since_s is not None:
                 return False
-        self._remember(LatestIncarnation(incarnation, since_s))
+        refresh = -1 if latest is None or latest.incarnation != incarnation else latest.refresh
+        self._remember(LatestIncarnation(incarnation, since_s, refresh))
         return True
 
     def _remember(self, latest: LatestIncarnation) -> None:
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -299,20 +299,20 @@
     def _apply_servers(self, update: topics.TopicUpdate) -> None:
         """Apply all records in order, since an early one may say that its server leaves."""
         present: list[deployment.RegisteredServer] = []
-        absent: set[str] = set()
+        removed: set[str] = set()
         for record in update.changed:
             if record.value is None:
-                absent.add(record.key)
+                removed.add(record.key)
+                present = [server for server in present if server.name != record.key]
                 continue
             server = self._decoder.decode_server(record)
             if server is not None:
                 present.append(server)
-                absent.discard(record.key)
         version = server_lists.ListVersion(update.end_offset, update.began_at_s)
         if update.complete:
             self._directory.apply_full_list(tuple(present), version)
         else:
-            self._directory.apply_changes(tuple(present), frozenset(absent), version)
+            self._directory.apply_changes(tuple(present), frozenset(removed), version)
 
 
 def find_retry_delay_s(failures: int) -> float:
--- a/src/goldcresthall/platform/entries.py
+++ b/src/goldcresthall/platform/entries.py
@@ -99,6 +99,14 @@
         slots=max(1, fields.read_count(document, "slots", 1)),
         draining=DRAINING_BY_STATE[state],
         slow_start_remaining_s=fields.read_number(document, "warmup_left_s", 0.0),
+        refresh=_find_refresh(document),
+    )
+
+
+def _find_refresh(document: dict[str, Any]) -> int | None:
+    # `seq` counts the refreshes of this incarnation; an entry without it is as valid as others.
+    return (
+        fields.read_count(document, "seq", maximum=fields.MAX_OFFSET) if "seq" in document else None
     )
 
 
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import threading
 from typing import TYPE_CHECKING
@@ -27,7 +28,8 @@
 LISTED_POSITION = 5
 SHORTEST_DRAIN_S = 2.0
 LOST_RESPONSE_S = 1.0
-READY, DRAINING, MALFORMED = b"ready", b"draining", b"{"
+READY, REFRESHED, DRAINING, MALFORMED = b"ready", b"ready again", b"draining", b"{"
+REFRESHES = {READY: 1, REFRESHED: 2}
 REMOVED = (None,)
 TEST_TIMEOUT_S = 20.0
 # A call to the store that works, or the way of a request to its server.
@@ -47,9 +49,10 @@
 
     def decode_server(self, record: client.KeyedRecord) -> deployment.RegisteredServer | None:
         """Return the server of a record that has a valid state."""
-        if record.value not in {READY, DRAINING}:
+        if record.value not in {READY, REFRESHED, DRAINING}:
             return None
-        return conftest.create_server(record.key, draining=record.value == DRAINING)
+        created = conftest.create_server(record.key, draining=record.value == DRAINING)
+        return dataclasses.replace(created, refresh=REFRESHES.get(record.value))
 
     def find_evacuated_domain(self, key: str) -> str | None:
         """Return no failure domain."""
@@ -125,6 +128,7 @@
         ((DRAINING, MALFORMED), True),
         ((None, MALFORMED), False),
         ((DRAINING, None), False),
+        ((READY, None, MALFORMED), False),
     ],
 )
 def test_later_record_does_not_hide_that_a_server_leaves(
@@ -136,6 +140,27 @@
         assert server_directory.servers.by_name["one"].server.draining
 
 
+# Guards against a server that is put in use again after its removal by an entry that was written
+# late, after a later refresh of the same life (DRAIN). A server whose entry expired refreshes it.
+@pytest.mark.parametrize("is_read_at_once", [False, True])
+@pytest.mark.parametrize(
+    ("refresh", "is_listed"), [(6, False), (7, False), (8, True), (None, True)]
+)
+def test_late_entry_puts_no_removed_server_in_use_again(
+    *, refresh: int | None, is_listed: bool, is_read_at_once: bool
+) -> None:
+    fixture = conftest.create_gateway_fixture()
+    server = conftest.create_server("one")
+    fixture.directory.apply_full_list((dataclasses.replace(server, refresh=7),))
+    late = (dataclasses.replace(server, refresh=refresh),)
+    if is_read_at_once:
+        fixture.directory.apply_changes(late, frozenset({"one"}))
+    else:
+        fixture.directory.apply_changes((), frozenset({"one"}))
+        fixture.directory.apply_changes(late, frozenset())
+    assert ("one" in fixture.directory.servers.by_name) is is_listed
+
+
 def watch(values: tuple[bytes | None, ...], lost_responses: int = 0) -> directory.Directory:
     """Return a directory with servers "one" and "two" after it read what was written since."""
     service_kernel = kernel.Kernel()
