Take no withdrawn request for a failure of its server

A request that is withdrawn before its first byte, because its server left or the list is outdated, says nothing of the server, like one without time left. Its estimate was lowered and the server avoided for a moment, at all servers at once if the list was outdated. Evidence: test_request_that_was_withdrawn_before_the_send_is_no_failure_of_its_server failed before (deprioritized).

--- a/src/goldcresthall/gateway/estimates.py
+++ b/src/goldcresthall/gateway/estimates.py
@@ -34,6 +34,10 @@
     outcomes.UnknownReason.ANSWER_TIMEOUT: DEPRIORITIZATION_S,
     outcomes.UnknownReason.ANSWER_TOO_LARGE: ENDLESS_BODY_DEPRIORITIZATION_S,
 }
+# No time was left, or the server left, once there was a connection.
+WITHDRAWN_REASONS: Final = frozenset(
+    {outcomes.RefusalReason.DEADLINE_EXPIRED, outcomes.RefusalReason.SERVER_DRAINING}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -170,7 +174,7 @@
         attempt: attempts.Attempt,
         now_s: float,
     ) -> Estimate:
-        if _is_expired(attempt):
+        if _was_withdrawn(attempt):
             return estimate
         failed = _has_failed(attempt)
         rate = estimate.failure_rate + FAILURE_EWMA_WEIGHT * (float(failed) - estimate.failure_rate)
@@ -202,11 +206,12 @@
         return dataclasses.replace(estimate, usual_load=usual)
 
 
-def _is_expired(attempt: attempts.Attempt) -> bool:
-    """Return whether an attempt says nothing of the server, since no time was left to send it."""
+def _was_withdrawn(attempt: attempts.Attempt) -> bool:
+    """Return whether an attempt says nothing of the server, since it was ended before the send."""
     return (
         isinstance(attempt, attempts.AttemptNotRun)
-        and attempt.reason is outcomes.RefusalReason.DEADLINE_EXPIRED
+        and attempt.step is not outcomes.Step.EXECUTE
+        and attempt.reason in WITHDRAWN_REASONS
     )
 
 
--- a/src/goldcresthall/gateway/list_freshness.py
+++ b/src/goldcresthall/gateway/list_freshness.py
@@ -135,5 +135,6 @@
         self._source = source
         self._version = version
         # An old list from an instance that lost the store too is no sign that the store is back.
-        self._is_store_lost &= now_s - version.known_at_s > self._bounds.use_s
+        is_outdated = now_s - version.known_at_s > self._bounds.use_s
+        self._is_store_lost = self._is_store_lost and is_outdated
         self._renewed.notify_all()
--- a/src/goldcresthall/platform/request_client.py
+++ b/src/goldcresthall/platform/request_client.py
@@ -44,7 +44,7 @@
 NOT_RETURNED: Final = responses.HOP_BY_HOP_HEADERS | {"content-length", names.SERVER_LOAD}
 
 
-_WITHDRAWN: Final = attempts.AttemptNotRun(
+WITHDRAWN: Final = attempts.AttemptNotRun(
     outcomes.RefusalReason.SERVER_DRAINING,
     outcomes.Step.CONNECT,
     "the server left, or its entry is outdated, before the request was sent",
@@ -131,7 +131,7 @@
                     outcomes.UnknownReason.CALLER_LEFT, error.step, "the caller disconnected"
                 )
             if isinstance(error, exceptions.SendExpiredError) and time.monotonic() < ends_at_s:
-                return _WITHDRAWN
+                return WITHDRAWN
             return _describe_failure(error)
         return _decode(response, dispatch.request_id)
 
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -17,6 +17,7 @@
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
+from goldcresthall.platform import request_client
 from goldcresthall.store import client
 from tests.fakes import clock
 from tests.gateway import conftest
@@ -263,6 +264,17 @@
     assert not fixture.finder.may_send(target, server)
 
 
+def test_request_that_was_withdrawn_before_the_send_is_no_failure_of_its_server() -> None:
+    fixture = create_fixture()
+    server = conftest.create_server("one")
+    fixture.estimates.start_attempt(server)
+    before = fixture.estimates.find(server)
+    fixture.estimates.finish_attempt(server, request_client.WITHDRAWN)
+    after = fixture.estimates.find(server)
+    assert after.failure_rate == before.failure_rate
+    assert after.deprioritized_until_s == before.deprioritized_until_s
+
+
 def test_request_goes_on_as_soon_as_the_list_is_renewed() -> None:
     fixture = create_fixture()
     fixture.clock.advance(fixture.finder.drain_s)
