--- a/src/goldcresthall/gateway/attempt_runner.py
+++ b/src/goldcresthall/gateway/attempt_runner.py
@@ -40,7 +40,7 @@
     is_given_up
         Whether it was ended early because the server is suspected; its retry is paid already.
     list_age_s
-        Seconds for which the server list had not been known to be current as it was sent.
+        Seconds for which the server list had not been known to be current as it began.
     """
 
     attempt: attempts.Attempt
--- a/src/goldcresthall/gateway/request_progress.py
+++ b/src/goldcresthall/gateway/request_progress.py
@@ -29,7 +29,7 @@
     attempt_descriptions
         One text for each attempt: the server and the result.
     list_ages_ms
-        Age of the server list at each attempt in milliseconds.
+        Age of the server list in milliseconds as each attempt began.
     """
 
     sent: int = 0
@@ -50,7 +50,7 @@
     Parameters
     ----------
     list_age_s
-        Age of the server list as the request was sent.
+        Age of the server list in seconds as the attempt began.
     """
     tries = len(progress.attempt_descriptions) + 1
     latest = attempt_outcomes.create_outcome(attempt, server, tries)
--- a/src/goldcresthall/observability/decisions.py
+++ b/src/goldcresthall/observability/decisions.py
@@ -41,7 +41,7 @@
     owners_age_ms
         Age of that view in milliseconds.
     servers_age_ms
-        Age of the server list in milliseconds at each of these tries.
+        Age of the server list in milliseconds as each of these tries began.
     tried
         Servers tried, in order, each with its result.
     """
--- a/src/goldcresthall/observability/metrics.py
+++ b/src/goldcresthall/observability/metrics.py
@@ -81,7 +81,7 @@
 
         self._list_age = prometheus_client.Histogram(
             "goldcresthall_server_list_age_seconds",
-            "Age of the server list as a request is sent.",
+            "Age of the server list as an attempt begins.",
             buckets=LIST_AGE_BUCKETS_S,
             registry=self._registry,
         )
@@ -103,7 +103,7 @@
         self._duration.observe(duration_s)
 
     def observe_list_age(self, age_s: float) -> None:
-        """Record the age in seconds of the server list as a request is sent."""
+        """Record the age in seconds of the server list as an attempt begins."""
         self._list_age.observe(age_s)
 
     def count_retry(self, reason: outcomes.RefusalReason | outcomes.UnknownReason) -> None:
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -29,8 +29,7 @@
 LISTED_POSITION = 5
 SHORTEST_DRAIN_S = 2.0
 LOST_RESPONSE_S = 1.0
-READY, REFRESHED, DRAINING, MALFORMED = b"ready", b"ready again", b"draining", b"{"
-REFRESHES = {READY: 1, REFRESHED: 2}
+READY, DRAINING, MALFORMED = b"ready", b"draining", b"{"
 REMOVED = (None,)
 TEST_TIMEOUT_S = 20.0
 # A call to the store that works, or the way of a request to its server.
@@ -50,10 +49,9 @@
 
     def decode_server(self, record: client.KeyedRecord) -> deployment.RegisteredServer | None:
         """Return the server of a record that has a valid state."""
-        if record.value not in {READY, REFRESHED, DRAINING}:
+        if record.value not in {READY, DRAINING}:
             return None
-        created = conftest.create_server(record.key, draining=record.value == DRAINING)
-        return dataclasses.replace(created, refresh=REFRESHES.get(record.value))
+        return conftest.create_server(record.key, draining=record.value == DRAINING)
 
     def find_evacuated_domain(self, key: str) -> str | None:
         """Return no failure domain."""
