Split the gateway's waits, the targets and the rule for leaving servers from two large files

RequestWaits has the three waits of a request, targets.py the kinds of target, and leaving_servers.py the one rule by which a server that may drain gets a request, which stood in the choice of an owner and in the question at the send. Nothing else changes; one test patches the wait at its new place. Three tests are new: a request waits for an outdated list and is sent after it is renewed, is refused in time without being sent if it is not, and goes to another server if its own left before the send.

--- a/src/goldcresthall/gateway/alternatives.py
+++ b/src/goldcresthall/gateway/alternatives.py
@@ -6,11 +6,12 @@
 
 from goldcresthall.core import deployment
 from goldcresthall.gateway import server_finder
+from goldcresthall.gateway import targets
 
 
 @functools.singledispatch
 def has_alternative(
-    target: server_finder.Target,
+    target: targets.Target,
     finder: server_finder.ServerFinder,
     server: deployment.RegisteredServer,
     tried: frozenset[str],
@@ -21,7 +22,7 @@
 
 @has_alternative.register
 def _(
-    target: server_finder.PoolTarget,
+    target: targets.PoolTarget,
     finder: server_finder.ServerFinder,
     server: deployment.RegisteredServer,
     tried: frozenset[str],
@@ -39,7 +40,7 @@
 
 @has_alternative.register
 def _(
-    target: server_finder.KeyTarget,
+    target: targets.KeyTarget,
     finder: server_finder.ServerFinder,
     server: deployment.RegisteredServer,
     tried: frozenset[str],
--- a/src/goldcresthall/gateway/gateway.py
+++ b/src/goldcresthall/gateway/gateway.py
@@ -20,6 +20,7 @@
 from goldcresthall.gateway import estimates
 from goldcresthall.gateway import outcome_reporter
 from goldcresthall.gateway import request_progress
+from goldcresthall.gateway import request_waits
 from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import retry_budgets
 from goldcresthall.gateway import retry_policy
@@ -29,6 +30,7 @@
 from goldcresthall.gateway import server_finder
 from goldcresthall.gateway import server_refusals
 from goldcresthall.gateway import target_keys
+from goldcresthall.gateway import targets
 from goldcresthall.gateway import waiting
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
@@ -118,6 +120,7 @@
             circuits=self._kernel.find(names.SERVER_CIRCUITS, server_circuits.ServerCircuits),
         )
         self._capacity_queues = waiting.CapacityQueues(self._clock)
+        self._waits = request_waits.RequestWaits(self._clock, self._directory, self._owners)
         watches = early_retries.EarlyRetries(self._clock)
         self._runner = attempt_runner.AttemptRunner(
             finder=self._server_finder,
@@ -183,7 +186,7 @@
             return outcomes.Refused(
                 outcomes.RefusalReason.UNKNOWN_ROUTE, outcomes.Step.ROUTE, request.host
             )
-        target = server_finder.create_target(
+        target = targets.create_target(
             configuration, self._round_robins.choose_service(route), request.key, request.path
         )
         latest_s = request.received_at_s + route.timeout_s
@@ -276,59 +279,17 @@
         if unavailable.is_final:
             return unavailable.refused
         if unavailable.awaits_list:
-            return None if self._wait_for_list(wait_budget) else unavailable.refused
+            return None if self._waits.wait_for_list(wait_budget) else unavailable.refused
         if unavailable.wait is not None:
-            has_waited = self._wait_for_capacity(plan, unavailable.wait, queue_entry)
+            has_waited = self._waits.wait_for_capacity(plan, unavailable.wait, queue_entry)
             return None if has_waited else unavailable.refused
         queue_entry.leave()
-        if self._wait_for_owner(plan, wait_budget, serial, unavailable.max_wait_s):
+        if self._waits.wait_for_owner(plan, wait_budget, serial, unavailable.max_wait_s):
             return None
-        if isinstance(plan.target, server_finder.KeyTarget):
+        if isinstance(plan.target, targets.KeyTarget):
             return dataclasses.replace(unavailable.refused, retry_after_s=SLOW_MOVE_S)
         return unavailable.refused
 
-    def _wait_for_capacity(
-        self,
-        plan: routing_plans.RoutingPlan,
-        wait: waiting.CapacityWait,
-        queue_entry: waiting.QueueEntry,
-    ) -> bool:
-        """Wait for a free place; return `False` if the target can no longer be met."""
-        remaining_s = plan.target_at_s - wait.service_time_s - self._clock.read_s()
-        if remaining_s <= 0 or not queue_entry.enter(wait):
-            return False
-        ended = queue_entry.await_turn(retry_policy.RECHECK_INTERVAL_S, remaining_s)
-        return ended is waiting.WaitEnd.TURN
-
-    def _wait_for_list(self, wait_budget: retry_policy.WaitBudget) -> bool:
-        """Wait for a renewed list of servers; return `False` if the time for waits is over."""
-        left_s = wait_budget.find_left_s()
-        if left_s <= 0:
-            return False
-        began_at_s = self._clock.read_s()
-        self._directory.await_usable_list(left_s)
-        wait_budget.spend(self._clock.read_s() - began_at_s)
-        return True
-
-    def _wait_for_owner(
-        self,
-        plan: routing_plans.RoutingPlan,
-        wait_budget: retry_policy.WaitBudget,
-        serial: int,
-        max_wait_s: float | None = None,
-    ) -> bool:
-        """Wait for a newer view of the owners; return `False` if waiting is useless or over."""
-        if (
-            not isinstance(plan.target, server_finder.KeyTarget)
-            or wait_budget.find_left_s(max_wait_s) <= 0
-        ):
-            return False
-        began_at_s = self._clock.read_s()
-        left_s = wait_budget.find_left_s(max_wait_s)
-        self._owners.wait_for_newer(serial, min(left_s, retry_policy.RECHECK_INTERVAL_S))
-        wait_budget.spend(self._clock.read_s() - began_at_s)
-        return True
-
     def _prepare_retry(
         self,
         plan: routing_plans.RoutingPlan,
@@ -338,7 +299,7 @@
         serial: int,
     ) -> bool:
         attempt = finished.attempt
-        is_keyed = isinstance(plan.target, server_finder.KeyTarget)
+        is_keyed = isinstance(plan.target, targets.KeyTarget)
         reason = retry_policy.find_retry_reason(attempt, idempotent=plan.route.idempotent)
         if reason is None:
             return False
@@ -355,4 +316,4 @@
         if reason is outcomes.UnknownReason.CONNECTION_FORGOTTEN:
             # The owner is as sound as before; a new connection is all that it takes.
             return True
-        return not is_keyed or self._wait_for_owner(plan, wait_budget, serial)
+        return not is_keyed or self._waits.wait_for_owner(plan, wait_budget, serial)
--- a/src/goldcresthall/gateway/routing_plans.py
+++ b/src/goldcresthall/gateway/routing_plans.py
@@ -6,7 +6,7 @@
 
 from goldcresthall.admission import queue_limits
 from goldcresthall.core import deployment
-from goldcresthall.gateway import server_finder
+from goldcresthall.gateway import targets
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,7 +26,7 @@
     """
 
     route: deployment.HostRoute
-    target: server_finder.Target
+    target: targets.Target
     configuration: int
     deadline_s: float
     target_at_s: float
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -1,4 +1,4 @@
-"""Kinds of request target, and the selection of a server for each kind."""
+"""Selection of the server for the next attempt of a request, by the kind of its target."""
 
 from __future__ import annotations
 
@@ -6,19 +6,19 @@
 import functools
 import math
 import random
-import zlib
 from typing import TYPE_CHECKING
 
 from goldcresthall.core import deployment
-from goldcresthall.core import key_ranges
 from goldcresthall.core import outcomes
 from goldcresthall.gateway import apertures
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import leaving_servers
 from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_capacity
 from goldcresthall.gateway import server_lists
 from goldcresthall.gateway import server_refusals
+from goldcresthall.gateway import targets
 from goldcresthall.gateway import waiting
 
 if TYPE_CHECKING:
@@ -28,29 +28,10 @@
     from goldcresthall.ranges import owners
     from goldcresthall.ranges import reports
 
-MAX_OWNER_DRAIN_FRACTION = 0.25
 # With 58 instances and 15 places at a server the share is 0.26 requests.
 MIN_SHARE_WITHOUT_CIRCUITS = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyTarget:
-    """A request that only the owner of a key may run."""
-
-    service: str
-    key: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolTarget:
-    """A request that any server of a service may run."""
-
-    service: str
-
-
-Target = KeyTarget | PoolTarget
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unavailable:
     """No server is usable at present.
@@ -74,20 +55,6 @@
     awaits_list: bool = False
 
 
-def create_target(
-    configuration: deployment.Configuration, service: str, key: str, path: str
-) -> Target:
-    """Return the target of a request for a service.
-
-    A request for a keyed service that has no valid key gets one from a hash of its path.
-    """
-    if service not in configuration.keyed_services:
-        return PoolTarget(service)
-    if key.isascii() and key.isdigit() and int(key) <= key_ranges.LAST_KEY:
-        return KeyTarget(service, int(key))
-    return KeyTarget(service, zlib.crc32(path.encode()) % key_ranges.KEY_COUNT)
-
-
 class ServerFinder(server_capacity.ServerCapacity):
     """Finds the server for the next attempt, by the kind of target."""
 
@@ -126,7 +93,7 @@
         return self.circuits.find_open(server.incarnation)
 
     def try_probe(
-        self, target: Target, server: deployment.RegisteredServer, tried: frozenset[str]
+        self, target: targets.Target, server: deployment.RegisteredServer, tried: frozenset[str]
     ) -> bool:
         """Return whether a request may be sent now to a server, as a probe if need be.
 
@@ -135,13 +102,13 @@
         Called right before sending, so that no request takes a probe that it doesn't use. A
         request that tried the server before was the evidence itself and may try again.
         """
-        if isinstance(target, PoolTarget) or server.name in tried:
+        if isinstance(target, targets.PoolTarget) or server.name in tried:
             return True
         if self.find_circuit(server) is None:
             return True
         return self.circuits.try_probe(server.incarnation, self.instances)
 
-    def may_send(self, target: Target, server: deployment.RegisteredServer) -> bool:
+    def may_send(self, target: targets.Target, server: deployment.RegisteredServer) -> bool:
         """Return whether a request may still be sent to the server that was found for it.
 
         Called right before the first byte, since the connection took time.
@@ -149,7 +116,7 @@
         entry = self.directory.servers.find(server.incarnation)
         if entry is None or not self.directory.is_list_usable:
             return False
-        return _may_serve(target, entry, self)
+        return leaving_servers.may_serve(target, entry, self.directory.read_s(), self.drain_s)
 
     def find_view(self, service: str) -> apertures.View:
         """Return the servers of a service, and those of them that this instance uses first."""
@@ -184,7 +151,7 @@
 
     def find(
         self,
-        target: Target,
+        target: targets.Target,
         tried: frozenset[str],
         generator: random.Random,
         target_in_s: float = math.inf,
@@ -209,7 +176,7 @@
 
 @functools.singledispatch
 def _find_server(
-    target: Target,
+    target: targets.Target,
     finder: ServerFinder,
     tried: frozenset[str],
     generator: random.Random,
@@ -222,7 +189,7 @@
 
 @_find_server.register
 def _(
-    target: PoolTarget,
+    target: targets.PoolTarget,
     finder: ServerFinder,
     tried: frozenset[str],
     generator: random.Random,
@@ -275,7 +242,7 @@
 
 @_find_server.register
 def _(
-    target: KeyTarget,
+    target: targets.KeyTarget,
     finder: ServerFinder,
     tried: frozenset[str],
     generator: random.Random,
@@ -289,7 +256,7 @@
     entry = finder.directory.servers.find(range_owner.owner)
     if entry is None:
         return _refuse_no_owner(target, f"{range_owner.owner.name} is not registered")
-    if _exceeds_drain_time(entry, finder):
+    if not leaving_servers.may_serve(target, entry, finder.directory.read_s(), finder.drain_s):
         return _refuse_no_owner(target, f"{range_owner.owner.name} is draining")
     refused = finder.restrictions.refuse_owner(entry)
     if refused is not None:
@@ -308,7 +275,7 @@
 
 
 def _refuse_unusable(
-    target: PoolTarget, finder: ServerFinder, tried: frozenset[str]
+    target: targets.PoolTarget, finder: ServerFinder, tried: frozenset[str]
 ) -> Unavailable:
     """Return the refusal for a service whose servers are all paused, draining or tried."""
     entries = finder.find_view(target.service).everything.entries
@@ -325,7 +292,7 @@
 
 
 def _check_circuit(
-    target: KeyTarget, entry: server_lists.DirectoryEntry, finder: ServerFinder
+    target: targets.KeyTarget, entry: server_lists.DirectoryEntry, finder: ServerFinder
 ) -> Unavailable | None:
     """Return why the owner of a key may not get a request that is no probe; `None` if it may."""
     owner = entry.server.incarnation
@@ -347,28 +314,5 @@
     return entry.draining_since_s is None and entry.server.name not in tried
 
 
-def _exceeds_drain_time(entry: server_lists.DirectoryEntry, finder: ServerFinder) -> bool:
-    since_s = entry.draining_since_s
-    if since_s is None:
-        return False
-    return finder.directory.read_s() - since_s > MAX_OWNER_DRAIN_FRACTION * finder.drain_s
-
-
-@functools.singledispatch
-def _may_serve(target: Target, entry: server_lists.DirectoryEntry, finder: ServerFinder) -> bool:
-    """Return whether a listed server may get a request, as far as it may be leaving."""
-    raise NotImplementedError(type(target).__name__)
-
-
-@_may_serve.register
-def _(target: PoolTarget, entry: server_lists.DirectoryEntry, finder: ServerFinder) -> bool:
-    return entry.draining_since_s is None
-
-
-@_may_serve.register
-def _(target: KeyTarget, entry: server_lists.DirectoryEntry, finder: ServerFinder) -> bool:
-    return not _exceeds_drain_time(entry, finder)
-
-
-def _refuse_no_owner(target: KeyTarget, detail: str) -> Unavailable:
+def _refuse_no_owner(target: targets.KeyTarget, detail: str) -> Unavailable:
     return Unavailable(server_refusals.refuse_no_owner(target.service, detail))
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -14,14 +14,15 @@
 from goldcresthall.gateway import evacuations
 from goldcresthall.gateway import restrictions
 from goldcresthall.gateway import server_finder
+from goldcresthall.gateway import targets
 from goldcresthall.ranges import owners
 from goldcresthall.store import client
 from goldcresthall.store import topics
 from tests.gateway import conftest
 from tests.gateway import test_cold_starts
 
-POOL = server_finder.PoolTarget("agenda")
-KEY = server_finder.KeyTarget("ledger", 7)
+POOL = targets.PoolTarget("agenda")
+KEY = targets.KeyTarget("ledger", 7)
 EVACUATION_S = 5.0
 
 
@@ -48,7 +49,7 @@
     )
 
 
-def find(fixture: conftest.GatewayFixture, target: server_finder.Target) -> str:
+def find(fixture: conftest.GatewayFixture, target: targets.Target) -> str:
     """Return the name of the server found, or the reason of the refusal."""
     selected = fixture.finder.find(target, frozenset(), random.Random(1))
     if isinstance(selected, server_finder.Unavailable):
@@ -80,7 +81,7 @@
 
 @pytest.mark.parametrize("target", [POOL, KEY])
 def test_request_is_refused_at_once_if_all_domains_are_evacuated(
-    target: server_finder.Target,
+    target: targets.Target,
 ) -> None:
     """It must not be held until its deadline."""
     fixture = create_fixture()
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -19,6 +19,7 @@
 from goldcresthall.core import outcomes
 from goldcresthall.core import requests
 from goldcresthall.gateway import gateway
+from goldcresthall.gateway import list_bounds
 from goldcresthall.kernel import cancellation
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
@@ -26,6 +27,7 @@
 from goldcresthall.observability import decisions
 from goldcresthall.observability import metrics
 from goldcresthall.platform import caller_codec
+from goldcresthall.platform import request_client
 from goldcresthall.ranges import owners
 from tests.gateway import conftest
 
@@ -102,8 +104,8 @@
 class Setup:
     """A gateway with a keyed and a pool service, a manual clock and a scripted sender."""
 
-    def __init__(self) -> None:
-        fixture = conftest.create_gateway_fixture()
+    def __init__(self, bounds: list_bounds.ListBounds = conftest.ALWAYS_USABLE) -> None:
+        fixture = conftest.create_gateway_fixture(bounds)
         self.clock, self.directory = fixture.clock, fixture.directory
         self.circuits = fixture.circuits
         self.owners = fixture.owners
@@ -177,21 +179,41 @@
 
 @pytest.fixture
 def setup() -> Iterator[Setup]:
-    """Provide a gateway with one owner of all keys and one server of the pool."""
+    """Provide a gateway with one owner of all keys and two servers of the pool."""
     created = Setup()
+    configure_all(created)
+    yield created
+    created.gateway.stop()
+
+
+@pytest.fixture
+def outdated() -> Iterator[Setup]:
+    """Provide the same with a list of servers that has not been renewed for too long."""
+    created = Setup(list_bounds.STRICTEST)
+    configure_all(created)
+    created.clock.advance(created.directory.bounds.use_s + 0.1)
+    yield created
+    created.gateway.stop()
+
+
+def configure_all(created: Setup) -> None:
+    """Put the routes in force and register the servers and the owner."""
     created.configure(
         create_route("ledger", deployment.WeightedService("ledger", 1.0)),
         create_route("urgent", deployment.WeightedService("ledger", 1.0), priority=0),
         create_route("agenda", deployment.WeightedService("agenda", 1.0), max_attempts=3),
     )
+    register_all(created)
+    created.assign_keys("owner")
+
+
+def register_all(created: Setup) -> None:
+    """Register all servers, as a read of the store does."""
     created.register(
         conftest.create_server("owner", "ledger"),
         conftest.create_server("one"),
         conftest.create_server("two"),
     )
-    created.assign_keys("owner")
-    yield created
-    created.gateway.stop()
 
 
 def expect_refused(outcome: outcomes.Outcome, reason: outcomes.RefusalReason) -> float:
@@ -203,6 +225,37 @@
     return outcome.retry_after_s
 
 
+# Guards against requests to servers that may have left, while the list is renewed late (DRAIN).
+@pytest.mark.parametrize("path", ["/ledger/1", "/agenda/1"])
+def test_request_waits_until_an_outdated_list_is_renewed(
+    outdated: Setup, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    def renew(max_wait_s: float) -> None:
+        assert not outdated.sender.sent_to
+        register_all(outdated)
+
+    monkeypatch.setattr(outdated.directory, "await_usable_list", renew)
+    assert isinstance(outdated.handle(path), outcomes.Answered)
+    assert len(outdated.sender.sent_to) == 1
+
+
+@pytest.mark.parametrize("path", ["/ledger/1", "/agenda/1"])
+def test_request_is_refused_if_an_outdated_list_is_not_renewed(
+    outdated: Setup, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    monkeypatch.setattr(outdated.directory, "await_usable_list", outdated.clock.advance)
+    began_at_s = outdated.clock.read_s()
+    expect_refused(outdated.handle(path), outcomes.RefusalReason.LIST_OUTDATED)
+    assert not outdated.sender.sent_to
+    assert outdated.clock.read_s() - began_at_s < conftest.create_route("r", "/").target_latency_s
+
+
+def test_request_whose_server_left_before_the_send_goes_to_another(setup: Setup) -> None:
+    setup.sender.script = [request_client.WITHDRAWN, OK]
+    assert isinstance(setup.handle("/agenda/1"), outcomes.Answered)
+    assert sorted(setup.sender.sent_to) == ["one", "two"]
+
+
 def test_requests_beyond_the_share_are_refused_at_once_and_urgent_ones_admitted(
     setup: Setup,
 ) -> None:
@@ -484,7 +537,7 @@
     setup.register(
         conftest.create_server("owner", "ledger"), conftest.create_server("owner-2", "ledger")
     )
-    monkeypatch.setattr(setup.gateway, "_wait_for_owner", lambda *_: False)
+    monkeypatch.setattr(setup.gateway._waits, "wait_for_owner", lambda *_: False)
 
     def move() -> None:
         setup.assign_keys("owner-2")
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -10,9 +10,11 @@
 import pytest
 
 from goldcresthall.gateway import directory
+from goldcresthall.gateway import leaving_servers
 from goldcresthall.gateway import list_bounds
 from goldcresthall.gateway import server_finder
 from goldcresthall.gateway import server_lists
+from goldcresthall.gateway import targets
 from goldcresthall.gateway import watchers
 from goldcresthall.kernel import kernel
 from goldcresthall.kernel import names
@@ -196,9 +198,9 @@
 
 
 # Guards against a choice by a list whose renewal is late, among servers that may have left (DRAIN).
-@pytest.mark.parametrize("target", [server_finder.PoolTarget("agenda")])
+@pytest.mark.parametrize("target", [targets.PoolTarget("agenda")])
 def test_no_server_is_chosen_by_a_list_that_is_older_than_servers_drain(
-    target: server_finder.Target,
+    target: targets.Target,
 ) -> None:
     gateway_fixture = conftest.create_gateway_fixture(list_bounds.STRICTEST)
     gateway_fixture.directory.apply_full_list((conftest.create_server("one"),))
@@ -219,7 +221,7 @@
 
 def test_last_known_list_is_used_while_the_store_fails() -> None:
     fixture = create_fixture()
-    target, server = server_finder.PoolTarget("agenda"), conftest.create_server("one")
+    target, server = targets.PoolTarget("agenda"), conftest.create_server("one")
     fixture.clock.advance(60.0)
     assert not fixture.finder.may_send(target, server)
     fixture.directory.record_read_failure()
@@ -234,7 +236,7 @@
 
 def test_old_relayed_list_is_no_sign_that_the_store_is_back() -> None:
     fixture = create_fixture()
-    target, server = server_finder.PoolTarget("agenda"), conftest.create_server("one")
+    target, server = targets.PoolTarget("agenda"), conftest.create_server("one")
     fixture.directory.record_read_failure()
     fixture.clock.advance(60.0)
     read_at_s = fixture.clock.read_s() - fixture.finder.drain_s
@@ -246,19 +248,17 @@
 
 
 # Guards against a request that is sent to a server that left while the connection was made (DRAIN).
-@pytest.mark.parametrize(
-    "target", [server_finder.PoolTarget("agenda"), server_finder.KeyTarget("agenda", 1)]
-)
+@pytest.mark.parametrize("target", [targets.PoolTarget("agenda"), targets.KeyTarget("agenda", 1)])
 @pytest.mark.parametrize("is_removed", [False, True])
 def test_server_that_left_since_it_was_chosen_gets_nothing(
-    target: server_finder.Target, *, is_removed: bool
+    target: targets.Target, *, is_removed: bool
 ) -> None:
     fixture = create_fixture()
     server = conftest.create_server("one")
     assert fixture.finder.may_send(target, server)
     left = () if is_removed else (conftest.create_server("one", draining=True),)
     fixture.directory.apply_full_list(left)
-    fixture.clock.advance(server_finder.MAX_OWNER_DRAIN_FRACTION * fixture.finder.drain_s + 0.01)
+    fixture.clock.advance(leaving_servers.MAX_OWNER_DRAIN_FRACTION * fixture.finder.drain_s + 0.01)
     assert not fixture.finder.may_send(target, server)
 
 
@@ -301,4 +301,4 @@
     # An outage is known before the list becomes outdated, so that no request waits for it.
     assert bounds.relay_s + bounds.first_read_s < bounds.use_s
     # An owner gets requests for a while after it began to drain, whatever the list's age.
-    assert server_finder.MAX_OWNER_DRAIN_FRACTION * drain_s + CALL_S <= drain_s
+    assert leaving_servers.MAX_OWNER_DRAIN_FRACTION * drain_s + CALL_S <= drain_s
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -13,6 +13,7 @@
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_finder
 from goldcresthall.gateway import server_lists
+from goldcresthall.gateway import targets
 from goldcresthall.load import work_table
 from tests.gateway import conftest
 
@@ -20,7 +21,7 @@
     from goldcresthall.core import deployment
     from tests.gateway.conftest import GatewayFixture
 
-POOL = server_finder.PoolTarget("agenda")
+POOL = targets.PoolTarget("agenda")
 NEAR = tuple(conftest.create_server(f"near-{number}") for number in range(3))
 FAR = tuple(conftest.create_server(f"far-{number}", failure_domain="far") for number in range(3))
 
--- a/tests/gateway/test_server_finder.py
+++ b/tests/gateway/test_server_finder.py
@@ -16,6 +16,7 @@
 from goldcresthall.gateway import selection
 from goldcresthall.gateway import server_capacity
 from goldcresthall.gateway import server_finder
+from goldcresthall.gateway import targets
 from goldcresthall.ranges import owners
 from tests.gateway import conftest
 
@@ -23,13 +24,13 @@
     from tests.gateway.conftest import GatewayFixture
 
 GENERATOR = random.Random(1)
-POOL = server_finder.PoolTarget("agenda")
-KEY = server_finder.KeyTarget("ledger", 7)
+POOL = targets.PoolTarget("agenda")
+KEY = targets.KeyTarget("ledger", 7)
 
 
 def find(
     gateway_fixture: GatewayFixture,
-    target: server_finder.Target,
+    target: targets.Target,
     tried: frozenset[str] = frozenset(),
     target_in_s: float = math.inf,
 ) -> str:
@@ -199,7 +200,7 @@
 
 @pytest.mark.parametrize("target", [POOL, KEY])
 def test_request_joins_a_queue_only_if_it_can_meet_its_latency_target(
-    gateway_fixture: GatewayFixture, target: server_finder.Target
+    gateway_fixture: GatewayFixture, target: targets.Target
 ) -> None:
     """A hot key once filled its owner's queue until all responses were late."""
     server = conftest.create_server("one", target.service)
@@ -372,7 +373,7 @@
 
 @pytest.mark.parametrize("target", [POOL, KEY])
 def test_request_for_a_server_that_asked_for_a_pause_is_refused_at_once(
-    gateway_fixture: GatewayFixture, target: server_finder.Target
+    gateway_fixture: GatewayFixture, target: targets.Target
 ) -> None:
     """It must not wait for its deadline, and its caller learns when to come back."""
     server = conftest.create_server("owner", target.service)
--- a/tests/gateway/test_signals_state_machine.py
+++ b/tests/gateway/test_signals_state_machine.py
@@ -17,14 +17,14 @@
 from goldcresthall.core import deployment
 from goldcresthall.core import key_ranges
 from goldcresthall.core import outcomes
-from goldcresthall.gateway import server_finder
 from goldcresthall.gateway import server_lists
+from goldcresthall.gateway import targets
 from goldcresthall.ranges import owners
 from tests.gateway import conftest
 
 NAMES = ("one", "two", "three")
-POOL = server_finder.PoolTarget("ledger")
-KEY = server_finder.KeyTarget("ledger", 7)
+POOL = targets.PoolTarget("ledger")
+KEY = targets.KeyTarget("ledger", 7)
 DRAIN_S = 2.0
 INDEXES = strategies.integers(0, len(NAMES) - 1)
 
