--- a/review/6/harness.py
+++ b/review/6/harness.py
@@ -184,6 +184,8 @@
         self.state = "ready"
         self.is_registered = True
         self.arrivals: list[tuple[float, str]] = []
+        self.has_ended = False
+        self._connections: set[web.Any] = set()
         self._ended = threading.Event()
         self._beats = threading.Thread(target=self._beat, daemon=True)
 
@@ -227,8 +229,17 @@
         self.is_registered = False
         self.unregister()
 
+    def end(self) -> None:
+        """End at once, like a process that exits: all connections are cut."""
+        self.has_ended = True
+        for connection in tuple(self._connections):
+            with contextlib.suppress(OSError):
+                connection.socket.shutdown(socket.SHUT_RDWR)
+        self.stop()
+
     def handle_request(self, request: web.Request) -> web.Response:
         request_id = request.headers.get("goldcresthall-request-id")
+        self._connections.add(request.connection)
         if request_id:
             self.arrivals.append((time.monotonic(), request_id))
             self._system.record.write(f"{self.name}: request {request_id} arrives")
@@ -329,7 +340,8 @@
             if router.process is not None:
                 router.process.wait()
         for server in self.servers:
-            server.stop()
+            if not server.has_ended:
+                server.stop()
         self.store.stop()
 
     def add_server(self, name: str, service: str, work_s: float = 0.02) -> Server:
@@ -518,6 +530,8 @@
     system = System(record)
     record.write(f"trouble: {has_trouble}; logs of the routers in a temporary folder")
     code = 2
+    # `timeout` ends the case by SIGTERM; the processes that it started must end as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(code))
     try:
         play(system, record, has_trouble)
         code = 1 if record.violations else 0
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
 export PYTHONPATH="target/deps:target/review-2:$folder"
-exec timeout 118 python3 "$folder/case.py"
+exec timeout 115 python3 "$folder/case.py"
