--- a/review/6/harness.py
+++ b/review/6/harness.py
@@ -261,6 +261,8 @@
         self._settings = system.folder / f"edge-{number}.toml"
         self.process: subprocess.Popen[bytes] | None = None
         self.store_port = system.store.port
+        # Set while the platform reads the log; `None` if the log goes to a file.
+        self.log_is_read: threading.Event | None = None
 
     def start(self, *, bootstrap: bool = True) -> None:
         self._settings.write_text(
@@ -281,10 +283,27 @@
         }
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["GOLDCRESTHALL_CONFIG"] = str(self._settings)
-        with (self._system.folder / f"edge-{self.number}.log").open("ab") as log:
-            self.process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=subprocess.STDOUT
-            )
+        path = self._system.folder / f"edge-{self.number}.log"
+        if self.log_is_read is None:
+            with path.open("ab") as log:
+                self.process = subprocess.Popen(
+                    command, cwd=ROOT, env=environment, stdout=log, stderr=subprocess.STDOUT
+                )
+            return
+        self.process = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+        )
+        threading.Thread(target=self._read_log, args=(path,), daemon=True).start()
+
+    def _read_log(self, path: pathlib.Path) -> None:
+        """Read the process's log like the platform, except while `log_is_read` is not set."""
+        with path.open("ab") as log:
+            while True:
+                self.log_is_read.wait()
+                data = os.read(self.process.stdout.fileno(), 4_096)
+                if not data:
+                    return
+                log.write(data)
 
     def is_ready(self) -> bool:
         connection = http.client.HTTPConnection("127.0.0.1", self.readiness, timeout=1)
@@ -315,6 +334,7 @@
         # Each first grant of a range at a server: server, first key, last key, token.
         self._grants: list[tuple[Server, int, int, int]] = []
         self.version = 0
+        self.has_log_readers = False
         self.extra_routes: list[dict[str, object]] = []
         self.extra_services: list[dict[str, object]] = []
 
@@ -328,6 +348,9 @@
         for number in range(routers):
             router = Router(self, number)
             self.routers.append(router)
+            if self.has_log_readers:
+                router.log_is_read = threading.Event()
+                router.log_is_read.set()
             router.start()
         self.wait_until(lambda: all(router.is_ready() for router in self.routers), 40.0)
         if keyed:
@@ -335,6 +358,8 @@
 
     def stop(self) -> None:
         for router in self.routers:
+            if router.log_is_read is not None:
+                router.log_is_read.set()
             router.signal(signal.SIGCONT)
             router.signal(signal.SIGKILL)
             if router.process is not None:
