--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,157 +1,98 @@
-"""Clients that the operators do not control send many chunked bodies at once, in small chunks.
+"""A drill of the store; some seconds after it a server removes its entry, as planned.
 
-Most of them stop just short of the end and stay open. A router that says that it is ready must
-take new connections of ordinary clients.
+The server serves on for some seconds. It must get no request that was sent later than `drain_s`
+after the store accepted the removal.
 """
 
 from __future__ import annotations
 
-import http.client
 import pathlib
-import socket
 import threading
 import time
-import uuid
 
 import harness
 
-# A machine class of the sites in force: 160 MB and 1,638 descriptors.
-MEMORY_MB = 160
-MAX_FDS = 1_638
-CROWD = 800
-CROWD_THREADS = 8
-# 80,000 bytes in chunks of one byte; the last chunk never comes.
-CHUNKS = 16_000
-ORDINARY_CLIENTS = 10
-MIN_CLIENTS = 7
-STABLE_WINDOW_S = 3.0
-WATCHED_S = 24.0
+COPY_AGE_S = 6.0
+AWAY_S = 1.0
+# More than `stable_window_s` after the end of the drill.
+CALM_S = 3.4
+SERVES_ON_S = 8.0
+WORK_S = 0.5
+STATUS_OK = 200
 
 
-class Observations:
-    """What ordinary clients and the platform saw: the time, and whether it succeeded."""
+def drill(system: harness.System, record: harness.Record, copy: dict[str, int]) -> None:
+    """Let the store be away for a moment and come back from a copy."""
+    record.write("drill: the store goes away")
+    system.store.leave()
+    time.sleep(AWAY_S)
+    ends = system.store.restore(copy)
+    system.store.is_away = False
+    record.write(f"drill: the store is back, era {system.store.era}; ends were and are {ends}")
+    for server in system.servers:
+        server.write_entry()
 
-    def __init__(self) -> None:
-        # Of each attempt on a new connection: the client, when it began and ended, any answer.
-        self.attempts: list[tuple[int, float, float, bool]] = []
-        self.readiness: list[tuple[float, bool]] = []
 
-    def find_longest_gap_s(self) -> float:
-        """Return the longest time without an answer in which enough clients tried.
-
-        The router said all the while that it is ready.
-        """
-        longest_s = 0.0
-        answered = sorted(ended_s for _, _, ended_s, is_answered in self.attempts if is_answered)
-        unready = [at_s for at_s, is_ready in self.readiness if not is_ready]
-        last_s = max((ended_s for _, _, ended_s, _ in self.attempts), default=0.0)
-        edges = sorted({*answered, *unready, last_s})
-        for begin_s, end_s in zip(edges, edges[1:], strict=False):
-            clients = {
-                client
-                for client, began_s, ended_s, _ in self.attempts
-                if begin_s <= began_s and ended_s <= end_s
-            }
-            if len(clients) >= MIN_CLIENTS:
-                longest_s = max(longest_s, end_s - begin_s)
-        return longest_s
-
-
-def send_ordinary(
+def send_orders(
     system: harness.System,
-    observations: Observations,
     stop: threading.Event,
-    client: int,
-) -> None:
-    """Send small requests, each on a new connection, three a second."""
-    router = system.routers[0]
-    while not stop.wait(0.3):
-        request_id = uuid.uuid4().hex[:16]
-        headers = {
-            "Host": harness.HOST,
-            "Goldcresthall-Request-Id": request_id,
-            "Goldcresthall-Request-Deadline": "3000",
-        }
-        connection = http.client.HTTPConnection("127.0.0.1", router.callers, timeout=10)
-        began_s = time.monotonic()
-        try:
-            connection.request("GET", "/read/x", headers=headers)
-            text = str(connection.getresponse().status)
-            is_answered = True
-        except (OSError, http.client.HTTPException) as error:
-            text, is_answered = repr(error), False
-        finally:
-            connection.close()
-        observations.attempts.append((client, began_s, time.monotonic(), is_answered))
-        system.record.write(f"client {client} on a new connection gets {text} for {request_id}")
-
-
-def poll_readiness(
-    system: harness.System, observations: Observations, stop: threading.Event
+    sent: dict[str, float],
+    statuses: dict[str, int],
 ) -> None:
-    while not stop.wait(0.5):
-        is_ready = system.routers[0].is_ready()
-        observations.readiness.append((time.monotonic(), is_ready))
-        system.record.write(f"edge-0 is ready: {is_ready}")
+    """Send orders to all routers in turn, ten a second, and note when each was sent."""
+    number = 0
 
+    def send_one(router: harness.Router) -> None:
+        at_s = time.monotonic()
+        request_id, status, _ = system.send(router, "POST", "/agenda/visit")
+        sent[request_id] = at_s
+        statuses[request_id] = status
 
-def send_crowd(system: harness.System, opened: list[socket.socket], count: int) -> None:
-    """Open connections, and send on each a chunked body without its end."""
-    body = b"1\r\nx\r\n" * CHUNKS
-    for _ in range(count):
-        head = (
-            f"POST /agenda/visit HTTP/1.1\r\nHost: {harness.HOST}\r\n"
-            f"Goldcresthall-Request-Id: {uuid.uuid4().hex[:16]}\r\n"
-            "Goldcresthall-Request-Deadline: 4000\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
-        try:
-            connection = socket.create_connection(("127.0.0.1", system.routers[0].callers), 3.0)
-            opened.append(connection)
-            connection.settimeout(0.5)
-            connection.sendall(head.encode() + body)
-        except OSError:
-            continue
+    while not stop.wait(0.1):
+        number += 1
+        router = system.routers[number % len(system.routers)]
+        threading.Thread(target=send_one, args=(router,), daemon=True).start()
 
 
 def play(system: harness.System, record: harness.Record, has_trouble: bool) -> None:
-    harness.SETTINGS = harness.SETTINGS.replace("memory_mb = 300", f"memory_mb = {MEMORY_MB}")
-    harness.SETTINGS = harness.SETTINGS.replace("max_fds = 4100", f"max_fds = {MAX_FDS}")
-    system.start(routers=1, keyed=0, unkeyed=4)
-    observations = Observations()
+    system.start(routers=3, keyed=2, unkeyed=4)
     stop = threading.Event()
-    threads = [threading.Thread(target=poll_readiness, args=(system, observations, stop))]
-    threads += [
-        threading.Thread(target=send_ordinary, args=(system, observations, stop, number))
-        for number in range(ORDINARY_CLIENTS)
-    ]
-    for thread in threads:
-        thread.start()
-    opened: list[socket.socket] = []
-    crowd = []
+    for server in system.servers:
+        server.extra_work_s = WORK_S if server.name.startswith("agenda") else 0.0
+    sent: dict[str, float] = {}
+    statuses: dict[str, int] = {}
+    sender = threading.Thread(target=send_orders, args=(system, stop, sent, statuses))
+    sender.start()
     try:
-        time.sleep(3.0)
+        time.sleep(8.0)
+        copy = system.store.copy()
+        time.sleep(COPY_AGE_S)
         if has_trouble:
-            record.write(f"{CROWD} clients send {CHUNKS} chunks of one byte each, without the end")
-            crowd = [
-                threading.Thread(target=send_crowd, args=(system, opened, CROWD // CROWD_THREADS))
-                for _ in range(CROWD_THREADS)
-            ]
-            for thread in crowd:
-                thread.start()
-        time.sleep(WATCHED_S)
+            drill(system, record, copy)
+        time.sleep(CALM_S)
+        leaving = next(server for server in system.servers if server.name == "agenda-0")
+        leaving.leave()
+        accepted_at_s = time.monotonic()
+        record.write("agenda-0 removed its entry; the store accepted that")
+        time.sleep(SERVES_ON_S)
+        record.write("agenda-0 ends")
+        leaving.end()
+        time.sleep(3.0)
     finally:
         stop.set()
-        for thread in (*threads, *crowd):
-            thread.join()
-        for connection in opened:
-            connection.close()
-    longest_s = observations.find_longest_gap_s()
-    record.write(f"longest time in which no new connection got an answer: {longest_s:.1f} s")
-    if longest_s > STABLE_WINDOW_S:
-        record.violate(
-            f"RECOVER edge-0 says that it is ready and took no new connection for {longest_s:.1f} s, "
-            f"while {MIN_CLIENTS} clients or more tried"
-        )
+        sender.join()
+    time.sleep(1.0)
+    late = [
+        (at_s, request_id)
+        for at_s, request_id in leaving.arrivals
+        if sent.get(request_id, 0.0) > accepted_at_s + harness.DRAIN_S
+    ]
+    lost = [request_id for _, request_id in late if statuses.get(request_id) != STATUS_OK]
+    record.write(f"of these without the answer of their run, as agenda-0 ended: {len(lost)} {lost}")
+    record.write(f"orders that reached agenda-0 although sent too late: {len(late)}")
+    for _, request_id in late:
+        after_s = sent[request_id] - accepted_at_s
+        record.violate(f"DRAIN order {request_id}, sent {after_s:.2f} s after, reached agenda-0")
 
 
 harness.run(pathlib.Path(__file__).resolve().parent, play)
