--- a/review/10/case.py
+++ b/review/10/case.py
@@ -95,4 +95,6 @@
         record.violate(f"DRAIN order {request_id}, sent {after_s:.2f} s after, reached agenda-0")
 
 
-harness.run(pathlib.Path(__file__).resolve().parent, play)
+RECORD_FILE = pathlib.Path(__file__).resolve().parent / "record.txt"
+
+harness.run(RECORD_FILE, play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -65,4 +65,6 @@
             thread.join()
 
 
-harness.run(pathlib.Path(__file__).resolve().parent, play)
+RECORD_FILE = pathlib.Path(__file__).resolve().parent / "record.txt"
+
+harness.run(RECORD_FILE, play)
--- a/review/6/harness.py
+++ b/review/6/harness.py
@@ -82,10 +82,10 @@
 
 
 class Record:
-    """Writes what was sent, answered, run and observed to `record.txt`."""
+    """Writes what was sent, answered, run and observed to the `record.txt` of a case."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open("w")
         self._lock = threading.Lock()
         self._began_at_s = time.monotonic()
         self.violations: list[str] = []
@@ -548,9 +548,9 @@
         return int(probe.getsockname()[1])
 
 
-def run(folder: pathlib.Path, play) -> None:
+def run(record_file: pathlib.Path, play) -> None:
     """Play a case and exit: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    record = Record(folder)
+    record = Record(record_file)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     system = System(record)
     record.write(f"trouble: {has_trouble}; logs of the routers in a temporary folder")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -157,4 +157,4 @@
             server.process.wait()
 
 
-harness.run(FOLDER, play)
+harness.run(FOLDER / "record.txt", play)
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case once; TROUBLE=0 plays it without the disruption.
+# Plays the case once and writes record.txt in this folder; TROUBLE=0 leaves out the disruption.
 set -eu
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
