Take no end of stream that the router made for the end of an answer

Cause: the attempt is interrupted by shutting its socket down. The reader gets an end of stream, and the parser takes a body without a length as complete. AttemptRunner replaces only failures of a given-up attempt.

Ruled out: the parser, which is right about an end that the server makes (test_body_without_length_ends_with_the_connection holds).

Why it works: the connection records who ended its stream before it touches the socket, so that the reader, which can only see the end afterwards, finds the cause; only the server's end completes a body. A response with a length is unaffected. The cut answer is a truncated response, which the runner replaces by its failure for given-up attempts.

--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -20,6 +20,7 @@
 from goldcresthall.backend import idle_survival
 from goldcresthall.backend import request_writer
 from goldcresthall.backend import response_framing
+from goldcresthall.backend import stream_ends
 from goldcresthall.core import outcomes
 
 if TYPE_CHECKING:
@@ -87,6 +88,7 @@
         self._received_count = 0
         self._is_reusable = False
         self._is_persistent = False
+        self._stream_end = stream_ends.StreamEnd.SERVER
         self._policy = policy
         self.max_idle_s = policy.unstated_s
         self.idle_since_s = 0.0
@@ -196,6 +198,7 @@
 
     def interrupt(self) -> None:
         """Abort an exchange in progress; called from another thread."""
+        self._stream_end = stream_ends.StreamEnd.INTERRUPTED
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
@@ -289,6 +292,8 @@
             raise exceptions.ConnectionLostError(
                 outcomes.Step.RECEIVE, "closed before the response"
             )
+        if not data and not self._stream_end.completes_body:
+            raise exceptions.TruncatedError(outcomes.Step.RECEIVE, self._stream_end.value)
         return data
 
     def _record_keep_alive(self, response: RawResponse) -> None:
