Let no reset that the sender of an upload has seen pass for the end of an answer

Cause: the kernel reports a reset once. request_writer.send takes the error, finds input and returns, and the reader then gets the received bytes and a clean end of the stream.

Ruled out by reading: has_surplus takes an error, but only of connections that are closed then; is_reusable and check_early_reset poll, which takes none.

Why it works: send says that it failed, the connection records it before it reads, and from then on no end of the stream completes a body. An answer with a length is still taken, so that refusals of uploads are not lost. The HTTP library behind the other clients (store, log, instance list, leases, admin) ignores a failed send; their connections now raise an error that it passes on.

--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -183,7 +183,10 @@
         self._is_reusable = False
         expected = header_fields.find(request.headers, id_header) or ""
         parser, message = request_writer.encode(request)
-        is_sent = request_writer.send(self._socket, message, ends_at_s)
+        sent = request_writer.send(self._socket, message, ends_at_s)
+        if sent is request_writer.SendResult.FAILED:
+            self._stream_end = stream_ends.StreamEnd.SEND_FAILED
+        is_sent = sent is request_writer.SendResult.SENT
         for _ in range(MAX_RESPONSES_READ):
             response = self._receive(parser, ends_at_s, reservation)
             echoed = response.find(id_header)
--- a/src/goldcresthall/backend/http_client.py
+++ b/src/goldcresthall/backend/http_client.py
@@ -18,6 +18,7 @@
 from goldcresthall.core import leases
 from goldcresthall.core import outcomes
 from goldcresthall.encoding import bounded_bodies
+from goldcresthall.encoding import checked_connections
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
 
@@ -128,7 +129,7 @@
     def _find_lease_pool(self, address: identity.Address) -> urllib3.HTTPConnectionPool:
         with self._lock:
             if address not in self._lease_pools:
-                self._lease_pools[address] = urllib3.HTTPConnectionPool(
+                self._lease_pools[address] = checked_connections.CheckedPool(
                     address.host, address.port, maxsize=LEASE_POOL_SIZE, retries=False
                 )
             return self._lease_pools[address]
--- a/src/goldcresthall/backend/request_writer.py
+++ b/src/goldcresthall/backend/request_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import select
 import socket
 import time
@@ -21,6 +22,14 @@
 MS_PER_S = 1_000
 
 
+class SendResult(enum.Enum):
+    """How far a request was sent before its response is read."""
+
+    SENT = "sent"
+    RESPONSE_BEGAN = "response began"
+    FAILED = "failed"
+
+
 def encode(request: exchange.RawRequest) -> tuple[h11.Connection, outgoing.OutgoingMessage]:
     """Return a parser that expects the response to a request, and the request's message."""
     parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
@@ -31,11 +40,14 @@
     return parser, outgoing.OutgoingMessage(parts)
 
 
-def send(connected: socket.socket, message: outgoing.OutgoingMessage, ends_at_s: float) -> bool:
-    """Send a request; return `False` if a response began before it was sent completely.
+def send(
+    connected: socket.socket, message: outgoing.OutgoingMessage, ends_at_s: float
+) -> SendResult:
+    """Send a request, unless a response begins before it is sent completely.
 
     A server may respond to a long body before it has read all of it. The rest is then not
-    sent, so the connection cannot be used again.
+    sent, so the connection cannot be used again. If the connection fails meanwhile, the response
+    can be read, but the end of its stream is not the server's.
 
     Raises
     ------
@@ -49,15 +61,15 @@
                 message.send_some(connected)
             except BlockingIOError:
                 if _wait_writable(connected, ends_at_s) & select.POLLIN:
-                    return False
+                    return SendResult.RESPONSE_BEGAN
     except OSError as error:
         if _has_input(connected):
             # The server ended the connection after an early response, which can still be read.
-            return False
+            return SendResult.FAILED
         if message.is_untouched:
             raise exceptions.NotSentError(outcomes.Step.SEND, str(error)) from error
         raise exceptions.ConnectionLostError(outcomes.Step.SEND, str(error)) from error
-    return True
+    return SendResult.SENT
 
 
 def _has_input(connected: socket.socket) -> bool:
--- a/src/goldcresthall/console/admin_client.py
+++ b/src/goldcresthall/console/admin_client.py
@@ -8,6 +8,7 @@
 
 from goldcresthall.admin import messages
 from goldcresthall.console import exceptions
+from goldcresthall.encoding import checked_connections
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions as encoding_exceptions
 
@@ -23,6 +24,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._pool = urllib3.PoolManager(retries=False)
+        self._pool.pool_classes_by_scheme = {"http": checked_connections.CheckedPool}
 
     def fetch(self, path: str, target_type: type[View]) -> View:
         """Fetch a page and decode it.
--- a/src/goldcresthall/log_service/http_log_client.py
+++ b/src/goldcresthall/log_service/http_log_client.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from goldcresthall.encoding import bounded_bodies
+from goldcresthall.encoding import checked_connections
 from goldcresthall.log_service import log_client
 
 if TYPE_CHECKING:
@@ -30,7 +31,7 @@
     def __init__(self, address: str, request_timeout_ms: int, user_agent: str = "") -> None:
         self._timeout_s = request_timeout_ms / MS_PER_S
         host, port = address.rsplit(":", 1)
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = checked_connections.CheckedPool(
             host,
             int(port),
             maxsize=CONNECTION_POOL_SIZE,
--- a/src/goldcresthall/log_service/instance_list.py
+++ b/src/goldcresthall/log_service/instance_list.py
@@ -13,6 +13,7 @@
 
 from goldcresthall.core import identity
 from goldcresthall.encoding import bounded_bodies
+from goldcresthall.encoding import checked_connections
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
 from goldcresthall.kernel import clock
@@ -88,7 +89,7 @@
         self._last_read_at_s = -math.inf
         self._lock = threading.Lock()
         address = platform.instance_list
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = checked_connections.CheckedPool(
             address.host,
             address.port,
             maxsize=1,
--- a/src/goldcresthall/platform/store_client.py
+++ b/src/goldcresthall/platform/store_client.py
@@ -15,6 +15,7 @@
 from urllib3 import connection
 
 from goldcresthall.encoding import bounded_bodies
+from goldcresthall.encoding import checked_connections
 from goldcresthall.platform import exceptions
 from goldcresthall.platform import fields
 from goldcresthall.platform import names
@@ -172,7 +173,7 @@
         return client.OffsetConflict(end_offset)
 
     def _create_pool(self) -> urllib3.HTTPConnectionPool:
-        return urllib3.HTTPConnectionPool(
+        return checked_connections.CheckedPool(
             self._address.host,
             self._address.port,
             maxsize=POOL_SIZE,
