Reject answers whose head is no valid HTTP

A server in trouble could hand callers an answer that is none in the protocol (MIXED): status 600 to 999, a control byte in a value, a folded line that hides the length, a length beside a transfer coding. On the product's own connections, and for the clients of the store and the log, a field whose name holds a blank made the library drop the rest of the head.

Cause: the parser leaves these to its caller; the standard library takes an invalid line for the end of the head.

Status 000 and 099 and invalid names were rejected before on the platform's connections.

Why it works: the bytes of the head are checked as they came, before the answer is used. A rejected answer is a truncated one: unknown outcome, never "not run", also for a refusal. What is valid is passed on (test_valid_answer_is_passed_on).

--- a/src/goldcresthall/backend/connections.py
+++ b/src/goldcresthall/backend/connections.py
@@ -12,18 +12,16 @@
 
 from urllib3 import connection
 
-if TYPE_CHECKING:
-    from typing import BinaryIO
+from goldcresthall.encoding import checked_connections
 
+if TYPE_CHECKING:
     from typing_extensions import Buffer
 
     from goldcresthall.core import identity
 
 MAX_IDLE_S = 5.0
 TIMEOUT_TOLERANCE_S = 0.002
-MAX_HEAD_BYTES = 131_072
 INTERIM_STATUSES: Final = range(102, 200)
-BLANK_LINES: Final = frozenset({b"\r\n", b"\n"})
 
 
 class DeadlineSocket(socket.socket):
@@ -75,48 +73,13 @@
             self._receive_timeout_s = value
 
 
-class HeaderReader:
-    """Reads a response's header lines and records whether the end of the header was seen.
-
-    The lines of interim responses count as well; the library skips some of them itself.
-    """
-
-    def __init__(self, file: BinaryIO) -> None:
-        self._file = file
-        self._last_line = b""
-        self._read_bytes = 0
-
-    @property
-    def has_ended(self) -> bool:
-        """Whether the last line read was the empty line that ends the header."""
-        return self._last_line in BLANK_LINES
-
-    def readline(self, limit: int = -1) -> bytes:
-        """Return the next line.
-
-        Raises
-        ------
-        http.client.IncompleteRead
-            If the lines exceed `MAX_HEAD_BYTES`.
-        """
-        self._last_line = self._file.readline(limit)
-        self._read_bytes += len(self._last_line)
-        if self._read_bytes > MAX_HEAD_BYTES:
-            raise http.client.IncompleteRead(b"")
-        return self._last_line
-
-    def close(self) -> None:
-        """Close the response; the library does so on a malformed status line."""
-        self._file.close()
-
-
-class CompleteResponse(http.client.HTTPResponse):
+class CompleteResponse(checked_connections.CheckedResponse):
     """A response with a complete header that states where the body ends.
 
-    The standard library treats the end of the connection as the end of the header or,
-    if the header gives no length, of the body, so that a response truncated there would
-    look complete. It also takes an interim response (status 102 to 199) for the final
-    one, which would then be read as the response to the next request.
+    The standard library treats the end of the connection as the end of a body without a length,
+    so that a response truncated there would look complete. It also takes an interim response
+    (status 102 to 199) for the final one, which would then be read as the response to the next
+    request.
     """
 
     def begin(self) -> None:
@@ -124,24 +87,16 @@
 
         Raises
         ------
-        http.client.IncompleteRead
-            If the header is truncated or does not state, without contradiction, where the
-            body ends.
+        http.client.HTTPException
+            If the header is invalid or truncated, or does not state, without contradiction, where
+            the body ends.
         """
-        reader = HeaderReader(self.fp)
-        self._read_header(reader)
+        reader = checked_connections.HeaderReader(self.fp)
+        self.read_head(reader)
         while self.status in INTERIM_STATUSES:
             self.headers = self.msg = None  # type: ignore[assignment]
-            self._read_header(reader)
-
-    def _read_header(self, reader: HeaderReader) -> None:
-        file = self.fp
-        self.fp = reader  # type: ignore[assignment]
-        try:
-            super().begin()
-        finally:
-            self.fp = file
-        if not reader.has_ended or (self.length is None and not self.chunked):
+            self.read_head(reader)
+        if self.length is None and not self.chunked:
             raise http.client.IncompleteRead(b"")
         if self._has_conflicting_lengths():
             raise http.client.IncompleteRead(b"")
--- a/src/goldcresthall/backend/exchange.py
+++ b/src/goldcresthall/backend/exchange.py
@@ -20,6 +20,7 @@
 from goldcresthall.backend import idle_survival
 from goldcresthall.backend import request_writer
 from goldcresthall.backend import response_framing
+from goldcresthall.backend import response_heads
 from goldcresthall.backend import stream_ends
 from goldcresthall.core import outcomes
 
@@ -240,9 +241,13 @@
         head: h11.Response | None = None
         # Its value is the buffer itself; joining parts would hold the body twice.
         body = io.BytesIO()
-        for event in self._read_events(parser, ends_at_s, framing):
+        head_bytes = response_heads.HeadBytes(self._leftover)
+        for event in self._read_events(parser, ends_at_s, framing, head_bytes):
             if isinstance(event, h11.Response):
                 head = event
+                fault = head_bytes.find_fault(head, parser.trailing_data[0])
+                if fault is not None:
+                    raise exceptions.TruncatedError(outcomes.Step.RECEIVE, fault)
             elif isinstance(event, h11.Data):
                 if not reservation.add(len(event.data)):
                     error_type = (
@@ -257,7 +262,11 @@
         raise exceptions.ConnectionLostError(outcomes.Step.RECEIVE, "closed before the response")
 
     def _read_events(
-        self, parser: h11.Connection, ends_at_s: float, framing: response_framing.FramingTally
+        self,
+        parser: h11.Connection,
+        ends_at_s: float,
+        framing: response_framing.FramingTally,
+        head_bytes: response_heads.HeadBytes,
     ) -> Iterator[h11.Event]:
         """Yield the parts of a response until the connection ends."""
         for number in itertools.count(1):
@@ -268,6 +277,8 @@
             if event is h11.NEED_DATA:
                 data = self._receive_bytes(parser, ends_at_s)
                 framing.add_received(len(data))
+                if parser.their_state is not h11.SEND_BODY:
+                    head_bytes.add(data)
                 parser.receive_data(data)
                 continue
             if isinstance(event, h11.ConnectionClosed) or not isinstance(event, h11.Event):
--- a/tests/backend/test_response_integrity.py
+++ b/tests/backend/test_response_integrity.py
@@ -91,6 +91,10 @@
         b"HTTP/1.1 200 OK\r\nGoldcresthall-Request-Id: another\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nwhole",
         b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        b"HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nA b: c\r\n\r\nwhole",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nA: b\x01c\r\n\r\nwhole",
     ],
 )
 def test_contradictory_response_has_unknown_outcome_and_closes_the_connection(
