Order what is read from the store by its era first

Cause: lists, evacuations and topic readers are ordered by offset. The store's offsets go back in a drill and are given out again, so changes at lower offsets were ignored, and counted as read. The header Store-Era was read nowhere.

Ruled out: the history of servers, which keeps what left out of the list (test_server_that_left_is_not_brought_back_by_the_copy held before).

Why it works: the store's client makes one integer of era and offset, which rises over eras, and turns it back for the store. All readers compare that, and the wire between instances stays as it is. A read from a position of another era becomes a full read, a response of an earlier era a failed call. Without the header positions equal the offsets.

--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -17,6 +17,7 @@
 from goldcresthall.kernel import clock
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
+from goldcresthall.store import positions
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment
@@ -32,7 +33,8 @@
 
     A server whose entry is missing after an outage of the store is kept for
     `EXPIRED_ENTRY_GRACE_S`. Entries expire during an outage because servers cannot refresh
-    them, and live servers register again soon after it.
+    them, and live servers register again soon after it. The same holds after a return of the store
+    from a copy, which lacks the entries of servers that registered since.
 
     The list never goes back to an earlier position of the store, whether it is read or relayed.
     How old it may be is decided by the bounds, counted from the read behind it.
@@ -114,9 +116,14 @@
 
     @property
     def evacuated(self) -> evacuations.EvacuatedDomains:
-        """The failure domains that the operator evacuates, as last known."""
+        """The failure domains that the operator evacuates, as the store last showed them."""
         return self._evacuations.latest
 
+    @property
+    def evacuated_domains(self) -> frozenset[str]:
+        """The failure domains whose servers must get no requests."""
+        return self._evacuations.find_in_force(self._clock.read_s())
+
     @property
     def known_evacuations(self) -> evacuations.EvacuatedDomains | None:
         """The evacuated failure domains; `None` if no state of the store is known."""
@@ -130,13 +137,15 @@
 
     def is_evacuated(self, failure_domain: str) -> bool:
         """Return whether the servers of a failure domain must get no requests."""
-        return failure_domain in self._evacuations.latest.failure_domains
+        return failure_domain in self.evacuated_domains
 
     def find_evacuated_since_s(self, failure_domain: str) -> float | None:
         """Return the clock reading in seconds since which a failure domain is evacuated.
 
         Returns `None` if it is not evacuated.
         """
+        if not self.is_evacuated(failure_domain):
+            return None
         return self._evacuations.find_since_s(failure_domain)
 
     def apply_evacuations(self, evacuated: evacuations.EvacuatedDomains) -> None:
@@ -186,6 +195,15 @@
             version = version or server_lists.ListVersion(self._version.position, now_s)
             if version.position < self._version.position:
                 return
+            if self._is_restored(version):
+                self._store_recovered_at_s = now_s
+                logging.warning(
+                    "server list read anew, step discover: the store came back from a copy, "
+                    "position %s after %s; missing entries are kept for %.1f s",
+                    positions.describe(version.position),
+                    positions.describe(self._version.position),
+                    EXPIRED_ENTRY_GRACE_S,
+                )
             by_name = dict(self._servers.by_name)
             self._expired_names.update(name for name in absent if name in by_name)
             for server in present:
@@ -201,6 +219,12 @@
             self._renew(version, list_freshness.ListSource.STORE, now_s)
             self._replace(by_name)
 
+    def _is_restored(self, version: server_lists.ListVersion) -> bool:
+        """Return whether the store has come back from a copy since the known list."""
+        era = positions.find_era(version.position)
+        is_later = era > positions.find_era(self._version.position)
+        return self._version is not server_lists.NO_LIST and is_later
+
     def _is_listed(self, by_name: dict[str, server_lists.DirectoryEntry], name: str) -> bool:
         return name in by_name and name not in self._expired_names
 
@@ -212,7 +236,9 @@
             return
         for name in self._expired_names:
             logging.info(
-                "server %s removed, step discover, position %d", name, self._version.position
+                "server %s removed, step discover, position %s",
+                name,
+                positions.describe(self._version.position),
             )
             by_name.pop(name, None)
         self._expired_names.clear()
--- a/src/goldcresthall/gateway/list_freshness.py
+++ b/src/goldcresthall/gateway/list_freshness.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from goldcresthall.gateway import server_lists
+from goldcresthall.store import positions
 
 if TYPE_CHECKING:
     from goldcresthall.gateway import list_bounds
@@ -124,12 +125,12 @@
         """Replace the version; log where the list comes from if that changes."""
         if source is not self._source:
             logging.info(
-                "server list now from %s, step discover, position %d, %.2f s old; "
-                "before %d, %.2f s",
+                "server list now from %s, step discover, position %s, %.2f s old; "
+                "before %s, %.2f s",
                 source.value,
-                version.position,
+                positions.describe(version.position),
                 now_s - version.known_at_s,
-                self._version.position,
+                positions.describe(self._version.position),
                 now_s - self._version.known_at_s,
             )
         self._source = source
--- a/src/goldcresthall/gateway/restrictions.py
+++ b/src/goldcresthall/gateway/restrictions.py
@@ -45,9 +45,7 @@
 
     def restricts(self, service: str) -> bool:
         """Return whether any server of a service may be restricted now."""
-        return bool(self._directory.evacuated.failure_domains) or (
-            service in self._directory.cold_limits
-        )
+        return bool(self._directory.evacuated_domains) or (service in self._directory.cold_limits)
 
     def allows(self, server: deployment.RegisteredServer) -> bool:
         """Return whether a server of a pool may get a request now."""
@@ -57,7 +55,7 @@
 
     def refuse_service(self, service: str) -> outcomes.Refused | None:
         """Return a refusal if all servers of a service are in evacuated failure domains."""
-        evacuated = self._directory.evacuated.failure_domains
+        evacuated = self._directory.evacuated_domains
         if not evacuated:
             return None
         entries = self._directory.servers.by_service.get(service, ())
--- a/src/goldcresthall/gateway/server_lists.py
+++ b/src/goldcresthall/gateway/server_lists.py
@@ -77,7 +77,7 @@
     Attributes
     ----------
     position
-        Offset in the store up to which the entries are included.
+        Position in the store up to which the entries are included.
     known_at_s
         Clock reading in seconds at which the read behind the list began, so that the list was
         still the latest one then.
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -19,6 +19,7 @@
 from goldcresthall.kernel import tasks
 from goldcresthall.ranges import reports
 from goldcresthall.store import client
+from goldcresthall.store import positions
 from goldcresthall.store import topics
 
 if TYPE_CHECKING:
@@ -222,13 +223,19 @@
             if failures:
                 outage = list_bounds.StoreOutage(failures, update.began_at_s - failing_since_s)
                 self._directory.record_store_recovery(outage)
+            is_restored = self._is_restored(update)
             self._apply_servers(update)
-            if failures:
+            if failures or is_restored:
                 self._reread_configuration()
             _log_recovery("servers", failures)
             failures = 0
             stop_signal.wait(SERVERS_POLL_INTERVAL_S)
 
+    def _is_restored(self, update: topics.TopicUpdate) -> bool:
+        """Return whether the store came back from a copy, perhaps during a long poll."""
+        known = self._directory.version.position
+        return positions.find_era(update.end_offset) > positions.find_era(known)
+
     def _catch_up(self, stop_signal: tasks.StopSignal) -> None:
         """Put a relayed configuration in force, or read one that is in force elsewhere."""
         failures = 0
--- a/src/goldcresthall/platform/entries.py
+++ b/src/goldcresthall/platform/entries.py
@@ -106,7 +106,9 @@
 def _find_refresh(document: dict[str, Any]) -> int | None:
     # `seq` counts the refreshes of this incarnation; an entry without it is as valid as others.
     return (
-        fields.read_count(document, "seq", maximum=fields.MAX_OFFSET) if "seq" in document else None
+        fields.read_count(document, "seq", maximum=fields.MAX_SEQUENCE)
+        if "seq" in document
+        else None
     )
 
 
--- a/src/goldcresthall/platform/fields.py
+++ b/src/goldcresthall/platform/fields.py
@@ -17,7 +17,7 @@
 MAX_COUNT: Final = 2**31 - 1
 MAX_NUMBER: Final = 2_000_000.0
 MAX_TIMESTAMP_MS: Final = 2**53
-MAX_OFFSET: Final = 2**63 - 1
+MAX_SEQUENCE: Final = 2**63 - 1
 
 
 def parse_object(content: bytes) -> dict[str, Any]:
--- a/src/goldcresthall/platform/names.py
+++ b/src/goldcresthall/platform/names.py
@@ -15,6 +15,7 @@
 SERVER_LEAVING: Final = "server-leaving"
 SHARD_KEY: Final = "goldcresthall-shard-key"
 LEASE_HANDOVER: Final = "goldcresthall-lease-handover"
+STORE_ERA: Final = "store-era"
 
 READY_PATH: Final = "/api/readyz"
 GRANT_PATH: Final = "/api/grant"
--- a/src/goldcresthall/platform/store_client.py
+++ b/src/goldcresthall/platform/store_client.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import base64
 import dataclasses
 import socket
 import struct
 from typing import TYPE_CHECKING
-from typing import Any
 from typing import Final
 from urllib import parse
 
@@ -17,9 +15,11 @@
 from goldcresthall.encoding import bounded_bodies
 from goldcresthall.encoding import checked_connections
 from goldcresthall.platform import exceptions
-from goldcresthall.platform import fields
 from goldcresthall.platform import names
+from goldcresthall.platform import store_eras
+from goldcresthall.platform import store_records
 from goldcresthall.store import client
+from goldcresthall.store import positions
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment_settings
@@ -42,7 +42,6 @@
 STATUS_GONE = 410
 STATUS_PRECONDITION_FAILED = 412
 NOT_WRITTEN_STATUSES: Final = frozenset({400, 403, 409, 413, 429, 503, 507})
-OFFSETS_STRUCT: Final = struct.Struct(">QQ")
 LENGTH_STRUCT: Final = struct.Struct(">I")
 PARTITION_PARAMETER: Final = "part=0"
 
@@ -59,6 +58,9 @@
 class HttpStoreClient(client.StoreClient):
     """Client of the store at one address; it does not retry failed calls.
 
+    It turns the store's offsets into positions and back. A response of an earlier era than one
+    before it is a failure, whatever it says.
+
     Parameters
     ----------
     calls
@@ -68,6 +70,7 @@
     def __init__(self, address: identity.Address, calls: store_metrics.StoreMetrics) -> None:
         self._calls = calls
         self._address = address
+        self._eras = store_eras.StoreEras(calls)
         self._pool = self._create_pool()
 
     @classmethod
@@ -102,13 +105,15 @@
             if isinstance(outcome, client.StoreFailed):
                 return outcome
             if outcome.status == STATUS_NOT_FOUND:
-                return client.Records((), 0)
+                return client.Records((), positions.create(outcome.era, 0))
             try:
-                page = _decode_newest(outcome)
+                page = store_records.decode_newest(outcome)
             except exceptions.MalformedEntryError as error:
                 return client.StoreFailed("decode", str(error))
             records.extend(page.records)
             end_offset = page.end_offset if end_offset is None else end_offset
+            if positions.find_era(page.end_offset) != positions.find_era(end_offset):
+                return client.StoreFailed("read", "pages of two eras")
             if page.next_key is None:
                 return client.Records(tuple(records), end_offset, end_offset == page.end_offset)
             after = f"&after={parse.quote(page.next_key, safe='', errors='surrogatepass')}"
@@ -121,45 +126,61 @@
 
         One call returns a limited number of bytes, oldest records first.
         """
+        if positions.find_era(from_offset) < self._eras.latest:
+            return client.RecordsExpired()
+        first = positions.find_offset(from_offset)
         wait = f"&wait_ms={int(wait_s * MS_PER_S)}" if wait_s else ""
-        path = f"{names.READ_PATH}?topic={topic}&{PARTITION_PARAMETER}&from={from_offset}{wait}"
+        path = f"{names.READ_PATH}?topic={topic}&{PARTITION_PARAMETER}&from={first}{wait}"
         call = _Call("GET", topic, "read_changes", path, wait_s=wait_s, timeout_s=timeout_s)
         outcome = self._call(call)
         if isinstance(outcome, client.StoreFailed):
             return outcome
-        if outcome.status == STATUS_GONE:
+        return self._decode_changes(outcome, from_offset)
+
+    def _decode_changes(
+        self, answer: store_records.StoreAnswer, from_offset: int
+    ) -> client.ReadOutcome:
+        era = positions.find_era(from_offset)
+        if answer.era < era:
+            return client.StoreFailed("receive", f"response of era {answer.era}, not {era}")
+        if answer.status == STATUS_GONE or answer.era > era:
             return client.RecordsExpired()
-        if outcome.status == STATUS_NOT_FOUND:
-            if from_offset:
+        if answer.status == STATUS_NOT_FOUND:
+            if positions.find_offset(from_offset):
                 return client.StoreFailed("read", "status 404 for a topic that had records")
-            return client.Records((), 0)
-        if outcome.status != STATUS_OK:
-            return client.StoreFailed("read", f"status {outcome.status}")
+            return client.Records((), from_offset)
+        if answer.status != STATUS_OK:
+            return client.StoreFailed("read", f"status {answer.status}")
         try:
-            return _decode_records(outcome.data, from_offset)
+            return store_records.decode_changes(answer.data, from_offset)
         except exceptions.MalformedEntryError as error:
             return self._reject("decode", str(error))
 
     def write(self, topic: str, key: str, value: bytes, expected_end: int) -> client.WriteOutcome:
-        """Append a record if the topic's end offset is `expected_end`."""
+        """Append a record if the topic's end offset is `expected_end`.
+
+        The store knows nothing of the era in which the caller read that offset. If it has come
+        back from a copy since, the record may be written there at an equal offset.
+        """
+        if positions.find_era(expected_end) < self._eras.latest:
+            return client.OffsetConflict(positions.create(self._eras.latest, 0))
         encoded_key = key.encode()
         content = bytes([len(encoded_key)]) + encoded_key + value
-        path = f"{names.APPEND_PATH}?topic={topic}&{PARTITION_PARAMETER}&at={expected_end}"
+        path = f"{names.APPEND_PATH}?topic={topic}&{PARTITION_PARAMETER}"
+        path += f"&at={positions.find_offset(expected_end)}"
         body = LENGTH_STRUCT.pack(len(content)) + content
         outcome = self._call(_Call("POST", topic, "write", path, body))
         if isinstance(outcome, client.StoreFailed):
             return outcome
+        if outcome.status in NOT_WRITTEN_STATUSES:
+            return client.WriteRefused("write", f"status {outcome.status}")
         try:
-            document = fields.parse_object(outcome.data)
             if outcome.status == STATUS_OK:
-                return self._confirm_write(_read_offset(document, "offset"), expected_end)
+                return self._confirm_write(outcome.read_position("offset"), expected_end)
             if outcome.status == STATUS_PRECONDITION_FAILED:
-                return self._report_conflict(_read_offset(document, "end_offset"), expected_end)
+                return self._report_conflict(outcome.read_position("end_offset"), expected_end)
         except exceptions.MalformedEntryError as error:
-            if outcome.status not in NOT_WRITTEN_STATUSES:
-                return client.StoreFailed("decode", str(error))
-        if outcome.status in NOT_WRITTEN_STATUSES:
-            return client.WriteRefused("write", f"status {outcome.status}")
+            return client.StoreFailed("decode", str(error))
         return client.StoreFailed("write", f"status {outcome.status}")
 
     def _confirm_write(self, offset: int, expected_end: int) -> client.WriteOutcome:
@@ -191,16 +212,16 @@
         rejected.close()
         return client.StoreFailed(step, detail)
 
-    def _call(self, call: _Call) -> bounded_bodies.BoundedResponse | client.StoreFailed:
+    def _call(self, call: _Call) -> store_records.StoreAnswer | client.StoreFailed:
         outcome = self._send(call)
         succeeded = not isinstance(outcome, client.StoreFailed)
         self._calls.count_call(call.topic, call.operation, succeeded=succeeded)
         return outcome
 
-    def _send(self, call: _Call) -> bounded_bodies.BoundedResponse | client.StoreFailed:
+    def _send(self, call: _Call) -> store_records.StoreAnswer | client.StoreFailed:
         timeout = _find_timeout(call)
         try:
-            return bounded_bodies.request(
+            response = bounded_bodies.request(
                 self._pool,
                 call.method,
                 call.path,
@@ -212,6 +233,11 @@
             return client.StoreFailed("connect", str(error))
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return client.StoreFailed("receive", f"{type(error).__name__}: {error}")
+        try:
+            era = self._eras.observe(response.headers)
+        except exceptions.PlatformError as error:
+            return self._reject("receive", str(error))
+        return store_records.StoreAnswer(response.status, response.data, era)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -241,76 +267,3 @@
     if call.timeout_s is None:
         return urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S + call.wait_s)
     return urllib3.Timeout(total=call.timeout_s + call.wait_s)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _NewestPage:
-    """One page of the newest records.
-
-    Attributes
-    ----------
-    next_key
-        Key after which the next page begins; `None` for the last page.
-    """
-
-    records: tuple[client.KeyedRecord, ...]
-    end_offset: int
-    next_key: str | None
-
-
-def _decode_newest(response: bounded_bodies.BoundedResponse) -> _NewestPage:
-    if response.status != STATUS_OK:
-        raise exceptions.MalformedEntryError(f"status {response.status}")
-    document = fields.parse_object(response.data)
-    # `items` is a list of records here; other calls use the name differently.
-    items = fields.read_list(document, "items")
-    records = tuple(_decode_item(item) for item in items)
-    return _NewestPage(
-        records=records,
-        end_offset=_read_offset(document, "end_offset"),
-        next_key=records[-1].key if records and document.get("has_more") is True else None,
-    )
-
-
-def _decode_item(item: dict[str, Any]) -> client.KeyedRecord:
-    key = item.get("key")
-    if not isinstance(key, str):
-        raise exceptions.MalformedEntryError("key: must be a string")
-    try:
-        value = base64.b64decode(item.get("value") or "", validate=True)
-    except (ValueError, TypeError) as error:
-        raise exceptions.MalformedEntryError(f"value: {error}") from error
-    return client.KeyedRecord(key, value, _read_offset(item, "offset"))
-
-
-def _read_offset(document: dict[str, Any], name: str) -> int:
-    return fields.read_count(document, name, maximum=fields.MAX_OFFSET)
-
-
-def _decode_records(data: bytes, from_offset: int) -> client.Records:
-    if len(data) < OFFSETS_STRUCT.size:
-        raise exceptions.MalformedEntryError("the offsets are truncated")
-    log_end, _first_retained = OFFSETS_STRUCT.unpack_from(data)
-    position = OFFSETS_STRUCT.size
-    records: list[client.KeyedRecord] = []
-    while position < len(data):
-        if position + LENGTH_STRUCT.size > len(data):
-            raise exceptions.MalformedEntryError("a record is truncated")
-        (length,) = LENGTH_STRUCT.unpack_from(data, position)
-        begin = position + LENGTH_STRUCT.size
-        position = begin + length
-        if position > len(data):
-            raise exceptions.MalformedEntryError("a record is truncated")
-        records.append(_decode_record(data[begin:position], from_offset + len(records)))
-    end_offset = from_offset + len(records)
-    if end_offset > log_end:
-        detail = f"records up to {end_offset} of a log that ends at {log_end}"
-        raise exceptions.MalformedEntryError(detail)
-    return client.Records(tuple(records), end_offset, end_offset >= log_end)
-
-
-def _decode_record(content: bytes, offset: int) -> client.KeyedRecord:
-    size = content[0] if content else 0
-    key = content[1 : 1 + size].decode("utf-8", errors="replace")
-    value = content[1 + size :]
-    return client.KeyedRecord(key, value or None, offset)
--- a/src/goldcresthall/ranges/ownership_tables.py
+++ b/src/goldcresthall/ranges/ownership_tables.py
@@ -11,6 +11,7 @@
 from goldcresthall.encoding import documents
 from goldcresthall.encoding import exceptions
 from goldcresthall.store import client
+from goldcresthall.store import positions
 
 TOPIC: Final = "keyed.goldcresthall-ownership"
 KEY: Final = "table"
@@ -85,9 +86,12 @@
     if isinstance(outcome, client.StoreFailed):
         return None
     record = find_latest(outcome.records)
-    if record is None and outcome.end_offset > 0:
+    if record is None and positions.find_offset(outcome.end_offset) > 0:
         # Without its owners and predecessors, a takeover would free keys that are held.
-        logging.warning("ownership table is missing, step read: log ends at %d", outcome.end_offset)
+        logging.warning(
+            "ownership table is missing, step read: log ends at %s",
+            positions.describe(outcome.end_offset),
+        )
         return None
     if record is None:
         return key_ranges.StoredTable(outcome.end_offset - 1, key_ranges.OwnershipTable())
--- a/src/goldcresthall/store/client.py
+++ b/src/goldcresthall/store/client.py
@@ -1,4 +1,8 @@
-"""Client interface of the store: compacted topics that retain the newest record of each key."""
+"""Client interface of the store: compacted topics that retain the newest record of each key.
+
+All offsets of this interface are positions, which rise also when the store comes back from a copy
+and its own offsets go back.
+"""
 
 from __future__ import annotations
 
@@ -37,7 +41,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordsExpired:
-    """Records after the requested offset were compacted; the newest ones must be read."""
+    """The requested offset is no longer there; the newest records must be read.
+
+    The records after it were compacted, or the store has come back from a copy since.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/thrift/lessor.thrift
+++ b/thrift/lessor.thrift
@@ -65,7 +65,7 @@
   5: optional string failure_domain
 }
 
-/* Failure domains whose servers must get nothing, as known up to an offset in the store. */
+/* Failure domains whose servers must get nothing, as known up to a position in the store. */
 struct EvacuatedDomains {
   1: required i64 position
   2: required list<string> failure_domains
@@ -179,7 +179,7 @@
   8: optional ConfigurationDocument document
   /* The lessor that took over from the responding instance; not set by earlier releases. */
   9: optional LessorAddress successor
-  /* Offset in the store up to which the servers are known; not set by earlier releases. */
+  /* Position in the store up to which the servers are known; not set by earlier releases. */
   10: optional i64 servers_position
   /* Age of the read behind the servers when the report arrived; negative if it began later. */
   11: optional i64 servers_age_ms
