Keep one holder a key when the store comes back from a copy

Cause: terms and fencing tokens are offsets, which were given out again. A takeover believed the table of the copy and waited for nobody, since it did not know the lessor whose takeover was lost.

Ruled out: keeping the term and only writing the table again, because a lessor that took over unseen may still renew.

Why it works: tokens are positions now, which rise over eras. A lessor whose authority lasts until it sees the later era takes over again with its own table: another one changes ranges that have an owner only after that authority.

--- a/src/goldcresthall/core/key_ranges.py
+++ b/src/goldcresthall/core/key_ranges.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 from typing import Final
 
 from goldcresthall.core import deployment
 from goldcresthall.core import identity
 
+if TYPE_CHECKING:
+    import collections.abc
+
 FIRST_KEY: Final = 0
 LAST_KEY: Final = 65_535
 KEY_COUNT: Final = LAST_KEY + 1
@@ -35,6 +39,19 @@
         return self.first <= key <= self.last
 
 
+def find_gaps(covered: collections.abc.Iterable[KeyRange]) -> tuple[KeyRange, ...]:
+    """Return the ranges of keys that none of some disjoint ranges covers."""
+    gaps = []
+    first = FIRST_KEY
+    for keys in sorted(covered):
+        if keys.first > first:
+            gaps.append(KeyRange(first, keys.first - 1))
+        first = max(first, keys.last + 1)
+    if first <= LAST_KEY:
+        gaps.append(KeyRange(first, LAST_KEY))
+    return tuple(gaps)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RangeAssignment:
     """A range assigned to an incarnation of a server under a fencing token."""
@@ -53,6 +70,14 @@
     address: identity.Address
 
 
+# Stands for the server that may hold a range, and for the lessor that may have granted it, after
+# the store has lost their records. Nothing can be sent to either.
+UNKNOWN_SERVER: Final = deployment.ServerIncarnation("unknown", 0)
+UNKNOWN_LESSOR: Final = LessorIdentity(
+    identity.Incarnation("unknown", ""), identity.Address("0.0.0.0", 0)
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OwnershipTable:
     """Ownership of all key ranges, as stored.
@@ -62,11 +87,14 @@
     lessor
         The only instance that may change the table; `None` after a handover.
     term
-        Offset of the record with which the lessor took over.
+        Position in the store of the record with which the lessor took over.
     revision
         Number of changes of the owners within the term.
     predecessors
         Earlier lessors that may still renew leases that they granted.
+    assignments
+        The ranges that have an owner. It is `UNKNOWN_SERVER` where one may hold the range by a
+        grant of which the store has lost the record.
     """
 
     lessor: LessorIdentity | None = None
@@ -78,7 +106,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredTable:
-    """An ownership table and the offset of its record, which serves as its version.
+    """An ownership table and the position of its record, which serves as its version.
 
     Attributes
     ----------
--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -26,9 +26,11 @@
 from goldcresthall.ranges import publication
 from goldcresthall.ranges import report_responder
 from goldcresthall.ranges import reports
+from goldcresthall.ranges import retained_tables
 from goldcresthall.ranges import takeover
 from goldcresthall.ranges import takeover_delays
 from goldcresthall.store import client
+from goldcresthall.store import positions
 
 if TYPE_CHECKING:
     from goldcresthall.core import deployment_settings
@@ -42,6 +44,9 @@
 STOP_TIMEOUT_S = 2.0
 RETRY_HANDOVER_INTERVAL_S = 0.3
 ASSUMED_INSTANCE_COUNT = 8
+# A lessor that goes on sees within this time that the store came back from a copy, and writes its
+# table again. Any other instance would have to wait for the end of all leases.
+RESTORE_WAIT_S = 2.0
 
 
 class Election(reports.InstanceCounter):
@@ -62,6 +67,10 @@
         self._lock = threading.Lock()
         self._term: lessor.LessorTerm | None = None
         self._peers: tuple[reports.Peer, ...] = ()
+        self._is_first_start = settings.is_first_start
+        self._first_era: int | None = None
+        self._memory = retained_tables.TableMemory()
+        self._has_yielded = False
         self._min_term = -1
         self._has_resigned = False
         self._successor: key_ranges.LessorIdentity | None = None
@@ -169,10 +178,15 @@
                 # Aborts a concurrent takeover whose term precedes `term`.
                 self._min_term = max(self._min_term, term)
                 self._successor = successor or self._successor
-                return True
-        if own_term.term >= term:
-            return False
-        logging.info("term %d steps down for term %d", own_term.term, term)
+                return self._memory.drop()
+            if own_term.term >= term:
+                return False
+            self._has_yielded = True
+        logging.info(
+            "term %s steps down for term %s",
+            positions.describe(own_term.term),
+            positions.describe(term),
+        )
         self._successor = successor
         return own_term.step_down(STEP_DOWN_TIMEOUT_S)
 
@@ -187,7 +201,11 @@
                 stop_signal.wait(RETRY_INTERVAL_S)
                 continue
             self._owners.apply(owners.OwnersView.from_table(stored.table))
+            self._record_era(stored)
             lessor = stored.table.lessor
+            if ownership_tables.is_from_copy(stored) and not self._memory.is_empty:
+                known = self._take_over(stored, stop_signal)
+                continue
             if lessor is None or lessor.address == self._own.address:
                 if lessor is None:
                     stop_signal.wait(self._delays.draw_s())
@@ -200,6 +218,11 @@
                 # Two instances could name each other, so the table is read after one name.
                 known = ownership_tables.create_unread(followed.successor)
 
+    def _record_era(self, stored: key_ranges.StoredTable) -> None:
+        """Record the era of the first table that is read."""
+        if self._first_era is None and stored.is_read:
+            self._first_era = positions.find_era(stored.offset + 1)
+
     def _create_last_known(self) -> key_ranges.StoredTable | None:
         """Return the lessor to report to while the table cannot be read.
 
@@ -304,9 +327,39 @@
         if self._has_resigned:
             stop_signal.wait(RETRY_INTERVAL_S)
             return None
-        result = takeover.take_over(
-            self._context, self._own, stored, self._max_lease_s, stop_signal
-        )
+        restored = self._await_restored_table(stored, stop_signal)
+        if restored is not None:
+            return restored
+        retained = self._memory.begin_use()
+        try:
+            result = takeover.take_over(
+                self._context,
+                self._own,
+                stored,
+                self._max_lease_s,
+                stop_signal,
+                retained=retained,
+                first_start_era=self._first_era if self._is_first_start else None,
+            )
+        finally:
+            self._memory.end_use()
+        return self._begin_term(result, stop_signal)
+
+    def _await_restored_table(
+        self, stored: key_ranges.StoredTable, stop_signal: tasks.StopSignal
+    ) -> key_ranges.StoredTable | None:
+        """Wait for a lessor that writes its table again in place of a copy; return its table."""
+        is_first = self._is_first_start and ownership_tables.is_first(stored)
+        if is_first or not ownership_tables.is_from_copy(stored) or not self._memory.is_empty:
+            return None
+        stop_signal.wait(RESTORE_WAIT_S)
+        latest = ownership_tables.read(self._store)
+        is_restored = latest is not None and not ownership_tables.is_from_copy(latest)
+        return latest if is_restored else None
+
+    def _begin_term(
+        self, result: takeover.TakeoverResult, stop_signal: tasks.StopSignal
+    ) -> key_ranges.StoredTable | None:
         own_term = result.term
         if own_term is None:
             return result.other_table
@@ -314,6 +367,8 @@
             if own_term.term < self._min_term:
                 return None
             self._term = own_term
+            self._has_yielded = False
+            self._memory.keep(None)
             self._successor = None
             self._followed = None
         self._serve(own_term, stop_signal)
@@ -336,7 +391,14 @@
             publishing.stop()
             if not stop_signal.is_set:
                 own_term.step_down(STOP_TIMEOUT_S)
-                self._term = None
+                self._end_term(own_term)
+
+    def _end_term(self, own_term: lessor.LessorTerm) -> None:
+        """Keep the table of a term that the store's return has ended, unless it was given up."""
+        with self._lock:
+            if not self._has_yielded:
+                self._memory.keep(own_term.retained)
+            self._term = None
 
     def _query_predecessors(self, stop_signal: tasks.StopSignal) -> None:
         """Query earlier lessors, so that the term need not wait for their grants to end."""
--- a/src/goldcresthall/ranges/failure_detection.py
+++ b/src/goldcresthall/ranges/failure_detection.py
@@ -6,13 +6,13 @@
 
 from absl import logging
 
+from goldcresthall.core import key_ranges
 from goldcresthall.ranges import reports
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
-    from goldcresthall.core import key_ranges
     from goldcresthall.ranges import lessor
 
 MAX_QUERIED_PEERS = 3
@@ -74,8 +74,11 @@
     term: int,
     successor: key_ranges.LessorIdentity,
 ) -> bool:
-    """Return whether all earlier lessors have provably stopped granting."""
-    return all(
+    """Return whether all earlier lessors have provably stopped granting.
+
+    One that is not known cannot be asked.
+    """
+    return key_ranges.UNKNOWN_LESSOR not in predecessors and all(
         has_stopped_granting(dialer, predecessor, term, successor) for predecessor in predecessors
     )
 
--- a/src/goldcresthall/ranges/lease_table.py
+++ b/src/goldcresthall/ranges/lease_table.py
@@ -36,7 +36,7 @@
     lease_s
         Lease duration in seconds.
     term
-        Offset of the record with which the lessor took over.
+        Position in the store of the record with which the lessor took over.
     """
 
     def __init__(self, lease_s: float, term: int) -> None:
@@ -63,7 +63,7 @@
 
     @property
     def term(self) -> int:
-        """Offset of the record with which the lessor took over."""
+        """Position in the store of the record with which the lessor took over."""
         return self._term
 
     def extend_authority(self, ends_at_s: float) -> None:
--- a/src/goldcresthall/ranges/lessor.py
+++ b/src/goldcresthall/ranges/lessor.py
@@ -12,10 +12,13 @@
 from goldcresthall.ranges import lease_renewal
 from goldcresthall.ranges import lease_table
 from goldcresthall.ranges import ownership_tables
+from goldcresthall.ranges import range_leases
 from goldcresthall.ranges import range_rebalancer
+from goldcresthall.ranges import retained_tables
 from goldcresthall.ranges import table_sizes
 from goldcresthall.ranges import transitions
 from goldcresthall.store import client
+from goldcresthall.store import positions
 
 if TYPE_CHECKING:
     from goldcresthall.admission import range_admissions
@@ -54,6 +57,9 @@
       Draining owners keep their ranges until then. Only ranges that the acquired table
       gives to no server may be assigned: an earlier lessor left them free by these rules.
 
+    When the store comes back from a copy, the term ends. This instance takes over again with the
+    table that it knows, if its authority lasts until then; see `retained_tables`.
+
     Parameters
     ----------
     context
@@ -84,9 +90,11 @@
             context.max_record_bytes, len(ownership_tables.encode(acquired_table.table))
         )
         self._is_over = False
+        self._retained: retained_tables.RetainedTable | None = None
         now_s = context.clock.read_s()
         has_predecessors = bool(acquired_table.table.predecessors)
         self._predecessors_end_at_s = now_s + (PREDECESSOR_WAIT_S if has_predecessors else 0.0)
+        self._has_lost_records = key_ranges.UNKNOWN_LESSOR in acquired_table.table.predecessors
         self._confirmed_at_s = began_at_s
         self._attempted_at_s = began_at_s
         self._failing_since_s: float | None = None
@@ -103,7 +111,7 @@
 
     @property
     def term(self) -> int:
-        """Offset of the record with which this instance took over."""
+        """Position of the record with which this instance took over."""
         return self._leases.term
 
     @property
@@ -111,6 +119,11 @@
         """Whether the term has ended."""
         return self._is_over
 
+    @property
+    def retained(self) -> retained_tables.RetainedTable | None:
+        """The table at the end of the term, if it ended because the store lost records."""
+        return self._retained
+
     @property
     def has_store(self) -> bool:
         """Whether the store is reachable or failed for less than `STORE_LOST_AFTER_S`."""
@@ -165,26 +178,36 @@
             `False` if the store is unreachable. The term goes on then, because no successor
             could take over and the leases would expire.
         """
-        if not self._reaches_store():
+        changes = self._context.store.read_changes(
+            ownership_tables.TOPIC, self._table.offset + 1, 0.0
+        )
+        if isinstance(changes, client.StoreFailed):
             return False
         if not self.step_down(timeout_s=1.0):
             return True
-        table = self._create_table(())
-        table = dataclasses.replace(table, lessor=None)
+        planned = self._plan_handover(changes)
         outcome = self._context.store.write(
             ownership_tables.TOPIC,
             ownership_tables.KEY,
-            ownership_tables.encode(table),
-            self._table.offset + 1,
+            ownership_tables.encode(dataclasses.replace(planned.table, lessor=None)),
+            planned.offset,
+        )
+        logging.info(
+            "lessor of term %s handed over, outcome of the write: %s",
+            positions.describe(self.term),
+            outcome,
         )
-        logging.info("lessor of term %d handed over, outcome of the write: %s", self.term, outcome)
         return True
 
-    def _reaches_store(self) -> bool:
-        outcome = self._context.store.read_changes(
-            ownership_tables.TOPIC, self._table.offset + 1, 0.0
-        )
-        return not isinstance(outcome, client.StoreFailed)
+    def _plan_handover(self, changes: client.ReadOutcome) -> key_ranges.StoredTable:
+        """Return the table to hand over; in a later era of the store, one for that era."""
+        table = self._create_table(())
+        if isinstance(changes, client.RecordsExpired):
+            copied = ownership_tables.read(self._context.store)
+            if copied is not None and ownership_tables.is_from_copy(copied):
+                retained = retained_tables.RetainedTable(table, self._confirmed_at_s + AUTHORITY_S)
+                return retained.restore(self._context, self._own, copied)
+        return key_ranges.StoredTable(self._table.offset + 1, table)
 
     def run(self, stop_signal: tasks.StopSignal) -> None:
         """Run the lessor's steps until the term ends."""
@@ -198,11 +221,20 @@
         self._renewers.update_owners(self._list_owners())
         self._rebalancer.plan(
             range_rebalancer.PlanningConstraints(
-                self.has_store, self._predecessors_end_at_s, self._sizes.may_split
+                self.has_store,
+                self._predecessors_end_at_s,
+                self._sizes.may_split,
+                may_be_held=self._may_be_held(),
             )
         )
         self._write_decisions()
 
+    def _may_be_held(self) -> bool:
+        """Return whether servers may hold ranges of which the store has lost the record."""
+        last_grant_s = self._predecessors_end_at_s
+        expiry_s = range_leases.find_expiry_s(last_grant_s, self._leases.lease_s)
+        return self._has_lost_records and self._context.clock.read_s() < expiry_s
+
     def _confirm(self) -> None:
         """Check the store for a takeover if due; extends the authority if there is none."""
         now_s = self._context.clock.read_s()
@@ -237,6 +269,9 @@
         if isinstance(outcome, client.StoreFailed):
             self._record_store_failure(now_s)
             return
+        if positions.find_era(outcome.end_offset) != positions.find_era(self.term):
+            self._end_for_later_era()
+            return
         record = ownership_tables.find_latest(outcome.records)
         if record is None:
             self._end_term("the ownership table is missing")
@@ -254,8 +289,15 @@
         else:
             self._record_confirmation(now_s)
 
+    def _end_for_later_era(self) -> None:
+        """End the term, whose records the store may have lost, and retain its table."""
+        self._end_term("the store came back from a copy")
+        self._retained = retained_tables.RetainedTable(
+            self._create_table(()), self._confirmed_at_s + AUTHORITY_S
+        )
+
     def _end_term(self, reason: str) -> None:
-        logging.info("lessor of term %d steps down: %s", self.term, reason)
+        logging.info("lessor of term %s steps down: %s", positions.describe(self.term), reason)
         self.step_down(timeout_s=0.0)
 
     def _list_owners(self) -> frozenset[deployment.ServerIncarnation]:
--- a/src/goldcresthall/ranges/owners.py
+++ b/src/goldcresthall/ranges/owners.py
@@ -25,7 +25,7 @@
     Attributes
     ----------
     term
-        Offset of the record with which the lessor took over.
+        Position in the store of the record with which the lessor took over.
     revision
         Number of changes of the owners within the term.
     """
--- a/src/goldcresthall/ranges/ownership_tables.py
+++ b/src/goldcresthall/ranges/ownership_tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 from typing import Final
 
 from absl import logging
@@ -13,6 +14,9 @@
 from goldcresthall.store import client
 from goldcresthall.store import positions
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 TOPIC: Final = "keyed.goldcresthall-ownership"
 KEY: Final = "table"
 
@@ -80,6 +84,58 @@
     )
 
 
+def is_from_copy(stored: key_ranges.StoredTable) -> bool:
+    """Return whether a table was written in an earlier era of the store than it was read in.
+
+    Owners may have changed since then, of which the store has lost the records.
+    """
+    read_in_era = positions.find_era(stored.offset + 1)
+    return positions.find_era(stored.table.term) != read_in_era
+
+
+def is_first(stored: key_ranges.StoredTable) -> bool:
+    """Return whether the topic has no record yet, or none any more."""
+    return positions.find_offset(stored.offset + 1) == 0
+
+
+def take_over_copy(
+    copied: key_ranges.OwnershipTable,
+    own: key_ranges.LessorIdentity,
+    fence: int,
+    services: Iterable[str],
+    retained: key_ranges.OwnershipTable | None,
+) -> key_ranges.OwnershipTable:
+    """Return the table with which an instance takes over after a return of the store.
+
+    The copy says nothing of the owners. A lessor whose authority lasted until it saw the new era
+    knows its own table, of which other lessors can have changed nothing but the ranges without an
+    owner. Any other range may be held by a server that is not known.
+
+    Parameters
+    ----------
+    services
+        Names of the keyed services.
+    retained
+        The table of this instance's own last term, if its authority has lasted until now.
+    """
+    known = key_ranges.OwnershipTable() if retained is None else retained
+    assignments = [dataclasses.replace(assignment, fence=fence) for assignment in known.assignments]
+    named = {row.service for row in (*copied.assignments, *known.assignments)}
+    for service in sorted(named | set(services)):
+        covered = (row.keys for row in known.assignments if row.service == service)
+        assignments += [
+            key_ranges.RangeAssignment(service, gap, key_ranges.UNKNOWN_SERVER, fence)
+            for gap in key_ranges.find_gaps(covered)
+        ]
+    taken = take_over(copied, own, fence)
+    predecessors = dict.fromkeys(
+        (*taken.predecessors, *known.predecessors, key_ranges.UNKNOWN_LESSOR)
+    )
+    return dataclasses.replace(
+        taken, predecessors=tuple(predecessors), assignments=tuple(assignments)
+    )
+
+
 def read(store: client.StoreClient) -> key_ranges.StoredTable | None:
     """Return the table with the last offset of its topic, or `None` if it cannot be read."""
     outcome = store.read_newest(TOPIC)
--- a/src/goldcresthall/ranges/range_leases.py
+++ b/src/goldcresthall/ranges/range_leases.py
@@ -149,5 +149,9 @@
         predecessors_end_s
             Time until which an earlier lessor may have renewed the lease.
         """
-        last_s = max(self.latest_arrival_at_s, predecessors_end_s)
-        return last_s + lease_s * CLOCK_DRIFT_FACTOR + EXPIRY_MARGIN_S
+        return find_expiry_s(max(self.latest_arrival_at_s, predecessors_end_s), lease_s)
+
+
+def find_expiry_s(last_arrival_s: float, lease_s: float) -> float:
+    """Return the time after which a lease granted at a time at the latest has certainly expired."""
+    return last_arrival_s + lease_s * CLOCK_DRIFT_FACTOR + EXPIRY_MARGIN_S
--- a/src/goldcresthall/ranges/range_rebalancer.py
+++ b/src/goldcresthall/ranges/range_rebalancer.py
@@ -53,11 +53,14 @@
         incarnation of a server, which knows no fencing token.
     may_split
         Whether the recorded table is small enough for more ranges.
+    may_be_held
+        Whether servers may hold ranges of which this instance knows nothing.
     """
 
     has_store: bool
     predecessors_end_s: float
     may_split: bool = True
+    may_be_held: bool = False
 
     def may_release(self, now_s: float) -> bool:
         """Return whether a range may change hands by a release."""
@@ -131,7 +134,7 @@
             self._rebalanced_at_s = now_s
         is_rebalancing = is_due and constraints.has_store
         for name in configuration.keyed_services:
-            self._add_missing_ranges(name)
+            self._add_missing_ranges(name, may_be_held=constraints.may_be_held)
             self._reviewer.review(
                 name, now_s, constraints.predecessors_end_s, may_split=constraints.may_split
             )
@@ -150,23 +153,18 @@
             if lease.phase is range_leases.LeasePhase.FREE and lease.target is not None:
                 self._reviewer.review_target(lease_id, lease.target)
 
-    def _add_missing_ranges(self, service: str) -> None:
-        """Add free ranges for keys that no lease covers."""
+    def _add_missing_ranges(self, service: str, *, may_be_held: bool) -> None:
+        """Add ranges for keys that no lease covers; they are free unless a server may hold them."""
         covered = [
             lease.keys
             for lease in self._leases.snapshot().leases.values()
             if lease.service == service
         ]
-        first = key_ranges.FIRST_KEY
-        for keys in sorted(covered):
-            if keys.first > first:
-                self._add_free(service, key_ranges.KeyRange(first, keys.first - 1))
-            first = max(first, keys.last + 1)
-        if first <= key_ranges.LAST_KEY:
-            self._add_free(service, key_ranges.KeyRange(first, key_ranges.LAST_KEY))
-
-    def _add_free(self, service: str, keys: key_ranges.KeyRange) -> None:
-        self._leases.add(range_leases.RangeLease(service=service, keys=keys, owner=None))
+        for keys in key_ranges.find_gaps(covered):
+            added = range_leases.RangeLease(service=service, keys=keys, owner=None)
+            if may_be_held:
+                added = transitions.await_unknown_holder(added)
+            self._leases.add(added)
 
     def _place(self, service: str, now_s: float) -> None:
         """Assign the free ranges of a service."""
--- a/src/goldcresthall/ranges/reports.py
+++ b/src/goldcresthall/ranges/reports.py
@@ -109,7 +109,7 @@
     Attributes
     ----------
     position
-        Offset in the store up to which the entries are included.
+        Position in the store up to which the entries are included.
     age_s
         Seconds from the start of the read behind the list to the arrival of the report;
         negative if the read began after it.
--- a/src/goldcresthall/ranges/takeover.py
+++ b/src/goldcresthall/ranges/takeover.py
@@ -10,7 +10,9 @@
 from goldcresthall.core import key_ranges
 from goldcresthall.ranges import lessor
 from goldcresthall.ranges import ownership_tables
+from goldcresthall.ranges import retained_tables
 from goldcresthall.store import client
+from goldcresthall.store import positions
 
 if TYPE_CHECKING:
     from goldcresthall.kernel import tasks
@@ -45,6 +47,9 @@
     stored: key_ranges.StoredTable,
     max_lease_s: float,
     stop_signal: tasks.StopSignal,
+    *,
+    retained: retained_tables.RetainedTable | None = None,
+    first_start_era: int | None = None,
 ) -> TakeoverResult:
     """Write a takeover record, unless another instance takes over first.
 
@@ -58,6 +63,11 @@
         The table, or only the lessor, that this instance last knew.
     max_lease_s
         Upper bound for the lease duration in seconds.
+    retained
+        Table of this instance's last term, if the store came back from a copy since.
+    first_start_era
+        Era of the store at the first start of the whole system, in which a missing table means
+        that there was none; `None` if this is no first start.
     """
     if not _await_directory(context, stop_signal):
         return FAILED
@@ -66,18 +76,18 @@
         return FAILED
     if latest.table.lessor != stored.table.lessor:
         return TakeoverResult(other_table=latest)
-    expected = latest.offset + 1
-    table = ownership_tables.take_over(latest.table, own, expected)
+    planned = _plan_table(context, own, latest, retained, first_start_era)
+    table = planned.table
     began_at_s = context.clock.read_s()
     outcome = context.store.write(
-        ownership_tables.TOPIC, ownership_tables.KEY, ownership_tables.encode(table), expected
+        ownership_tables.TOPIC, ownership_tables.KEY, ownership_tables.encode(table), planned.offset
     )
     if not isinstance(outcome, client.Written):
         logging.info("takeover failed, step write: %s", outcome)
         return FAILED
     logging.info(
-        "became lessor in term %d, ranges %d, predecessors %d",
-        outcome.offset,
+        "became lessor in term %s, ranges %d, predecessors %d",
+        positions.describe(outcome.offset),
         len(table.assignments),
         len(table.predecessors),
     )
@@ -86,6 +96,26 @@
     return TakeoverResult(own_term)
 
 
+def _plan_table(
+    context: lessor_context.LessorContext,
+    own: key_ranges.LessorIdentity,
+    latest: key_ranges.StoredTable,
+    retained: retained_tables.RetainedTable | None,
+    first_start_era: int | None,
+) -> key_ranges.StoredTable:
+    """Return the table of the takeover, and the position at which it is written."""
+    position = latest.offset + 1
+    is_first = ownership_tables.is_first(latest) and (
+        positions.find_era(position) == first_start_era
+    )
+    if is_first or not ownership_tables.is_from_copy(latest):
+        table = ownership_tables.take_over(latest.table, own, position)
+        return key_ranges.StoredTable(position, table)
+    if retained is None:
+        return retained_tables.create_from_copy(context, own, latest, None)
+    return retained.restore(context, own, latest)
+
+
 def _await_directory(context: lessor_context.LessorContext, stop_signal: tasks.StopSignal) -> bool:
     """Wait for the configuration and the servers, without which a lessor cannot plan.
 
--- a/src/goldcresthall/ranges/transitions.py
+++ b/src/goldcresthall/ranges/transitions.py
@@ -18,6 +18,12 @@
 
 def resume(assignment: key_ranges.RangeAssignment) -> range_leases.RangeLease:
     """Return the lease of a range whose owner stays after a takeover."""
+    if assignment.owner == key_ranges.UNKNOWN_SERVER:
+        return await_unknown_holder(
+            range_leases.RangeLease(
+                service=assignment.service, keys=assignment.keys, owner=None, fence=assignment.fence
+            )
+        )
     return range_leases.RangeLease(
         service=assignment.service,
         keys=assignment.keys,
@@ -28,6 +34,13 @@
     )
 
 
+def await_unknown_holder(lease: range_leases.RangeLease) -> range_leases.RangeLease:
+    """Return the lease of a range that is free once no earlier lessor's grant can last."""
+    return dataclasses.replace(
+        lease, owner=key_ranges.UNKNOWN_SERVER, phase=range_leases.LeasePhase.EXPIRING
+    )
+
+
 def is_failing(lease: range_leases.RangeLease, now_s: float) -> bool:
     """Return whether grants have failed for `LOST_AFTER_S`, so that the owner counts as lost."""
     return lease.failing_since_s is not None and now_s - lease.failing_since_s >= LOST_AFTER_S
--- a/tests/fakes/range_simulation.py
+++ b/tests/fakes/range_simulation.py
@@ -17,7 +17,8 @@
 from goldcresthall.ranges import lessor_context
 from goldcresthall.ranges import ownership_tables
 from goldcresthall.ranges import request_counts
-from goldcresthall.store import client
+from goldcresthall.ranges import retained_tables
+from goldcresthall.ranges import takeover
 from tests.fakes import clock
 from tests.fakes import store
 
@@ -29,6 +30,7 @@
 SAMPLED_KEYS = tuple(range(0, key_ranges.KEY_COUNT, SAMPLE_STEP))
 SLOW_CLOCK_FACTOR = 1.02
 MAX_LEASE_S = 10.0
+FIRST_ERA = 0
 CONFIGURATION = deployment.Configuration(
     version=1,
     routes=(),
@@ -79,11 +81,16 @@
     return "odd" if name[-1:] in "13579" else "even"
 
 
+def create_kernel(simulated_clock: clock.ManualClock) -> kernel.Kernel:
+    """Return a kernel with the clock alone."""
+    created = kernel.Kernel()
+    created.register(names.CLOCK, simulated_clock)
+    return created
+
+
 def create_directory(simulated_clock: clock.ManualClock) -> directory.Directory:
     """Return a directory that knows the configuration and no server yet."""
-    service_kernel = kernel.Kernel()
-    service_kernel.register(names.CLOCK, simulated_clock)
-    created = directory.Directory(service_kernel)
+    created = directory.Directory(create_kernel(simulated_clock))
     created.start()
     created.configurations.apply(CONFIGURATION)
     return created
@@ -262,6 +269,7 @@
         self.store = store.FakeStore(simulation.store)
         self.channel = FakeGrantChannel(simulation)
         self.own_term: lessor.LessorTerm | None = None
+        self.retained: retained_tables.RetainedTable | None = None
         self.pending_releases: list[Callable[[], None]] = []
         self.is_frozen = False
         self.sees_changes = True
@@ -283,28 +291,58 @@
         suspended_s
             Seconds for which the process is suspended before it sees the store's response.
         """
-        read = self.store.read_newest(ownership_tables.TOPIC)
-        if isinstance(read, client.StoreFailed):
+        stored = ownership_tables.read(self.store)
+        if stored is None:
             return
-        record = ownership_tables.find_latest(read.records)
-        latest = ownership_tables.decode(record).table if record else key_ranges.OwnershipTable()
-        table = ownership_tables.take_over(latest, self.own, read.end_offset)
-        began_at_s = self._simulation.clock.read_s()
-        written = self.store.write(
-            ownership_tables.TOPIC,
-            ownership_tables.KEY,
-            ownership_tables.encode(table),
-            read.end_offset,
+        if self.own_term is not None and self.own_term.retained is not None:
+            self.retained = self.own_term.retained
+        self.store.before_response = lambda: self._simulation.clock.advance(suspended_s)
+        taken = takeover.take_over(
+            self.context,
+            self.own,
+            stored,
+            MAX_LEASE_S,
+            tasks.StopSignal(),
+            retained=self.retained,
+            first_start_era=FIRST_ERA,
         )
-        if not isinstance(written, client.Written):
+        self.store.before_response = lambda: None
+        if taken.term is not None:
+            self.own_term = taken.term
+            self.retained = None
+
+    def confirm_step_down(self, term: int) -> bool:
+        """Step down for a later term; return whether this instance sends no further grants."""
+        self.retained = None
+        if self.own_term is None:
+            return True
+        if self.own_term.term >= term:
+            return False
+        is_stopped = self.own_term.step_down(0.0)
+        self.own_term = None
+        return is_stopped
+
+    def query_predecessors(self) -> None:
+        """End the term's wait for earlier lessors if all of them confirm that they stopped."""
+        own_term = self.own_term
+        if own_term is None or own_term.is_over or not own_term.awaits_predecessors:
             return
-        self._simulation.clock.advance(suspended_s)
-        stored = key_ranges.StoredTable(written.offset, table)
-        self.own_term = lessor.LessorTerm(self.context, self.own, stored, MAX_LEASE_S, began_at_s)
+        others = {other.own: other for other in self._simulation.instances if other is not self}
+        if all(
+            earlier in others
+            and not others[earlier].is_frozen
+            and others[earlier].confirm_step_down(own_term.term)
+            for earlier in own_term.predecessors
+        ):
+            own_term.end_predecessor_wait()
 
     def step(self) -> None:
         """Run one step of the lessor's task, its releases and its renewal tasks."""
-        if self.own_term is None or self.own_term.is_over or self.is_frozen:
+        if self.own_term is None or self.is_frozen:
+            return
+        if self.own_term.is_over:
+            if self.own_term.retained is not None:
+                self.take_over()
             return
         self.own_term.step()
         pending_releases, self.pending_releases = self.pending_releases, []
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -20,6 +20,7 @@
 from goldcresthall.observability import metrics
 from goldcresthall.peers import peer_metrics
 from goldcresthall.ranges import election
+from goldcresthall.ranges import lessor
 from goldcresthall.ranges import owners
 from goldcresthall.ranges import ownership_tables
 from goldcresthall.ranges import peer_channel
@@ -233,3 +234,79 @@
 
     def close(self) -> None:
         """Do nothing."""
+
+
+def serve_until_the_store_returns(
+    election_service: election.Election, shared: store.SharedRecords
+) -> None:
+    """Take over, and end the term by a return of the store from a copy."""
+    stored = ownership_tables.read(election_service._store)
+    assert stored is not None
+
+    def run(own_term: lessor.LessorTerm, stop_signal: tasks.StopSignal) -> None:
+        shared.restore()
+        own_term._check_stored_table(0.0)
+        election_service._end_term(own_term)
+
+    election_service._serve = run  # type: ignore[method-assign]
+    election_service._take_over(stored, tasks.StopSignal())
+
+
+@pytest.fixture
+def shared(election_service: election.Election) -> store.SharedRecords:
+    assert isinstance(election_service._store, store.FakeStore)
+    return election_service._store._shared
+
+
+# Guards against two lessors that both move ranges after a drill of the store (OWNER): one that has
+# said that it stopped must not go on with the table that it knew.
+def test_table_is_not_used_after_the_return_of_the_store_once_another_lessor_was_told_so(
+    election_service: election.Election, shared: store.SharedRecords
+) -> None:
+    serve_until_the_store_returns(election_service, shared)
+    assert not election_service._memory.is_empty
+    assert election_service.handle_step_down(term=0)
+    assert election_service._memory.is_empty
+
+
+def test_no_other_lessor_is_told_that_this_one_stopped_while_it_takes_over_again(
+    election_service: election.Election, shared: store.SharedRecords
+) -> None:
+    serve_until_the_store_returns(election_service, shared)
+    assert election_service._memory.begin_use() is not None
+    assert not election_service.handle_step_down(term=0)
+    election_service._memory.end_use()
+    assert election_service.handle_step_down(term=0)
+
+
+def test_table_of_a_term_that_was_given_up_is_not_kept(
+    election_service: election.Election, shared: store.SharedRecords
+) -> None:
+    take_over(election_service)
+    own_term = election_service._term
+    assert own_term is not None
+    election_service.handle_step_down(term=10)
+    shared.restore()
+    own_term._check_stored_table(0.0)
+    election_service._end_term(own_term)
+    assert election_service._memory.is_empty
+
+
+def test_lessor_that_writes_its_table_again_is_awaited(
+    election_service: election.Election, shared: store.SharedRecords
+) -> None:
+    """A takeover by the copy would leave all keys without a holder for seconds."""
+    shared.append(ownership_tables.KEY, ownership_tables.encode(key_ranges.OwnershipTable()), 0)
+    shared.copy()
+    shared.restore()
+    copied = ownership_tables.read(election_service._store)
+    assert copied is not None
+
+    class RestoringSignal(tasks.StopSignal):
+        def wait(self, timeout_s: float | None = None) -> bool:
+            assert timeout_s == election.RESTORE_WAIT_S
+            table = key_ranges.OwnershipTable(term=shared.end)
+            shared.append(ownership_tables.KEY, ownership_tables.encode(table), 1)
+            return False
+
+    assert election_service._await_restored_table(copied, RestoringSignal()) is not None
--- a/tests/ranges/test_range_state_machine.py
+++ b/tests/ranges/test_range_state_machine.py
@@ -1,5 +1,7 @@
 """Stateful test of range leases: delayed and lost commands, restarts and lessor takeovers.
 
+The store comes back from a copy at any moment, also one from before the first takeover.
+
 After each step, no key may be held by two servers.
 """
 
@@ -58,6 +60,26 @@
     def drop_responses(self, number: int, drops: bool) -> None:
         self.simulation.instances[number].store.drops_responses = drops
 
+    @stateful.rule()
+    def copy_store(self) -> None:
+        self.simulation.store.copy()
+
+    @stateful.rule()
+    def restore_store(self) -> None:
+        self.simulation.store.restore()
+
+    @stateful.rule(number=strategies.integers(0, 1), delays=strategies.booleans())
+    def delay_writes(self, number: int, delays: bool) -> None:
+        self.simulation.instances[number].store.delays_writes = delays
+
+    @stateful.rule(number=strategies.integers(0, 1))
+    def deliver_writes(self, number: int) -> None:
+        self.simulation.instances[number].store.deliver_writes()
+
+    @stateful.rule(number=strategies.integers(0, 1))
+    def query_predecessors(self, number: int) -> None:
+        self.simulation.instances[number].query_predecessors()
+
     @stateful.rule(number=strategies.integers(0, 1), delays=strategies.booleans())
     def delay_grants(self, number: int, delays: bool) -> None:
         self.simulation.instances[number].channel.delays_grants = delays
