Count the use of servers without an entry from when the store was last away

Cause, by their record and by reading: expired entries are kept for 2.6 s from the first read that succeeds. After four failed reads the next one comes 0.9 s later, so the store may have been back for that long, and a read removes the entry up to 0.5 s late. The bound holds again 3 s after the store's return, so it was passed by up to 1.9 s.

Evidence: test_server_without_an_entry_is_used_only_until_the_store_counts_as_stable fails for a pause of 0.9 and 1.4 s without the rule and passes with it. Ruled out: a longer pause in which nothing is used, because the ranges of live servers would move; the entry stays listed, only requests end.

Why it works: the store returned after the last failed read began. Requests end 2.8 s after that, whenever the return was noticed; they are checked at the choice and right before the first byte.

--- a/src/goldcresthall/gateway/alternatives.py
+++ b/src/goldcresthall/gateway/alternatives.py
@@ -29,7 +29,7 @@
 ) -> bool:
     excluded = tried | {server.name}
     return any(
-        server_finder.is_listed_candidate(entry, excluded)
+        finder.is_listed_candidate(entry, excluded)
         and finder.find_pause_s(entry.server) <= 0
         and finder.restrictions.allows(entry.server)
         and finder.find_circuit(entry.server) is None
--- a/src/goldcresthall/gateway/directory.py
+++ b/src/goldcresthall/gateway/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -56,6 +57,7 @@
         self._servers = server_lists.ServerList({}, {})
         self._expired_names: set[str] = set()
         self._store_recovered_at_s = 0.0
+        self._used_without_entry_until_s = -math.inf
         self._history = server_history.ServerHistory()
         self._warm_up_reports = warm_ups.WarmUpReports()
         self._evacuations = evacuations.EvacuationState()
@@ -163,15 +165,35 @@
         """Start the grace period for entries if they may have expired in an outage of the store."""
         if not outage.may_expire_entries:
             return
+        now_s = self._clock.read_s()
         with self._lock:
-            self._store_recovered_at_s = self._clock.read_s()
+            self._store_recovered_at_s = now_s
+            self._use_without_entry_after(outage.last_failed_at_s)
         logging.info(
-            "missing entries are kept for %.1f s, step discover, reads failed %d times in %.2f s",
+            "missing entries are kept for %.1f s and used for %.1f s, step discover, "
+            "reads failed %d times in %.2f s",
             EXPIRED_ENTRY_GRACE_S,
+            self._used_without_entry_until_s - now_s,
             outage.failed_reads,
             outage.duration_s,
         )
 
+    def may_be_used(self, name: str) -> bool:
+        """Return whether requests may be sent to a listed server, as far as its entry tells.
+
+        Without an entry it may have left. It is used while the store is away, and until its entry
+        must be there again, counted from the last moment at which the store was surely away: the
+        first read that succeeds may come much later than the store's return.
+        """
+        if name not in self._expired_names or self.is_store_away:
+            return True
+        return self._clock.read_s() < self._used_without_entry_until_s
+
+    def _use_without_entry_after(self, away_at_s: float) -> None:
+        """Use servers without an entry for some time after the store was surely away."""
+        until_s = away_at_s + list_bounds.MAX_USE_WITHOUT_ENTRY_S
+        self._used_without_entry_until_s = max(self._used_without_entry_until_s, until_s)
+
     def apply_changes(
         self,
         present: tuple[deployment.RegisteredServer, ...],
@@ -197,6 +219,7 @@
                 return
             if self._is_restored(version):
                 self._store_recovered_at_s = now_s
+                self._use_without_entry_after(self._version.known_at_s)
                 logging.warning(
                     "server list read anew, step discover: the store came back from a copy, "
                     "position %s after %s; missing entries are kept for %.1f s",
--- a/src/goldcresthall/gateway/list_bounds.py
+++ b/src/goldcresthall/gateway/list_bounds.py
@@ -19,6 +19,9 @@
 # A server's entry expires after three missed refreshes, some 0.9 s apart.
 MIN_EXPIRING_OUTAGE_S = 1.7
 MIN_FAILED_READS_OF_OUTAGE = 2
+# Three seconds after its return the store counts as stable, and the bound on requests to servers
+# that left holds again. Servers whose entries expired are back within two.
+MAX_USE_WITHOUT_ENTRY_S = 2.8
 SHORTEST_DRAIN_S = 2.0
 
 
@@ -58,10 +61,13 @@
     ----------
     duration_s
         Seconds from the start of the first failed read to that of the next successful one.
+    last_failed_at_s
+        Clock reading in seconds at which the last failed read began. The store returned after it.
     """
 
     failed_reads: int
     duration_s: float
+    last_failed_at_s: float
 
     @property
     def may_expire_entries(self) -> bool:
--- a/src/goldcresthall/gateway/list_freshness.py
+++ b/src/goldcresthall/gateway/list_freshness.py
@@ -6,16 +6,13 @@
 import enum
 import math
 import threading
-from typing import TYPE_CHECKING
 
 from absl import logging
 
+from goldcresthall.gateway import list_bounds
 from goldcresthall.gateway import server_lists
 from goldcresthall.store import positions
 
-if TYPE_CHECKING:
-    from goldcresthall.gateway import list_bounds
-
 
 class ListSource(enum.Enum):
     """Where a list of servers comes from."""
@@ -40,6 +37,7 @@
         self._source: ListSource | None = None
         self._relayed_at_s = -math.inf
         self._is_store_lost = False
+        self._failed_reads = 0
         self._is_read_requested = False
         self._read_requested = threading.Condition(self._lock)
         self._renewed = threading.Condition(self._lock)
@@ -71,6 +69,11 @@
             or self.list_age_s <= self._bounds.use_s
         )
 
+    @property
+    def is_store_away(self) -> bool:
+        """Whether the store fails; one lost response says nothing of it."""
+        return self._failed_reads >= list_bounds.MIN_FAILED_READS_OF_OUTAGE
+
     @property
     def is_relayed(self) -> bool:
         """Whether another instance relays its list, so that the store need not be read."""
@@ -114,6 +117,7 @@
         """Record that the store failed, so that the list cannot be renewed."""
         with self._renewed:
             self._is_store_lost = True
+            self._failed_reads += 1
             self._renewed.notify_all()
 
     def _record_relay(self, now_s: float) -> None:
@@ -138,4 +142,6 @@
         # An old list from an instance that lost the store too is no sign that the store is back.
         is_outdated = now_s - version.known_at_s > self._bounds.use_s
         self._is_store_lost = self._is_store_lost and is_outdated
+        if not is_outdated:
+            self._failed_reads = 0
         self._renewed.notify_all()
--- a/src/goldcresthall/gateway/server_finder.py
+++ b/src/goldcresthall/gateway/server_finder.py
@@ -116,8 +116,18 @@
         entry = self.directory.servers.find(server.incarnation)
         if entry is None or not self.directory.is_list_usable:
             return False
+        if not self.directory.may_be_used(server.name):
+            return False
         return leaving_servers.may_serve(target, entry, self.directory.read_s(), self.drain_s)
 
+    def is_listed_candidate(
+        self, entry: server_lists.DirectoryEntry, tried: frozenset[str]
+    ) -> bool:
+        """Return whether a server of a pool may get a request by its entry and earlier attempts."""
+        name = entry.server.name
+        is_leaving = entry.draining_since_s is not None
+        return not is_leaving and name not in tried and self.directory.may_be_used(name)
+
     def find_view(self, service: str) -> apertures.View:
         """Return the servers of a service, and those of them that this instance uses first."""
         entries = self.directory.servers.by_service.get(service, ())
@@ -208,7 +218,7 @@
 
     def is_candidate(entry: server_lists.DirectoryEntry) -> bool:
         return (
-            is_listed_candidate(entry, tried)
+            finder.is_listed_candidate(entry, tried)
             and finder.find_pause_s(entry.server) <= 0
             and (not is_restricted or finder.restrictions.allows(entry.server))
         )
@@ -254,7 +264,7 @@
     if range_owner is None or not range_owner.ready:
         return _refuse_no_owner(target, "the key has no ready owner")
     entry = finder.directory.servers.find(range_owner.owner)
-    if entry is None:
+    if entry is None or not finder.directory.may_be_used(entry.server.name):
         return _refuse_no_owner(target, f"{range_owner.owner.name} is not registered")
     if not leaving_servers.may_serve(target, entry, finder.directory.read_s(), finder.drain_s):
         return _refuse_no_owner(target, f"{range_owner.owner.name} is draining")
@@ -279,7 +289,7 @@
 ) -> Unavailable:
     """Return the refusal for a service whose servers are all paused, draining or tried."""
     entries = finder.find_view(target.service).everything.entries
-    left = tuple(entry.server for entry in entries if is_listed_candidate(entry, tried))
+    left = tuple(entry.server for entry in entries if finder.is_listed_candidate(entry, tried))
     if finder.restrictions.restricts(target.service):
         refused = finder.restrictions.refuse_servers(left)
         if refused is not None:
@@ -309,10 +319,5 @@
     return Unavailable(refused, is_final=True)
 
 
-def is_listed_candidate(entry: server_lists.DirectoryEntry, tried: frozenset[str]) -> bool:
-    """Return whether a server of a pool may get a request by its entry and earlier attempts."""
-    return entry.draining_since_s is None and entry.server.name not in tried
-
-
 def _refuse_no_owner(target: targets.KeyTarget, detail: str) -> Unavailable:
     return Unavailable(server_refusals.refuse_no_owner(target.service, detail))
--- a/src/goldcresthall/gateway/watchers.py
+++ b/src/goldcresthall/gateway/watchers.py
@@ -199,7 +199,7 @@
     def _watch_servers(self, stop_signal: tasks.StopSignal) -> None:
         follower = topics.TopicFollower(self._store, self._clock, self._decoder.servers_topic)
         failures = 0
-        failing_since_s = 0.0
+        failing_since_s = failed_at_s = 0.0
         self._await_first_relay(stop_signal)
         while not stop_signal.is_set:
             if self._directory.is_relayed:
@@ -215,13 +215,15 @@
             update = follower.poll(0.0, timeout_s)
             if isinstance(update, client.StoreFailed):
                 self._directory.record_read_failure()
+                failed_at_s = began_at_s
                 failing_since_s = failing_since_s if failures else began_at_s
                 failures += 1
                 _log_failure("servers", failures, update)
                 stop_signal.wait(find_retry_delay_s(failures))
                 continue
             if failures:
-                outage = list_bounds.StoreOutage(failures, update.began_at_s - failing_since_s)
+                duration_s = update.began_at_s - failing_since_s
+                outage = list_bounds.StoreOutage(failures, duration_s, failed_at_s)
                 self._directory.record_store_recovery(outage)
             is_restored = self._is_restored(update)
             self._apply_servers(update)
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -17,7 +17,7 @@
     from tests.gateway.conftest import GatewayFixture
 
 
-EXPIRING_OUTAGE = list_bounds.StoreOutage(2, list_bounds.MIN_EXPIRING_OUTAGE_S)
+EXPIRING_OUTAGE = list_bounds.StoreOutage(2, list_bounds.MIN_EXPIRING_OUTAGE_S, 0.0)
 
 
 def test_older_configuration_is_not_applied(gateway_fixture: GatewayFixture) -> None:
@@ -210,7 +210,7 @@
     server_directory = gateway_fixture.directory
     server_directory.apply_full_list((conftest.create_server("one"),))
     gateway_fixture.clock.advance(0.3)
-    server_directory.record_store_recovery(list_bounds.StoreOutage(2, 0.3))
+    server_directory.record_store_recovery(list_bounds.StoreOutage(2, 0.3, 0.0))
     server_directory.apply_changes((), frozenset({"one"}))
     assert not server_directory.servers.by_name
 
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -193,7 +193,7 @@
 def test_entries_may_expire_only_in_an_outage_of_several_reads(
     *, failed_reads: int, duration_s: float, may_expire: bool
 ) -> None:
-    outage = list_bounds.StoreOutage(failed_reads, duration_s)
+    outage = list_bounds.StoreOutage(failed_reads, duration_s, 0.0)
     assert outage.may_expire_entries is may_expire
 
 
@@ -302,3 +302,41 @@
     assert bounds.relay_s + bounds.first_read_s < bounds.use_s
     # An owner gets requests for a while after it began to drain, whatever the list's age.
     assert leaving_servers.MAX_OWNER_DRAIN_FRACTION * drain_s + CALL_S <= drain_s
+
+
+# Guards against requests to a server that left before an outage of the store, after the store
+# counts as stable again (DRAIN): the grace for expired entries ran from the first read that
+# succeeded, which may come long after the store's return.
+@pytest.mark.parametrize("backoff_s", [0.0, 0.9, 1.4])
+def test_server_without_an_entry_is_used_only_until_the_store_counts_as_stable(
+    backoff_s: float,
+) -> None:
+    fixture = conftest.create_gateway_fixture(list_bounds.STRICTEST)
+    target, left = targets.PoolTarget("agenda"), conftest.create_server("one")
+    stays = conftest.create_server("two")
+    fixture.directory.apply_full_list((left, stays))
+    last_failed_at_s = fixture.clock.read_s()
+    fixture.clock.advance(backoff_s)
+    fixture.directory.record_store_recovery(list_bounds.StoreOutage(4, 2.0, last_failed_at_s))
+    fixture.directory.apply_full_list((stays,))
+    assert fixture.finder.may_send(target, left)
+    fixture.clock.advance(2.9 - backoff_s)
+    fixture.directory.apply_full_list((stays,))
+    assert not fixture.finder.may_send(target, left)
+    assert fixture.finder.may_send(target, stays)
+    found = [fixture.finder.find(target, frozenset(), random.Random(seed)) for seed in range(20)]
+    assert found == [stays] * 20
+
+
+def test_server_without_an_entry_is_used_in_the_next_outage() -> None:
+    """A live server cannot register while the store is away."""
+    fixture = conftest.create_gateway_fixture(list_bounds.STRICTEST)
+    target, lapsed = targets.PoolTarget("agenda"), conftest.create_server("one")
+    fixture.directory.apply_full_list((lapsed,))
+    outage = list_bounds.StoreOutage(4, 2.0, fixture.clock.read_s())
+    fixture.directory.record_store_recovery(outage)
+    fixture.directory.apply_full_list(())
+    for _ in range(2):
+        fixture.directory.record_read_failure()
+    fixture.clock.advance(60.0)
+    assert fixture.finder.may_send(target, lapsed)
