Let the soak draw outages in series, returns from a copy, and long serving of servers that leave

The soak did not show what the operators saw: three instances, servers that end 3 s after they leave, and a disturbance of any instance excused all. Now a profile "outages" draws outages (with entries that expire and come back within 1.5 s), returns from a copy, changes of the lessor and servers that leave, for any number of instances and servers; leaving servers serve for up to 13 s, and a request is judged by the instance to which its caller sent it. The store's responses bear an era in all runs.

--- a/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
+++ b/stand_ins/src/goldcresthall_stand_ins/deployment_server.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 import json
 import threading
 import time
@@ -128,6 +129,7 @@
         self._highest_fences: dict[int, int] = {}
         self._started_ms = int(time.time() * MS_PER_S)
         self._release_count = 0
+        self._refreshes = itertools.count(1)
         self.executed_requests: list[ExecutedRequest] = []
 
     @property
@@ -157,7 +159,7 @@
             "slots": 4,
             "state": state,
             "warmup_left_s": self.warm_up_s,
-            "seq": 1,
+            "seq": next(self._refreshes),
             "born": self._started_ms,
         }
         self._store.put(SERVERS_TOPIC, self._name, entry)
@@ -174,6 +176,7 @@
             self._lease_ends_s.clear()
             self._work_ended.notify_all()
             self._started_ms = max(int(time.time() * MS_PER_S), self._started_ms + 1)
+            self._refreshes = itertools.count(1)
             if self._recorder is not None:
                 self._recorder.record_start(f"127.0.0.1:{self.port}")
 
--- a/stand_ins/src/goldcresthall_stand_ins/restorable_store.py
+++ b/stand_ins/src/goldcresthall_stand_ins/restorable_store.py
@@ -27,12 +27,23 @@
         with self._changed:
             self._copied_ends = {topic: len(records) for topic, records in self._topics.items()}
 
-    def restore_copy(self) -> None:
-        """Come back from the last copy; without one, nothing is left."""
+    def restore_copy(self, rewritten: tuple[str, ...] = ()) -> None:
+        """Come back from the last copy; without one, nothing is left.
+
+        Parameters
+        ----------
+        rewritten
+            Topics whose lost records their writers write again, at new offsets.
+        """
         with self._changed:
             for topic, records in self._topics.items():
-                del records[self._copied_ends.get(topic, 0) :]
+                copied = self._copied_ends.get(topic, 0)
+                lost = {record.key: record for record in records[copied:]}
+                del records[copied:]
+                if topic in rewritten:
+                    records.extend(lost.values())
             self.current_era += 1
+            self._changed.notify_all()
 
     def handle_request(self, request: web.Request) -> web.Response:
         """Handle one call; its response bears the era in which it was handled."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 import click
 
 from tests.soak import deployment
+from tests.soak import drawing
 from tests.soak import seed_run
 
 
@@ -18,6 +19,8 @@
 @click.option("--seconds", default=15.0, show_default=True, help="Duration of fault injection.")
 @click.option("--instances", default=3, show_default=True, help="Number of router processes.")
 @click.option("--keyed", default=4, show_default=True, help="Number of keyed servers.")
+@click.option("--unkeyed", default=2, show_default=True, help="Number of other servers.")
+@click.option("--profile", type=click.Choice(list(drawing.PROFILES)), default="everything")
 @click.option(
     "--keep", type=click.Path(path_type=pathlib.Path), help="Folder in which logs are kept."
 )
@@ -28,6 +31,8 @@
     seconds: float,
     instances: int,
     keyed: int,
+    unkeyed: int,
+    profile: str,
     keep: pathlib.Path | None,
 ) -> None:
     """Run seeds; exit with status 1 if an invariant was violated."""
@@ -35,9 +40,8 @@
     for seed in range(first, first + count):
         folder = pathlib.Path(tempfile.mkdtemp()) if keep is None else keep / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        outcome = seed_run.run_seed(
-            seed, seconds, folder, deployment.DeploymentSize(instances=instances, keyed=keyed)
-        )
+        size = deployment.DeploymentSize(instances, keyed, unkeyed)
+        outcome = seed_run.run_seed(seed, seconds, folder, size, drawing.PROFILES[profile])
         click.echo(
             f"seed {seed}: {len(outcome.faults)} faults, statuses {dict(outcome.statuses)},"
             f" {len(outcome.violations)} violations"
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -67,9 +67,12 @@
                 connection, method, f"/{service}/item", key, request_id
             )
         except (OSError, http.client.HTTPException):
-            self._checker.record_result(invariants.CallerResult(request_id, service, 0, ""))
+            self._record(request_id, service, 0, "", connection.port)
             return False
+        self._record(request_id, service, response.status, response.body, connection.port)
+        return not response.closes_connection
+
+    def _record(self, request_id: str, service: str, status: int, body: str, port: int) -> None:
         self._checker.record_result(
-            invariants.CallerResult(request_id, service, response.status, response.body)
+            invariants.CallerResult(request_id, service, status, body, port)
         )
-        return not response.closes_connection
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -15,8 +15,8 @@
 from typing import TYPE_CHECKING
 
 from goldcresthall_stand_ins import deployment_server
-from goldcresthall_stand_ins import deployment_store
 from goldcresthall_stand_ins import fleet
+from goldcresthall_stand_ins import restorable_store
 
 from goldcresthall.ranges import ownership_tables
 from tests.features import deployment_system
@@ -32,9 +32,12 @@
 POLL_INTERVAL_S = 0.02
 REQUEST_WORK_S = 0.02
 CALLER_COUNT = 8
+# Each instance holds some connections with long polls.
+STORE_THREADS = 256
 SAMPLED_KEYS = range(0, 65_536, 2_048)
 
 LIMITS = deployment_system.Limits()
+FIRST_START = "bootstrap = true\n"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,18 +66,17 @@
             fleet.reserve_port() for _ in range(4)
         )
         self._settings_file = folder / f"instance-{number}.toml"
-        self._settings_file.write_text(
-            deployment_system.SETTINGS_TEMPLATE.format(
-                name=f"instance-{number}",
-                callers=self.caller_port,
-                readiness=self.readiness_port,
-                peers=self.peer_port,
-                admin=self._admin_port,
-                store=store_proxy.port,
-                memory_mb=LIMITS.memory_mb,
-                max_fds=LIMITS.max_fds,
-            )
+        self._settings = deployment_system.SETTINGS_TEMPLATE.format(
+            name=f"instance-{number}",
+            callers=self.caller_port,
+            readiness=self.readiness_port,
+            peers=self.peer_port,
+            admin=self._admin_port,
+            store=store_proxy.port,
+            memory_mb=LIMITS.memory_mb,
+            max_fds=LIMITS.max_fds,
         )
+        self._settings_file.write_text(f"{FIRST_START}{self._settings}")
         self._log_file = folder / f"instance-{number}.log"
         self._lock = threading.Lock()
         self.process = self._start()
@@ -89,6 +91,7 @@
         previous.wait()
         with self._lock:
             if self.process is previous:
+                self._settings_file.write_text(self._settings)
                 self.process = self._start()
 
     def send_signal(self, signal_number: signal.Signals) -> None:
@@ -133,7 +136,7 @@
         self, folder: pathlib.Path, size: DeploymentSize, generator: random.Random
     ) -> None:
         self.checker = invariants.InvariantChecker()
-        self.store = deployment_store.StoreStandIn(threads=96)
+        self.store = restorable_store.RestorableStore(threads=STORE_THREADS)
         self.keyed: list[SoakServer] = []
         self.unkeyed: list[SoakServer] = []
         self.instances: list[SoakInstance] = []
@@ -191,6 +194,13 @@
             soak_server.proxy.stop()
         self.store.stop()
 
+    def is_serving(self, name: str) -> bool:
+        """Return whether a server runs and has not left."""
+        return any(
+            soak_server.server.name == name and not self.checker.is_leaving(soak_server.server)
+            for soak_server in (*self.keyed, *self.unkeyed)
+        )
+
     def list_ports(self) -> tuple[int, ...]:
         """Return the caller ports of the running instances."""
         return tuple(instance.caller_port for instance in self.instances if instance.is_running)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,13 +8,19 @@
 import signal
 import threading
 import time
+from typing import TYPE_CHECKING
 
 from tests.soak import deployment
 from tests.soak import proxy
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 SERVER_ENTRY_EXPIRY_S = 2.6
 SERVER_DRAIN_S = 3.0
 SERVER_REGISTRATION_DELAY_S = 0.9
+# Some servers go on serving for many seconds.
+EXTRA_SERVING_FACTOR = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -111,25 +117,15 @@
 
 TERMINATION_GRACE_S = 6.0
 
-# Faults during which instances may not learn in time what the store has accepted.
-DISTURBING_KINDS = (
-    InstanceKilled,
-    InstancePaused,
-    InstanceTerminated,
-    StoreConnectionsDisrupted,
-    StoreUnavailable,
-    StoreSlow,
-)
-
 
-def inject_recorded(
-    fault: Fault, running: deployment.SoakDeployment, stopped: threading.Event
-) -> None:
-    """Inject a fault and tell the checker if it disturbed instances or their way to the store."""
+@contextlib.contextmanager
+def disturb(running: deployment.SoakDeployment, port: int | None = None) -> Iterator[None]:
+    """Tell the checker that the block disturbed an instance, by its port for callers, or all."""
     began_at_s = time.monotonic()
-    inject(fault, running, stopped)
-    if isinstance(fault, DISTURBING_KINDS):
-        running.checker.record_disturbance(began_at_s)
+    try:
+        yield
+    finally:
+        running.checker.record_disturbance(began_at_s, port)
 
 
 @functools.singledispatch
@@ -142,18 +138,20 @@
 def _(fault: InstanceKilled, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
     instance = _find_instance(fault, running)
     killed = instance.process
-    killed.kill()
-    stopped.wait(fault.duration_s)
-    instance.restart(killed)
+    with disturb(running, instance.caller_port):
+        killed.kill()
+        stopped.wait(fault.duration_s)
+        instance.restart(killed)
 
 
 @inject.register
 def _(fault: InstancePaused, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
     instance = _find_instance(fault, running)
-    instance.send_signal(signal.SIGSTOP)
-    stopped.wait(fault.duration_s)
-    running.checker.allow_late_grants()
-    instance.send_signal(signal.SIGCONT)
+    with disturb(running, instance.caller_port):
+        instance.send_signal(signal.SIGSTOP)
+        stopped.wait(fault.duration_s)
+        running.checker.allow_late_grants()
+        instance.send_signal(signal.SIGCONT)
 
 
 @inject.register
@@ -162,10 +160,11 @@
 ) -> None:
     instance = _find_instance(fault, running)
     terminated = instance.process
-    terminated.terminate()
-    stopped.wait(TERMINATION_GRACE_S)
-    terminated.kill()
-    instance.restart(terminated)
+    with disturb(running, instance.caller_port):
+        terminated.terminate()
+        stopped.wait(TERMINATION_GRACE_S)
+        terminated.kill()
+        instance.restart(terminated)
 
 
 @inject.register
@@ -179,10 +178,11 @@
 def _(
     fault: StoreConnectionsDisrupted, running: deployment.SoakDeployment, stopped: threading.Event
 ) -> None:
-    disrupted_proxy = _find_instance(fault, running).store_proxy
-    disrupted_proxy.set_mode(fault.mode)
-    stopped.wait(fault.duration_s)
-    disrupted_proxy.set_mode(proxy.Mode.FORWARD)
+    instance = _find_instance(fault, running)
+    with disturb(running, instance.caller_port):
+        instance.store_proxy.set_mode(fault.mode)
+        stopped.wait(fault.duration_s)
+        instance.store_proxy.set_mode(proxy.Mode.FORWARD)
 
 
 @inject.register
@@ -201,16 +201,18 @@
 def _(
     fault: StoreUnavailable, running: deployment.SoakDeployment, stopped: threading.Event
 ) -> None:
-    running.store.is_down = True
-    stopped.wait(fault.duration_s)
-    running.store.is_down = False
+    with disturb(running):
+        running.store.is_down = True
+        stopped.wait(fault.duration_s)
+        running.store.is_down = False
 
 
 @inject.register
 def _(fault: StoreSlow, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
-    running.store.delay_s = 0.2
-    stopped.wait(fault.duration_s)
-    running.store.delay_s = 0.0
+    with disturb(running):
+        running.store.delay_s = 0.2
+        stopped.wait(fault.duration_s)
+        running.store.delay_s = 0.0
 
 
 @inject.register
@@ -226,7 +228,7 @@
 def _(fault: ServerDrained, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
     soak_server = _replace_server(fault, running)
     soak_server.server.register("draining", port=soak_server.proxy.port)
-    _finish_serving(soak_server, running, stopped)
+    _finish_serving(fault, soak_server, running, stopped)
     soak_server.server.unregister()
 
 
@@ -234,7 +236,7 @@
 def _(fault: ServerLeft, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
     soak_server = _replace_server(fault, running)
     soak_server.server.unregister()
-    _finish_serving(soak_server, running, stopped)
+    _finish_serving(fault, soak_server, running, stopped)
 
 
 @inject.register
@@ -268,13 +270,14 @@
 
 
 def _finish_serving(
+    fault: Fault,
     soak_server: deployment.SoakServer,
     running: deployment.SoakDeployment,
     stopped: threading.Event,
 ) -> None:
     """Let a server that the store knows to be leaving serve for some time; stop it then."""
     running.checker.record_drain(soak_server.server)
-    stopped.wait(SERVER_DRAIN_S)
+    stopped.wait(SERVER_DRAIN_S + EXTRA_SERVING_FACTOR * fault.duration_s)
     with contextlib.suppress(ValueError):
         running.remove_server(soak_server)
 
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -21,10 +21,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbance:
-    """A span of time in which instances or their ways to the store were disturbed."""
+    """A span of time in which an instance, its way to the store or the store was disturbed.
+
+    Attributes
+    ----------
+    port
+        Port for callers of the instance; `None` for a disturbance of all instances.
+    """
 
     began_at_s: float
     ended_at_s: float
+    port: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,12 +53,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerResult:
-    """Result of one request at its caller; status 0 if there was no response."""
+    """Result of one request at its caller; status 0 if there was no response.
+
+    Attributes
+    ----------
+    port
+        Port of the instance to which it was sent.
+    """
 
     request_id: str
     service: str
     status: int
     body: str
+    port: int | None = None
 
 
 class InvariantChecker:
@@ -115,30 +129,41 @@
         with self._lock:
             self._drains.append(Drain(server, time.monotonic()))
 
-    def record_disturbance(self, began_at_s: float) -> None:
-        """Record a disturbance that ends now."""
+    def is_leaving(self, server: deployment_server.DeploymentServer) -> bool:
+        """Return whether the store has accepted that a server drains or left."""
+        with self._lock:
+            return any(drain.server is server for drain in self._drains)
+
+    def record_disturbance(self, began_at_s: float, port: int | None = None) -> None:
+        """Record a disturbance that ends now, of one instance or of all."""
         with self._lock:
-            self._disturbances.append(Disturbance(began_at_s, time.monotonic()))
+            self._disturbances.append(Disturbance(began_at_s, time.monotonic(), port))
 
     def check_drains(self) -> None:
         """Check that no request began at a draining server later than `DRAIN_S`.
 
-        A request is not judged if a disturbance ended less than `STABLE_WINDOW_S` before the
-        server drained, or came between that and the request.
+        A request is not judged if a disturbance of its instance, or of all, ended less than
+        `STABLE_WINDOW_S` before it, or one of all less than that before the server drained.
         """
+        ports = {result.request_id: result.port for result in self._results}
         for drain in self._drains:
+            if self._is_excused(None, drain.accepted_at_s, drain.accepted_at_s):
+                continue
             bound_s = drain.accepted_at_s + DRAIN_S
             for run in drain.server.executed_requests:
-                if run.at_s > bound_s and not self._is_excused(drain.accepted_at_s, run.at_s):
+                port = ports.get(run.request_id)
+                if run.at_s > bound_s and not self._is_excused(port, run.at_s, run.at_s):
                     late_s = run.at_s - drain.accepted_at_s
                     self.record_violation(
                         "draining servers get no new work",
                         f"{drain.server.name} ran {run.request_id} {late_s:.3f} s after its drain",
                     )
 
-    def _is_excused(self, from_s: float, until_s: float) -> bool:
+    def _is_excused(self, port: int | None, from_s: float, until_s: float) -> bool:
         return any(
-            disturbance.began_at_s < until_s and disturbance.ended_at_s > from_s - STABLE_WINDOW_S
+            disturbance.port in {None, port}
+            and disturbance.began_at_s < until_s
+            and disturbance.ended_at_s > from_s - STABLE_WINDOW_S
             for disturbance in self._disturbances
         )
 
--- a/tests/soak/seed_run.py
+++ b/tests/soak/seed_run.py
@@ -17,7 +17,6 @@
     import pathlib
 
 RECOVERY_TIMEOUT_S = 25.0
-FAULTS_PER_S = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,10 +45,11 @@
     duration_s: float,
     folder: pathlib.Path,
     size: deployment.DeploymentSize | None = None,
+    profile: drawing.Profile = drawing.EVERYTHING,
 ) -> SeedResult:
     """Run one seed; `folder` receives the settings and logs of the instances."""
     generator = random.Random(seed)
-    drawn_faults = drawing.draw_faults(generator, duration_s, FAULTS_PER_S)
+    drawn_faults = drawing.draw_faults(generator, duration_s, profile)
     running = deployment.SoakDeployment(folder, size or deployment.DeploymentSize(), generator)
     try:
         running.start()
@@ -77,7 +77,7 @@
     for fault in drawn_faults:
         time.sleep(max(0.0, began_at_s + fault.at_s - time.monotonic()))
         injection = threading.Thread(
-            target=faults.inject_recorded, args=(fault, running, stopped), daemon=True
+            target=faults.inject, args=(fault, running, stopped), daemon=True
         )
         injection.start()
         injections.append(injection)
