Let no task wait for the reader of the log

Cause: each task wrote its own log lines to the pipe under the handler's lock, so every task stopped at its next line once the pipe was full, the main task at "draining".

Ruled out: a non-blocking pipe, which other programs that share it would see.

Why it works: tasks only queue lines; one task for each descriptor writes them and may wait. The queue is bounded, drops are counted and reported. The writer blocks all signals, since it starts before the main task awaits them. Its wait at the end is bounded.

--- a/src/goldcresthall/admin/server.py
+++ b/src/goldcresthall/admin/server.py
@@ -22,6 +22,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.observability import logs
 from goldcresthall.observability import metrics
 from goldcresthall.peers import follower
 from goldcresthall.presets import publisher
@@ -58,6 +59,7 @@
         self._server = wsgi.Server(
             (address.host, address.port), self._serve, numthreads=THREAD_COUNT
         )
+        self._server.error_log = logs.log_server_error  # type: ignore[method-assign]
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._is_draining = False
         self._task = tasks.LoopTask("admin", self._run)
--- a/src/goldcresthall/admin/status_server.py
+++ b/src/goldcresthall/admin/status_server.py
@@ -10,6 +10,7 @@
 
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.observability import logs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,6 +42,7 @@
             numthreads=THREAD_COUNT,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
+        self._server.error_log = logs.log_server_error  # type: ignore[method-assign]
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = MAX_BODY_BYTES
         self._task = tasks.LoopTask(name, lambda _: self._server.serve())
--- a/src/goldcresthall/application/deployment_factory.py
+++ b/src/goldcresthall/application/deployment_factory.py
@@ -27,6 +27,7 @@
 from goldcresthall.load import work_model
 from goldcresthall.memory import ledger
 from goldcresthall.observability import decisions
+from goldcresthall.observability import log_writer
 from goldcresthall.observability import metrics
 from goldcresthall.observability import task_metrics
 from goldcresthall.peers import peer_metrics
@@ -101,6 +102,7 @@
     metrics_service = metrics.Metrics()
     service_kernel.register(names.METRICS, metrics_service)
     metrics_service.registry.register(task_metrics.TaskFailureCollector())
+    metrics_service.registry.register(log_writer.DroppedLineCollector())
     service_kernel.register(
         names.REQUEST_LOG, decisions.DecisionLog.from_config(service_kernel, instance_settings.name)
     )
--- a/src/goldcresthall/application/deployment_runner.py
+++ b/src/goldcresthall/application/deployment_runner.py
@@ -4,7 +4,6 @@
 
 import os
 import signal
-import sys
 import threading
 from typing import TYPE_CHECKING
 from typing import Final
@@ -16,6 +15,8 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import tasks
 from goldcresthall.observability import decisions
+from goldcresthall.observability import log_writer
+from goldcresthall.observability import logs
 from goldcresthall.ranges import election
 
 if TYPE_CHECKING:
@@ -44,7 +45,7 @@
     logging.info("instance %s draining", instance.incarnation)
     _drain(instance)
     logging.info("instance %s stopped", instance.incarnation)
-    sys.stdout.flush()
+    log_writer.flush_all(logs.FLUSH_TIMEOUT_S)
     # Threads of the HTTP library would keep the process alive until it is killed.
     os._exit(0)
 
--- a/src/goldcresthall/callers/wsgi_frontend.py
+++ b/src/goldcresthall/callers/wsgi_frontend.py
@@ -20,6 +20,7 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.observability import logs
 from goldcresthall.observability import metrics
 from goldcresthall.replication import replica
 from goldcresthall.routing import router
@@ -64,6 +65,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         self._server.server_name = "goldcresthall"
+        self._server.error_log = logs.log_server_error  # type: ignore[method-assign]
         self._server.keep_alive_conn_limit = instance_settings.callers.connection_limit
         self._task = tasks.LoopTask("callers", self._run)
 
--- a/src/goldcresthall/observability/decisions.py
+++ b/src/goldcresthall/observability/decisions.py
@@ -16,11 +16,10 @@
 from goldcresthall.kernel import names
 from goldcresthall.kernel import service
 from goldcresthall.kernel import tasks
+from goldcresthall.observability import log_writer
 from goldcresthall.observability import metrics
 
 if TYPE_CHECKING:
-    from typing import TextIO
-
     from goldcresthall.kernel import kernel
 
 MAX_QUEUED_DECISIONS = 2_000
@@ -70,10 +69,12 @@
 class DecisionLog(service.Service):
     """Writes decisions in batches from its own task; counts those the queue has no room for."""
 
-    def __init__(self, service_kernel: kernel.Kernel, instance: str, stream: TextIO) -> None:
+    def __init__(
+        self, service_kernel: kernel.Kernel, instance: str, writer: log_writer.LineWriter
+    ) -> None:
         self._kernel = service_kernel
         self._instance = instance
-        self._stream = stream
+        self._writer = writer
         self._lock = threading.Lock()
         self._queue: collections.deque[RequestDecision] = collections.deque()
         self._unreported_drops = 0
@@ -82,7 +83,7 @@
     @classmethod
     def from_config(cls, service_kernel: kernel.Kernel, instance: str) -> DecisionLog:
         """Return a log that writes to standard output."""
-        return cls(service_kernel, instance, sys.stdout)
+        return cls(service_kernel, instance, log_writer.find_writer(sys.stdout.fileno()))
 
     def start(self) -> None:
         """Start the writer task."""
@@ -95,7 +96,7 @@
         self._task.start()
 
     def stop(self) -> None:
-        """Write all queued decisions and stop."""
+        """Queue all decisions for which the log has room, and stop."""
         self._task.stop()
 
     def record(self, decision: RequestDecision) -> None:
@@ -114,23 +115,24 @@
             pass
 
     def _write_batch(self) -> bool:
+        room = self._writer.room
         with self._lock:
-            count = min(MAX_BATCH_DECISIONS, len(self._queue))
+            count = min(MAX_BATCH_DECISIONS, len(self._queue), room)
             batch = [self._queue.popleft() for _ in range(count)]
-            dropped, self._unreported_drops = self._unreported_drops, 0
+            dropped = self._unreported_drops if room else 0
+            self._unreported_drops -= dropped
         lines = [self._format(_list_fields(decision)) for decision in batch]
         if dropped:
             lines.append(self._format({"event": "decisions_dropped", "count": dropped}))
         if lines:
-            self._stream.write("".join(lines))
-            self._stream.flush()
+            self._writer.put(*lines)
         return bool(lines)
 
     def _format(self, fields: dict[str, object]) -> str:
         time = dt.datetime.now(dt.UTC).isoformat(timespec="milliseconds")
         non_empty_fields = {name: value for name, value in fields.items() if value not in ("", ())}
         line = {"time": time, "instance": self._instance, **non_empty_fields}
-        return ENCODER.encode(line) + "\n"
+        return ENCODER.encode(line)
 
 
 def _list_fields(decision: RequestDecision) -> dict[str, object]:
