Count the head of a request from its first byte, and before it is parsed

Ordinary callers got no answers.

Cause: a head was counted in the memory ledger after it had been parsed, so that all connections could hold a parsed one at the same time. A field of four bytes becomes several objects.

Why it works: bytes are counted as they come, lines when the head is complete and right before the parser gets it. Without room the request is refused unparsed, with a status that says that it was not run; unfinished heads are reclaimed like unfinished bodies.

--- a/src/goldcresthall/callers/request_reader.py
+++ b/src/goldcresthall/callers/request_reader.py
@@ -12,6 +12,7 @@
 
 from goldcresthall.backend import response_framing
 from goldcresthall.callers import exceptions
+from goldcresthall.callers import head_cost
 from goldcresthall.callers import refusals
 from goldcresthall.memory import holders
 from goldcresthall.memory import ledger
@@ -26,10 +27,6 @@
 # How soon a body whose memory was reclaimed is given up.
 RECLAIM_CHECK_S: Final = 0.25
 MEMORY_POLL_S: Final = 0.1
-# The thread of a request and what the parser and the gateway keep for it.
-REQUEST_BYTES: Final = 32_768
-# A field of four bytes becomes several objects; a head of 16 KiB can hold thousands of them.
-FIELD_BYTES: Final = 512
 STATUS_CONTINUE: Final = 100
 STATUS_TIMEOUT: Final = 408
 STATUS_TOO_LARGE: Final = 413
@@ -93,16 +90,15 @@
             If the request is malformed.
         """
         parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-        if self.leftover:
-            parser.receive_data(self.leftover)
-            self.leftover = b""
-        head = self._read_head(parser, limits)
+        first, self.leftover = self.leftover, b""
+        if not first:
+            first = self._await_request(limits)
         is_first = self._responses.is_idle
         account = self._memory.open(
             holders.RequestHolder() if is_first else holders.PipelinedHolder()
         )
         try:
-            self._take_head(account, REQUEST_BYTES + FIELD_BYTES * len(head.headers))
+            head = self._read_head(parser, first, account, limits)
             self._check_declared_length(head, account, limits)
             # Closing frees the buffer of a refused body, which the traceback would keep. The value
             # of a complete one is the buffer itself; joining parts would hold it twice.
@@ -116,9 +112,19 @@
         self.leftover, _ = parser.trailing_data
         return CompleteRequest(parser, head, body, account)
 
-    def _read_head(self, parser: h11.Connection, limits: deployment.CallerLimits) -> h11.Request:
+    def _read_head(
+        self,
+        parser: h11.Connection,
+        first: bytes,
+        account: ledger.Account,
+        limits: deployment.CallerLimits,
+    ) -> h11.Request:
+        cost = head_cost.HeadCost()
         ends_at_s: float | None = None
+        data = first
         while True:
+            self._take_head(account, cost.add(data))
+            parser.receive_data(data)
             event = parser.next_event()
             if isinstance(event, h11.Request):
                 _check_head(event, limits)
@@ -128,9 +134,9 @@
             if parser.trailing_data[0] and ends_at_s is None:
                 ends_at_s = time.monotonic() + limits.header_timeout_s
             if ends_at_s is None:
-                parser.receive_data(self._await_request(limits))
+                data = self._await_request(limits)
             else:
-                parser.receive_data(self._receive_head(ends_at_s))
+                data = self._receive_head(ends_at_s, account)
 
     def _await_request(self, limits: deployment.CallerLimits) -> bytes:
         ends_at_s = time.monotonic() + limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
@@ -143,20 +149,24 @@
             if data := self._receive(ends_at_s - now_s):
                 return data
 
-    def _receive_head(self, ends_at_s: float) -> bytes:
+    def _receive_head(self, ends_at_s: float, account: ledger.Account) -> bytes:
         while (remaining_s := ends_at_s - time.monotonic()) > 0:
-            if data := self._receive(remaining_s):
+            if data := self._receive(min(remaining_s, RECLAIM_CHECK_S)):
                 return data
+            if account.is_reclaimed:
+                raise _refuse_memory(account)
         if self._responses.close_after_pending():
             raise exceptions.ConnectionDrainingError
         raise exceptions.CallerDisconnectedError("timed out")
 
     def _take_head(self, account: ledger.Account, size_bytes: int) -> None:
-        """Count a request without its body.
+        """Count more of a request's head, before it is parsed.
 
-        One that was sent behind others waits until they have left room for it, and at most until
-        they are answered.
+        A request that was sent behind others waits until they have left room for it, and at most
+        until they are answered.
         """
+        if not size_bytes:
+            return
         while not self._responses.is_idle:
             if account.try_take(size_bytes):
                 return
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -16,6 +16,7 @@
 from goldcresthall.callers import connection_limit
 from goldcresthall.callers import connections
 from goldcresthall.callers import exceptions
+from goldcresthall.callers import head_cost
 from goldcresthall.callers import refusals
 from goldcresthall.callers import request_reader
 from goldcresthall.callers import response_order
@@ -472,14 +473,55 @@
 ) -> None:
     """Heads of thousands of tiny fields take a hundred times their size."""
     caller, connection = pair
-    caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 99 + b"\r\n")
+    head = b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 99 + b"\r\n"
+    caller.sendall(head)
     received = connection.receive(LIMITS)
-    expected = request_reader.REQUEST_BYTES + 100 * request_reader.FIELD_BYTES
+    lines = head.count(b"\n")
+    expected = len(head) + head_cost.REQUEST_BYTES + lines * head_cost.FIELD_BYTES
     assert connection._reader._memory.used_bytes == expected
     respond(connection, received.pending, create_response(b"done"))
     assert connection._reader._memory.used_bytes == 0
 
 
+# Guards against memory that many heads take at once before they are counted (Fault).
+def test_head_counts_from_its_first_byte(
+    pair: tuple[socket.socket, connections.CallerConnection],
+) -> None:
+    caller, connection = pair
+    part = b"GET / HTTP/1.1\r\nHost: a\r\n"
+    caller.sendall(part)
+
+    def read() -> None:
+        with contextlib.suppress(exceptions.CallerDisconnectedError):
+            connection.receive(LIMITS)
+
+    reading = threading.Thread(target=read)
+    reading.start()
+    memory = connection._reader._memory
+    ends_at_s = time.monotonic() + 10
+    while memory.used_bytes != len(part) and time.monotonic() < ends_at_s:
+        time.sleep(0.01)
+    assert memory.used_bytes == len(part)
+    caller.close()
+    reading.join(timeout=10)
+    assert memory.used_bytes == 0
+
+
+# Guards against memory that a head takes although there is no room for it (Fault).
+def test_head_without_room_is_refused_before_it_is_parsed(
+    pair: tuple[socket.socket, connections.CallerConnection], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller, connection = pair
+    fields = connection._reader._memory._total_bytes // head_cost.FIELD_BYTES
+    caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * fields + b"\r\n")
+    parsed: list[object] = []
+    monkeypatch.setattr(request_reader, "_check_head", lambda head, limits: parsed.append(head))
+    with pytest.raises(exceptions.BadRequestError) as raised:
+        connection.receive(LIMITS)
+    assert raised.value.status == request_reader.STATUS_UNAVAILABLE
+    assert not parsed
+
+
 def test_caller_that_leaves_within_a_body_leaves_no_memory_counted(
     pair: tuple[socket.socket, connections.CallerConnection],
 ) -> None:
--- a/tests/processes/test_hostile_callers.py
+++ b/tests/processes/test_hostile_callers.py
@@ -38,6 +38,8 @@
     b"GET /agenda/page HTTP/1.1\r\nHost: shop.example\r\nGoldcresthall-Request-Id: c\r\n\r\n"
 )
 BLOCK = bytes(65_536)
+# Within the limit on a head, but each field becomes several objects.
+MANY_FIELDS = b"".join(b"x%d:\r\n" % (number % 10) for number in range(2_600))
 
 CROWDS = {
     "large-chunks-without-end": [
@@ -64,6 +66,11 @@
         *[crowds.Member(crowds.repeat_piece(POST_HEAD, b"X-Field: x\r\n" * 100, 6))] * 200,
         *[crowds.Member(crowds.repeat_piece(b"", GET_REQUEST * 16, 100))] * 200,
     ],
+    # Guards against a process that is ended over its memory (Fault): heads were counted after they
+    # were parsed, and only by their bytes before.
+    "unfinished-bodies-with-many-fields": [
+        *[crowds.Member(crowds.send_chunks(POST_HEAD + MANY_FIELDS, 1, 2_000))] * 400,
+    ],
     "large-responses-read-slowly": [
         *[crowds.Member(crowds.repeat_piece(b"", LARGE_REQUEST, 16))] * 100,
         *[crowds.Member(crowds.repeat_piece(b"", LARGE_REQUEST, 16), reads_bytes=1)] * 100,
