--- a/src/goldcresthall/gateway/evacuations.py
+++ b/src/goldcresthall/gateway/evacuations.py
@@ -96,7 +96,7 @@
         if evacuated.position <= self._latest.position:
             return
         known = self.find_in_force(now_s)
-        if self._is_restored(evacuated):
+        if self._is_restored(evacuated) and known:
             self._kept = known
             self._kept_until_s = now_s + KEPT_AFTER_RESTORE_S
             logging.warning(
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -246,7 +246,8 @@
     def find_lessor(self) -> SoakInstance | None:
         """Return the instance that the stored ownership table names as lessor, if there is one."""
         stored = self.store.read(ownership_tables.TOPIC, ownership_tables.KEY)
-        port = json.loads(stored)["lessor"]["address"]["port"] if stored else None
+        lessor = json.loads(stored)["lessor"] if stored else None
+        port = None if lessor is None else lessor["address"]["port"]
         return next((found for found in self.instances if found.peer_port == port), None)
 
     def publish(self) -> int:
