Pause before a failed takeover is tried again

An instance whose own address the table names, or that takes over again after a return of the store, tried without a pause while the store refused the write: each try is two priced calls. Found by reading. The new test failed before (no wait was recorded).

--- a/src/goldcresthall/ranges/election.py
+++ b/src/goldcresthall/ranges/election.py
@@ -362,6 +362,8 @@
     ) -> key_ranges.StoredTable | None:
         own_term = result.term
         if own_term is None:
+            if result.other_table is None:
+                stop_signal.wait(RETRY_INTERVAL_S)
             return result.other_table
         with self._lock:
             if own_term.term < self._min_term:
--- a/tests/ranges/test_election.py
+++ b/tests/ranges/test_election.py
@@ -310,3 +310,22 @@
             return False
 
     assert election_service._await_restored_table(copied, RestoringSignal()) is not None
+
+
+# Guards against calls to the store without a pause, for as long as it refuses the write.
+def test_takeover_that_failed_is_tried_again_after_a_pause(
+    election_service: election.Election,
+) -> None:
+    assert isinstance(election_service._store, store.FakeStore)
+    stored = ownership_tables.read(election_service._store)
+    assert stored is not None
+    election_service._store.delays_writes = True
+    waits_s: list[float | None] = []
+
+    class RecordingSignal(tasks.StopSignal):
+        def wait(self, timeout_s: float | None = None) -> bool:
+            waits_s.append(timeout_s)
+            return False
+
+    election_service._take_over(stored, RecordingSignal())
+    assert waits_s == [election.RETRY_INTERVAL_S]
