Let the soak restart no server that leaves

Cause, by its logs: the soak restarted the draining server 6.4 s into the run. The next incarnation registered as ready, was discovered as new, and got keys and requests; the checker counts by name and took them for the leaving one's. No fault of the product: a server that starts again under its name is a new one. It shows since leaving servers serve on for up to 13 s.

The check is unchanged; a restart takes a server that serves.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -241,11 +241,12 @@
 
 @inject.register
 def _(fault: ServerRestarted, running: deployment.SoakDeployment, stopped: threading.Event) -> None:
-    keyed = tuple(running.keyed)
+    # The next incarnation of a leaving server gets work, which is no work for the leaving one.
+    keyed = [each for each in running.keyed if running.is_serving(each.server.name)]
     soak_server = keyed[fault.index % len(keyed)]
     soak_server.server.restart()
     stopped.wait(min(fault.duration_s, SERVER_REGISTRATION_DELAY_S))
-    if soak_server in running.keyed:
+    if running.is_serving(soak_server.server.name):
         soak_server.server.register(port=soak_server.proxy.port)
 
 
